--- /dev/null
+++ b/citroncli/cli.go
@@ -0,0 +1,162 @@
+// Package citroncli is the command line. Every subcommand is a plug-in
+// in a file of its own holding its usage text, its flags and its
+// implementation; each registers itself in the one lookup table below,
+// and Main builds the kong parser from that table.
+package citroncli
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sort"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+)
+
+// Plugin is one subcommand.
+type Plugin struct {
+	Name string
+	Help string
+	// New returns a fresh kong command value with a Run(*Globals) error
+	// method.
+	New func() any
+}
+
+var table = map[string]Plugin{}
+
+// Register adds a subcommand to the lookup table.
+func Register(p Plugin) { table[p.Name] = p }
+
+// Globals are the flags every subcommand takes.
+type Globals struct {
+	LogLevel  string    `help:"Log level: debug, info, warn or error." default:"info" enum:"debug,info,warn,error"`
+	LogFormat string    `help:"Log format: text or json." default:"text" enum:"text,json"`
+	Out       io.Writer `kong:"-"`
+	Err       io.Writer `kong:"-"`
+}
+
+// Logger returns the process logger.
+func (g *Globals) Logger() *slog.Logger {
+	var lvl slog.Level
+	_ = lvl.UnmarshalText([]byte(g.LogLevel))
+	opts := &slog.HandlerOptions{Level: lvl}
+	if g.LogFormat == "json" {
+		return slog.New(slog.NewJSONHandler(g.Err, opts))
+	}
+	return slog.New(slog.NewTextHandler(g.Err, opts))
+}
+
+const description = `citrondeck routes requests from callers to model engines, each holding a
+range of a model's layers, and to plain services. Each role runs as its own
+process; the fleet is described by one YAML text applied to the platform's
+key-value service.
+
+A whole path on one machine (scripts/demo does this for you):
+
+  citrondeck kv     --listen 127.0.0.1:7000
+  citrondeck engine --name e1 --listen 127.0.0.1:7101 --layers 0:16 --kv http://127.0.0.1:7000
+  citrondeck engine --name e2 --listen 127.0.0.1:7102 --layers 16:32 --kv http://127.0.0.1:7000
+  citrondeck apply  -f examples/fabrication.yaml --kv http://127.0.0.1:7000
+  citrondeck entry  --name entry-1 --listen 127.0.0.1:8081 --zone karratha --kv http://127.0.0.1:7000
+  citrondeck load   --entry 127.0.0.1:8081 -f examples/fabrication.yaml --count 200`
+
+// Main runs the command line and returns the exit code.
+func Main(args []string, out, errw io.Writer) int {
+	g := Globals{Out: out, Err: errw}
+	opts := []kong.Option{
+		kong.Name("citrondeck"),
+		kong.Description(description),
+		kong.Writers(out, errw),
+		kong.UsageOnError(),
+		kong.Exit(func(int) {}),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+	}
+	names := make([]string, 0, len(table))
+	for n := range table {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	for _, n := range names {
+		opts = append(opts, kong.DynamicCommand(n, table[n].Help, "", table[n].New()))
+	}
+	parser, err := kong.New(&g, opts...)
+	if err != nil {
+		fmt.Fprintln(errw, err)
+		return 2
+	}
+	kctx, err := parser.Parse(args)
+	if err != nil {
+		if len(args) == 0 || args[0] == "--help" || args[0] == "-h" {
+			return 0
+		}
+		fmt.Fprintln(errw, "citrondeck:", err)
+		return 2
+	}
+	if kctx == nil || kctx.Command() == "" {
+		return 0
+	}
+	if err := kctx.Run(&g); err != nil {
+		fmt.Fprintf(errw, "citrondeck %s: %v\n", kctx.Command(), err)
+		return 1
+	}
+	return 0
+}
+
+// signalContext ends on SIGINT or SIGTERM.
+func signalContext() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+}
+
+// loadSettings decodes a YAML settings file strictly into v; an unknown
+// field or a wrong type is an error naming the line and column.
+func loadSettings(path string, v any) error {
+	if path == "" {
+		return nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "read settings")
+	}
+	if err := yaml.UnmarshalWithOptions(text, v, yaml.Strict()); err != nil {
+		return errors.Newf("%s: %s", path, yaml.FormatError(err, false, false))
+	}
+	return nil
+}
+
+// serve listens on addr with mux plus /debug/vars until ctx ends.
+func serve(ctx context.Context, addr string, mux *http.ServeMux) error {
+	mux.Handle("/debug/vars", expvar.Handler())
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", addr)
+	}
+	hs := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	go func() {
+		<-ctx.Done()
+		sctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_ = hs.Shutdown(sctx)
+	}()
+	if err := hs.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrapf(err, "serve on %s", addr)
+	}
+	return nil
+}
+
+func httpClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 256,
+		IdleConnTimeout:     30 * time.Second,
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+	}}
+}
--- /dev/null
+++ b/citroncli/engine.go
@@ -0,0 +1,77 @@
+package citroncli
+
+// citrondeck engine: the stand-in model engine. It holds layers
+// [from, to) of a model, spends --capacity tokens a second, and on SIGTERM
+// marks itself leaving in the instance list, refuses new requests and
+// finishes those it holds before it exits.
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronclock"
+	"citrondeck.dev/citrondeck/citronengine"
+	"citrondeck.dev/citrondeck/citronevent"
+	"citrondeck.dev/citrondeck/citronkv"
+	"github.com/cockroachdb/errors"
+)
+
+type engineCmd struct {
+	Name     string        `help:"Engine name, as in the fleet text." required:""`
+	Listen   string        `help:"Address to listen on." required:""`
+	Zone     string        `help:"Zone the engine runs in." default:"default"`
+	Layers   string        `help:"Layer range from:to (to excluded)." required:""`
+	Capacity int           `help:"Declared tokens per second; 0 is unbounded." default:"0"`
+	Fence    string        `help:"What to do with an order with an old fencing number: refuse or ignore." default:"refuse" enum:"refuse,ignore"`
+	KV       string        `help:"Base URL of the KV service holding the instance list." default:"http://127.0.0.1:7000"`
+	Drain    time.Duration `help:"Longest wait for requests in flight on stop." default:"10s"`
+}
+
+func init() {
+	Register(Plugin{Name: "engine", Help: "Run a stand-in model engine holding a range of layers.", New: func() any { return &engineCmd{} }})
+}
+
+func (c *engineCmd) Run(g *Globals) error {
+	var from, to int
+	if _, err := fmt.Sscanf(c.Layers, "%d:%d", &from, &to); err != nil || from >= to {
+		return errors.Newf("--layers %q: want from:to with from < to", c.Layers)
+	}
+	ctx, stop := signalContext()
+	defer stop()
+	log := g.Logger().With("role", "engine", "engine", c.Name)
+	e := citronengine.New(citronengine.Settings{Name: c.Name, From: from, To: to, Capacity: c.Capacity, Fence: citronengine.FenceMode(c.Fence)})
+	kv := citronkv.NewClient(httpClient(), c.KV)
+	in := citronkv.Instance{Name: c.Name, Addr: c.Listen, Zone: c.Zone, State: citronkv.Live}
+	_ = kv.SetInstance(ctx, in)
+	mux := http.NewServeMux()
+	e.Mount(mux)
+	srvCtx, stopSrv := context.WithCancel(context.Background())
+	defer stopSrv()
+	done := make(chan error, 1)
+	go func() { done <- serve(srvCtx, c.Listen, mux) }()
+	citronevent.Log(ctx, log, citronevent.ProcessStarted, "role", "engine", "addr", c.Listen, "zone", c.Zone, "layers", c.Layers)
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+	}
+	citronevent.Log(context.Background(), log, citronevent.ProcessStopping)
+	e.SetLeaving()
+	in.State = citronkv.Leaving
+	_ = kv.SetInstance(context.Background(), in)
+	drainUntil(citronclock.Real{}, c.Drain, func() bool { return e.InFlight() == 0 })
+	stopSrv()
+	<-done
+	citronevent.Log(context.Background(), log, citronevent.ProcessStopped, "steps", e.Steps.Load())
+	return nil
+}
+
+// drainUntil waits until idle reports true or limit passes.
+func drainUntil(clock citronclock.Clock, limit time.Duration, idle func() bool) {
+	end := clock.Now().Add(limit)
+	for !idle() && clock.Now().Before(end) {
+		_ = clock.Sleep(context.Background(), 50*time.Millisecond)
+	}
+}
--- /dev/null
+++ b/citroncli/entry.go
@@ -0,0 +1,56 @@
+package citroncli
+
+// citrondeck entry: an entry instance. Settings come from a YAML file
+// (--settings) or flags; a flag given on the command line wins. On
+// SIGTERM the entry leaves discovery, finishes what it holds and exits.
+
+import (
+	"context"
+	"expvar"
+	"net"
+
+	"citrondeck.dev/citrondeck/citronclock"
+	"citrondeck.dev/citrondeck/citronentry"
+	"citrondeck.dev/citrondeck/citronevent"
+	"citrondeck.dev/citrondeck/citronkv"
+	"github.com/cockroachdb/errors"
+)
+
+type entryCmd struct {
+	Settings string `help:"YAML settings file (name, listen, advertise, zone, discoveryTTL, leaseTTL, drainGrace, maxBody)." type:"existingfile"`
+	Name     string `help:"Entry name, unique in the fleet."`
+	Listen   string `help:"Address to listen on for callers."`
+	Zone     string `help:"Zone this entry runs in."`
+	KV       string `help:"Base URL of the KV service." default:"http://127.0.0.1:7000"`
+}
+
+func init() {
+	Register(Plugin{Name: "entry", Help: "Run an entry instance: the caller API, discovery and routing.", New: func() any { return &entryCmd{} }})
+}
+
+func (c *entryCmd) Run(g *Globals) error {
+	var set citronentry.Settings
+	if err := loadSettings(c.Settings, &set); err != nil {
+		citronevent.Log(context.Background(), g.Logger(), citronevent.SettingsInvalid, "err", err)
+		return err
+	}
+	for dst, src := range map[*string]string{&set.Name: c.Name, &set.Listen: c.Listen, &set.Zone: c.Zone} {
+		if src != "" {
+			*dst = src
+		}
+	}
+	if set.Name == "" || set.Listen == "" || set.Zone == "" {
+		return errors.New("an entry needs a name, a listen address and a zone (flags or --settings)")
+	}
+	ctx, stop := signalContext()
+	defer stop()
+	hc := httpClient()
+	kv := citronkv.NewClient(hc, c.KV)
+	e := citronentry.New(set, citronclock.Real{}, g.Logger().With("role", "entry"), kv, kv.Instances, hc)
+	expvar.Publish("entry", e.Metrics())
+	ln, err := net.Listen("tcp", set.Listen)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", set.Listen)
+	}
+	return e.Run(ctx, ln)
+}
--- /dev/null
+++ b/citroncli/events.go
@@ -0,0 +1,14 @@
+package citroncli
+
+// citrondeck events: prints the catalogue of numbered log events, the
+// text of docs/EVENTS.md.
+
+import "citrondeck.dev/citrondeck/citronevent"
+
+type eventsCmd struct{}
+
+func init() {
+	Register(Plugin{Name: "events", Help: "Print the catalogue of numbered log events.", New: func() any { return &eventsCmd{} }})
+}
+
+func (*eventsCmd) Run(g *Globals) error { return citronevent.WriteCatalogue(g.Out) }
--- /dev/null
+++ b/citroncli/load.go
@@ -0,0 +1,56 @@
+package citroncli
+
+// citrondeck load: fires a surge at the entries and checks every answer
+// against the oracle; exits non-zero if any answer was lost, doubled or
+// misdelivered.
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronload"
+	"github.com/cockroachdb/errors"
+)
+
+type loadCmd struct {
+	Entry     string        `help:"An entry to ask which entries to use (host:port)." default:"127.0.0.1:8081"`
+	Zone      string        `help:"The caller's zone." default:""`
+	File      string        `short:"f" help:"The fleet text in force (to know services, layers and customers)." required:"" type:"existingfile"`
+	Count     int           `help:"Requests to send." default:"200"`
+	Rate      float64       `help:"Requests per second; 0 sends as fast as the workers allow." default:"0"`
+	Workers   int           `help:"Callers sending at once." default:"32"`
+	Tokens    int           `help:"Tokens per model request." default:"8"`
+	Tries     int           `help:"Times one request may be sent, across entries." default:"4"`
+	Timeout   time.Duration `help:"Longest the whole surge may take." default:"5m"`
+	RunPrefix string        `help:"Prefix for prompts and idempotency keys (default: the time)."`
+}
+
+func init() {
+	Register(Plugin{Name: "load", Help: "Fire a surge of requests and count lost, doubled and misdelivered answers.", New: func() any { return &loadCmd{} }})
+}
+
+func (c *loadCmd) Run(g *Globals) error {
+	_, f, err := readFleet(c.File)
+	if err != nil {
+		return err
+	}
+	prefix := c.RunPrefix
+	if prefix == "" {
+		prefix = fmt.Sprintf("run%d", time.Now().UnixNano())
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	r, err := citronload.Run(ctx, httpClient(), citronload.Plan{
+		Entry: c.Entry, Zone: c.Zone, Fleet: f, Count: c.Count, Rate: c.Rate,
+		Workers: c.Workers, MaxTokens: c.Tokens, Tries: c.Tries, Prefix: prefix,
+	})
+	if err != nil {
+		return err
+	}
+	r.Print(g.Out)
+	if r.Lost+r.Doubled+r.Misdelivered > 0 {
+		return errors.Newf("%d lost, %d doubled, %d misdelivered", r.Lost, r.Doubled, r.Misdelivered)
+	}
+	return nil
+}
--- /dev/null
+++ b/citronevent/event.go
@@ -0,0 +1,121 @@
+// Package citronevent numbers every log event that citrondeck writes.
+// Each event has a stable number, a level and a one-line meaning; the
+// catalogue in docs/EVENTS.md is the output of `citrondeck events`, so the
+// page and the code cannot drift apart.
+//
+// A component logs through Log:
+//
+//	citronevent.Log(ctx, logger, citronevent.ConfigApplied, "revision", rev)
+package citronevent
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"sort"
+)
+
+// Event is the stable number of a log event.
+type Event int
+
+// The catalogue. Numbers are never reused; hundreds group by role.
+const (
+	ProcessStarted  Event = 100
+	ProcessStopping Event = 101
+	ProcessStopped  Event = 102
+	SettingsInvalid Event = 103
+
+	ConfigApplied    Event = 200
+	ConfigRejected   Event = 201
+	ConfigStale      Event = 202
+	ConfigKVDown     Event = 203
+	ConfigApplyRace  Event = 204
+	ConfigAudited    Event = 205
+	InstancesChanged Event = 206
+
+	RequestRejected     Event = 300
+	RequestNotRun       Event = 301
+	RequestUnknown      Event = 302
+	StageFailed         Event = 303
+	StageReplaced       Event = 304
+	RequestDuplicate    Event = 305
+	RequestServed       Event = 306
+	LedgerReadBack      Event = 307
+	UpstreamLeaving     Event = 308
+	DrainStarted        Event = 309
+	DrainDone           Event = 310
+	DiscoveryRegistered Event = 311
+
+	KVFaultSet   Event = 400
+	KVLeaseLapse Event = 401
+	EngineFenced Event = 402
+	EngineOrder  Event = 403
+)
+
+type entry struct {
+	level   slog.Level
+	name    string
+	meaning string
+}
+
+var catalogue = map[Event]entry{
+	ProcessStarted:  {slog.LevelInfo, "process.started", "a process is listening; gives its role, address and zone"},
+	ProcessStopping: {slog.LevelInfo, "process.stopping", "a stop signal arrived; the process drains before it exits"},
+	ProcessStopped:  {slog.LevelInfo, "process.stopped", "the process has finished its work and exits"},
+	SettingsInvalid: {slog.LevelError, "settings.invalid", "the settings file failed its check; the process does not start"},
+
+	ConfigApplied:    {slog.LevelInfo, "config.applied", "an entry put a new fleet configuration in force; gives the revision"},
+	ConfigRejected:   {slog.LevelError, "config.rejected", "a fleet text failed its check and was not put in force; the last good one stays"},
+	ConfigStale:      {slog.LevelWarn, "config.stale", "the KV service offered a revision lower than the one in force; it was ignored"},
+	ConfigKVDown:     {slog.LevelWarn, "config.kv_down", "the KV service did not answer; the configuration in force is kept"},
+	ConfigApplyRace:  {slog.LevelWarn, "config.apply_race", "apply lost a compare-and-swap to another operator's change; nothing was written"},
+	ConfigAudited:    {slog.LevelInfo, "config.audited", "apply wrote a fleet text and its audit record"},
+	InstancesChanged: {slog.LevelInfo, "instances.changed", "the instance list reported instances joining or leaving"},
+
+	RequestRejected:     {slog.LevelWarn, "request.rejected", "a caller's request was refused before any upstream saw it (bad input, unknown service)"},
+	RequestNotRun:       {slog.LevelWarn, "request.not_run", "a request was answered 'not run': no upstream received it"},
+	RequestUnknown:      {slog.LevelWarn, "request.unknown", "a request was answered 'outcome unknown': an upstream may have run it"},
+	StageFailed:         {slog.LevelWarn, "stage.failed", "a pipeline stage failed mid-request; the stage is retried on another engine"},
+	StageReplaced:       {slog.LevelInfo, "stage.replaced", "a failed stage was replaced and the request resumed with a new attempt"},
+	RequestDuplicate:    {slog.LevelInfo, "request.duplicate", "a non-idempotent request came again with a known idempotency key; it was not run again"},
+	RequestServed:       {slog.LevelDebug, "request.served", "a request was answered in full"},
+	LedgerReadBack:      {slog.LevelWarn, "ledger.read_back", "a ledger write lost its reply; the entry read the key back to learn the outcome"},
+	UpstreamLeaving:     {slog.LevelInfo, "upstream.leaving", "an upstream said it is leaving; it gets no new work from this entry"},
+	DrainStarted:        {slog.LevelInfo, "drain.started", "the entry left discovery and finishes the requests it holds"},
+	DrainDone:           {slog.LevelInfo, "drain.done", "the entry holds no request in flight"},
+	DiscoveryRegistered: {slog.LevelInfo, "discovery.registered", "the entry holds its discovery lease in the KV service"},
+
+	KVFaultSet:   {slog.LevelWarn, "kv.fault_set", "the KV stand-in's fault switches changed"},
+	KVLeaseLapse: {slog.LevelInfo, "kv.lease_lapsed", "a lease in the KV stand-in expired and its keys were deleted"},
+	EngineFenced: {slog.LevelWarn, "engine.fenced", "an engine refused an order carrying an old fencing number"},
+	EngineOrder:  {slog.LevelInfo, "engine.order", "an engine took an order"},
+}
+
+// Log writes event e with its number and name.
+func Log(ctx context.Context, l *slog.Logger, e Event, args ...any) {
+	c, ok := catalogue[e]
+	if !ok {
+		c = entry{slog.LevelError, "unknown", ""}
+	}
+	l.Log(ctx, c.level, c.name, append([]any{"event", int(e)}, args...)...)
+}
+
+// WriteCatalogue prints the catalogue as a Markdown table.
+func WriteCatalogue(w io.Writer) error {
+	keys := make([]int, 0, len(catalogue))
+	for k := range catalogue {
+		keys = append(keys, int(k))
+	}
+	sort.Ints(keys)
+	if _, err := fmt.Fprintln(w, "| event | name | level | meaning |\n| --- | --- | --- | --- |"); err != nil {
+		return err
+	}
+	for _, k := range keys {
+		c := catalogue[Event(k)]
+		if _, err := fmt.Fprintf(w, "| %d | %s | %s | %s |\n", k, c.name, c.level, c.meaning); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/citronfleet/check_test.go
@@ -0,0 +1,77 @@
+package citronfleet_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"citrondeck.dev/citrondeck/citronfleet"
+	"github.com/matryer/is"
+)
+
+const good = `fleet: t
+zones: [a, b]
+customers:
+  - name: c1
+services:
+  - name: m
+    kind: model
+    layers: 4
+    depends: [p]
+    engines:
+      - {name: e1, addr: "127.0.0.1:1", zone: a, layers: [0, 2]}
+      - {name: e2, addr: "127.0.0.1:2", zone: b, layers: [2, 4]}
+  - name: p
+    kind: plain
+    idempotent: false
+    upstreams:
+      - {name: u1, addr: "127.0.0.1:3", zone: a}
+`
+
+// Each bad text is refused with the line of the fault and a message an
+// operator can act on; nothing half-read comes back.
+func TestParseRefuses(t *testing.T) {
+	cases := []struct {
+		name, from, to, want string
+	}{
+		{"syntax", "zones: [a, b]", "zones: [a, b", "fleet.yaml: [3:1]"},
+		{"unknown field", "    kind: plain", "    kind: plain\n    colour: red", "colour"},
+		{"unknown dependency", "depends: [p]", "depends: [q]", `fleet.yaml:9:15: services[0].depends[0]: unknown service "q"`},
+		{"cycle", "    idempotent: false", "    idempotent: false\n    depends: [m]", "dependency cycle: m -> p -> m"},
+		{"gap", "layers: [2, 4]", "layers: [3, 4]", "no chain of engines covers layers 0..4"},
+		{"overlap", "layers: [2, 4]", "layers: [1, 4]", `layers [1,4) of engine "e2" lie on no exact cover`},
+		{"out of range", "layers: [2, 4]", "layers: [2, 5]", "must lie within [0,4)"},
+		{"bad zone", "zone: b, layers", "zone: z, layers", `zone "z" is not in the fleet's zones`},
+		{"bad kind", "kind: plain", "kind: simple", `kind must be model or plain`},
+		{"repeated service", "  - name: p\n", "  - name: m\n", `service name "m" is empty or repeated`},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			text := strings.Replace(good, c.from, c.to, 1)
+			is.True(text != good) // the case edits the text
+			f, err := citronfleet.Parse("fleet.yaml", []byte(text))
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), c.want)) // names the fault
+			is.Equal(f.Name, "")                           // nothing half-read
+		})
+	}
+}
+
+func TestParseAccepts(t *testing.T) {
+	is := is.New(t)
+	f, err := citronfleet.Parse("fleet.yaml", []byte(good))
+	is.NoErr(err)
+	m, ok := f.Service("m")
+	is.True(ok)
+	is.Equal(len(m.Engines), 2)
+	p, _ := f.Service("p")
+	is.True(!p.IsIdempotent())
+	is.True(m.IsIdempotent())
+}
+
+func ExampleParse() {
+	_, err := citronfleet.Parse("fleet.yaml", []byte("fleet: x\nzones: [a]\nservices:\n  - name: s\n    kind: plain\n"))
+	fmt.Println(err)
+	// Output: fleet.yaml:4:9: services[0]: a plain service needs upstreams
+}
--- /dev/null
+++ b/design/design.go
@@ -0,0 +1,115 @@
+// Package design is the goa description of citrondeck's caller API. The
+// code under gen/ is generated from it with `goa gen
+// citrondeck.dev/citrondeck/design` and committed, so the build needs no
+// generator.
+package design
+
+import (
+	. "goa.design/goa/v3/dsl" //revive:disable-line:dot-imports goa's DSL is written with a dot import
+)
+
+var _ = API("citrondeck", func() {
+	Title("citrondeck caller API")
+	Description("Submit requests to model and plain services; learn which entries to use.")
+	Server("entry", func() {
+		Host("local", func() { URI("http://127.0.0.1:8080") })
+	})
+})
+
+// Refusal is every error answer: a stable code, a message, and when to
+// come back.
+var Refusal = Type("Refusal", func() {
+	Attribute("code", String, "Stable error code", func() {
+		Meta("struct:error:name")
+		Enum("bad_request", "unknown_service", "unknown_customer", "missing_idempotency_key",
+			"not_run", "outcome_unknown", "in_progress", "too_large", "draining")
+	})
+	Attribute("message", String, "What happened, for a person")
+	Attribute("retry_after", Int, "Seconds to wait before asking again; 0 when asking again will not help")
+	Attribute("idempotency_key", String, "The key to ask again with, when the outcome is unknown")
+	Attribute("request_id", String, "The entry's id of the request")
+	Required("code", "message")
+})
+
+var _ = Service("deck", func() {
+	Description("The caller API of an entry.")
+
+	Error("bad_request", Refusal)
+	Error("unknown_service", Refusal)
+	Error("unknown_customer", Refusal)
+	Error("missing_idempotency_key", Refusal)
+	Error("not_run", Refusal)
+	Error("outcome_unknown", Refusal)
+	Error("in_progress", Refusal)
+	Error("draining", Refusal)
+
+	Method("submit", func() {
+		Description("Run one request on a service and return its whole answer.")
+		Payload(func() {
+			Attribute("service", String, "Service name from the fleet text")
+			Attribute("customer", String, "Customer name from the fleet text")
+			Attribute("priority", Int, "Higher runs first when engines are short", func() { Default(0) })
+			Attribute("prompt", String, "Prompt for a model service")
+			Attribute("max_tokens", Int, "Tokens to generate (model services)", func() {
+				Default(8)
+				Minimum(1)
+				Maximum(4096)
+			})
+			Attribute("body", String, "Body for a plain service")
+			Attribute("idempotency_key", String, "Required for non-idempotent services")
+			Attribute("deadline_ms", Int, "Time the caller will wait, in milliseconds", func() { Default(30000) })
+			Required("service", "customer")
+		})
+		Result(func() {
+			Attribute("request_id", String, "The entry's id of the request")
+			Attribute("outcome", String, "served, or replayed when a known idempotency key's stored answer is returned", func() {
+				Enum("served", "replayed")
+			})
+			Attribute("tokens", ArrayOf(String), "The generated tokens, in order (model services)")
+			Attribute("result", String, "The upstream's answer (plain services)")
+			Attribute("entry", String, "The entry that served the request")
+			Attribute("attempts", Int, "Stage attempts used; more than the stage count means a stage was replaced")
+			Attribute("revision", Int64, "Fleet configuration revision the request was routed under")
+			Required("request_id", "outcome", "entry")
+		})
+		HTTP(func() {
+			POST("/v1/services/{service}/requests")
+			Header("idempotency_key:Idempotency-Key")
+			Response(StatusOK)
+			Response("bad_request", StatusBadRequest)
+			Response("unknown_service", StatusNotFound)
+			Response("unknown_customer", StatusForbidden)
+			Response("missing_idempotency_key", StatusBadRequest)
+			Response("not_run", StatusServiceUnavailable, func() { Header("retry_after:Retry-After") })
+			Response("outcome_unknown", StatusBadGateway, func() { Header("retry_after:Retry-After") })
+			Response("in_progress", StatusConflict, func() { Header("retry_after:Retry-After") })
+			Response("draining", StatusServiceUnavailable, func() { Header("retry_after:Retry-After") })
+		})
+	})
+
+	Method("entries", func() {
+		Description("Which entry addresses to use, nearest zone first, and how long to keep the answer.")
+		Payload(func() {
+			Attribute("zone", String, "The caller's zone, to order entries nearest first")
+		})
+		Result(func() {
+			Attribute("entries", ArrayOf(EntryAddr), "Entries to use, nearest first")
+			Attribute("ttl_seconds", Int, "How long the caller may keep this answer")
+			Attribute("revision", Int64, "KV revision of the entry list")
+			Required("entries", "ttl_seconds")
+		})
+		HTTP(func() {
+			GET("/v1/entries")
+			Param("zone")
+			Response(StatusOK)
+		})
+	})
+})
+
+// EntryAddr is one entry instance a caller may use.
+var EntryAddr = Type("EntryAddr", func() {
+	Attribute("name", String)
+	Attribute("addr", String, "host:port")
+	Attribute("zone", String)
+	Required("name", "addr", "zone")
+})
--- /dev/null
+++ b/main.go
@@ -0,0 +1,11 @@
+// Command citrondeck is a router for model pipelines over mixed
+// accelerators. Each role is a subcommand; see `citrondeck --help`.
+package main
+
+import (
+	"os"
+
+	"citrondeck.dev/citrondeck/citroncli"
+)
+
+func main() { os.Exit(citroncli.Main(os.Args[1:], os.Stdout, os.Stderr)) }
