--- a/citronentry/serve.go
+++ b/citronentry/serve.go
@@ -99,9 +99,16 @@
 	key := ledgerKey(svc.Name, p.Customer, *p.IdempotencyKey)
 	cl, err := e.claimKey(ctx, key, ledgerRecord{State: ledgerStarted, Entry: e.set.Name, Request: id})
 	if err != nil {
-		e.metrics.notRun.Add(1)
-		citronevent.Log(ctx, e.log, citronevent.RequestNotRun, "request", id, "reason", "ledger", "err", err)
-		return nil, refusal("not_run", "the at-most-once ledger could not be reached; the request did not run", retryAfterDown)
+		// This attempt reached no upstream, but an earlier attempt with
+		// the same key may have run, and only the ledger knows. Saying
+		// "not run" here was seen false (TestAtMostOnceStateful: served,
+		// then KV down, then a retry told "not run"), so the caller is
+		// told the outcome is unknown and to ask again with the key.
+		e.metrics.unknown.Add(1)
+		citronevent.Log(ctx, e.log, citronevent.RequestUnknown, "request", id, "reason", "ledger", "err", err)
+		ref := refusal("outcome_unknown", "the at-most-once ledger could not be reached: this attempt did not run, an earlier one with this key may have; ask again with the same key", retryAfterDown)
+		ref.IdempotencyKey = p.IdempotencyKey
+		return nil, ref
 	}
 	if !cl.owned {
 		citronevent.Log(ctx, e.log, citronevent.RequestDuplicate, "request", id, "key", *p.IdempotencyKey, "state", cl.existing.State)
