Pipeline proofs: a stage dying mid-request, an engine running wrong layers, own whole answer under deaths

Tests (in-process entries, stand-in engines behind httptest servers whose middleware drops every connection once 'killed'): - TestStageDiesMidRequest: a1 or b1 dies after 3 steps of a 6-token request; the answer equals the oracle and the spare engine prefilled.

Ruled out: prefill being needed for correctness in the stand-in (the engine refuses a position it lacks cache for; the entry then prefills, so a missing prefill costs an attempt, not a wrong token).

--- /dev/null
+++ b/citronentry/pipeline_test.go
@@ -0,0 +1,87 @@
+package citronentry_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+var twoByTwo = []stage{{name: "a1", from: 0, to: 4}, {name: "a2", from: 0, to: 4}, {name: "b1", from: 4, to: 8}, {name: "b2", from: 4, to: 8}}
+
+// A stage dies after a few steps of a request. The caller still gets the
+// whole answer, equal to the oracle's: the entry replaces the stage with
+// the other engine holding the same layers, which recomputes the
+// positions it lacks, so no token skips or repeats a layer.
+func TestStageDiesMidRequest(t *testing.T) {
+	for _, victim := range []string{"a1", "b1"} {
+		t.Run(victim, func(t *testing.T) {
+			r := newModelRig(t, 8, 1, twoByTwo, nil)
+			// Ties in load go to the first engine in the fleet text, so
+			// the request starts on a1 and b1.
+			r.engines[victim].dieAfter = 3
+			a := r.ask(t, 0, "layout-"+victim, 6)
+			wantOracle(t, a, "layout-"+victim, 8, 6)
+			spare := map[string]string{"a1": "a2", "b1": "b2"}[victim]
+			if r.engines[spare].engine.Prefills.Load() == 0 {
+				t.Fatalf("%s took over without recomputing the positions it lacked", spare)
+			}
+		})
+	}
+}
+
+// An engine runs other layers than the fleet text says (a misconfigured
+// deployment). Its answers must not reach the caller: the entry checks the
+// range each stage reports, drops that engine and serves the request on
+// one that holds the layers it claims.
+func TestEngineRunningWrongLayersIsDropped(t *testing.T) {
+	stages := []stage{{name: "a1", from: 0, to: 4, runFrom: 0, runTo: 5}, {name: "a2", from: 0, to: 4}, {name: "b1", from: 4, to: 8}}
+	r := newModelRig(t, 8, 1, stages, nil)
+	for i := range 4 {
+		p := fmt.Sprintf("nest-%d", i)
+		wantOracle(t, r.ask(t, 0, p, 4), p, 8, 4)
+	}
+}
+
+// Many callers at once over three entries, while engines die at random
+// moments. Each caller must get exactly its own whole answer (compared
+// with the oracle for its own prompt), or a refusal, never another's
+// tokens; out-of-order completion must not mix answers.
+func TestOwnWholeAnswerUnderStageDeaths(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		stages := []stage{
+			{name: "a1", from: 0, to: 3},
+			{name: "a2", from: 0, to: 3},
+			{name: "a3", from: 0, to: 3},
+			{name: "b1", from: 3, to: 5},
+			{name: "b2", from: 3, to: 5},
+			{name: "b3", from: 3, to: 5},
+		}
+		r := newModelRig(t, 5, 3, stages, nil)
+		defer r.stop()
+		for _, n := range []string{"a1", "b2"} {
+			if rapid.Bool().Draw(rt, "kill-"+n) {
+				r.engines[n].dieAfter = int64(rapid.IntRange(1, 20).Draw(rt, "after-"+n))
+			}
+		}
+		callers := rapid.IntRange(2, 12).Draw(rt, "callers")
+		tokens := rapid.IntRange(1, 6).Draw(rt, "tokens")
+		var wg sync.WaitGroup
+		answers := make([]modelAnswer, callers)
+		for i := range callers {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				answers[i] = r.ask(t, i%3, fmt.Sprintf("caller-%d", i), tokens)
+			}()
+		}
+		wg.Wait()
+		for i, a := range answers {
+			if a.status != 200 {
+				rt.Fatalf("caller %d: %d %s", i, a.status, a.body)
+			}
+			wantOracle(t, a, fmt.Sprintf("caller-%d", i), 5, tokens)
+		}
+	})
+}
