--- /dev/null
+++ b/citronentry/api_test.go
@@ -0,0 +1,45 @@
+package citronentry_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Bad input at the caller API: each case gets a typed refusal with a
+// stable code and status at once, and nothing reaches the upstream.
+func TestCallerAPIRefusesBadInput(t *testing.T) {
+	r := newRig(t)
+	defer r.stop()
+	cases := []struct {
+		name, path, body, key string
+		status                int
+		code                  string
+	}{
+		{"unknown service", "/v1/services/nope/requests", `{"customer":"c"}`, "k", 404, "unknown_service"},
+		{"unknown customer", "/v1/services/release/requests", `{"customer":"x"}`, "k", 403, "unknown_customer"},
+		{"missing idempotency key", "/v1/services/release/requests", `{"customer":"c"}`, "", 400, "missing_idempotency_key"},
+		{"malformed body", "/v1/services/release/requests", `{"customer":`, "k", 400, ""},
+		{"oversize body", "/v1/services/release/requests", `{"customer":"c","body":"` + strings.Repeat("x", 2<<20) + `"}`, "k", 413, "too_large"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			req, _ := http.NewRequest(http.MethodPost, "http://"+r.entries[0]+c.path, strings.NewReader(c.body))
+			if c.key != "" {
+				req.Header.Set("Idempotency-Key", c.key)
+			}
+			res, err := (&http.Client{Timeout: 5 * time.Second}).Do(req)
+			is.NoErr(err)
+			b, _ := io.ReadAll(res.Body)
+			res.Body.Close()
+			is.Equal(res.StatusCode, c.status)
+			is.True(strings.Contains(string(b), c.code))
+			is.Equal(len(r.up.Runs()), 0) // nothing ran
+		})
+	}
+}
--- /dev/null
+++ b/citronentry/config_test.go
@@ -0,0 +1,101 @@
+package citronentry_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronentry"
+	"citrondeck.dev/citrondeck/citronkv"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// staleStore is a fake at the Store interface: it hands the entry's
+// watch old events on top of the real ones, as a watch replayed after a
+// reconnect or a replica answering from behind would.
+type staleStore struct {
+	*citronkv.Server
+	mu    sync.Mutex
+	stale []citronkv.Item
+}
+
+func (s *staleStore) Watch(ctx context.Context, prefix string, after citronkv.Revision) ([]citronkv.Item, citronkv.Revision, error) {
+	items, rev, err := s.Server.Watch(ctx, prefix, after)
+	s.mu.Lock()
+	items = append(items, s.stale...)
+	s.stale = nil
+	s.mu.Unlock()
+	return items, rev, err
+}
+
+func (s *staleStore) offer(it citronkv.Item) {
+	s.mu.Lock()
+	s.stale = append(s.stale, it)
+	s.mu.Unlock()
+	_, _ = s.Server.Put(context.Background(), "deck/wake", nil, citronkv.AnyRevision, 0) // wake the watch
+}
+
+// Operators apply fleet texts while the KV replays old ones and goes down
+// and up. Each entry's revision in force must never go back, must reach
+// the newest accepted revision once the KV answers, and while the KV is
+// down the entry keeps the last good fleet and serves with it.
+func TestConfigNeverReverts(t *testing.T) {
+	var fake *staleStore
+	r := newModelRig(t, 4, 2, oneStage, func(s *citronkv.Server) citronkv.Store {
+		fake = &staleStore{Server: s}
+		return fake
+	})
+	base, err := r.kv.Get(context.Background(), citronentry.ConfigKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	history := []citronkv.Item{base}
+	rapid.Check(t, func(rt *rapid.T) {
+		r.kv.SetFaults(citronkv.Faults{})
+		seen := []int64{r.entries[0].Revision(), r.entries[1].Revision()}
+		for range rapid.IntRange(1, 8).Draw(rt, "steps") {
+			switch rapid.IntRange(0, 2).Draw(rt, "action") {
+			case 0: // an operator applies a changed text
+				text := strings.Replace(string(base.Value), "fleet: t", fmt.Sprintf("fleet: t%d", len(history)), 1)
+				rev, err := r.kv.Put(context.Background(), citronentry.ConfigKey, []byte(text), citronkv.AnyRevision, 0)
+				if err != nil {
+					continue // the KV is down: nothing was accepted
+				}
+				history = append(history, citronkv.Item{Key: citronentry.ConfigKey, Value: []byte(text), Revision: rev})
+			case 1: // an old text is offered again
+				fake.offer(rapid.SampledFrom(history).Draw(rt, "old"))
+			case 2:
+				r.kv.SetFaults(citronkv.Faults{Down: rapid.Bool().Draw(rt, "down")})
+			}
+			for i, e := range r.entries {
+				if now := e.Revision(); now < seen[i] {
+					rt.Fatalf("entry %d went back from revision %d to %d", i, seen[i], now)
+				} else {
+					seen[i] = now
+				}
+			}
+		}
+		r.kv.SetFaults(citronkv.Faults{})
+		newest := history[len(history)-1].Revision
+		// An entry that took an old text after the newest one stays below
+		// it; the watch back-off is at most 3 s, so 20 s is never reached
+		// by an entry that works.
+		for i, e := range r.entries {
+			for tries := 0; e.Revision() != newest; tries++ {
+				if tries > 20_000 {
+					rt.Fatalf("entry %d is at revision %d, the newest accepted one is %d", i, e.Revision(), newest)
+				}
+				time.Sleep(time.Millisecond)
+			}
+		}
+	})
+	is := is.New(t)
+	r.kv.SetFaults(citronkv.Faults{Down: true})
+	wantOracle(t, r.ask(t, 0, "during-outage", 2), "during-outage", 4, 2) // last good fleet still serves
+	r.kv.SetFaults(citronkv.Faults{})
+	is.True(r.entries[0].Revision() >= history[len(history)-1].Revision)
+}
--- a/citronentry/rig_test.go
+++ b/citronentry/rig_test.go
@@ -41,6 +41,8 @@
 	// dieAfter kills the back end after that many steps (0: never).
 	dieAfter int64
 	dead     atomic.Bool
+	// hold, when set, keeps each call waiting until it is closed.
+	hold chan struct{}
 }
 
 func (b *backendHandle) addr() string { return strings.TrimPrefix(b.srv.URL, "http://") }
@@ -64,6 +66,9 @@
 			}
 			return
 		}
+		if b.hold != nil {
+			<-b.hold
+		}
 		mux.ServeHTTP(w, r)
 	}))
 	return b
@@ -89,6 +94,9 @@
 	cancel  []context.CancelFunc
 	done    []chan struct{}
 	layers  int
+	// instances is what the platform's instance list answers.
+	instances atomic.Pointer[[]citronkv.Instance]
+	polled    chan struct{}
 }
 
 func modelFleet(layers int, stages []stage, engines map[string]*backendHandle) string {
@@ -102,7 +110,8 @@
 
 func newModelRig(t *testing.T, layers, entries int, stages []stage, store func(*citronkv.Server) citronkv.Store) *modelRig {
 	t.Helper()
-	r := &modelRig{kv: citronkv.NewServer(citronclock.Real{}, 0), engines: map[string]*backendHandle{}, layers: layers}
+	r := &modelRig{kv: citronkv.NewServer(citronclock.Real{}, 0), engines: map[string]*backendHandle{}, layers: layers, polled: make(chan struct{}, 64)}
+	r.instances.Store(&[]citronkv.Instance{})
 	for _, s := range stages {
 		r.engines[s.name] = startEngine(s)
 	}
@@ -127,9 +136,15 @@
 		t.Fatal(err)
 	}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	noInstances := func(context.Context) ([]citronkv.Instance, error) { return nil, nil }
+	instances := func(context.Context) ([]citronkv.Instance, error) {
+		select {
+		case r.polled <- struct{}{}:
+		default:
+		}
+		return *r.instances.Load(), nil
+	}
 	set := citronentry.Settings{Name: fmt.Sprintf("entry-%d", i), Listen: ln.Addr().String(), Zone: "a", DrainGrace: time.Millisecond}
-	e := citronentry.New(set, citronclock.Real{}, log, st, noInstances, http.DefaultClient)
+	e := citronentry.New(set, citronclock.Real{}, log, st, instances, http.DefaultClient)
 	ctx, cancel := context.WithCancel(context.Background())
 	d := make(chan struct{})
 	go func() { defer close(d); _ = e.Run(ctx, ln) }()
@@ -147,6 +162,7 @@
 		c()
 		<-r.done[i]
 	}
+	r.cancel = nil
 	for _, b := range r.engines {
 		b.srv.Close()
 	}
@@ -163,7 +179,9 @@
 	body := fmt.Sprintf(`{"customer":"c","prompt":%q,"max_tokens":%d}`, prompt, tokens)
 	res, err := http.Post("http://"+r.addrs[entry]+"/v1/services/m/requests", "application/json", strings.NewReader(body))
 	if err != nil {
-		t.Fatal(err)
+		// Status 0: the connection failed. Returned, not t.Fatal, so that
+		// callers on other goroutines report it instead of hanging.
+		return modelAnswer{body: err.Error()}
 	}
 	defer res.Body.Close()
 	b, _ := io.ReadAll(res.Body)
