--- a/citroncli/entry.go
+++ b/citroncli/entry.go
@@ -39,8 +39,9 @@
 			*dst = src
 		}
 	}
-	if set.Name == "" || set.Listen == "" || set.Zone == "" {
-		return errors.New("an entry needs a name, a listen address and a zone (flags or --settings)")
+	if err := set.Check(); err != nil {
+		citronevent.Log(context.Background(), g.Logger(), citronevent.SettingsInvalid, "err", err)
+		return errors.Wrap(err, "entry settings (flags or --settings)")
 	}
 	ctx, stop := signalContext()
 	defer stop()
--- a/citronentry/api_test.go
+++ b/citronentry/api_test.go
@@ -13,8 +13,7 @@
 // Bad input at the caller API: each case gets a typed refusal with a
 // stable code and status at once, and nothing reaches the upstream.
 func TestCallerAPIRefusesBadInput(t *testing.T) {
-	r := newRig(t)
-	defer r.stop()
+	r := newPlainRig(t, 1, 1)
 	cases := []struct {
 		name, path, body, key string
 		status                int
@@ -29,7 +28,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			req, _ := http.NewRequest(http.MethodPost, "http://"+r.entries[0]+c.path, strings.NewReader(c.body))
+			req, _ := http.NewRequest(http.MethodPost, "http://"+r.addrs[0]+c.path, strings.NewReader(c.body))
 			if c.key != "" {
 				req.Header.Set("Idempotency-Key", c.key)
 			}
@@ -39,7 +38,7 @@
 			res.Body.Close()
 			is.Equal(res.StatusCode, c.status)
 			is.True(strings.Contains(string(b), c.code))
-			is.Equal(len(r.up.Runs()), 0) // nothing ran
+			is.Equal(len(r.ups[0].plain.Runs()), 0) // nothing ran
 		})
 	}
 }
--- a/citronentry/config_test.go
+++ b/citronentry/config_test.go
@@ -95,7 +95,7 @@
 	})
 	is := is.New(t)
 	r.kv.SetFaults(citronkv.Faults{Down: true})
-	wantOracle(t, r.ask(t, 0, "during-outage", 2), "during-outage", 4, 2) // last good fleet still serves
+	wantOracle(t, r.ask(0, "during-outage", 2), "during-outage", 4, 2) // last good fleet still serves
 	r.kv.SetFaults(citronkv.Faults{})
 	is.True(r.entries[0].Revision() >= history[len(history)-1].Revision)
 }
--- a/citronentry/control.go
+++ b/citronentry/control.go
@@ -1,23 +1,23 @@
 package citronentry
 
-// The control goroutine. It alone changes control state: the fleet text
-// in force, the entry list, the instance list and what traffic reported.
-// It learns of new fleet revisions by one long-poll watch on the "deck/"
-// prefix (one waiting call per entry against the KV budget), polls the
-// lagging instance list, and takes reports from traffic over a channel.
+// The control loop. It alone changes control state: the fleet text in
+// force, the entry list, the instance list and what is known of back ends
+// in trouble. It learns of new fleet revisions by one long-poll watch on
+// the "deck/" prefix (one waiting call per entry against the KV budget).
+// Whatever may block (the watch, the instance list, probes) runs in
+// goroutines of its own that hand their results to the loop, so a slow
+// platform service cannot hold up a configuration change.
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
-	"sort"
 	"strings"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronfleet"
 	"citrondeck.dev/citrondeck/citronkv"
-	"github.com/cockroachdb/errors"
+	"citrondeck.dev/citrondeck/citronroute"
 )
 
 // Keys in the KV service.
@@ -33,64 +33,129 @@
 
 const (
 	instancePoll   = 500 * time.Millisecond
-	suspectFor     = 3 * time.Second
-	kvBackoffFirst = 200 * time.Millisecond
-	kvBackoffCap   = 3 * time.Second
+	controlTick    = 100 * time.Millisecond
 	reportCapacity = 1024
 )
 
 // report is what traffic tells the control goroutine about a back end.
 type report struct {
 	backend string
-	leaving bool
+	reason  citronroute.Reason
 }
 
 type control struct {
-	e        *Entry
-	fleet    citronfleet.Fleet
-	leaving  map[string]bool // from the instance list
-	told     map[string]bool // from back ends' own answers
-	suspect  map[string]time.Time
-	entries  []entryAddr
+	e       *Entry
+	fleet   citronfleet.Fleet
+	members members
+	// leaving is the instance list's word.
+	leaving  map[string]bool
+	trouble  troubles
 	kvUp     bool
 	watchRev citronkv.Revision
+	// dirty: what is published is out of date.
+	dirty bool
+
+	watched   chan watchResult
+	instances chan []citronkv.Instance
+	probed    chan probeResult
 }
 
-func (c *control) publish() {
-	leaving := maps.Clone(c.leaving)
-	maps.Copy(leaving, c.told)
-	s := c.e.pool.build(c.fleet, leaving, maps.Clone(c.suspect), c.entries, c.kvUp)
-	c.e.snap.Store(s)
-	c.e.metrics.revision.Set(c.fleet.Revision)
-	if c.kvUp {
-		c.e.metrics.kvUp.Set(1)
-	} else {
-		c.e.metrics.kvUp.Set(0)
+func newControl(e *Entry) *control {
+	return &control{
+		e: e, members: members{}, leaving: map[string]bool{}, trouble: troubles{},
+		watched: make(chan watchResult, 1), instances: make(chan []citronkv.Instance, 1), probed: make(chan probeResult, 16),
 	}
 }
 
-// load reads the whole of what the watch covers; used at start and after
-// a compacted watch.
-func (c *control) load(ctx context.Context) error {
-	items, rev, err := c.e.kv.Range(ctx, watchPrefix)
-	if err != nil {
-		return err
+// loadFirst reads the configuration at start, waiting out a KV outage;
+// false if ctx ended first.
+func (c *control) loadFirst(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		items, rev, err := c.e.kv.Range(ctx, watchPrefix)
+		if err == nil {
+			c.watchRev = rev
+			c.takeWatch(ctx, watchResult{items: items, full: true})
+			c.publish()
+			return true
+		}
+		citronevent.Log(ctx, c.e.log, citronevent.ConfigKVDown, "step", "initial load", "err", err)
+		_ = c.e.clock.Sleep(ctx, kvBackoffFirst)
 	}
-	c.watchRev = rev
-	c.entries = nil
-	for _, it := range items {
-		c.apply(ctx, it)
+	return false
+}
+
+// run is the control loop; it returns when ctx ends.
+func (c *control) run(ctx context.Context) {
+	go c.watch(ctx)
+	go c.pollInstances(ctx)
+	tick := time.NewTicker(controlTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case w := <-c.watched:
+			c.takeWatch(ctx, w)
+		case list := <-c.instances:
+			c.takeInstances(ctx, list)
+		case r := <-c.e.reports:
+			c.takeReport(ctx, r)
+		case p := <-c.probed:
+			c.takeProbe(ctx, p)
+		case <-tick.C:
+			now := c.e.clock.Now()
+			c.dirty = c.members.sweep(now) || c.dirty
+			c.probeDue(ctx, now)
+		}
+		if c.dirty {
+			c.publish()
+		}
 	}
-	return nil
 }
 
-// apply takes one changed key.
-func (c *control) apply(ctx context.Context, it citronkv.Item) {
-	switch {
-	case it.Key == ConfigKey && !it.Deleted:
-		c.applyFleet(ctx, it)
-	case strings.HasPrefix(it.Key, EntriesPrefix):
-		c.applyEntry(it)
+// publish builds the snapshot that traffic reads from now on.
+func (c *control) publish() {
+	c.dirty = false
+	avoid := c.trouble.avoid()
+	for name := range c.leaving {
+		avoid[name] = citronroute.Leaving
+	}
+	s := c.e.pool.Build(c.fleet, avoid, c.members.list(), c.kvUp)
+	c.e.snap.Store(s)
+	c.e.gates.Range(func(name, _ any) bool {
+		if svc, ok := s.Service(name.(string)); ok {
+			c.e.gate(s, svc).Resize(c.e.window(s, svc))
+		}
+		return true
+	})
+	c.e.metrics.revision.Set(c.fleet.Revision)
+	c.e.metrics.kvUp.Set(map[bool]int64{true: 1}[c.kvUp])
+}
+
+func (c *control) takeWatch(ctx context.Context, w watchResult) {
+	if w.err != nil {
+		if c.kvUp {
+			citronevent.Log(ctx, c.e.log, citronevent.ConfigKVDown, "err", w.err, "in_force", c.fleet.Revision)
+		}
+		c.dirty = c.dirty || c.kvUp
+		c.kvUp = false
+		return
+	}
+	c.dirty = c.dirty || !c.kvUp
+	c.kvUp = true
+	now := c.e.clock.Now()
+	if w.full {
+		c.members.replace(w.items, now)
+		c.dirty = true
+	}
+	for _, it := range w.items {
+		switch {
+		case it.Key == ConfigKey && !it.Deleted:
+			c.applyFleet(ctx, it)
+		case strings.HasPrefix(it.Key, EntriesPrefix):
+			c.members.apply(it, now)
+			c.dirty = true
+		}
 	}
 }
 
@@ -112,124 +177,37 @@
 		return
 	}
 	c.fleet = f.WithRevision(it.Revision)
+	c.dirty = true
 	citronevent.Log(ctx, l, citronevent.ConfigApplied, "revision", it.Revision, "services", len(f.Services))
 }
 
-func (c *control) applyEntry(it citronkv.Item) {
-	name := strings.TrimPrefix(it.Key, EntriesPrefix)
-	out := c.entries[:0:0]
-	for _, a := range c.entries {
-		if a.Name != name {
-			out = append(out, a)
-		}
-	}
-	if !it.Deleted {
-		var a entryAddr
-		if json.Unmarshal(it.Value, &a) == nil {
-			out = append(out, a)
-		}
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
-	c.entries = out
-}
-
-// run is the control loop; it returns when ctx ends.
-func (c *control) run(ctx context.Context, reports <-chan report) {
-	watched := make(chan watchResult, 1)
-	go c.watch(ctx, watched)
-	poll := time.NewTicker(instancePoll)
-	defer poll.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case w := <-watched:
-			c.takeWatch(ctx, w)
-		case r := <-reports:
-			if r.leaving {
-				c.told[r.backend] = true
-				citronevent.Log(ctx, c.e.log, citronevent.UpstreamLeaving, "backend", r.backend, "source", "answer")
-			} else {
-				c.suspect[r.backend] = c.e.clock.Now().Add(suspectFor)
-			}
-		case <-poll.C:
-			c.pollInstances(ctx)
-		}
-		c.publish()
-	}
-}
-
-type watchResult struct {
-	items []citronkv.Item
-	rev   citronkv.Revision
-	err   error
-	full  bool
-}
-
-// watch runs the long-poll loop in its own goroutine and hands results
-// to the control loop; it never touches control state itself.
-func (c *control) watch(ctx context.Context, out chan<- watchResult) {
-	after := c.watchRev
-	wait := kvBackoffFirst
+// pollInstances reads the platform's instance list again and again.
+func (c *control) pollInstances(ctx context.Context) {
 	for ctx.Err() == nil {
-		items, rev, err := c.e.kv.Watch(ctx, watchPrefix, after)
-		if errors.Is(err, citronkv.ErrCompacted) {
-			items, rev, err = c.e.kv.Range(ctx, watchPrefix)
-			if err == nil {
-				after = rev
-				out <- watchResult{items: items, rev: rev, full: true}
-				continue
-			}
-		}
-		if err != nil {
+		list, err := c.e.instances(ctx)
+		c.e.metrics.instancePolls.Add(1)
+		if err == nil { // on an error the last list read stays in force
 			select {
-			case out <- watchResult{err: err}:
+			case c.instances <- list:
 			case <-ctx.Done():
 				return
 			}
-			if c.e.clock.Sleep(ctx, wait) != nil {
-				return
-			}
-			wait = min(2*wait, kvBackoffCap)
-			continue
-		}
-		wait = kvBackoffFirst
-		if rev > after {
-			after = rev
-		}
-		select {
-		case out <- watchResult{items: items, rev: rev}:
-		case <-ctx.Done():
-			return
 		}
+		_ = c.e.clock.Sleep(ctx, instancePoll)
 	}
 }
 
-func (c *control) takeWatch(ctx context.Context, w watchResult) {
-	if w.err != nil {
-		if c.kvUp {
-			citronevent.Log(ctx, c.e.log, citronevent.ConfigKVDown, "err", w.err, "in_force", c.fleet.Revision)
+func (c *control) takeInstances(ctx context.Context, list []citronkv.Instance) {
+	next := map[string]bool{}
+	for _, in := range list {
+		if in.State == citronkv.Leaving {
+			next[in.Name] = true
 		}
-		c.kvUp = false
-		return
 	}
-	c.kvUp = true
-	if w.full {
-		c.entries = nil
-	}
-	for _, it := range w.items {
-		c.apply(ctx, it)
-	}
-}
-
-func (c *control) pollInstances(ctx context.Context) {
-	list, err := c.e.instances(ctx)
-	if err != nil {
+	if maps.Equal(next, c.leaving) {
 		return
 	}
-	next := leavingSet(list)
-	if !maps.Equal(next, c.leaving) {
-		citronevent.Log(ctx, c.e.log, citronevent.InstancesChanged, "leaving", len(next))
-		c.leaving = next
-	}
+	citronevent.Log(ctx, c.e.log, citronevent.InstancesChanged, "leaving", len(next))
+	c.leaving = next
+	c.dirty = true
 }
--- a/citronentry/entry.go
+++ b/citronentry/entry.go
@@ -6,11 +6,14 @@
 // An entry is symmetric with its peers: none is set aside for control.
 // What must outlive an entry (the fleet text, the entry list, the
 // at-most-once ledger) lives in the platform's KV service.
+//
+// One goroutine, the control loop (control.go), owns all control state and
+// publishes it as an immutable citronroute.Snapshot; traffic reads the
+// newest snapshot and reports what it sees of back ends over a channel.
 package citronentry
 
 import (
 	"context"
-	"encoding/json"
 	"expvar"
 	"log/slog"
 	"net"
@@ -19,100 +22,66 @@
 	"sync/atomic"
 	"time"
 
+	"citrondeck.dev/citrondeck/citronadmit"
 	"citrondeck.dev/citrondeck/citronclock"
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronfleet"
 	"citrondeck.dev/citrondeck/citronkv"
+	"citrondeck.dev/citrondeck/citronledger"
+	"citrondeck.dev/citrondeck/citronroute"
 	deck "citrondeck.dev/citrondeck/gen/deck"
 	deckserver "citrondeck.dev/citrondeck/gen/http/deck/server"
 	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
 	goahttp "goa.design/goa/v3/http"
 )
 
-// Settings configure an entry.
-type Settings struct {
-	Name      string `yaml:"name"`
-	Listen    string `yaml:"listen"`
-	Advertise string `yaml:"advertise"`
-	Zone      string `yaml:"zone"`
-	// DiscoveryTTL is how long callers may keep the entry list.
-	DiscoveryTTL time.Duration `yaml:"discoveryTTL"`
-	// LeaseTTL is the life of the entry's discovery lease.
-	LeaseTTL time.Duration `yaml:"leaseTTL"`
-	// DrainGrace is how long a stopping entry still takes new requests
-	// after leaving discovery, for callers whose list is a little old.
-	DrainGrace time.Duration `yaml:"drainGrace"`
-	// MaxBody bounds a request body, in bytes.
-	MaxBody int64 `yaml:"maxBody"`
-}
-
-// WithDefaults fills the zero fields.
-func (s Settings) WithDefaults() Settings {
-	if s.Advertise == "" {
-		s.Advertise = s.Listen
-	}
-	if s.DiscoveryTTL == 0 {
-		s.DiscoveryTTL = 10 * time.Second
-	}
-	if s.LeaseTTL == 0 {
-		s.LeaseTTL = 3 * time.Second
-	}
-	if s.DrainGrace == 0 {
-		s.DrainGrace = time.Second
-	}
-	if s.MaxBody == 0 {
-		s.MaxBody = 1 << 20
-	}
-	return s
-}
-
-type metrics struct {
-	all                                    *expvar.Map
-	revision, kvUp, inflight               *expvar.Int
-	served, replayed, notRun, unknown      *expvar.Int
-	rejected, stageFailed, stageReplaced   *expvar.Int
-	ledgerWrites, ledgerReadBack, draining *expvar.Int
-}
-
-func newMetrics() *metrics {
-	m := &metrics{all: new(expvar.Map).Init()}
-	for name, p := range map[string]**expvar.Int{
-		"config_revision": &m.revision, "kv_up": &m.kvUp, "inflight": &m.inflight,
-		"served": &m.served, "replayed": &m.replayed, "not_run": &m.notRun, "outcome_unknown": &m.unknown,
-		"rejected": &m.rejected, "stage_failed": &m.stageFailed, "stage_replaced": &m.stageReplaced,
-		"ledger_writes": &m.ledgerWrites, "ledger_read_back": &m.ledgerReadBack, "draining": &m.draining,
-	} {
-		*p = new(expvar.Int)
-		m.all.Set(name, *p)
-	}
-	return m
-}
+const (
+	readHeaderTimeout = 5 * time.Second
+	shutdownTimeout   = 5 * time.Second
+)
 
 // Entry is one entry instance.
 type Entry struct {
-	set       Settings
-	clock     citronclock.Clock
-	log       *slog.Logger
-	kv        citronkv.Store
+	set   Settings
+	clock citronclock.Clock
+	log   *slog.Logger
+	kv    citronkv.Store
+	// instances reads the platform's instance list.
 	instances func(context.Context) ([]citronkv.Instance, error)
-	pool      *pool
-	snap      atomic.Pointer[snapshot]
-	reports   chan report
-	metrics   *metrics
-	seq       atomic.Int64
-	draining  atomic.Bool
-	inflight  sync.WaitGroup
+	// incarnation tells this process's request ids from those of an
+	// earlier process with the same name, which engines may still hold.
+	incarnation string
+	seq         atomic.Int64
+
+	pool    *citronroute.Pool
+	snap    atomic.Pointer[citronroute.Snapshot]
+	reports chan report
+	ledger  *citronledger.Ledger
+	gates   sync.Map // service name -> *citronadmit.Gate
+	work    *work
+	leaving atomic.Bool
+	metrics *metrics
 }
 
 // New returns an entry. instances reads the platform's instance list.
 func New(set Settings, clock citronclock.Clock, log *slog.Logger, kv citronkv.Store, instances func(context.Context) ([]citronkv.Instance, error), hc *http.Client) *Entry {
+	set = set.WithDefaults()
 	e := &Entry{
-		set: set.WithDefaults(), clock: clock, log: log.With("entry", set.Name), kv: kv, instances: instances,
-		pool:    &pool{hc: hc, byKey: map[string]*backend{}},
-		reports: make(chan report, reportCapacity),
-		metrics: newMetrics(),
+		set: set, clock: clock, log: log.With("entry", set.Name), kv: kv, instances: instances,
+		incarnation: uuid.NewString()[:8],
+		pool:        citronroute.NewPool(hc),
+		reports:     make(chan report, reportCapacity),
+		work:        newWork(),
+		metrics:     newMetrics(),
+	}
+	e.ledger = &citronledger.Ledger{
+		KV: kv, Clock: clock, Log: e.log,
+		Wrote:    func() { e.metrics.ledgerWrites.Add(1) },
+		ReadBack: func() { e.metrics.ledgerReadBack.Add(1) },
 	}
-	e.snap.Store(e.pool.build(citronfleet.Fleet{}, nil, nil, nil, false))
+	e.snap.Store(e.pool.Build(citronfleet.Fleet{}, nil, nil, false))
+	e.metrics.publishState(e)
 	return e
 }
 
@@ -120,13 +89,27 @@
 func (e *Entry) Metrics() *expvar.Map { return e.metrics.all }
 
 // Revision is the fleet revision in force.
-func (e *Entry) Revision() int64 { return e.snap.Load().revision }
+func (e *Entry) Revision() int64 { return e.snap.Load().Fleet.Revision }
 
-// Handler returns the caller API.
+// gate returns the admission gate of svc, sized for the snapshot.
+func (e *Entry) gate(s *citronroute.Snapshot, svc citronfleet.Service) *citronadmit.Gate {
+	if g, ok := e.gates.Load(svc.Name); ok {
+		return g.(*citronadmit.Gate)
+	}
+	g, _ := e.gates.LoadOrStore(svc.Name, citronadmit.New(e.clock, e.window(s, svc), e.set.MaxQueue))
+	return g.(*citronadmit.Gate)
+}
+
+func (e *Entry) window(s *citronroute.Snapshot, svc citronfleet.Service) int {
+	return s.Window(svc, e.set.TokenGap, e.set.MaxInflight)
+}
+
+// Handler returns the caller API and the metrics at /debug/vars.
 func (e *Entry) Handler() http.Handler {
 	mux := goahttp.NewMuxer()
 	srv := deckserver.New(deck.NewEndpoints(&api{e: e}), mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, nil, nil)
 	deckserver.Mount(mux, srv)
+	mux.Handle(http.MethodGet, "/debug/vars", expvar.Handler().ServeHTTP)
 	limit := e.set.MaxBody
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// Oversize bodies are refused before decoding, with 413, so a
@@ -146,77 +129,59 @@
 // "draining" (they did not run), and returns once no request is in
 // flight.
 func (e *Entry) Run(ctx context.Context, ln net.Listener) error {
-	ctl := &control{e: e, leaving: map[string]bool{}, told: map[string]bool{}, suspect: map[string]time.Time{}}
-	ctlCtx, stopCtl := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopCtl()
-	for ctlCtx.Err() == nil {
-		if err := ctl.load(ctlCtx); err == nil {
-			ctl.kvUp = true
-			break
-		}
-		citronevent.Log(ctx, e.log, citronevent.ConfigKVDown, "step", "initial load")
-		if e.clock.Sleep(ctx, kvBackoffFirst) != nil {
-			return nil
-		}
+	// Control outlives ctx: requests in flight during the drain still
+	// need to hear of failing back ends.
+	bg, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	ctl := newControl(e)
+	if !ctl.loadFirst(ctx) {
+		return ln.Close()
 	}
-	ctl.publish()
-	go ctl.run(ctlCtx, e.reports)
-
-	regCtx, stopReg := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopReg()
-	regDone := make(chan struct{})
-	go func() { defer close(regDone); e.register(regCtx) }()
-
-	hs := &http.Server{Handler: e.Handler(), ReadHeaderTimeout: 5 * time.Second}
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	defer stop()
+	dog := &citronroute.Watchdog{
+		Clock: e.clock, StallAfter: e.set.StallAfter, ProbeTimeout: e.set.ProbeTimeout,
+		Current: e.snap.Load, Frozen: e.sawFrozen,
+	}
+	tasks.Go(func() { ctl.run(bg) })
+	tasks.Go(func() { dog.Run(bg) })
+	regCtx, leave := context.WithCancel(bg)
+	defer leave()
+	left := make(chan struct{})
+	tasks.Go(func() { defer close(left); e.register(regCtx) })
+
+	hs := &http.Server{Handler: e.Handler(), ReadHeaderTimeout: readHeaderTimeout}
 	served := make(chan error, 1)
 	go func() { served <- hs.Serve(ln) }()
 	citronevent.Log(ctx, e.log, citronevent.ProcessStarted, "role", "entry", "addr", ln.Addr().String(), "zone", e.set.Zone)
-
 	select {
 	case err := <-served:
 		return errors.Wrap(err, "serve caller API")
 	case <-ctx.Done():
 	}
-	citronevent.Log(ctx, e.log, citronevent.DrainStarted)
-	stopReg()
-	<-regDone
-	_ = e.clock.Sleep(context.Background(), e.set.DrainGrace)
-	e.draining.Store(true)
+	citronevent.Log(bg, e.log, citronevent.DrainStarted, "inflight", e.work.count())
+	e.leaving.Store(true)
 	e.metrics.draining.Set(1)
-	e.inflight.Wait()
-	shutCtx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	leave()
+	<-left
+	// Callers on open connections are told to close them with their next
+	// answer, so that few race a request against the final close.
+	hs.SetKeepAlivesEnabled(false)
+	_ = e.clock.Sleep(bg, e.set.DrainGrace)
+	<-e.work.close()
+	sctx, cancel := context.WithTimeout(bg, shutdownTimeout)
 	defer cancel()
-	err := hs.Shutdown(shutCtx)
-	citronevent.Log(ctx, e.log, citronevent.DrainDone)
+	err := hs.Shutdown(sctx)
+	citronevent.Log(bg, e.log, citronevent.DrainDone)
 	return err
 }
 
-// register holds the entry's key under a lease so discovery lists it,
-// renewing the lease and putting the key back after a lapse (the holder
-// may have been paused past its TTL). On return it revokes the lease, so
-// the entry leaves discovery at once rather than after the TTL.
-func (e *Entry) register(ctx context.Context) {
-	val, _ := json.Marshal(entryAddr{Name: e.set.Name, Addr: e.set.Advertise, Zone: e.set.Zone})
-	var id citronkv.LeaseID
-	for {
-		if id == 0 {
-			if l, err := e.kv.Grant(ctx, e.set.LeaseTTL); err == nil {
-				if _, err := e.kv.Put(ctx, EntriesPrefix+e.set.Name, val, citronkv.AnyRevision, l); err == nil {
-					id = l
-					citronevent.Log(ctx, e.log, citronevent.DiscoveryRegistered, "lease", int64(l))
-				}
-			}
-		} else if err := e.kv.KeepAlive(ctx, id); errors.Is(err, citronkv.ErrLeaseExpired) {
-			id = 0
-			continue
-		}
-		if e.clock.Sleep(ctx, e.set.LeaseTTL/3) != nil {
-			break
-		}
-	}
-	if id != 0 {
-		rctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		_ = e.kv.Revoke(rctx, id)
+func (e *Entry) sawFrozen(b *citronroute.Backend) {
+	e.metrics.frozen.Add(1)
+	citronevent.Log(context.Background(), e.log, citronevent.UpstreamFrozen, "backend", b.Spec.Name, "peer", b.Spec.Addr)
+	select {
+	case e.reports <- report{backend: b.Spec.Name, reason: citronroute.Frozen}:
+	default: // the control loop is behind; the next stall reports again
 	}
 }
--- a/citronentry/lifecycle_test.go
+++ b/citronentry/lifecycle_test.go
@@ -24,7 +24,7 @@
 	r := newModelRig(t, 4, 1, oneStage, nil)
 	r.engines["a1"].engine.SetLeaving()
 	for i := range 10 {
-		wantOracle(t, r.ask(t, 0, "p"+string(rune('a'+i)), 2), "p"+string(rune('a'+i)), 4, 2)
+		wantOracle(t, r.ask(0, "p"+string(rune('a'+i)), 2), "p"+string(rune('a'+i)), 4, 2)
 	}
 	is.True(r.engines["a1"].engine.Refused.Load() <= 1) // told once, then skipped
 	is.Equal(r.engines["a1"].engine.Steps.Load(), int64(0))
@@ -41,7 +41,7 @@
 		<-r.polled
 	}
 	for i := range 6 {
-		wantOracle(t, r.ask(t, 0, "q"+string(rune('a'+i)), 2), "q"+string(rune('a'+i)), 4, 2)
+		wantOracle(t, r.ask(0, "q"+string(rune('a'+i)), 2), "q"+string(rune('a'+i)), 4, 2)
 	}
 	is.Equal(r.engines["a1"].engine.Steps.Load(), int64(0))
 }
@@ -58,9 +58,9 @@
 	for _, n := range []string{"a1", "a2"} {
 		r.engines[n].hold = hold
 	}
-	got := make(chan modelAnswer, 1)
-	go func() { got <- r.ask(t, 0, "held", 2) }()
-	for r.engines["a1"].steps.Load()+r.engines["a2"].steps.Load() == 0 {
+	got := make(chan answer, 1)
+	go func() { got <- r.ask(0, "held", 2) }()
+	for r.engines["a1"].work.Load()+r.engines["a2"].work.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	r.cancel[0]() // stop the entry with a request in flight
--- a/citronentry/once_test.go
+++ b/citronentry/once_test.go
@@ -1,101 +1,29 @@
 package citronentry_test
 
 import (
-	"context"
 	"fmt"
-	"io"
-	"log/slog"
-	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
-	"citrondeck.dev/citrondeck/citronclock"
-	"citrondeck.dev/citrondeck/citronentry"
 	"citrondeck.dev/citrondeck/citronkv"
-	"citrondeck.dev/citrondeck/citronplain"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
 
-// rig is two entries, one KV stand-in (used in-process as the Store) and
-// one non-idempotent plain upstream, all on loopback.
-type rig struct {
-	kv      *citronkv.Server
-	up      *citronplain.Server
-	entries []string
-	stop    func()
-}
-
-func newRig(t *testing.T) *rig {
+// retryUntilReplayed asks again with the key until the answer is there.
+func (r *plainRig) retryUntilReplayed(t *testing.T, entry int, key string) answer {
 	t.Helper()
-	kv := citronkv.NewServer(citronclock.Real{}, 0)
-	up := citronplain.NewServer("u1")
-	mux := http.NewServeMux()
-	up.Mount(mux)
-	us := httptest.NewServer(mux)
-	fleet := fmt.Sprintf(`fleet: t
-zones: [a]
-customers: [{name: c}]
-services:
-  - name: release
-    kind: plain
-    idempotent: false
-    upstreams: [{name: u1, addr: %q, zone: a}]
-`, strings.TrimPrefix(us.URL, "http://"))
-	if _, err := kv.Put(context.Background(), citronentry.ConfigKey, []byte(fleet), citronkv.Absent, 0); err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	r := &rig{kv: kv, up: up}
-	var done []chan struct{}
-	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	noInstances := func(context.Context) ([]citronkv.Instance, error) { return nil, nil }
-	for i := range 2 {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		set := citronentry.Settings{Name: fmt.Sprintf("entry-%d", i), Listen: ln.Addr().String(), Zone: "a", DrainGrace: time.Millisecond}
-		e := citronentry.New(set, citronclock.Real{}, log, kv, noInstances, http.DefaultClient)
-		d := make(chan struct{})
-		done = append(done, d)
-		go func() { defer close(d); _ = e.Run(ctx, ln) }()
-		for e.Revision() == 0 {
-			time.Sleep(time.Millisecond)
+	for range 5000 {
+		a := r.submit(entry, "release", key, time.Minute)
+		if a.status != http.StatusConflict {
+			return a
 		}
-		r.entries = append(r.entries, ln.Addr().String())
+		time.Sleep(2 * time.Millisecond)
 	}
-	r.stop = func() {
-		cancel()
-		for _, d := range done {
-			<-d
-		}
-		us.Close()
-	}
-	return r
-}
-
-type answer struct {
-	status     int
-	body       string
-	retryAfter string
-}
-
-func (r *rig) submit(t *testing.T, entry int, key string, deadline time.Duration) answer {
-	t.Helper()
-	body := fmt.Sprintf(`{"customer":"c","body":"plate-7","deadline_ms":%d}`, deadline.Milliseconds())
-	req, _ := http.NewRequest(http.MethodPost, "http://"+r.entries[entry]+"/v1/services/release/requests", strings.NewReader(body))
-	req.Header.Set("Idempotency-Key", key)
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer res.Body.Close()
-	b, _ := io.ReadAll(res.Body)
-	return answer{res.StatusCode, string(b), res.Header.Get("Retry-After")}
+	t.Fatalf("key %s: no recorded answer", key)
+	return answer{}
 }
 
 // A cut release whose upstream is slow: the caller's deadline passes, so
@@ -105,16 +33,34 @@
 // then, once the first run has finished, gets the recorded answer.
 func TestRetryAtOtherEntryDoesNotRunTwice(t *testing.T) {
 	is := is.New(t)
-	r := newRig(t)
-	defer r.stop()
-	r.up.Hold = make(chan struct{})
-	first := r.submit(t, 0, "k1", 100*time.Millisecond)
-	is.Equal(first.status, http.StatusBadGateway) // outcome unknown
-	is.True(strings.Contains(first.body, "outcome_unknown"))
+	r := newPlainRig(t, 2, 1)
+	hold := make(chan struct{})
+	r.ups[0].plain.Hold = hold
+	first := r.submit(0, "release", "k1", 100*time.Millisecond)
+	is.Equal(first.code, "outcome_unknown")
 	is.True(first.retryAfter != "")
-	second := r.submit(t, 1, "k1", time.Second)
-	is.Equal(second.status, http.StatusConflict) // in progress, not run again
-	is.Equal(r.up.Runs()["k1"], 1)
+	second := r.submit(1, "release", "k1", time.Second)
+	is.Equal(second.code, "in_progress")
+	close(hold)
+	is.Equal(r.retryUntilReplayed(t, 1, "k1").outcome, "replayed")
+	is.Equal(r.runs("k1"), 1)
+}
+
+// The caller of a cut release stops waiting, and then its entry is shut
+// down while the upstream still works on the release. The entry must not
+// exit before the answer is in the ledger: the caller's retry at another
+// entry gets that answer, not "in progress" for ever.
+func TestShutdownWaitsForCallItsCallerGaveUp(t *testing.T) {
+	is := is.New(t)
+	r := newPlainRig(t, 2, 1)
+	hold := make(chan struct{})
+	r.ups[0].plain.Hold = hold
+	is.Equal(r.submit(0, "release", "k", 50*time.Millisecond).code, "outcome_unknown")
+	r.cancel[0]()
+	time.AfterFunc(50*time.Millisecond, func() { close(hold) })
+	<-r.done[0]
+	is.Equal(r.submit(1, "release", "k", time.Minute).outcome, "replayed")
+	is.Equal(r.runs("k"), 1)
 }
 
 // The KV applies the ledger create and loses its reply. The entry must
@@ -122,15 +68,14 @@
 // answer "served"; a retry gets the replayed answer, not a second run.
 func TestLostLedgerReplyIsReadBack(t *testing.T) {
 	is := is.New(t)
-	r := newRig(t)
-	defer r.stop()
+	r := newPlainRig(t, 2, 1)
 	r.kv.SetFaults(citronkv.Faults{LoseReplies: 1})
-	a := r.submit(t, 0, "k2", time.Second)
+	a := r.submit(0, "release", "k2", time.Second)
 	is.Equal(a.status, http.StatusOK)
-	b := r.submit(t, 1, "k2", time.Second)
+	b := r.submit(1, "release", "k2", time.Second)
 	is.Equal(b.status, http.StatusOK)
 	is.True(strings.Contains(b.body, `"replayed"`))
-	is.Equal(r.up.Runs()["k2"], 1)
+	is.Equal(r.runs("k2"), 1)
 }
 
 // The KV is down: the entry cannot claim the key, so it must not call the
@@ -139,18 +84,17 @@
 // never "not run". Once the KV is back, the same key runs exactly once.
 func TestKVDownRunsNothing(t *testing.T) {
 	is := is.New(t)
-	r := newRig(t)
-	defer r.stop()
+	r := newPlainRig(t, 2, 1)
 	r.kv.SetFaults(citronkv.Faults{Down: true})
-	a := r.submit(t, 0, "k3", time.Second)
+	a := r.submit(0, "release", "k3", time.Second)
 	is.Equal(a.status, http.StatusBadGateway)
 	is.True(strings.Contains(a.body, "outcome_unknown"))
 	is.True(a.retryAfter != "")
-	is.Equal(r.up.Runs()["k3"], 0) // nothing ran
+	is.Equal(r.runs("k3"), 0) // nothing ran
 	r.kv.SetFaults(citronkv.Faults{})
-	b := r.submit(t, 1, "k3", time.Second)
+	b := r.submit(1, "release", "k3", time.Second)
 	is.Equal(b.status, http.StatusOK)
-	is.Equal(r.up.Runs()["k3"], 1)
+	is.Equal(r.runs("k3"), 1)
 }
 
 // Random interleavings of submits at either entry, retries of old keys,
@@ -158,8 +102,7 @@
 // a "not run" answer means the upstream never ran it at that moment; a
 // "served" or "replayed" answer means it ran exactly once.
 func TestAtMostOnceStateful(t *testing.T) {
-	r := newRig(t)
-	defer r.stop()
+	r := newPlainRig(t, 2, 1)
 	n := 0
 	rapid.Check(t, func(rt *rapid.T) {
 		n++
@@ -177,8 +120,8 @@
 				} else {
 					keys = append(keys, key)
 				}
-				a := r.submit(t, rapid.IntRange(0, 1).Draw(rt, "entry"), key, time.Second)
-				runs := r.up.Runs()[key]
+				a := r.submit(rapid.IntRange(0, 1).Draw(rt, "entry"), "release", key, time.Second)
+				runs := r.runs(key)
 				switch {
 				case runs > 1:
 					rt.Fatalf("key %s ran %d times", key, runs)
--- a/citronentry/pipeline_test.go
+++ b/citronentry/pipeline_test.go
@@ -21,7 +21,7 @@
 			// Ties in load go to the first engine in the fleet text, so
 			// the request starts on a1 and b1.
 			r.engines[victim].dieAfter = 3
-			a := r.ask(t, 0, "layout-"+victim, 6)
+			a := r.ask(0, "layout-"+victim, 6)
 			wantOracle(t, a, "layout-"+victim, 8, 6)
 			spare := map[string]string{"a1": "a2", "b1": "b2"}[victim]
 			if r.engines[spare].engine.Prefills.Load() == 0 {
@@ -40,7 +40,7 @@
 	r := newModelRig(t, 8, 1, stages, nil)
 	for i := range 4 {
 		p := fmt.Sprintf("nest-%d", i)
-		wantOracle(t, r.ask(t, 0, p, 4), p, 8, 4)
+		wantOracle(t, r.ask(0, p, 4), p, 8, 4)
 	}
 }
 
@@ -68,12 +68,12 @@
 		callers := rapid.IntRange(2, 12).Draw(rt, "callers")
 		tokens := rapid.IntRange(1, 6).Draw(rt, "tokens")
 		var wg sync.WaitGroup
-		answers := make([]modelAnswer, callers)
+		answers := make([]answer, callers)
 		for i := range callers {
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
-				answers[i] = r.ask(t, i%3, fmt.Sprintf("caller-%d", i), tokens)
+				answers[i] = r.ask(i%3, fmt.Sprintf("caller-%d", i), tokens)
 			}()
 		}
 		wg.Wait()
--- /dev/null
+++ b/citronentry/plain_test.go
@@ -0,0 +1,68 @@
+package citronentry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const longDeadline = 10 * time.Minute
+
+// The contract between an entry and plain upstreams. Each case sets a
+// fault at the first and the second upstream and sends one request with a
+// ten-minute deadline. An answer must come while the fault lasts (it is
+// never held to the deadline), and must be true: "not run" only when no
+// upstream received the call, and a non-idempotent call is never sent to
+// a second upstream once the first may have it.
+func TestPlainUpstreamFaults(t *testing.T) {
+	cases := []struct {
+		name          string
+		first, second fault
+		leaving       bool // the first upstream is leaving
+		idempotent    string
+		once          string
+		onceRuns      int
+	}{
+		{name: "both healthy", idempotent: "served", once: "served", onceRuns: 1},
+		{name: "first refuses connections", first: refused, idempotent: "served", once: "served", onceRuns: 1},
+		{name: "first is leaving", leaving: true, idempotent: "served", once: "served", onceRuns: 1},
+		{name: "first drops the connection unrun", first: resetBefore, idempotent: "served", once: "outcome_unknown"},
+		{name: "first runs, then drops the connection", first: resetAfter, idempotent: "served", once: "outcome_unknown", onceRuns: 1},
+		{name: "first answers garbage", first: garbage, idempotent: "served", once: "outcome_unknown"},
+		{name: "first is frozen", first: frozen, idempotent: "served", once: "outcome_unknown"},
+		{name: "both refuse connections", first: refused, second: refused, idempotent: "not_run", once: "not_run"},
+		{name: "both run, then drop the connection", first: resetAfter, second: resetAfter, idempotent: "outcome_unknown", once: "outcome_unknown", onceRuns: 1},
+		{name: "first runs and drops, second refuses", first: resetAfter, second: refused, idempotent: "outcome_unknown", once: "outcome_unknown", onceRuns: 1},
+		{name: "both are frozen", first: frozen, second: frozen, idempotent: "outcome_unknown", once: "outcome_unknown"},
+	}
+	for _, c := range cases {
+		for _, service := range []string{"summary", "release"} {
+			t.Run(fmt.Sprintf("%s/%s", c.name, service), func(t *testing.T) {
+				is := is.New(t)
+				r := newPlainRig(t, 1, 2)
+				r.ups[0].set(c.first)
+				r.ups[1].set(c.second)
+				if c.leaving {
+					r.ups[0].plain.SetLeaving()
+				}
+				a := r.submit(0, service, "k", longDeadline)
+				want := c.idempotent
+				if service == "release" {
+					want = c.once
+					is.Equal(r.runs("k"), c.onceRuns)
+				}
+				if want == "served" {
+					is.Equal(a.outcome, want) // body: a.body
+					return
+				}
+				is.Equal(a.code, want)
+				is.True(a.retryAfter != "") // told when to come back
+				if want == "not_run" {
+					is.Equal(r.runs("k"), 0)
+				}
+			})
+		}
+	}
+}
--- a/citronentry/rig_test.go
+++ b/citronentry/rig_test.go
@@ -3,11 +3,11 @@
 // The test rig: entries run in-process on loopback listeners against the
 // KV stand-in (used directly as the Store, or behind a fake that injects
 // faults at the interface), stand-in engines and plain upstreams behind
-// httptest servers. A back end can be killed mid-request: its middleware
-// then drops every connection, as a dead process would.
+// httptest servers whose middleware injects faults.
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -15,6 +15,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -23,50 +24,89 @@
 	"citrondeck.dev/citrondeck/citronengine"
 	"citrondeck.dev/citrondeck/citronentry"
 	"citrondeck.dev/citrondeck/citronkv"
+	"citrondeck.dev/citrondeck/citronplain"
 	"github.com/matryer/is"
 )
 
-type stage struct {
-	name     string
-	from, to int
-	// runs overrides the layers the engine really runs (a misconfigured
-	// engine); zero values mean from, to.
-	runFrom, runTo int
-}
+// fault is what a back end's middleware does to each call.
+type fault int32
+
+const (
+	healthy     fault = iota
+	resetBefore       // drops the connection before the call runs
+	resetAfter        // runs the call, then drops the connection
+	frozen            // answers nothing, neither calls nor probes
+	garbage           // answers with a body that is not of the protocol
+	refused           // nothing listens
+)
 
 type backendHandle struct {
 	engine *citronengine.Engine
+	plain  *citronplain.Server
 	srv    *httptest.Server
-	steps  atomic.Int64
-	// dieAfter kills the back end after that many steps (0: never).
+	fault  atomic.Int32
+	// work counts calls that ask for work (steps and plain calls).
+	work atomic.Int64
+	// dieAfter kills the back end after that many of them (0: never).
 	dieAfter int64
-	dead     atomic.Bool
-	// hold, when set, keeps each call waiting until it is closed.
-	hold chan struct{}
+	// hold, when set, keeps each call for work waiting until it is closed.
+	hold     chan struct{}
+	thaw     chan struct{}
+	thawOnce sync.Once
+}
+
+func (b *backendHandle) addr() string { return b.srv.Listener.Addr().String() }
+
+func (b *backendHandle) set(f fault) {
+	if f == refused {
+		b.srv.Close()
+		return
+	}
+	b.fault.Store(int32(f))
 }
 
-func (b *backendHandle) addr() string { return strings.TrimPrefix(b.srv.URL, "http://") }
+// stop ends the back end, letting frozen calls go first.
+func (b *backendHandle) stop() {
+	b.thawOnce.Do(func() { close(b.thaw) })
+	b.srv.CloseClientConnections()
+	b.srv.Close()
+}
 
-// kill makes the back end drop every connection from now on.
-func (b *backendHandle) kill() { b.dead.Store(true) }
+func drop(w http.ResponseWriter) {
+	if hj, ok := w.(http.Hijacker); ok {
+		if c, _, err := hj.Hijack(); err == nil {
+			_ = c.Close()
+		}
+	}
+}
 
 func newBackend(mount func(*http.ServeMux)) *backendHandle {
-	b := &backendHandle{}
+	b := &backendHandle{thaw: make(chan struct{})}
 	mux := http.NewServeMux()
 	mount(mux)
 	b.srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if n := b.steps.Add(1); b.dieAfter > 0 && n > b.dieAfter {
-			b.dead.Store(true)
-		}
-		if b.dead.Load() {
-			if hj, ok := w.(http.Hijacker); ok {
-				if c, _, err := hj.Hijack(); err == nil {
-					_ = c.Close()
-				}
+		work := strings.HasSuffix(r.URL.Path, "/Step") || strings.HasSuffix(r.URL.Path, "/Call")
+		if work {
+			if n := b.work.Add(1); b.dieAfter > 0 && n > b.dieAfter {
+				b.set(resetBefore)
 			}
+		}
+		switch fault(b.fault.Load()) {
+		case resetBefore:
+			drop(w)
+			return
+		case resetAfter:
+			mux.ServeHTTP(httptest.NewRecorder(), r)
+			drop(w)
+			return
+		case frozen:
+			<-b.thaw
+			return
+		case garbage:
+			_, _ = io.WriteString(w, "<html>not the protocol</html>")
 			return
 		}
-		if b.hold != nil {
+		if b.hold != nil && work {
 			<-b.hold
 		}
 		mux.ServeHTTP(w, r)
@@ -74,62 +114,43 @@
 	return b
 }
 
-func startEngine(s stage) *backendHandle {
-	rf, rt := s.from, s.to
-	if s.runTo != 0 {
-		rf, rt = s.runFrom, s.runTo
-	}
-	e := citronengine.New(citronengine.Settings{Name: s.name, From: rf, To: rt})
-	b := newBackend(e.Mount)
-	b.engine = e
-	return b
-}
-
-// modelRig is entries in front of a model service "m" of layers layers.
-type modelRig struct {
+// deck is entries in front of one fleet, and the stand-ins around them.
+type deck struct {
 	kv      *citronkv.Server
-	engines map[string]*backendHandle
+	store   citronkv.Store
 	entries []*citronentry.Entry
 	addrs   []string
 	cancel  []context.CancelFunc
 	done    []chan struct{}
-	layers  int
 	// instances is what the platform's instance list answers.
 	instances atomic.Pointer[[]citronkv.Instance]
 	polled    chan struct{}
+	// tune changes an entry's settings before it starts.
+	tune func(*citronentry.Settings)
 }
 
-func modelFleet(layers int, stages []stage, engines map[string]*backendHandle) string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "fleet: t\nzones: [a]\ncustomers: [{name: c}]\nservices:\n  - name: m\n    kind: model\n    layers: %d\n    engines:\n", layers)
-	for _, s := range stages {
-		fmt.Fprintf(&b, "      - {name: %s, addr: %q, zone: a, layers: [%d, %d]}\n", s.name, engines[s.name].addr(), s.from, s.to)
-	}
-	return b.String()
+func newDeck() *deck {
+	d := &deck{kv: citronkv.NewServer(citronclock.Real{}, 0), polled: make(chan struct{}, 64)}
+	d.store = d.kv
+	d.instances.Store(&[]citronkv.Instance{})
+	return d
 }
 
-func newModelRig(t *testing.T, layers, entries int, stages []stage, store func(*citronkv.Server) citronkv.Store) *modelRig {
+func (d *deck) apply(t testing.TB, fleet string) {
 	t.Helper()
-	r := &modelRig{kv: citronkv.NewServer(citronclock.Real{}, 0), engines: map[string]*backendHandle{}, layers: layers, polled: make(chan struct{}, 64)}
-	r.instances.Store(&[]citronkv.Instance{})
-	for _, s := range stages {
-		r.engines[s.name] = startEngine(s)
-	}
-	if _, err := r.kv.Put(context.Background(), citronentry.ConfigKey, []byte(modelFleet(layers, stages, r.engines)), citronkv.Absent, 0); err != nil {
+	if _, err := d.kv.Put(context.Background(), citronentry.ConfigKey, []byte(fleet), citronkv.AnyRevision, 0); err != nil {
 		t.Fatal(err)
 	}
-	var st citronkv.Store = r.kv
-	if store != nil {
-		st = store(r.kv)
-	}
-	for i := range entries {
-		r.startEntry(t, i, st)
+}
+
+func (d *deck) start(t testing.TB, entries int) {
+	t.Helper()
+	for range entries {
+		d.startEntry(t)
 	}
-	t.Cleanup(r.stop)
-	return r
 }
 
-func (r *modelRig) startEntry(t *testing.T, i int, st citronkv.Store) {
+func (d *deck) startEntry(t testing.TB) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -138,68 +159,187 @@
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	instances := func(context.Context) ([]citronkv.Instance, error) {
 		select {
-		case r.polled <- struct{}{}:
+		case d.polled <- struct{}{}:
 		default:
 		}
-		return *r.instances.Load(), nil
+		return *d.instances.Load(), nil
 	}
-	set := citronentry.Settings{Name: fmt.Sprintf("entry-%d", i), Listen: ln.Addr().String(), Zone: "a", DrainGrace: time.Millisecond}
-	e := citronentry.New(set, citronclock.Real{}, log, st, instances, http.DefaultClient)
+	set := citronentry.Settings{Name: fmt.Sprintf("entry-%d", len(d.entries)), Listen: ln.Addr().String(), Zone: "a", DrainGrace: time.Millisecond}
+	if d.tune != nil {
+		d.tune(&set)
+	}
+	e := citronentry.New(set, citronclock.Real{}, log, d.store, instances, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}})
 	ctx, cancel := context.WithCancel(context.Background())
-	d := make(chan struct{})
-	go func() { defer close(d); _ = e.Run(ctx, ln) }()
+	done := make(chan struct{})
+	go func() { defer close(done); _ = e.Run(ctx, ln) }()
 	for e.Revision() == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	r.entries = append(r.entries, e)
-	r.addrs = append(r.addrs, ln.Addr().String())
-	r.cancel = append(r.cancel, cancel)
-	r.done = append(r.done, d)
+	d.entries = append(d.entries, e)
+	d.addrs = append(d.addrs, ln.Addr().String())
+	d.cancel = append(d.cancel, cancel)
+	d.done = append(d.done, done)
 }
 
-func (r *modelRig) stop() {
-	for i, c := range r.cancel {
+func (d *deck) stop() {
+	for i, c := range d.cancel {
 		c()
-		<-r.done[i]
-	}
-	r.cancel = nil
-	for _, b := range r.engines {
-		b.srv.Close()
+		<-d.done[i]
 	}
+	d.cancel = nil
 }
 
-type modelAnswer struct {
-	status int
-	tokens []string
-	body   string
+type answer struct {
+	status     int
+	body       string
+	retryAfter string
+	tokens     []string
+	code       string
+	outcome    string
 }
 
-func (r *modelRig) ask(t *testing.T, entry int, prompt string, tokens int) modelAnswer {
-	t.Helper()
-	body := fmt.Sprintf(`{"customer":"c","prompt":%q,"max_tokens":%d}`, prompt, tokens)
-	res, err := http.Post("http://"+r.addrs[entry]+"/v1/services/m/requests", "application/json", strings.NewReader(body))
+// post sends one request. Status 0 means the connection failed; it is
+// returned, not fatal, so that callers on other goroutines report it.
+func (d *deck) post(entry int, path, key, body string) answer {
+	req, _ := http.NewRequest(http.MethodPost, "http://"+d.addrs[entry]+path, strings.NewReader(body))
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	res, err := http.DefaultClient.Do(req)
 	if err != nil {
-		// Status 0: the connection failed. Returned, not t.Fatal, so that
-		// callers on other goroutines report it instead of hanging.
-		return modelAnswer{body: err.Error()}
+		return answer{body: err.Error()}
 	}
 	defer res.Body.Close()
 	b, _ := io.ReadAll(res.Body)
-	a := modelAnswer{status: res.StatusCode, body: string(b)}
-	if i := strings.Index(a.body, `"tokens":[`); i >= 0 {
-		list := a.body[i+len(`"tokens":[`):]
-		list = list[:strings.Index(list, "]")]
-		for _, tok := range strings.Split(list, ",") {
-			a.tokens = append(a.tokens, strings.Trim(tok, `"`))
-		}
+	var v struct {
+		Tokens  []string `json:"tokens"`
+		Code    string   `json:"code"`
+		Outcome string   `json:"outcome"`
+	}
+	_ = json.Unmarshal(b, &v)
+	return answer{status: res.StatusCode, body: string(b), retryAfter: res.Header.Get("Retry-After"), tokens: v.Tokens, code: v.Code, outcome: v.Outcome}
+}
+
+type stage struct {
+	name     string
+	from, to int
+	// runs overrides the layers the engine really runs (a misconfigured
+	// engine); zero values mean from, to.
+	runFrom, runTo int
+}
+
+func startEngine(s stage) *backendHandle {
+	rf, rt := s.from, s.to
+	if s.runTo != 0 {
+		rf, rt = s.runFrom, s.runTo
+	}
+	e := citronengine.New(citronengine.Settings{Name: s.name, From: rf, To: rt})
+	b := newBackend(e.Mount)
+	b.engine = e
+	return b
+}
+
+// modelRig is a deck with a model service "m".
+type modelRig struct {
+	*deck
+	engines map[string]*backendHandle
+	layers  int
+}
+
+func modelFleet(layers int, stages []stage, engines map[string]*backendHandle) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "fleet: t\nzones: [a]\ncustomers: [{name: c}]\nservices:\n  - name: m\n    kind: model\n    layers: %d\n    engines:\n", layers)
+	for _, s := range stages {
+		fmt.Fprintf(&b, "      - {name: %s, addr: %q, zone: a, layers: [%d, %d]}\n", s.name, engines[s.name].addr(), s.from, s.to)
+	}
+	return b.String()
+}
+
+func newModelRig(t testing.TB, layers, entries int, stages []stage, store func(*citronkv.Server) citronkv.Store) *modelRig {
+	t.Helper()
+	r := &modelRig{deck: newDeck(), engines: map[string]*backendHandle{}, layers: layers}
+	for _, s := range stages {
+		r.engines[s.name] = startEngine(s)
+	}
+	r.apply(t, modelFleet(layers, stages, r.engines))
+	if store != nil {
+		r.store = store(r.kv)
+	}
+	r.start(t, entries)
+	t.Cleanup(r.stop)
+	return r
+}
+
+func (r *modelRig) stop() {
+	r.deck.stop()
+	for _, b := range r.engines {
+		b.stop()
 	}
-	return a
+}
+
+func (r *modelRig) ask(entry int, prompt string, tokens int) answer {
+	return r.post(entry, "/v1/services/m/requests", "", fmt.Sprintf(`{"customer":"c","prompt":%q,"max_tokens":%d,"deadline_ms":600000}`, prompt, tokens))
 }
 
 // wantOracle asserts a served answer equal to the oracle's.
-func wantOracle(t *testing.T, a modelAnswer, prompt string, layers, tokens int) {
+func wantOracle(t *testing.T, a answer, prompt string, layers, tokens int) {
 	t.Helper()
 	is := is.NewRelaxed(t)
 	is.Equal(a.status, http.StatusOK)
 	is.Equal(a.tokens, citronengine.Oracle(prompt, layers, tokens)) // every layer once, in order
 }
+
+// plainRig is a deck with a non-idempotent service "release" and an
+// idempotent one, "summary", on the same upstreams.
+type plainRig struct {
+	*deck
+	ups []*backendHandle
+}
+
+func newPlainRig(t testing.TB, entries, upstreams int) *plainRig {
+	t.Helper()
+	r := &plainRig{deck: newDeck()}
+	var list []string
+	for i := range upstreams {
+		s := citronplain.NewServer(fmt.Sprintf("u%d", i+1))
+		b := newBackend(s.Mount)
+		b.plain = s
+		r.ups = append(r.ups, b)
+		list = append(list, fmt.Sprintf("{name: u%d, addr: %q, zone: a}", i+1, b.addr()))
+	}
+	r.apply(t, fmt.Sprintf(`fleet: t
+zones: [a]
+customers: [{name: c}]
+services:
+  - name: release
+    kind: plain
+    idempotent: false
+    upstreams: [%[1]s]
+  - name: summary
+    kind: plain
+    upstreams: [%[1]s]
+`, strings.Join(list, ", ")))
+	r.start(t, entries)
+	t.Cleanup(r.stop)
+	return r
+}
+
+func (r *plainRig) stop() {
+	r.deck.stop()
+	for _, b := range r.ups {
+		b.stop()
+	}
+}
+
+// runs is how often key ran, over all upstreams.
+func (r *plainRig) runs(key string) int {
+	n := 0
+	for _, b := range r.ups {
+		n += b.plain.Runs()[key]
+	}
+	return n
+}
+
+func (r *plainRig) submit(entry int, service, key string, deadline time.Duration) answer {
+	return r.post(entry, "/v1/services/"+service+"/requests", key, fmt.Sprintf(`{"customer":"c","body":"plate-7","deadline_ms":%d}`, deadline.Milliseconds()))
+}
--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -46,6 +46,12 @@
 	DrainStarted        Event = 309
 	DrainDone           Event = 310
 	DiscoveryRegistered Event = 311
+	UpstreamAvoided     Event = 312
+	UpstreamBack        Event = 313
+	UpstreamFrozen      Event = 314
+	RequestOverloaded   Event = 315
+	StageMoved          Event = 316
+	LedgerSettleRetry   Event = 317
 
 	KVFaultSet   Event = 400
 	KVLeaseLapse Event = 401
@@ -85,6 +91,12 @@
 	DrainStarted:        {slog.LevelInfo, "drain.started", "the entry left discovery and finishes the requests it holds"},
 	DrainDone:           {slog.LevelInfo, "drain.done", "the entry holds no request in flight"},
 	DiscoveryRegistered: {slog.LevelInfo, "discovery.registered", "the entry holds its discovery lease in the KV service"},
+	UpstreamAvoided:     {slog.LevelWarn, "upstream.avoided", "a back end failed a call or a check; it gets no new work until a probe finds it well"},
+	UpstreamBack:        {slog.LevelInfo, "upstream.back", "a probe found a back end well again; it gets new work"},
+	UpstreamFrozen:      {slog.LevelWarn, "upstream.frozen", "a back end with calls in flight answered neither them nor two probes; its calls were ended"},
+	RequestOverloaded:   {slog.LevelWarn, "request.overloaded", "a request was refused before anything was sent: the service has more than it can carry"},
+	StageMoved:          {slog.LevelInfo, "stage.moved", "a request left an engine that is leaving; its kv cache went with it"},
+	LedgerSettleRetry:   {slog.LevelWarn, "ledger.settle_retry", "recording the answer of a non-idempotent request failed; it is tried again"},
 
 	KVFaultSet:   {slog.LevelWarn, "kv.fault_set", "the KV stand-in's fault switches changed"},
 	KVLeaseLapse: {slog.LevelInfo, "kv.lease_lapsed", "a lease in the KV stand-in expired and its keys were deleted"},
--- a/citronfleet/fleet.go
+++ b/citronfleet/fleet.go
@@ -85,6 +85,26 @@
 	return s.Upstreams
 }
 
+// Bound is the token rate the hardware allows a model service: the least,
+// over its layers, of the capacity of the engines holding that layer
+// (each token passes every layer once). It is 0 where some engine of the
+// bottleneck declares no capacity, and for plain services.
+func (s Service) Bound() float64 {
+	best := 0.0
+	for l := range s.Layers {
+		sum := 0.0
+		for _, e := range s.Engines {
+			if e.Range[0] <= l && l < e.Range[1] {
+				sum += float64(e.Capacity)
+			}
+		}
+		if l == 0 || sum < best {
+			best = sum
+		}
+	}
+	return best
+}
+
 // Service returns the named service.
 func (f Fleet) Service(name string) (Service, bool) {
 	for _, s := range f.Services {
--- a/citronload/load.go
+++ b/citronload/load.go
@@ -95,25 +95,6 @@
 	return out, time.Duration(a.TTLSeconds) * time.Second, nil
 }
 
-// Bound is the fleet's token rate limit for a model service: the least,
-// over layer boundaries, of the capacity of the engines whose range
-// covers that layer (each token passes every layer once).
-func Bound(svc citronfleet.Service) float64 {
-	best := -1.0
-	for l := 0; l < svc.Layers; l++ {
-		sum := 0.0
-		for _, e := range svc.Engines {
-			if e.Range[0] <= l && l < e.Range[1] {
-				sum += float64(e.Capacity)
-			}
-		}
-		if best < 0 || sum < best {
-			best = sum
-		}
-	}
-	return best
-}
-
 type job struct {
 	i   int
 	svc citronfleet.Service
@@ -133,7 +114,7 @@
 	for _, s := range p.Fleet.Services {
 		services = append(services, s)
 		if s.Kind == citronfleet.Model {
-			r.BoundTokensPerSecond += Bound(s)
+			r.BoundTokensPerSecond += s.Bound()
 		}
 	}
 	jobs := make(chan job)
--- a/citronplain/plain.go
+++ b/citronplain/plain.go
@@ -20,6 +20,7 @@
 const (
 	procCall       = "/citron.plain.v1/Call"
 	procExecutions = "/citron.plain.v1/Executions"
+	procStatus     = "/citron.plain.v1/Status"
 )
 
 type callRequest struct {
@@ -35,6 +36,12 @@
 	Upstream string `json:"upstream"`
 }
 
+type statusRequest struct{}
+
+type statusResponse struct {
+	Leaving bool `json:"leaving"`
+}
+
 type executionsRequest struct{}
 
 type executionsResponse struct {
@@ -48,8 +55,8 @@
 	leaving atomic.Bool
 	mu      sync.Mutex
 	runs    map[string]int
-	// Hold, when set, is waited on before answering (tests use it to
-	// keep a call in flight).
+	// Hold, when set, is waited on before answering, whether or not the
+	// caller still waits (tests use it to keep a call running).
 	Hold chan struct{}
 }
 
@@ -72,7 +79,7 @@
 	return out
 }
 
-func (s *Server) call(ctx context.Context, r *callRequest) (*callResponse, error) {
+func (s *Server) call(_ context.Context, r *callRequest) (*callResponse, error) {
 	if s.leaving.Load() {
 		return nil, citronwire.Leaving(s.name)
 	}
@@ -84,10 +91,7 @@
 	s.runs[key]++
 	s.mu.Unlock()
 	if s.Hold != nil {
-		select {
-		case <-s.Hold:
-		case <-ctx.Done():
-		}
+		<-s.Hold
 	}
 	return &callResponse{Result: Result(r.Service, r.Customer, r.Body), Upstream: s.name}, nil
 }
@@ -100,6 +104,9 @@
 // Mount puts the procedures on mux.
 func (s *Server) Mount(mux *http.ServeMux) {
 	citronwire.Handle(mux, procCall, s.call)
+	citronwire.Handle(mux, procStatus, func(context.Context, *statusRequest) (*statusResponse, error) {
+		return &statusResponse{Leaving: s.leaving.Load()}, nil
+	})
 	citronwire.Handle(mux, procExecutions, func(context.Context, *executionsRequest) (*executionsResponse, error) {
 		return &executionsResponse{Runs: s.Runs()}, nil
 	})
@@ -107,15 +114,17 @@
 
 // Client reaches one upstream.
 type Client struct {
-	call *citronwire.Unary[callRequest, callResponse]
-	runs *citronwire.Unary[executionsRequest, executionsResponse]
+	call   *citronwire.Unary[callRequest, callResponse]
+	runs   *citronwire.Unary[executionsRequest, executionsResponse]
+	status *citronwire.Unary[statusRequest, statusResponse]
 }
 
 // NewClient returns a client for the upstream at base.
 func NewClient(hc connect.HTTPClient, base string) *Client {
 	return &Client{
-		call: citronwire.NewUnary[callRequest, callResponse](hc, base, procCall),
-		runs: citronwire.NewUnary[executionsRequest, executionsResponse](hc, base, procExecutions),
+		call:   citronwire.NewUnary[callRequest, callResponse](hc, base, procCall),
+		runs:   citronwire.NewUnary[executionsRequest, executionsResponse](hc, base, procExecutions),
+		status: citronwire.NewUnary[statusRequest, statusResponse](hc, base, procStatus),
 	}
 }
 
@@ -133,6 +142,15 @@
 	return r.Result, nil
 }
 
+// Status probes the upstream and reports whether it is leaving.
+func (cl *Client) Status(ctx context.Context) (bool, error) {
+	r, err := cl.status.Call(ctx, &statusRequest{})
+	if err != nil {
+		return false, err
+	}
+	return r.Leaving, nil
+}
+
 // Executions returns the upstream's execution counts.
 func (cl *Client) Executions(ctx context.Context) (map[string]int, error) {
 	r, err := cl.runs.Call(ctx, &executionsRequest{})
--- a/design/design.go
+++ b/design/design.go
@@ -22,7 +22,7 @@
 	Attribute("code", String, "Stable error code", func() {
 		Meta("struct:error:name")
 		Enum("bad_request", "unknown_service", "unknown_customer", "missing_idempotency_key",
-			"not_run", "outcome_unknown", "in_progress", "too_large", "draining")
+			"not_run", "outcome_unknown", "in_progress", "too_large", "draining", "overloaded")
 	})
 	Attribute("message", String, "What happened, for a person")
 	Attribute("retry_after", Int, "Seconds to wait before asking again; 0 when asking again will not help")
@@ -31,6 +31,50 @@
 	Required("code", "message")
 })
 
+// SubmitPayload is one request of a caller.
+var SubmitPayload = Type("SubmitPayload", func() {
+	Attribute("service", String, "Service name from the fleet text")
+	Attribute("customer", String, "Customer name from the fleet text")
+	Attribute("priority", Int, "Higher runs first when engines are short", func() { Default(0) })
+	Attribute("prompt", String, "Prompt for a model service")
+	Attribute("max_tokens", Int, "Tokens to generate (model services)", func() {
+		Default(8)
+		Minimum(1)
+		Maximum(4096)
+	})
+	Attribute("body", String, "Body for a plain service")
+	Attribute("idempotency_key", String, "Required for non-idempotent services")
+	Attribute("deadline_ms", Int, "Time the caller will wait, in milliseconds", func() { Default(30000) })
+	Required("service", "customer")
+})
+
+// TokenEvent is one event of a stream. Offsets count tokens from zero
+// without gaps, so a caller can tell a whole answer from a cut one.
+var TokenEvent = Type("TokenEvent", func() {
+	Attribute("type", String, "token, done or failed", func() { Enum("token", "done", "failed") })
+	Attribute("offset", Int, "Position of the token; in done, how many tokens the answer has")
+	Attribute("token", String, "The token (type token)")
+	Attribute("request_id", String, "The entry's id of the request")
+	Attribute("code", String, "Stable error code (type failed)")
+	Attribute("message", String, "What happened, for a person (type failed)")
+	Attribute("retry_after", Int, "Seconds to wait before asking again (type failed)")
+	Required("type", "offset", "request_id")
+})
+
+// refusalStatuses gives each refusal its HTTP status; those that may help
+// to ask again carry Retry-After.
+func refusalStatuses() {
+	Response("bad_request", StatusBadRequest)
+	Response("unknown_service", StatusNotFound)
+	Response("unknown_customer", StatusForbidden)
+	Response("missing_idempotency_key", StatusBadRequest)
+	Response("not_run", StatusServiceUnavailable, func() { Header("retry_after:Retry-After") })
+	Response("outcome_unknown", StatusBadGateway, func() { Header("retry_after:Retry-After") })
+	Response("in_progress", StatusConflict, func() { Header("retry_after:Retry-After") })
+	Response("draining", StatusServiceUnavailable, func() { Header("retry_after:Retry-After") })
+	Response("overloaded", StatusServiceUnavailable, func() { Header("retry_after:Retry-After") })
+}
+
 var _ = Service("deck", func() {
 	Description("The caller API of an entry.")
 
@@ -42,24 +86,11 @@
 	Error("outcome_unknown", Refusal)
 	Error("in_progress", Refusal)
 	Error("draining", Refusal)
+	Error("overloaded", Refusal)
 
 	Method("submit", func() {
 		Description("Run one request on a service and return its whole answer.")
-		Payload(func() {
-			Attribute("service", String, "Service name from the fleet text")
-			Attribute("customer", String, "Customer name from the fleet text")
-			Attribute("priority", Int, "Higher runs first when engines are short", func() { Default(0) })
-			Attribute("prompt", String, "Prompt for a model service")
-			Attribute("max_tokens", Int, "Tokens to generate (model services)", func() {
-				Default(8)
-				Minimum(1)
-				Maximum(4096)
-			})
-			Attribute("body", String, "Body for a plain service")
-			Attribute("idempotency_key", String, "Required for non-idempotent services")
-			Attribute("deadline_ms", Int, "Time the caller will wait, in milliseconds", func() { Default(30000) })
-			Required("service", "customer")
-		})
+		Payload(SubmitPayload)
 		Result(func() {
 			Attribute("request_id", String, "The entry's id of the request")
 			Attribute("outcome", String, "served, or replayed when a known idempotency key's stored answer is returned", func() {
@@ -76,14 +107,20 @@
 			POST("/v1/services/{service}/requests")
 			Header("idempotency_key:Idempotency-Key")
 			Response(StatusOK)
-			Response("bad_request", StatusBadRequest)
-			Response("unknown_service", StatusNotFound)
-			Response("unknown_customer", StatusForbidden)
-			Response("missing_idempotency_key", StatusBadRequest)
-			Response("not_run", StatusServiceUnavailable, func() { Header("retry_after:Retry-After") })
-			Response("outcome_unknown", StatusBadGateway, func() { Header("retry_after:Retry-After") })
-			Response("in_progress", StatusConflict, func() { Header("retry_after:Retry-After") })
-			Response("draining", StatusServiceUnavailable, func() { Header("retry_after:Retry-After") })
+			refusalStatuses()
+		})
+	})
+
+	Method("stream", func() {
+		Description("Run one request on a model service and send each token as it is generated, as server-sent events. The last event is of type done or failed.")
+		Payload(SubmitPayload)
+		StreamingResult(TokenEvent)
+		HTTP(func() {
+			POST("/v1/services/{service}/streams")
+			Header("idempotency_key:Idempotency-Key")
+			ServerSentEvents(func() { SSEEventType("type") })
+			Response(StatusOK)
+			refusalStatuses()
 		})
 	})
 
--- a/gen/deck/client.go
+++ b/gen/deck/client.go
@@ -16,13 +16,15 @@
 // Client is the "deck" service client.
 type Client struct {
 	SubmitEndpoint  goa.Endpoint
+	StreamEndpoint  goa.Endpoint
 	EntriesEndpoint goa.Endpoint
 }
 
 // NewClient initializes a "deck" service client given the endpoints.
-func NewClient(submit, entries goa.Endpoint) *Client {
+func NewClient(submit, stream, entries goa.Endpoint) *Client {
 	return &Client{
 		SubmitEndpoint:  submit,
+		StreamEndpoint:  stream,
 		EntriesEndpoint: entries,
 	}
 }
@@ -37,6 +39,7 @@
 //   - "outcome_unknown" (type *Refusal)
 //   - "in_progress" (type *Refusal)
 //   - "draining" (type *Refusal)
+//   - "overloaded" (type *Refusal)
 //   - error: internal error
 func (c *Client) Submit(ctx context.Context, p *SubmitPayload) (res *SubmitResult, err error) {
 	var ires any
@@ -47,6 +50,27 @@
 	return ires.(*SubmitResult), nil
 }
 
+// Stream calls the "stream" endpoint of the "deck" service.
+// Stream may return the following errors:
+//   - "bad_request" (type *Refusal)
+//   - "unknown_service" (type *Refusal)
+//   - "unknown_customer" (type *Refusal)
+//   - "missing_idempotency_key" (type *Refusal)
+//   - "not_run" (type *Refusal)
+//   - "outcome_unknown" (type *Refusal)
+//   - "in_progress" (type *Refusal)
+//   - "draining" (type *Refusal)
+//   - "overloaded" (type *Refusal)
+//   - error: internal error
+func (c *Client) Stream(ctx context.Context, p *SubmitPayload) (res StreamClientStream, err error) {
+	var ires any
+	ires, err = c.StreamEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(StreamClientStream), nil
+}
+
 // Entries calls the "entries" endpoint of the "deck" service.
 // Entries may return the following errors:
 //   - "bad_request" (type *Refusal)
@@ -57,6 +81,7 @@
 //   - "outcome_unknown" (type *Refusal)
 //   - "in_progress" (type *Refusal)
 //   - "draining" (type *Refusal)
+//   - "overloaded" (type *Refusal)
 //   - error: internal error
 func (c *Client) Entries(ctx context.Context, p *EntriesPayload) (res *EntriesResult, err error) {
 	var ires any
--- a/gen/deck/endpoints.go
+++ b/gen/deck/endpoints.go
@@ -16,13 +16,24 @@
 // Endpoints wraps the "deck" service endpoints.
 type Endpoints struct {
 	Submit  goa.Endpoint
+	Stream  goa.Endpoint
 	Entries goa.Endpoint
 }
 
+// StreamEndpointInput holds both the payload and the server stream of the
+// "stream" method.
+type StreamEndpointInput struct {
+	// Payload is the method payload.
+	Payload *SubmitPayload
+	// Stream is the server stream used by the "stream" method to send data.
+	Stream StreamServerStream
+}
+
 // NewEndpoints wraps the methods of the "deck" service with endpoints.
 func NewEndpoints(s Service) *Endpoints {
 	return &Endpoints{
 		Submit:  NewSubmitEndpoint(s),
+		Stream:  NewStreamEndpoint(s),
 		Entries: NewEntriesEndpoint(s),
 	}
 }
@@ -30,6 +41,7 @@
 // Use applies the given middleware to all the "deck" service endpoints.
 func (e *Endpoints) Use(m func(goa.Endpoint) goa.Endpoint) {
 	e.Submit = m(e.Submit)
+	e.Stream = m(e.Stream)
 	e.Entries = m(e.Entries)
 }
 
@@ -42,6 +54,15 @@
 	}
 }
 
+// NewStreamEndpoint returns an endpoint function that calls the method
+// "stream" of service "deck".
+func NewStreamEndpoint(s Service) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		ep := req.(*StreamEndpointInput)
+		return nil, s.Stream(ctx, ep.Payload, ep.Stream)
+	}
+}
+
 // NewEntriesEndpoint returns an endpoint function that calls the method
 // "entries" of service "deck".
 func NewEntriesEndpoint(s Service) goa.Endpoint {
--- a/gen/deck/service.go
+++ b/gen/deck/service.go
@@ -15,6 +15,9 @@
 type Service interface {
 	// Run one request on a service and return its whole answer.
 	Submit(context.Context, *SubmitPayload) (res *SubmitResult, err error)
+	// Run one request on a model service and send each token as it is generated,
+	// as server-sent events. The last event is of type done or failed.
+	Stream(context.Context, *SubmitPayload, StreamServerStream) (err error)
 	// Which entry addresses to use, nearest zone first, and how long to keep the
 	// answer.
 	Entries(context.Context, *EntriesPayload) (res *EntriesResult, err error)
@@ -34,7 +37,25 @@
 // MethodNames lists the service method names as defined in the design. These
 // are the same values that are set in the endpoint request contexts under the
 // MethodKey key.
-var MethodNames = [2]string{"submit", "entries"}
+var MethodNames = [3]string{"submit", "stream", "entries"}
+
+// StreamServerStream allows streaming instances of *TokenEvent to the client.
+type StreamServerStream interface {
+	// Send streams instances of "TokenEvent".
+	Send(*TokenEvent) error
+	// SendWithContext streams instances of "TokenEvent" with context.
+	SendWithContext(context.Context, *TokenEvent) error
+	// Close closes the stream.
+	Close() error
+}
+
+// StreamClientStream allows streaming instances of *TokenEvent to the client.
+type StreamClientStream interface {
+	// Recv reads instances of "TokenEvent" from the stream.
+	Recv() (*TokenEvent, error)
+	// RecvWithContext reads instances of "TokenEvent" from the stream with context.
+	RecvWithContext(context.Context) (*TokenEvent, error)
+}
 
 // EntriesPayload is the payload type of the deck service entries method.
 type EntriesPayload struct {
@@ -110,6 +131,24 @@
 	Revision *int64
 }
 
+// TokenEvent is the result type of the deck service stream method.
+type TokenEvent struct {
+	// token, done or failed
+	Type string
+	// Position of the token; in done, how many tokens the answer has
+	Offset int
+	// The token (type token)
+	Token *string
+	// The entry's id of the request
+	RequestID string
+	// Stable error code (type failed)
+	Code *string
+	// What happened, for a person (type failed)
+	Message *string
+	// Seconds to wait before asking again (type failed)
+	RetryAfter *int
+}
+
 // Error returns an error description.
 func (e *Refusal) Error() string {
 	return ""
--- a/gen/http/cli/entry/cli.go
+++ b/gen/http/cli/entry/cli.go
@@ -23,13 +23,13 @@
 //	command (subcommand1|subcommand2|...)
 func UsageCommands() []string {
 	return []string{
-		"deck (submit|entries)",
+		"deck (submit|stream|entries)",
 	}
 }
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "deck submit --body '{\n      \"body\": \"Quae repellat ab.\",\n      \"customer\": \"Ut consequatur praesentium ullam.\",\n      \"deadline_ms\": 2414951138259950345,\n      \"max_tokens\": 1314,\n      \"priority\": 1262886146108733749,\n      \"prompt\": \"Voluptates est voluptatem.\"\n   }' --service \"Debitis porro.\" --idempotency-key \"Consequatur et voluptas.\"" + "\n" +
+	return os.Args[0] + " " + "deck submit --body '{\n      \"body\": \"Rem quos commodi.\",\n      \"customer\": \"Perferendis totam qui.\",\n      \"deadline_ms\": 6671438436116350196,\n      \"max_tokens\": 891,\n      \"priority\": 324699011526666663,\n      \"prompt\": \"Magni consequatur deleniti officiis placeat et labore.\"\n   }' --service \"Neque aperiam asperiores labore facere.\" --idempotency-key \"Ab facilis et corrupti cum quod.\"" + "\n" +
 		""
 }
 
@@ -50,11 +50,17 @@
 		deckSubmitServiceFlag        = deckSubmitFlags.String("service", "REQUIRED", "Service name from the fleet text")
 		deckSubmitIdempotencyKeyFlag = deckSubmitFlags.String("idempotency-key", "", "")
 
+		deckStreamFlags              = flag.NewFlagSet("stream", flag.ExitOnError)
+		deckStreamBodyFlag           = deckStreamFlags.String("body", "REQUIRED", "")
+		deckStreamServiceFlag        = deckStreamFlags.String("service", "REQUIRED", "Service name from the fleet text")
+		deckStreamIdempotencyKeyFlag = deckStreamFlags.String("idempotency-key", "", "")
+
 		deckEntriesFlags    = flag.NewFlagSet("entries", flag.ExitOnError)
 		deckEntriesZoneFlag = deckEntriesFlags.String("zone", "", "")
 	)
 	deckFlags.Usage = deckUsage
 	deckSubmitFlags.Usage = deckSubmitUsage
+	deckStreamFlags.Usage = deckStreamUsage
 	deckEntriesFlags.Usage = deckEntriesUsage
 
 	if err := flag.CommandLine.Parse(os.Args[1:]); err != nil {
@@ -94,6 +100,9 @@
 			case "submit":
 				epf = deckSubmitFlags
 
+			case "stream":
+				epf = deckStreamFlags
+
 			case "entries":
 				epf = deckEntriesFlags
 
@@ -125,6 +134,9 @@
 			case "submit":
 				endpoint = c.Submit()
 				data, err = deckc.BuildSubmitPayload(*deckSubmitBodyFlag, *deckSubmitServiceFlag, *deckSubmitIdempotencyKeyFlag)
+			case "stream":
+				endpoint = c.Stream()
+				data, err = deckc.BuildStreamPayload(*deckStreamBodyFlag, *deckStreamServiceFlag, *deckStreamIdempotencyKeyFlag)
 			case "entries":
 				endpoint = c.Entries()
 				data, err = deckc.BuildEntriesPayload(*deckEntriesZoneFlag)
@@ -144,6 +156,7 @@
 	fmt.Fprintf(os.Stderr, "Usage:\n    %s [globalflags] deck COMMAND [flags]\n\n", os.Args[0])
 	fmt.Fprintln(os.Stderr, "COMMAND:")
 	fmt.Fprintln(os.Stderr, `    submit: Run one request on a service and return its whole answer.`)
+	fmt.Fprintln(os.Stderr, `    stream: Run one request on a model service and send each token as it is generated, as server-sent events. The last event is of type done or failed.`)
 	fmt.Fprintln(os.Stderr, `    entries: Which entry addresses to use, nearest zone first, and how long to keep the answer.`)
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Additional help:")
@@ -168,7 +181,29 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "deck submit --body '{\n      \"body\": \"Quae repellat ab.\",\n      \"customer\": \"Ut consequatur praesentium ullam.\",\n      \"deadline_ms\": 2414951138259950345,\n      \"max_tokens\": 1314,\n      \"priority\": 1262886146108733749,\n      \"prompt\": \"Voluptates est voluptatem.\"\n   }' --service \"Debitis porro.\" --idempotency-key \"Consequatur et voluptas.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "deck submit --body '{\n      \"body\": \"Rem quos commodi.\",\n      \"customer\": \"Perferendis totam qui.\",\n      \"deadline_ms\": 6671438436116350196,\n      \"max_tokens\": 891,\n      \"priority\": 324699011526666663,\n      \"prompt\": \"Magni consequatur deleniti officiis placeat et labore.\"\n   }' --service \"Neque aperiam asperiores labore facere.\" --idempotency-key \"Ab facilis et corrupti cum quod.\"")
+}
+
+func deckStreamUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] deck stream", os.Args[0])
+	fmt.Fprint(os.Stderr, " -body JSON")
+	fmt.Fprint(os.Stderr, " -service STRING")
+	fmt.Fprint(os.Stderr, " -idempotency-key STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Run one request on a model service and send each token as it is generated, as server-sent events. The last event is of type done or failed.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -body JSON: `)
+	fmt.Fprintln(os.Stderr, `    -service STRING: Service name from the fleet text`)
+	fmt.Fprintln(os.Stderr, `    -idempotency-key STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "deck stream --body '{\n      \"body\": \"Voluptate et.\",\n      \"customer\": \"Assumenda necessitatibus voluptas.\",\n      \"deadline_ms\": 8535942421271431967,\n      \"max_tokens\": 3273,\n      \"priority\": 635487298964456288,\n      \"prompt\": \"Vitae corrupti assumenda similique corrupti.\"\n   }' --service \"Cupiditate natus fugiat distinctio doloribus perferendis vitae.\" --idempotency-key \"Quaerat libero.\"")
 }
 
 func deckEntriesUsage() {
@@ -186,5 +221,5 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "deck entries --zone \"Ut porro et voluptatum aut dolorum.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "deck entries --zone \"Esse sequi mollitia.\"")
 }
--- a/gen/http/deck/client/cli.go
+++ b/gen/http/deck/client/cli.go
@@ -23,7 +23,7 @@
 	{
 		err = json.Unmarshal([]byte(deckSubmitBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"body\": \"Quae repellat ab.\",\n      \"customer\": \"Ut consequatur praesentium ullam.\",\n      \"deadline_ms\": 2414951138259950345,\n      \"max_tokens\": 1314,\n      \"priority\": 1262886146108733749,\n      \"prompt\": \"Voluptates est voluptatem.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"body\": \"Rem quos commodi.\",\n      \"customer\": \"Perferendis totam qui.\",\n      \"deadline_ms\": 6671438436116350196,\n      \"max_tokens\": 891,\n      \"priority\": 324699011526666663,\n      \"prompt\": \"Magni consequatur deleniti officiis placeat et labore.\"\n   }'")
 		}
 		if body.MaxTokens < 1 {
 			err = goa.MergeErrors(err, goa.InvalidRangeError("body.max_tokens", body.MaxTokens, 1, true))
@@ -77,6 +77,68 @@
 	return v, nil
 }
 
+// BuildStreamPayload builds the payload for the deck stream endpoint from CLI
+// flags.
+func BuildStreamPayload(deckStreamBody string, deckStreamService string, deckStreamIdempotencyKey string) (*deck.SubmitPayload, error) {
+	var err error
+	var body StreamRequestBody
+	{
+		err = json.Unmarshal([]byte(deckStreamBody), &body)
+		if err != nil {
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"body\": \"Voluptate et.\",\n      \"customer\": \"Assumenda necessitatibus voluptas.\",\n      \"deadline_ms\": 8535942421271431967,\n      \"max_tokens\": 3273,\n      \"priority\": 635487298964456288,\n      \"prompt\": \"Vitae corrupti assumenda similique corrupti.\"\n   }'")
+		}
+		if body.MaxTokens < 1 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.max_tokens", body.MaxTokens, 1, true))
+		}
+		if body.MaxTokens > 4096 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.max_tokens", body.MaxTokens, 4096, false))
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	var service string
+	{
+		service = deckStreamService
+	}
+	var idempotencyKey *string
+	{
+		if deckStreamIdempotencyKey != "" {
+			idempotencyKey = &deckStreamIdempotencyKey
+		}
+	}
+	v := &deck.SubmitPayload{
+		Customer:   body.Customer,
+		Priority:   body.Priority,
+		Prompt:     body.Prompt,
+		MaxTokens:  body.MaxTokens,
+		Body:       body.Body,
+		DeadlineMs: body.DeadlineMs,
+	}
+	{
+		var zero int
+		if v.Priority == zero {
+			v.Priority = 0
+		}
+	}
+	{
+		var zero int
+		if v.MaxTokens == zero {
+			v.MaxTokens = 8
+		}
+	}
+	{
+		var zero int
+		if v.DeadlineMs == zero {
+			v.DeadlineMs = 30000
+		}
+	}
+	v.Service = service
+	v.IdempotencyKey = idempotencyKey
+
+	return v, nil
+}
+
 // BuildEntriesPayload builds the payload for the deck entries endpoint from
 // CLI flags.
 func BuildEntriesPayload(deckEntriesZone string) (*deck.EntriesPayload, error) {
--- a/gen/http/deck/client/client.go
+++ b/gen/http/deck/client/client.go
@@ -9,7 +9,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"strings"
 
 	goahttp "goa.design/goa/v3/http"
 	goa "goa.design/goa/v3/pkg"
@@ -20,6 +22,9 @@
 	// Submit Doer is the HTTP client used to make requests to the submit endpoint.
 	SubmitDoer goahttp.Doer
 
+	// Stream Doer is the HTTP client used to make requests to the stream endpoint.
+	StreamDoer goahttp.Doer
+
 	// Entries Doer is the HTTP client used to make requests to the entries
 	// endpoint.
 	EntriesDoer goahttp.Doer
@@ -45,6 +50,7 @@
 ) *Client {
 	return &Client{
 		SubmitDoer:          doer,
+		StreamDoer:          doer,
 		EntriesDoer:         doer,
 		RestoreResponseBody: restoreBody,
 		scheme:              scheme,
@@ -78,6 +84,42 @@
 	}
 }
 
+// Stream returns an endpoint that makes HTTP requests to the deck service
+// stream server.
+func (c *Client) Stream() goa.Endpoint {
+	var (
+		encodeRequest = EncodeStreamRequest(c.encoder)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildStreamRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		// For SSE endpoints, connect and return a stream
+		resp, err := c.StreamDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("deck", "stream", err)
+		}
+
+		if resp.StatusCode != http.StatusOK {
+			resp.Body.Close()
+			return nil, fmt.Errorf("unexpected status from SSE endpoint: %d", resp.StatusCode)
+		}
+
+		contentType := resp.Header.Get("Content-Type")
+		if contentType != "" && !strings.HasPrefix(contentType, "text/event-stream") {
+			resp.Body.Close()
+			return nil, fmt.Errorf("unexpected content type: %s (expected text/event-stream)", contentType)
+		}
+
+		return NewStreamStream(resp, c.decoder), nil
+	}
+}
+
 // Entries returns an endpoint that makes HTTP requests to the deck service
 // entries server.
 func (c *Client) Entries() goa.Endpoint {
--- a/gen/http/deck/client/encode_decode.go
+++ b/gen/http/deck/client/encode_decode.go
@@ -75,6 +75,7 @@
 //   - "unknown_customer" (type *deck.Refusal): http.StatusForbidden
 //   - "not_run" (type *deck.Refusal): http.StatusServiceUnavailable
 //   - "draining" (type *deck.Refusal): http.StatusServiceUnavailable
+//   - "overloaded" (type *deck.Refusal): http.StatusServiceUnavailable
 //   - "outcome_unknown" (type *deck.Refusal): http.StatusBadGateway
 //   - "in_progress" (type *deck.Refusal): http.StatusConflict
 //   - error: internal error
@@ -236,6 +237,37 @@
 					return nil, goahttp.ErrValidationError("deck", "submit", err)
 				}
 				return nil, NewSubmitDraining(&body, retryAfter)
+			case "overloaded":
+				var (
+					body SubmitOverloadedResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("deck", "submit", err)
+				}
+				err = ValidateSubmitOverloadedResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("deck", "submit", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("deck", "submit", err)
+				}
+				return nil, NewSubmitOverloaded(&body, retryAfter)
 			default:
 				body, _ := io.ReadAll(resp.Body)
 				return nil, goahttp.ErrInvalidResponse("deck", "submit", resp.StatusCode, string(body))
@@ -309,6 +341,327 @@
 	}
 }
 
+// BuildStreamRequest instantiates a HTTP request object with method and path
+// set to call the "deck" service "stream" endpoint
+func (c *Client) BuildStreamRequest(ctx context.Context, v any) (*http.Request, error) {
+	var (
+		service string
+	)
+	{
+		p, ok := v.(*deck.SubmitPayload)
+		if !ok {
+			return nil, goahttp.ErrInvalidType("deck", "stream", "*deck.SubmitPayload", v)
+		}
+		service = p.Service
+	}
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: StreamDeckPath(service)}
+	req, err := http.NewRequest("POST", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("deck", "stream", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeStreamRequest returns an encoder for requests sent to the deck stream
+// server.
+func EncodeStreamRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*deck.SubmitPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("deck", "stream", "*deck.SubmitPayload", v)
+		}
+		if p.IdempotencyKey != nil {
+			head := *p.IdempotencyKey
+			req.Header.Set("Idempotency-Key", head)
+		}
+		body := NewStreamRequestBody(p)
+		if err := encoder(req).Encode(&body); err != nil {
+			return goahttp.ErrEncodingError("deck", "stream", err)
+		}
+		return nil
+	}
+}
+
+// DecodeStreamResponse returns a decoder for responses returned by the deck
+// stream endpoint. restoreBody controls whether the response body should be
+// restored after having been read.
+// DecodeStreamResponse may return the following errors:
+//   - "bad_request" (type *deck.Refusal): http.StatusBadRequest
+//   - "missing_idempotency_key" (type *deck.Refusal): http.StatusBadRequest
+//   - "unknown_service" (type *deck.Refusal): http.StatusNotFound
+//   - "unknown_customer" (type *deck.Refusal): http.StatusForbidden
+//   - "not_run" (type *deck.Refusal): http.StatusServiceUnavailable
+//   - "draining" (type *deck.Refusal): http.StatusServiceUnavailable
+//   - "overloaded" (type *deck.Refusal): http.StatusServiceUnavailable
+//   - "outcome_unknown" (type *deck.Refusal): http.StatusBadGateway
+//   - "in_progress" (type *deck.Refusal): http.StatusConflict
+//   - error: internal error
+func DecodeStreamResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body StreamResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("deck", "stream", err)
+			}
+			err = ValidateStreamResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("deck", "stream", err)
+			}
+			res := NewStreamTokenEventOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "bad_request":
+				var (
+					body StreamBadRequestResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("deck", "stream", err)
+				}
+				err = ValidateStreamBadRequestResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("deck", "stream", err)
+				}
+				return nil, NewStreamBadRequest(&body)
+			case "missing_idempotency_key":
+				var (
+					body StreamMissingIdempotencyKeyResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("deck", "stream", err)
+				}
+				err = ValidateStreamMissingIdempotencyKeyResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("deck", "stream", err)
+				}
+				return nil, NewStreamMissingIdempotencyKey(&body)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("deck", "stream", resp.StatusCode, string(body))
+			}
+		case http.StatusNotFound:
+			var (
+				body StreamUnknownServiceResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("deck", "stream", err)
+			}
+			err = ValidateStreamUnknownServiceResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("deck", "stream", err)
+			}
+			return nil, NewStreamUnknownService(&body)
+		case http.StatusForbidden:
+			var (
+				body StreamUnknownCustomerResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("deck", "stream", err)
+			}
+			err = ValidateStreamUnknownCustomerResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("deck", "stream", err)
+			}
+			return nil, NewStreamUnknownCustomer(&body)
+		case http.StatusServiceUnavailable:
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "not_run":
+				var (
+					body StreamNotRunResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("deck", "stream", err)
+				}
+				err = ValidateStreamNotRunResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("deck", "stream", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("deck", "stream", err)
+				}
+				return nil, NewStreamNotRun(&body, retryAfter)
+			case "draining":
+				var (
+					body StreamDrainingResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("deck", "stream", err)
+				}
+				err = ValidateStreamDrainingResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("deck", "stream", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("deck", "stream", err)
+				}
+				return nil, NewStreamDraining(&body, retryAfter)
+			case "overloaded":
+				var (
+					body StreamOverloadedResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("deck", "stream", err)
+				}
+				err = ValidateStreamOverloadedResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("deck", "stream", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("deck", "stream", err)
+				}
+				return nil, NewStreamOverloaded(&body, retryAfter)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("deck", "stream", resp.StatusCode, string(body))
+			}
+		case http.StatusBadGateway:
+			var (
+				body StreamOutcomeUnknownResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("deck", "stream", err)
+			}
+			err = ValidateStreamOutcomeUnknownResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("deck", "stream", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("deck", "stream", err)
+			}
+			return nil, NewStreamOutcomeUnknown(&body, retryAfter)
+		case http.StatusConflict:
+			var (
+				body StreamInProgressResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("deck", "stream", err)
+			}
+			err = ValidateStreamInProgressResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("deck", "stream", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("deck", "stream", err)
+			}
+			return nil, NewStreamInProgress(&body, retryAfter)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("deck", "stream", resp.StatusCode, string(body))
+		}
+	}
+}
+
 // BuildEntriesRequest instantiates a HTTP request object with method and path
 // set to call the "deck" service "entries" endpoint
 func (c *Client) BuildEntriesRequest(ctx context.Context, v any) (*http.Request, error) {
--- a/gen/http/deck/client/paths.go
+++ b/gen/http/deck/client/paths.go
@@ -16,6 +16,11 @@
 	return fmt.Sprintf("/v1/services/%v/requests", service)
 }
 
+// StreamDeckPath returns the URL path to the deck service stream HTTP endpoint.
+func StreamDeckPath(service string) string {
+	return fmt.Sprintf("/v1/services/%v/streams", service)
+}
+
 // EntriesDeckPath returns the URL path to the deck service entries HTTP endpoint.
 func EntriesDeckPath() string {
 	return "/v1/entries"
--- a/gen/http/deck/client/types.go
+++ b/gen/http/deck/client/types.go
@@ -29,6 +29,23 @@
 	DeadlineMs int `form:"deadline_ms" json:"deadline_ms" xml:"deadline_ms"`
 }
 
+// StreamRequestBody is the type of the "deck" service "stream" endpoint HTTP
+// request body.
+type StreamRequestBody struct {
+	// Customer name from the fleet text
+	Customer string `form:"customer" json:"customer" xml:"customer"`
+	// Higher runs first when engines are short
+	Priority int `form:"priority" json:"priority" xml:"priority"`
+	// Prompt for a model service
+	Prompt *string `form:"prompt,omitempty" json:"prompt,omitempty" xml:"prompt,omitempty"`
+	// Tokens to generate (model services)
+	MaxTokens int `form:"max_tokens" json:"max_tokens" xml:"max_tokens"`
+	// Body for a plain service
+	Body *string `form:"body,omitempty" json:"body,omitempty" xml:"body,omitempty"`
+	// Time the caller will wait, in milliseconds
+	DeadlineMs int `form:"deadline_ms" json:"deadline_ms" xml:"deadline_ms"`
+}
+
 // SubmitResponseBody is the type of the "deck" service "submit" endpoint HTTP
 // response body.
 type SubmitResponseBody struct {
@@ -48,6 +65,25 @@
 	Revision *int64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
 }
 
+// StreamResponseBody is the type of the "deck" service "stream" endpoint HTTP
+// response body.
+type StreamResponseBody struct {
+	// token, done or failed
+	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
+	// Position of the token; in done, how many tokens the answer has
+	Offset *int `form:"offset,omitempty" json:"offset,omitempty" xml:"offset,omitempty"`
+	// The token (type token)
+	Token *string `form:"token,omitempty" json:"token,omitempty" xml:"token,omitempty"`
+	// The entry's id of the request
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+	// Stable error code (type failed)
+	Code *string `form:"code,omitempty" json:"code,omitempty" xml:"code,omitempty"`
+	// What happened, for a person (type failed)
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Seconds to wait before asking again (type failed)
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+}
+
 // EntriesResponseBody is the type of the "deck" service "entries" endpoint
 // HTTP response body.
 type EntriesResponseBody struct {
@@ -145,6 +181,19 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
+// SubmitOverloadedResponseBody is the type of the "deck" service "submit"
+// endpoint HTTP response body for the "overloaded" error.
+type SubmitOverloadedResponseBody struct {
+	// Stable error code
+	Code *string `form:"code,omitempty" json:"code,omitempty" xml:"code,omitempty"`
+	// What happened, for a person
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// The key to ask again with, when the outcome is unknown
+	IdempotencyKey *string `form:"idempotency_key,omitempty" json:"idempotency_key,omitempty" xml:"idempotency_key,omitempty"`
+	// The entry's id of the request
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
 // SubmitOutcomeUnknownResponseBody is the type of the "deck" service "submit"
 // endpoint HTTP response body for the "outcome_unknown" error.
 type SubmitOutcomeUnknownResponseBody struct {
@@ -171,6 +220,131 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
+// StreamBadRequestResponseBody is the type of the "deck" service "stream"
+// endpoint HTTP response body for the "bad_request" error.
+type StreamBadRequestResponseBody struct {
+	// Stable error code
+	Code *string `form:"code,omitempty" json:"code,omitempty" xml:"code,omitempty"`
+	// What happened, for a person
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Seconds to wait before asking again; 0 when asking again will not help
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// The key to ask again with, when the outcome is unknown
+	IdempotencyKey *string `form:"idempotency_key,omitempty" json:"idempotency_key,omitempty" xml:"idempotency_key,omitempty"`
+	// The entry's id of the request
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// StreamMissingIdempotencyKeyResponseBody is the type of the "deck" service
+// "stream" endpoint HTTP response body for the "missing_idempotency_key" error.
+type StreamMissingIdempotencyKeyResponseBody struct {
+	// Stable error code
+	Code *string `form:"code,omitempty" json:"code,omitempty" xml:"code,omitempty"`
+	// What happened, for a person
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Seconds to wait before asking again; 0 when asking again will not help
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// The key to ask again with, when the outcome is unknown
+	IdempotencyKey *string `form:"idempotency_key,omitempty" json:"idempotency_key,omitempty" xml:"idempotency_key,omitempty"`
+	// The entry's id of the request
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// StreamUnknownServiceResponseBody is the type of the "deck" service "stream"
+// endpoint HTTP response body for the "unknown_service" error.
+type StreamUnknownServiceResponseBody struct {
+	// Stable error code
+	Code *string `form:"code,omitempty" json:"code,omitempty" xml:"code,omitempty"`
+	// What happened, for a person
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Seconds to wait before asking again; 0 when asking again will not help
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// The key to ask again with, when the outcome is unknown
+	IdempotencyKey *string `form:"idempotency_key,omitempty" json:"idempotency_key,omitempty" xml:"idempotency_key,omitempty"`
+	// The entry's id of the request
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// StreamUnknownCustomerResponseBody is the type of the "deck" service "stream"
+// endpoint HTTP response body for the "unknown_customer" error.
+type StreamUnknownCustomerResponseBody struct {
+	// Stable error code
+	Code *string `form:"code,omitempty" json:"code,omitempty" xml:"code,omitempty"`
+	// What happened, for a person
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Seconds to wait before asking again; 0 when asking again will not help
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// The key to ask again with, when the outcome is unknown
+	IdempotencyKey *string `form:"idempotency_key,omitempty" json:"idempotency_key,omitempty" xml:"idempotency_key,omitempty"`
+	// The entry's id of the request
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// StreamNotRunResponseBody is the type of the "deck" service "stream" endpoint
+// HTTP response body for the "not_run" error.
+type StreamNotRunResponseBody struct {
+	// Stable error code
+	Code *string `form:"code,omitempty" json:"code,omitempty" xml:"code,omitempty"`
+	// What happened, for a person
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// The key to ask again with, when the outcome is unknown
+	IdempotencyKey *string `form:"idempotency_key,omitempty" json:"idempotency_key,omitempty" xml:"idempotency_key,omitempty"`
+	// The entry's id of the request
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// StreamDrainingResponseBody is the type of the "deck" service "stream"
+// endpoint HTTP response body for the "draining" error.
+type StreamDrainingResponseBody struct {
+	// Stable error code
+	Code *string `form:"code,omitempty" json:"code,omitempty" xml:"code,omitempty"`
+	// What happened, for a person
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// The key to ask again with, when the outcome is unknown
+	IdempotencyKey *string `form:"idempotency_key,omitempty" json:"idempotency_key,omitempty" xml:"idempotency_key,omitempty"`
+	// The entry's id of the request
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// StreamOverloadedResponseBody is the type of the "deck" service "stream"
+// endpoint HTTP response body for the "overloaded" error.
+type StreamOverloadedResponseBody struct {
+	// Stable error code
+	Code *string `form:"code,omitempty" json:"code,omitempty" xml:"code,omitempty"`
+	// What happened, for a person
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// The key to ask again with, when the outcome is unknown
+	IdempotencyKey *string `form:"idempotency_key,omitempty" json:"idempotency_key,omitempty" xml:"idempotency_key,omitempty"`
+	// The entry's id of the request
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// StreamOutcomeUnknownResponseBody is the type of the "deck" service "stream"
+// endpoint HTTP response body for the "outcome_unknown" error.
+type StreamOutcomeUnknownResponseBody struct {
+	// Stable error code
+	Code *string `form:"code,omitempty" json:"code,omitempty" xml:"code,omitempty"`
+	// What happened, for a person
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// The key to ask again with, when the outcome is unknown
+	IdempotencyKey *string `form:"idempotency_key,omitempty" json:"idempotency_key,omitempty" xml:"idempotency_key,omitempty"`
+	// The entry's id of the request
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// StreamInProgressResponseBody is the type of the "deck" service "stream"
+// endpoint HTTP response body for the "in_progress" error.
+type StreamInProgressResponseBody struct {
+	// Stable error code
+	Code *string `form:"code,omitempty" json:"code,omitempty" xml:"code,omitempty"`
+	// What happened, for a person
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// The key to ask again with, when the outcome is unknown
+	IdempotencyKey *string `form:"idempotency_key,omitempty" json:"idempotency_key,omitempty" xml:"idempotency_key,omitempty"`
+	// The entry's id of the request
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
 // EntryAddrResponseBody is used to define fields on response body types.
 type EntryAddrResponseBody struct {
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
@@ -211,6 +385,38 @@
 	return body
 }
 
+// NewStreamRequestBody builds the HTTP request body from the payload of the
+// "stream" endpoint of the "deck" service.
+func NewStreamRequestBody(p *deck.SubmitPayload) *StreamRequestBody {
+	body := &StreamRequestBody{
+		Customer:   p.Customer,
+		Priority:   p.Priority,
+		Prompt:     p.Prompt,
+		MaxTokens:  p.MaxTokens,
+		Body:       p.Body,
+		DeadlineMs: p.DeadlineMs,
+	}
+	{
+		var zero int
+		if body.Priority == zero {
+			body.Priority = 0
+		}
+	}
+	{
+		var zero int
+		if body.MaxTokens == zero {
+			body.MaxTokens = 8
+		}
+	}
+	{
+		var zero int
+		if body.DeadlineMs == zero {
+			body.DeadlineMs = 30000
+		}
+	}
+	return body
+}
+
 // NewSubmitResultOK builds a "deck" service "submit" endpoint result from a
 // HTTP "OK" response.
 func NewSubmitResultOK(body *SubmitResponseBody) *deck.SubmitResult {
@@ -313,6 +519,19 @@
 	return v
 }
 
+// NewSubmitOverloaded builds a deck service submit endpoint overloaded error.
+func NewSubmitOverloaded(body *SubmitOverloadedResponseBody, retryAfter *int) *deck.Refusal {
+	v := &deck.Refusal{
+		Code:           *body.Code,
+		Message:        *body.Message,
+		IdempotencyKey: body.IdempotencyKey,
+		RequestID:      body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
 // NewSubmitOutcomeUnknown builds a deck service submit endpoint
 // outcome_unknown error.
 func NewSubmitOutcomeUnknown(body *SubmitOutcomeUnknownResponseBody, retryAfter *int) *deck.Refusal {
@@ -340,6 +559,143 @@
 	return v
 }
 
+// NewStreamTokenEventOK builds a "deck" service "stream" endpoint result from
+// a HTTP "OK" response.
+func NewStreamTokenEventOK(body *StreamResponseBody) *deck.TokenEvent {
+	v := &deck.TokenEvent{
+		Type:       *body.Type,
+		Offset:     *body.Offset,
+		Token:      body.Token,
+		RequestID:  *body.RequestID,
+		Code:       body.Code,
+		Message:    body.Message,
+		RetryAfter: body.RetryAfter,
+	}
+
+	return v
+}
+
+// NewStreamBadRequest builds a deck service stream endpoint bad_request error.
+func NewStreamBadRequest(body *StreamBadRequestResponseBody) *deck.Refusal {
+	v := &deck.Refusal{
+		Code:           *body.Code,
+		Message:        *body.Message,
+		RetryAfter:     body.RetryAfter,
+		IdempotencyKey: body.IdempotencyKey,
+		RequestID:      body.RequestID,
+	}
+
+	return v
+}
+
+// NewStreamMissingIdempotencyKey builds a deck service stream endpoint
+// missing_idempotency_key error.
+func NewStreamMissingIdempotencyKey(body *StreamMissingIdempotencyKeyResponseBody) *deck.Refusal {
+	v := &deck.Refusal{
+		Code:           *body.Code,
+		Message:        *body.Message,
+		RetryAfter:     body.RetryAfter,
+		IdempotencyKey: body.IdempotencyKey,
+		RequestID:      body.RequestID,
+	}
+
+	return v
+}
+
+// NewStreamUnknownService builds a deck service stream endpoint
+// unknown_service error.
+func NewStreamUnknownService(body *StreamUnknownServiceResponseBody) *deck.Refusal {
+	v := &deck.Refusal{
+		Code:           *body.Code,
+		Message:        *body.Message,
+		RetryAfter:     body.RetryAfter,
+		IdempotencyKey: body.IdempotencyKey,
+		RequestID:      body.RequestID,
+	}
+
+	return v
+}
+
+// NewStreamUnknownCustomer builds a deck service stream endpoint
+// unknown_customer error.
+func NewStreamUnknownCustomer(body *StreamUnknownCustomerResponseBody) *deck.Refusal {
+	v := &deck.Refusal{
+		Code:           *body.Code,
+		Message:        *body.Message,
+		RetryAfter:     body.RetryAfter,
+		IdempotencyKey: body.IdempotencyKey,
+		RequestID:      body.RequestID,
+	}
+
+	return v
+}
+
+// NewStreamNotRun builds a deck service stream endpoint not_run error.
+func NewStreamNotRun(body *StreamNotRunResponseBody, retryAfter *int) *deck.Refusal {
+	v := &deck.Refusal{
+		Code:           *body.Code,
+		Message:        *body.Message,
+		IdempotencyKey: body.IdempotencyKey,
+		RequestID:      body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewStreamDraining builds a deck service stream endpoint draining error.
+func NewStreamDraining(body *StreamDrainingResponseBody, retryAfter *int) *deck.Refusal {
+	v := &deck.Refusal{
+		Code:           *body.Code,
+		Message:        *body.Message,
+		IdempotencyKey: body.IdempotencyKey,
+		RequestID:      body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewStreamOverloaded builds a deck service stream endpoint overloaded error.
+func NewStreamOverloaded(body *StreamOverloadedResponseBody, retryAfter *int) *deck.Refusal {
+	v := &deck.Refusal{
+		Code:           *body.Code,
+		Message:        *body.Message,
+		IdempotencyKey: body.IdempotencyKey,
+		RequestID:      body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewStreamOutcomeUnknown builds a deck service stream endpoint
+// outcome_unknown error.
+func NewStreamOutcomeUnknown(body *StreamOutcomeUnknownResponseBody, retryAfter *int) *deck.Refusal {
+	v := &deck.Refusal{
+		Code:           *body.Code,
+		Message:        *body.Message,
+		IdempotencyKey: body.IdempotencyKey,
+		RequestID:      body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewStreamInProgress builds a deck service stream endpoint in_progress error.
+func NewStreamInProgress(body *StreamInProgressResponseBody, retryAfter *int) *deck.Refusal {
+	v := &deck.Refusal{
+		Code:           *body.Code,
+		Message:        *body.Message,
+		IdempotencyKey: body.IdempotencyKey,
+		RequestID:      body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
 // NewEntriesResultOK builds a "deck" service "entries" endpoint result from a
 // HTTP "OK" response.
 func NewEntriesResultOK(body *EntriesResponseBody) *deck.EntriesResult {
@@ -378,6 +734,25 @@
 	return
 }
 
+// ValidateStreamResponseBody runs the validations defined on StreamResponseBody
+func ValidateStreamResponseBody(body *StreamResponseBody) (err error) {
+	if body.Type == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
+	}
+	if body.Offset == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("offset", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Type != nil {
+		if !(*body.Type == "token" || *body.Type == "done" || *body.Type == "failed") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.type", *body.Type, []any{"token", "done", "failed"}))
+		}
+	}
+	return
+}
+
 // ValidateEntriesResponseBody runs the validations defined on
 // EntriesResponseBody
 func ValidateEntriesResponseBody(body *EntriesResponseBody) (err error) {
@@ -407,8 +782,8 @@
 		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
 	if body.Code != nil {
-		if !(*body.Code == "bad_request" || *body.Code == "unknown_service" || *body.Code == "unknown_customer" || *body.Code == "missing_idempotency_key" || *body.Code == "not_run" || *body.Code == "outcome_unknown" || *body.Code == "in_progress" || *body.Code == "too_large" || *body.Code == "draining") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.code", *body.Code, []any{"bad_request", "unknown_service", "unknown_customer", "missing_idempotency_key", "not_run", "outcome_unknown", "in_progress", "too_large", "draining"}))
+		if !(*body.Code == "bad_request" || *body.Code == "unknown_service" || *body.Code == "unknown_customer" || *body.Code == "missing_idempotency_key" || *body.Code == "not_run" || *body.Code == "outcome_unknown" || *body.Code == "in_progress" || *body.Code == "too_large" || *body.Code == "draining" || *body.Code == "overloaded") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.code", *body.Code, []any{"bad_request", "unknown_service", "unknown_customer", "missing_idempotency_key", "not_run", "outcome_unknown", "in_progress", "too_large", "draining", "overloaded"}))
 		}
 	}
 	return
@@ -424,8 +799,8 @@
 		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
 	if body.Code != nil {
-		if !(*body.Code == "bad_request" || *body.Code == "unknown_service" || *body.Code == "unknown_customer" || *body.Code == "missing_idempotency_key" || *body.Code == "not_run" || *body.Code == "outcome_unknown" || *body.Code == "in_progress" || *body.Code == "too_large" || *body.Code == "draining") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.code", *body.Code, []any{"bad_request", "unknown_service", "unknown_customer", "missing_idempotency_key", "not_run", "outcome_unknown", "in_progress", "too_large", "draining"}))
+		if !(*body.Code == "bad_request" || *body.Code == "unknown_service" || *body.Code == "unknown_customer" || *body.Code == "missing_idempotency_key" || *body.Code == "not_run" || *body.Code == "outcome_unknown" || *body.Code == "in_progress" || *body.Code == "too_large" || *body.Code == "draining" || *body.Code == "overloaded") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.code", *body.Code, []any{"bad_request", "unknown_service", "unknown_customer", "missing_idempotency_key", "not_run", "outcome_unknown", "in_progress", "too_large", "draining", "overloaded"}))
 		}
 	}
 	return
@@ -441,8 +816,8 @@
 		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
 	if body.Code != nil {
-		if !(*body.Code == "bad_request" || *body.Code == "unknown_service" || *body.Code == "unknown_customer" || *body.Code == "missing_idempotency_key" || *body.Code == "not_run" || *body.Code == "outcome_unknown" || *body.Code == "in_progress" || *body.Code == "too_large" || *body.Code == "draining") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.code", *body.Code, []any{"bad_request", "unknown_service", "unknown_customer", "missing_idempotency_key", "not_run", "outcome_unknown", "in_progress", "too_large", "draining"}))
+		if !(*body.Code == "bad_request" || *body.Code == "unknown_service" || *body.Code == "unknown_customer" || *body.Code == "missing_idempotency_key" || *body.Code == "not_run" || *body.Code == "outcome_unknown" || *body.Code == "in_progress" || *body.Code == "too_large" || *body.Code == "draining" || *body.Code == "overloaded") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.code", *body.Code, []any{"bad_request", "unknown_service", "unknown_customer", "missing_idempotency_key", "not_run", "outcome_unknown", "in_progress", "too_large", "draining", "overloaded"}))
 		}
 	}
 	return
@@ -458,8 +833,8 @@
 		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
 	if body.Code != nil {
-		if !(*body.Code == "bad_request" || *body.Code == "unknown_service" || *body.Code == "unknown_customer" || *body.Code == "missing_idempotency_key" || *body.Code == "not_run" || *body.Code == "outcome_unknown" || *body.Code == "in_progress" || *body.Code == "too_large" || *body.Code == "draining") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.code", *body.Code, []any{"bad_request", "unknown_service", "unknown_customer", "missing_idempotency_key", "not_run", "outcome_unknown", "in_progress", "too_large", "draining"}))
+		if !(*body.Code == "bad_request" || *body.Code == "unknown_service" || *body.Code == "unknown_customer" || *body.Code == "missing_idempotency_key" || *body.Code == "not_run" || *body.Code == "outcome_unknown" || *body.Code == "in_progress" || *body.Code == "too_large" || *body.Code == "draining" || *body.Code == "overloaded") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.code", *body.Code, []any{"bad_request", "unknown_service", "unknown_customer", "missing_idempotency_key", "not_run", "outcome_unknown", "in_progress", "too_large", "draining", "overloaded"}))
 		}
 	}
 	return
@@ -475,8 +850,8 @@
 		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
 	if body.Code != nil {
-		if !(*body.Code == "bad_request" || *body.Code == "unknown_service" || *body.Code == "unknown_customer" || *body.Code == "missing_idempotency_key" || *body.Code == "not_run" || *body.Code == "outcome_unknown" || *body.Code == "in_progress" || *body.Code == "too_large" || *body.Code == "draining") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.code", *body.Code, []any{"bad_request", "unknown_service", "unknown_customer", "missing_idempotency_key", "not_run", "outcome_unknown", "in_progress", "too_large", "draining"}))
+		if !(*body.Code == "bad_request" || *body.Code == "unknown_service" || *body.Code == "unknown_customer" || *body.Code == "missing_idempotency_key" || *body.Code == "not_run" || *body.Code == "outcome_unknown" || *body.Code == "in_progress" || *body.Code == "too_large" || *body.Code == "draining" || *body.Code == "overloaded") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.code", *body.Code, []any{"bad_request", "unknown_service", "unknown_customer", "missing_idempotency_key", "not_run", "outcome_unknown", "in_progress", "too_large", "draining", "overloaded"}))
 		}
 	}
 	return
@@ -492,8 +867,25 @@
 		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
 	if body.Code != nil {
-		if !(*body.Code == "bad_request" || *body.Code == "unknown_service" || *body.Code == "unknown_customer" || *body.Code == "missing_idempotency_key" || *body.Code == "not_run" || *body.Code == "outcome_unknown" || *body.Code == "in_progress" || *body.Code == "too_large" || *body.Code == "draining") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.code", *body.Code, []any{"bad_request", "unknown_service", "unknown_customer", "missing_idempotency_key", "not_run", "outcome_unknown", "in_progress", "too_large", "draining"}))
+		if !(*body.Code == "bad_request" || *body.Code == "unknown_service" || *body.Code == "unknown_customer" || *body.Code == "missing_idempotency_key" || *body.Code == "not_run" || *body.Code == "outcome_unknown" || *body.Code == "in_progress" || *body.Code == "too_large" || *body.Code == "draining" || *body.Code == "overloaded") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.code", *body.Code, []any{"bad_request", "unknown_service", "unknown_customer", "missing_idempotency_key", "not_run", "outcome_unknown", "in_progress", "too_large", "draining", "overloaded"}))
+		}
+	}
+	return
+}
+
+// ValidateSubmitOverloadedResponseBody runs the validations defined on
+// submit_overloaded_response_body
+func ValidateSubmitOverloadedResponseBody(body *SubmitOverloadedResponseBody) (err error) {
+	if body.Code == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("code", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Code != nil {
+		if !(*body.Code == "bad_request" || *body.Code == "unknown_service" || *body.Code == "unknown_customer" || *body.Code == "missing_idempotency_key" || *body.Code == "not_run" || *body.Code == "outcome_unknown" || *body.Code == "in_progress" || *body.Code == "too_large" || *body.Code == "draining" || *body.Code == "overloaded") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.code", *body.Code, []any{"bad_request", "unknown_service", "unknown_customer", "missing_idempotency_key", "not_run", "outcome_unknown", "in_progress", "too_large", "draining", "overloaded"}))
 		}
 	}
 	return
@@ -509,8 +901,8 @@
 		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
 	if body.Code != nil {
-		if !(*body.Code == "bad_request" || *body.Code == "unknown_service" || *body.Code == "unknown_customer" || *body.Code == "missing_idempotency_key" || *body.Code == "not_run" || *body.Code == "outcome_unknown" || *body.Code == "in_progress" || *body.Code == "too_large" || *body.Code == "draining") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.code", *body.Code, []any{"bad_request", "unknown_service", "unknown_customer", "missing_idempotency_key", "not_run", "outcome_unknown", "in_progress", "too_large", "draining"}))
+		if !(*body.Code == "bad_request" || *body.Code == "unknown_service" || *body.Code == "unknown_customer" || *body.Code == "missing_idempotency_key" || *body.Code == "not_run" || *body.Code == "outcome_unknown" || *body.Code == "in_progress" || *body.Code == "too_large" || *body.Code == "draining" || *body.Code == "overloaded") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.code", *body.Code, []any{"bad_request", "unknown_service", "unknown_customer", "missing_idempotency_key", "not_run", "outcome_unknown", "in_progress", "too_large", "draining", "overloaded"}))
 		}
 	}
 	return
@@ -526,8 +918,161 @@
 		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
 	if body.Code != nil {
-		if !(*body.Code == "bad_request" || *body.Code == "unknown_service" || *body.Code == "unknown_customer" || *body.Code == "missing_idempotency_key" || *body.Code == "not_run" || *body.Code == "outcome_unknown" || *body.Code == "in_progress" || *body.Code == "too_large" || *body.Code == "draining") {
-			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.code", *body.Code, []any{"bad_request", "unknown_service", "unknown_customer", "missing_idempotency_key", "not_run", "outcome_unknown", "in_progress", "too_large", "draining"}))
+		if !(*body.Code == "bad_request" || *body.Code == "unknown_service" || *body.Code == "unknown_customer" || *body.Code == "missing_idempotency_key" || *body.Code == "not_run" || *body.Code == "outcome_unknown" || *body.Code == "in_progress" || *body.Code == "too_large" || *body.Code == "draining" || *body.Code == "overloaded") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.code", *body.Code, []any{"bad_request", "unknown_service", "unknown_customer", "missing_idempotency_key", "not_run", "outcome_unknown", "in_progress", "too_large", "draining", "overloaded"}))
+		}
+	}
+	return
+}
+
+// ValidateStreamBadRequestResponseBody runs the validations defined on
+// stream_bad_request_response_body
+func ValidateStreamBadRequestResponseBody(body *StreamBadRequestResponseBody) (err error) {
+	if body.Code == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("code", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Code != nil {
+		if !(*body.Code == "bad_request" || *body.Code == "unknown_service" || *body.Code == "unknown_customer" || *body.Code == "missing_idempotency_key" || *body.Code == "not_run" || *body.Code == "outcome_unknown" || *body.Code == "in_progress" || *body.Code == "too_large" || *body.Code == "draining" || *body.Code == "overloaded") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.code", *body.Code, []any{"bad_request", "unknown_service", "unknown_customer", "missing_idempotency_key", "not_run", "outcome_unknown", "in_progress", "too_large", "draining", "overloaded"}))
+		}
+	}
+	return
+}
+
+// ValidateStreamMissingIdempotencyKeyResponseBody runs the validations defined
+// on stream_missing_idempotency_key_response_body
+func ValidateStreamMissingIdempotencyKeyResponseBody(body *StreamMissingIdempotencyKeyResponseBody) (err error) {
+	if body.Code == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("code", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Code != nil {
+		if !(*body.Code == "bad_request" || *body.Code == "unknown_service" || *body.Code == "unknown_customer" || *body.Code == "missing_idempotency_key" || *body.Code == "not_run" || *body.Code == "outcome_unknown" || *body.Code == "in_progress" || *body.Code == "too_large" || *body.Code == "draining" || *body.Code == "overloaded") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.code", *body.Code, []any{"bad_request", "unknown_service", "unknown_customer", "missing_idempotency_key", "not_run", "outcome_unknown", "in_progress", "too_large", "draining", "overloaded"}))
+		}
+	}
+	return
+}
+
+// ValidateStreamUnknownServiceResponseBody runs the validations defined on
+// stream_unknown_service_response_body
+func ValidateStreamUnknownServiceResponseBody(body *StreamUnknownServiceResponseBody) (err error) {
+	if body.Code == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("code", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Code != nil {
+		if !(*body.Code == "bad_request" || *body.Code == "unknown_service" || *body.Code == "unknown_customer" || *body.Code == "missing_idempotency_key" || *body.Code == "not_run" || *body.Code == "outcome_unknown" || *body.Code == "in_progress" || *body.Code == "too_large" || *body.Code == "draining" || *body.Code == "overloaded") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.code", *body.Code, []any{"bad_request", "unknown_service", "unknown_customer", "missing_idempotency_key", "not_run", "outcome_unknown", "in_progress", "too_large", "draining", "overloaded"}))
+		}
+	}
+	return
+}
+
+// ValidateStreamUnknownCustomerResponseBody runs the validations defined on
+// stream_unknown_customer_response_body
+func ValidateStreamUnknownCustomerResponseBody(body *StreamUnknownCustomerResponseBody) (err error) {
+	if body.Code == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("code", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Code != nil {
+		if !(*body.Code == "bad_request" || *body.Code == "unknown_service" || *body.Code == "unknown_customer" || *body.Code == "missing_idempotency_key" || *body.Code == "not_run" || *body.Code == "outcome_unknown" || *body.Code == "in_progress" || *body.Code == "too_large" || *body.Code == "draining" || *body.Code == "overloaded") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.code", *body.Code, []any{"bad_request", "unknown_service", "unknown_customer", "missing_idempotency_key", "not_run", "outcome_unknown", "in_progress", "too_large", "draining", "overloaded"}))
+		}
+	}
+	return
+}
+
+// ValidateStreamNotRunResponseBody runs the validations defined on
+// stream_not_run_response_body
+func ValidateStreamNotRunResponseBody(body *StreamNotRunResponseBody) (err error) {
+	if body.Code == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("code", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Code != nil {
+		if !(*body.Code == "bad_request" || *body.Code == "unknown_service" || *body.Code == "unknown_customer" || *body.Code == "missing_idempotency_key" || *body.Code == "not_run" || *body.Code == "outcome_unknown" || *body.Code == "in_progress" || *body.Code == "too_large" || *body.Code == "draining" || *body.Code == "overloaded") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.code", *body.Code, []any{"bad_request", "unknown_service", "unknown_customer", "missing_idempotency_key", "not_run", "outcome_unknown", "in_progress", "too_large", "draining", "overloaded"}))
+		}
+	}
+	return
+}
+
+// ValidateStreamDrainingResponseBody runs the validations defined on
+// stream_draining_response_body
+func ValidateStreamDrainingResponseBody(body *StreamDrainingResponseBody) (err error) {
+	if body.Code == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("code", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Code != nil {
+		if !(*body.Code == "bad_request" || *body.Code == "unknown_service" || *body.Code == "unknown_customer" || *body.Code == "missing_idempotency_key" || *body.Code == "not_run" || *body.Code == "outcome_unknown" || *body.Code == "in_progress" || *body.Code == "too_large" || *body.Code == "draining" || *body.Code == "overloaded") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.code", *body.Code, []any{"bad_request", "unknown_service", "unknown_customer", "missing_idempotency_key", "not_run", "outcome_unknown", "in_progress", "too_large", "draining", "overloaded"}))
+		}
+	}
+	return
+}
+
+// ValidateStreamOverloadedResponseBody runs the validations defined on
+// stream_overloaded_response_body
+func ValidateStreamOverloadedResponseBody(body *StreamOverloadedResponseBody) (err error) {
+	if body.Code == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("code", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Code != nil {
+		if !(*body.Code == "bad_request" || *body.Code == "unknown_service" || *body.Code == "unknown_customer" || *body.Code == "missing_idempotency_key" || *body.Code == "not_run" || *body.Code == "outcome_unknown" || *body.Code == "in_progress" || *body.Code == "too_large" || *body.Code == "draining" || *body.Code == "overloaded") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.code", *body.Code, []any{"bad_request", "unknown_service", "unknown_customer", "missing_idempotency_key", "not_run", "outcome_unknown", "in_progress", "too_large", "draining", "overloaded"}))
+		}
+	}
+	return
+}
+
+// ValidateStreamOutcomeUnknownResponseBody runs the validations defined on
+// stream_outcome_unknown_response_body
+func ValidateStreamOutcomeUnknownResponseBody(body *StreamOutcomeUnknownResponseBody) (err error) {
+	if body.Code == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("code", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Code != nil {
+		if !(*body.Code == "bad_request" || *body.Code == "unknown_service" || *body.Code == "unknown_customer" || *body.Code == "missing_idempotency_key" || *body.Code == "not_run" || *body.Code == "outcome_unknown" || *body.Code == "in_progress" || *body.Code == "too_large" || *body.Code == "draining" || *body.Code == "overloaded") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.code", *body.Code, []any{"bad_request", "unknown_service", "unknown_customer", "missing_idempotency_key", "not_run", "outcome_unknown", "in_progress", "too_large", "draining", "overloaded"}))
+		}
+	}
+	return
+}
+
+// ValidateStreamInProgressResponseBody runs the validations defined on
+// stream_in_progress_response_body
+func ValidateStreamInProgressResponseBody(body *StreamInProgressResponseBody) (err error) {
+	if body.Code == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("code", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Code != nil {
+		if !(*body.Code == "bad_request" || *body.Code == "unknown_service" || *body.Code == "unknown_customer" || *body.Code == "missing_idempotency_key" || *body.Code == "not_run" || *body.Code == "outcome_unknown" || *body.Code == "in_progress" || *body.Code == "too_large" || *body.Code == "draining" || *body.Code == "overloaded") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.code", *body.Code, []any{"bad_request", "unknown_service", "unknown_customer", "missing_idempotency_key", "not_run", "outcome_unknown", "in_progress", "too_large", "draining", "overloaded"}))
 		}
 	}
 	return
--- a/gen/http/deck/server/encode_decode.go
+++ b/gen/http/deck/server/encode_decode.go
@@ -171,6 +171,24 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return enc.Encode(body)
+		case "overloaded":
+			var res *deck.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewSubmitOverloadedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
 		case "outcome_unknown":
 			var res *deck.Refusal
 			errors.As(v, &res)
@@ -213,6 +231,218 @@
 	}
 }
 
+// EncodeStreamResponse returns an encoder for responses returned by the deck
+// stream endpoint.
+func EncodeStreamResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*deck.TokenEvent)
+		enc := encoder(ctx, w)
+		body := NewStreamResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeStreamRequest returns a decoder for requests sent to the deck stream
+// endpoint.
+func DecodeStreamRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*deck.SubmitPayload, error) {
+	return func(r *http.Request) (*deck.SubmitPayload, error) {
+		var payload *deck.SubmitPayload
+		var (
+			body StreamRequestBody
+			err  error
+		)
+		err = decoder(r).Decode(&body)
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				return payload, goa.MissingPayloadError()
+			}
+			var gerr *goa.ServiceError
+			if errors.As(err, &gerr) {
+				return payload, gerr
+			}
+			return payload, goa.DecodePayloadError(err.Error())
+		}
+		err = ValidateStreamRequestBody(&body)
+		if err != nil {
+			return payload, err
+		}
+
+		var (
+			service        string
+			idempotencyKey *string
+
+			params = mux.Vars(r)
+		)
+		service = params["service"]
+		idempotencyKeyRaw := r.Header.Get("Idempotency-Key")
+		if idempotencyKeyRaw != "" {
+			idempotencyKey = &idempotencyKeyRaw
+		}
+		payload = NewStreamSubmitPayload(&body, service, idempotencyKey)
+
+		return payload, nil
+	}
+}
+
+// EncodeStreamError returns an encoder for errors returned by the stream deck
+// endpoint.
+func EncodeStreamError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "bad_request":
+			var res *deck.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewStreamBadRequestResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "missing_idempotency_key":
+			var res *deck.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewStreamMissingIdempotencyKeyResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "unknown_service":
+			var res *deck.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewStreamUnknownServiceResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "unknown_customer":
+			var res *deck.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewStreamUnknownCustomerResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
+		case "not_run":
+			var res *deck.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewStreamNotRunResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "draining":
+			var res *deck.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewStreamDrainingResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "overloaded":
+			var res *deck.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewStreamOverloadedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "outcome_unknown":
+			var res *deck.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewStreamOutcomeUnknownResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadGateway)
+			return enc.Encode(body)
+		case "in_progress":
+			var res *deck.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewStreamInProgressResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
 // EncodeEntriesResponse returns an encoder for responses returned by the deck
 // entries endpoint.
 func EncodeEntriesResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
--- a/gen/http/deck/server/server.go
+++ b/gen/http/deck/server/server.go
@@ -20,6 +20,7 @@
 type Server struct {
 	Mounts  []*MountPoint
 	Submit  http.Handler
+	Stream  http.Handler
 	Entries http.Handler
 }
 
@@ -51,9 +52,11 @@
 	return &Server{
 		Mounts: []*MountPoint{
 			{"Submit", "POST", "/v1/services/{service}/requests"},
+			{"Stream", "POST", "/v1/services/{service}/streams"},
 			{"Entries", "GET", "/v1/entries"},
 		},
 		Submit:  NewSubmitHandler(e.Submit, mux, decoder, encoder, errhandler, formatter),
+		Stream:  NewStreamHandler(e.Stream, mux, decoder, encoder, errhandler, formatter),
 		Entries: NewEntriesHandler(e.Entries, mux, decoder, encoder, errhandler, formatter),
 	}
 }
@@ -64,6 +67,7 @@
 // Use wraps the server handlers with the given middleware.
 func (s *Server) Use(m func(http.Handler) http.Handler) {
 	s.Submit = m(s.Submit)
+	s.Stream = m(s.Stream)
 	s.Entries = m(s.Entries)
 }
 
@@ -73,6 +77,7 @@
 // Mount configures the mux to serve the deck endpoints.
 func Mount(mux goahttp.Muxer, h *Server) {
 	MountSubmitHandler(mux, h.Submit)
+	MountStreamHandler(mux, h.Stream)
 	MountEntriesHandler(mux, h.Entries)
 }
 
@@ -134,6 +139,60 @@
 	})
 }
 
+// MountStreamHandler configures the mux to serve the "deck" service "stream"
+// endpoint.
+func MountStreamHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("POST", "/v1/services/{service}/streams", f)
+}
+
+// NewStreamHandler creates a HTTP handler which loads the HTTP request and
+// calls the "deck" service "stream" endpoint.
+func NewStreamHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest = DecodeStreamRequest(mux, decoder)
+		encodeError   = EncodeStreamError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "stream")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "deck")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		v := &deck.StreamEndpointInput{
+			Stream: &StreamServerStream{
+				w: w,
+				r: r,
+			},
+			Payload: payload,
+		}
+		_, err = endpoint(ctx, v)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+	})
+}
+
 // MountEntriesHandler configures the mux to serve the "deck" service "entries"
 // endpoint.
 func MountEntriesHandler(mux goahttp.Muxer, h http.Handler) {
--- a/gen/http/deck/server/types.go
+++ b/gen/http/deck/server/types.go
@@ -29,6 +29,23 @@
 	DeadlineMs *int `form:"deadline_ms,omitempty" json:"deadline_ms,omitempty" xml:"deadline_ms,omitempty"`
 }
 
+// StreamRequestBody is the type of the "deck" service "stream" endpoint HTTP
+// request body.
+type StreamRequestBody struct {
+	// Customer name from the fleet text
+	Customer *string `form:"customer,omitempty" json:"customer,omitempty" xml:"customer,omitempty"`
+	// Higher runs first when engines are short
+	Priority *int `form:"priority,omitempty" json:"priority,omitempty" xml:"priority,omitempty"`
+	// Prompt for a model service
+	Prompt *string `form:"prompt,omitempty" json:"prompt,omitempty" xml:"prompt,omitempty"`
+	// Tokens to generate (model services)
+	MaxTokens *int `form:"max_tokens,omitempty" json:"max_tokens,omitempty" xml:"max_tokens,omitempty"`
+	// Body for a plain service
+	Body *string `form:"body,omitempty" json:"body,omitempty" xml:"body,omitempty"`
+	// Time the caller will wait, in milliseconds
+	DeadlineMs *int `form:"deadline_ms,omitempty" json:"deadline_ms,omitempty" xml:"deadline_ms,omitempty"`
+}
+
 // SubmitResponseBody is the type of the "deck" service "submit" endpoint HTTP
 // response body.
 type SubmitResponseBody struct {
@@ -48,6 +65,25 @@
 	Revision *int64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
 }
 
+// StreamResponseBody is the type of the "deck" service "stream" endpoint HTTP
+// response body.
+type StreamResponseBody struct {
+	// token, done or failed
+	Type string `form:"type" json:"type" xml:"type"`
+	// Position of the token; in done, how many tokens the answer has
+	Offset int `form:"offset" json:"offset" xml:"offset"`
+	// The token (type token)
+	Token *string `form:"token,omitempty" json:"token,omitempty" xml:"token,omitempty"`
+	// The entry's id of the request
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+	// Stable error code (type failed)
+	Code *string `form:"code,omitempty" json:"code,omitempty" xml:"code,omitempty"`
+	// What happened, for a person (type failed)
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Seconds to wait before asking again (type failed)
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+}
+
 // EntriesResponseBody is the type of the "deck" service "entries" endpoint
 // HTTP response body.
 type EntriesResponseBody struct {
@@ -145,6 +181,19 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
+// SubmitOverloadedResponseBody is the type of the "deck" service "submit"
+// endpoint HTTP response body for the "overloaded" error.
+type SubmitOverloadedResponseBody struct {
+	// Stable error code
+	Code string `form:"code" json:"code" xml:"code"`
+	// What happened, for a person
+	Message string `form:"message" json:"message" xml:"message"`
+	// The key to ask again with, when the outcome is unknown
+	IdempotencyKey *string `form:"idempotency_key,omitempty" json:"idempotency_key,omitempty" xml:"idempotency_key,omitempty"`
+	// The entry's id of the request
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
 // SubmitOutcomeUnknownResponseBody is the type of the "deck" service "submit"
 // endpoint HTTP response body for the "outcome_unknown" error.
 type SubmitOutcomeUnknownResponseBody struct {
@@ -171,6 +220,131 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
+// StreamBadRequestResponseBody is the type of the "deck" service "stream"
+// endpoint HTTP response body for the "bad_request" error.
+type StreamBadRequestResponseBody struct {
+	// Stable error code
+	Code string `form:"code" json:"code" xml:"code"`
+	// What happened, for a person
+	Message string `form:"message" json:"message" xml:"message"`
+	// Seconds to wait before asking again; 0 when asking again will not help
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// The key to ask again with, when the outcome is unknown
+	IdempotencyKey *string `form:"idempotency_key,omitempty" json:"idempotency_key,omitempty" xml:"idempotency_key,omitempty"`
+	// The entry's id of the request
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// StreamMissingIdempotencyKeyResponseBody is the type of the "deck" service
+// "stream" endpoint HTTP response body for the "missing_idempotency_key" error.
+type StreamMissingIdempotencyKeyResponseBody struct {
+	// Stable error code
+	Code string `form:"code" json:"code" xml:"code"`
+	// What happened, for a person
+	Message string `form:"message" json:"message" xml:"message"`
+	// Seconds to wait before asking again; 0 when asking again will not help
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// The key to ask again with, when the outcome is unknown
+	IdempotencyKey *string `form:"idempotency_key,omitempty" json:"idempotency_key,omitempty" xml:"idempotency_key,omitempty"`
+	// The entry's id of the request
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// StreamUnknownServiceResponseBody is the type of the "deck" service "stream"
+// endpoint HTTP response body for the "unknown_service" error.
+type StreamUnknownServiceResponseBody struct {
+	// Stable error code
+	Code string `form:"code" json:"code" xml:"code"`
+	// What happened, for a person
+	Message string `form:"message" json:"message" xml:"message"`
+	// Seconds to wait before asking again; 0 when asking again will not help
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// The key to ask again with, when the outcome is unknown
+	IdempotencyKey *string `form:"idempotency_key,omitempty" json:"idempotency_key,omitempty" xml:"idempotency_key,omitempty"`
+	// The entry's id of the request
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// StreamUnknownCustomerResponseBody is the type of the "deck" service "stream"
+// endpoint HTTP response body for the "unknown_customer" error.
+type StreamUnknownCustomerResponseBody struct {
+	// Stable error code
+	Code string `form:"code" json:"code" xml:"code"`
+	// What happened, for a person
+	Message string `form:"message" json:"message" xml:"message"`
+	// Seconds to wait before asking again; 0 when asking again will not help
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// The key to ask again with, when the outcome is unknown
+	IdempotencyKey *string `form:"idempotency_key,omitempty" json:"idempotency_key,omitempty" xml:"idempotency_key,omitempty"`
+	// The entry's id of the request
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// StreamNotRunResponseBody is the type of the "deck" service "stream" endpoint
+// HTTP response body for the "not_run" error.
+type StreamNotRunResponseBody struct {
+	// Stable error code
+	Code string `form:"code" json:"code" xml:"code"`
+	// What happened, for a person
+	Message string `form:"message" json:"message" xml:"message"`
+	// The key to ask again with, when the outcome is unknown
+	IdempotencyKey *string `form:"idempotency_key,omitempty" json:"idempotency_key,omitempty" xml:"idempotency_key,omitempty"`
+	// The entry's id of the request
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// StreamDrainingResponseBody is the type of the "deck" service "stream"
+// endpoint HTTP response body for the "draining" error.
+type StreamDrainingResponseBody struct {
+	// Stable error code
+	Code string `form:"code" json:"code" xml:"code"`
+	// What happened, for a person
+	Message string `form:"message" json:"message" xml:"message"`
+	// The key to ask again with, when the outcome is unknown
+	IdempotencyKey *string `form:"idempotency_key,omitempty" json:"idempotency_key,omitempty" xml:"idempotency_key,omitempty"`
+	// The entry's id of the request
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// StreamOverloadedResponseBody is the type of the "deck" service "stream"
+// endpoint HTTP response body for the "overloaded" error.
+type StreamOverloadedResponseBody struct {
+	// Stable error code
+	Code string `form:"code" json:"code" xml:"code"`
+	// What happened, for a person
+	Message string `form:"message" json:"message" xml:"message"`
+	// The key to ask again with, when the outcome is unknown
+	IdempotencyKey *string `form:"idempotency_key,omitempty" json:"idempotency_key,omitempty" xml:"idempotency_key,omitempty"`
+	// The entry's id of the request
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// StreamOutcomeUnknownResponseBody is the type of the "deck" service "stream"
+// endpoint HTTP response body for the "outcome_unknown" error.
+type StreamOutcomeUnknownResponseBody struct {
+	// Stable error code
+	Code string `form:"code" json:"code" xml:"code"`
+	// What happened, for a person
+	Message string `form:"message" json:"message" xml:"message"`
+	// The key to ask again with, when the outcome is unknown
+	IdempotencyKey *string `form:"idempotency_key,omitempty" json:"idempotency_key,omitempty" xml:"idempotency_key,omitempty"`
+	// The entry's id of the request
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// StreamInProgressResponseBody is the type of the "deck" service "stream"
+// endpoint HTTP response body for the "in_progress" error.
+type StreamInProgressResponseBody struct {
+	// Stable error code
+	Code string `form:"code" json:"code" xml:"code"`
+	// What happened, for a person
+	Message string `form:"message" json:"message" xml:"message"`
+	// The key to ask again with, when the outcome is unknown
+	IdempotencyKey *string `form:"idempotency_key,omitempty" json:"idempotency_key,omitempty" xml:"idempotency_key,omitempty"`
+	// The entry's id of the request
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
 // EntryAddrResponseBody is used to define fields on response body types.
 type EntryAddrResponseBody struct {
 	Name string `form:"name" json:"name" xml:"name"`
@@ -199,6 +373,21 @@
 	return body
 }
 
+// NewStreamResponseBody builds the HTTP response body from the result of the
+// "stream" endpoint of the "deck" service.
+func NewStreamResponseBody(res *deck.TokenEvent) *StreamResponseBody {
+	body := &StreamResponseBody{
+		Type:       res.Type,
+		Offset:     res.Offset,
+		Token:      res.Token,
+		RequestID:  res.RequestID,
+		Code:       res.Code,
+		Message:    res.Message,
+		RetryAfter: res.RetryAfter,
+	}
+	return body
+}
+
 // NewEntriesResponseBody builds the HTTP response body from the result of the
 // "entries" endpoint of the "deck" service.
 func NewEntriesResponseBody(res *deck.EntriesResult) *EntriesResponseBody {
@@ -297,6 +486,18 @@
 	return body
 }
 
+// NewSubmitOverloadedResponseBody builds the HTTP response body from the
+// result of the "submit" endpoint of the "deck" service.
+func NewSubmitOverloadedResponseBody(res *deck.Refusal) *SubmitOverloadedResponseBody {
+	body := &SubmitOverloadedResponseBody{
+		Code:           res.Code,
+		Message:        res.Message,
+		IdempotencyKey: res.IdempotencyKey,
+		RequestID:      res.RequestID,
+	}
+	return body
+}
+
 // NewSubmitOutcomeUnknownResponseBody builds the HTTP response body from the
 // result of the "submit" endpoint of the "deck" service.
 func NewSubmitOutcomeUnknownResponseBody(res *deck.Refusal) *SubmitOutcomeUnknownResponseBody {
@@ -321,6 +522,118 @@
 	return body
 }
 
+// NewStreamBadRequestResponseBody builds the HTTP response body from the
+// result of the "stream" endpoint of the "deck" service.
+func NewStreamBadRequestResponseBody(res *deck.Refusal) *StreamBadRequestResponseBody {
+	body := &StreamBadRequestResponseBody{
+		Code:           res.Code,
+		Message:        res.Message,
+		RetryAfter:     res.RetryAfter,
+		IdempotencyKey: res.IdempotencyKey,
+		RequestID:      res.RequestID,
+	}
+	return body
+}
+
+// NewStreamMissingIdempotencyKeyResponseBody builds the HTTP response body
+// from the result of the "stream" endpoint of the "deck" service.
+func NewStreamMissingIdempotencyKeyResponseBody(res *deck.Refusal) *StreamMissingIdempotencyKeyResponseBody {
+	body := &StreamMissingIdempotencyKeyResponseBody{
+		Code:           res.Code,
+		Message:        res.Message,
+		RetryAfter:     res.RetryAfter,
+		IdempotencyKey: res.IdempotencyKey,
+		RequestID:      res.RequestID,
+	}
+	return body
+}
+
+// NewStreamUnknownServiceResponseBody builds the HTTP response body from the
+// result of the "stream" endpoint of the "deck" service.
+func NewStreamUnknownServiceResponseBody(res *deck.Refusal) *StreamUnknownServiceResponseBody {
+	body := &StreamUnknownServiceResponseBody{
+		Code:           res.Code,
+		Message:        res.Message,
+		RetryAfter:     res.RetryAfter,
+		IdempotencyKey: res.IdempotencyKey,
+		RequestID:      res.RequestID,
+	}
+	return body
+}
+
+// NewStreamUnknownCustomerResponseBody builds the HTTP response body from the
+// result of the "stream" endpoint of the "deck" service.
+func NewStreamUnknownCustomerResponseBody(res *deck.Refusal) *StreamUnknownCustomerResponseBody {
+	body := &StreamUnknownCustomerResponseBody{
+		Code:           res.Code,
+		Message:        res.Message,
+		RetryAfter:     res.RetryAfter,
+		IdempotencyKey: res.IdempotencyKey,
+		RequestID:      res.RequestID,
+	}
+	return body
+}
+
+// NewStreamNotRunResponseBody builds the HTTP response body from the result of
+// the "stream" endpoint of the "deck" service.
+func NewStreamNotRunResponseBody(res *deck.Refusal) *StreamNotRunResponseBody {
+	body := &StreamNotRunResponseBody{
+		Code:           res.Code,
+		Message:        res.Message,
+		IdempotencyKey: res.IdempotencyKey,
+		RequestID:      res.RequestID,
+	}
+	return body
+}
+
+// NewStreamDrainingResponseBody builds the HTTP response body from the result
+// of the "stream" endpoint of the "deck" service.
+func NewStreamDrainingResponseBody(res *deck.Refusal) *StreamDrainingResponseBody {
+	body := &StreamDrainingResponseBody{
+		Code:           res.Code,
+		Message:        res.Message,
+		IdempotencyKey: res.IdempotencyKey,
+		RequestID:      res.RequestID,
+	}
+	return body
+}
+
+// NewStreamOverloadedResponseBody builds the HTTP response body from the
+// result of the "stream" endpoint of the "deck" service.
+func NewStreamOverloadedResponseBody(res *deck.Refusal) *StreamOverloadedResponseBody {
+	body := &StreamOverloadedResponseBody{
+		Code:           res.Code,
+		Message:        res.Message,
+		IdempotencyKey: res.IdempotencyKey,
+		RequestID:      res.RequestID,
+	}
+	return body
+}
+
+// NewStreamOutcomeUnknownResponseBody builds the HTTP response body from the
+// result of the "stream" endpoint of the "deck" service.
+func NewStreamOutcomeUnknownResponseBody(res *deck.Refusal) *StreamOutcomeUnknownResponseBody {
+	body := &StreamOutcomeUnknownResponseBody{
+		Code:           res.Code,
+		Message:        res.Message,
+		IdempotencyKey: res.IdempotencyKey,
+		RequestID:      res.RequestID,
+	}
+	return body
+}
+
+// NewStreamInProgressResponseBody builds the HTTP response body from the
+// result of the "stream" endpoint of the "deck" service.
+func NewStreamInProgressResponseBody(res *deck.Refusal) *StreamInProgressResponseBody {
+	body := &StreamInProgressResponseBody{
+		Code:           res.Code,
+		Message:        res.Message,
+		IdempotencyKey: res.IdempotencyKey,
+		RequestID:      res.RequestID,
+	}
+	return body
+}
+
 // NewSubmitPayload builds a deck service submit endpoint payload.
 func NewSubmitPayload(body *SubmitRequestBody, service string, idempotencyKey *string) *deck.SubmitPayload {
 	v := &deck.SubmitPayload{
@@ -352,6 +665,37 @@
 	return v
 }
 
+// NewStreamSubmitPayload builds a deck service stream endpoint payload.
+func NewStreamSubmitPayload(body *StreamRequestBody, service string, idempotencyKey *string) *deck.SubmitPayload {
+	v := &deck.SubmitPayload{
+		Customer: *body.Customer,
+		Prompt:   body.Prompt,
+		Body:     body.Body,
+	}
+	if body.Priority != nil {
+		v.Priority = *body.Priority
+	}
+	if body.MaxTokens != nil {
+		v.MaxTokens = *body.MaxTokens
+	}
+	if body.DeadlineMs != nil {
+		v.DeadlineMs = *body.DeadlineMs
+	}
+	if body.Priority == nil {
+		v.Priority = 0
+	}
+	if body.MaxTokens == nil {
+		v.MaxTokens = 8
+	}
+	if body.DeadlineMs == nil {
+		v.DeadlineMs = 30000
+	}
+	v.Service = service
+	v.IdempotencyKey = idempotencyKey
+
+	return v
+}
+
 // NewEntriesPayload builds a deck service entries endpoint payload.
 func NewEntriesPayload(zone *string) *deck.EntriesPayload {
 	v := &deck.EntriesPayload{}
@@ -377,3 +721,21 @@
 	}
 	return
 }
+
+// ValidateStreamRequestBody runs the validations defined on StreamRequestBody
+func ValidateStreamRequestBody(body *StreamRequestBody) (err error) {
+	if body.Customer == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("customer", "body"))
+	}
+	if body.MaxTokens != nil {
+		if *body.MaxTokens < 1 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.max_tokens", *body.MaxTokens, 1, true))
+		}
+	}
+	if body.MaxTokens != nil {
+		if *body.MaxTokens > 4096 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.max_tokens", *body.MaxTokens, 4096, false))
+		}
+	}
+	return
+}
