--- a/citronentry/rig_test.go
+++ b/citronentry/rig_test.go
@@ -37,6 +37,7 @@
 	resetAfter        // runs the call, then drops the connection
 	frozen            // answers nothing, neither calls nor probes
 	garbage           // answers with a body that is not of the protocol
+	garbageWork       // the same, but for probes, which it answers
 	refused           // nothing listens
 )
 
@@ -49,6 +50,9 @@
 	work atomic.Int64
 	// dieAfter kills the back end after that many of them (0: never).
 	dieAfter int64
+	// freezeAfter freezes it after that many (0: never).
+	freezeAfter int64
+	mux         atomic.Pointer[http.ServeMux]
 	// hold, when set, keeps each call for work waiting until it is closed.
 	hold     chan struct{}
 	thaw     chan struct{}
@@ -82,16 +86,21 @@
 
 func newBackend(mount func(*http.ServeMux)) *backendHandle {
 	b := &backendHandle{thaw: make(chan struct{})}
-	mux := http.NewServeMux()
-	mount(mux)
+	b.mux.Store(http.NewServeMux())
+	mount(b.mux.Load())
 	b.srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mux := b.mux.Load()
 		work := strings.HasSuffix(r.URL.Path, "/Step") || strings.HasSuffix(r.URL.Path, "/Call")
 		if work {
-			if n := b.work.Add(1); b.dieAfter > 0 && n > b.dieAfter {
+			n := b.work.Add(1)
+			if b.dieAfter > 0 && n > b.dieAfter {
 				b.set(resetBefore)
 			}
+			if b.freezeAfter > 0 && n > b.freezeAfter {
+				b.set(frozen)
+			}
 		}
-		switch fault(b.fault.Load()) {
+		switch f := fault(b.fault.Load()); f {
 		case resetBefore:
 			drop(w)
 			return
@@ -102,7 +111,10 @@
 		case frozen:
 			<-b.thaw
 			return
-		case garbage:
+		case garbage, garbageWork:
+			if f == garbageWork && !work {
+				break
+			}
 			_, _ = io.WriteString(w, "<html>not the protocol</html>")
 			return
 		}
--- /dev/null
+++ b/citronentry/stream_test.go
@@ -0,0 +1,86 @@
+package citronentry_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	"citrondeck.dev/citrondeck/citronengine"
+	"github.com/matryer/is"
+)
+
+type streamEvent struct {
+	Type   string `json:"type"`
+	Offset int    `json:"offset"`
+	Token  string `json:"token"`
+	Code   string `json:"code"`
+}
+
+func (r *modelRig) stream(t *testing.T, body string) (int, <-chan streamEvent) {
+	t.Helper()
+	res, err := http.Post("http://"+r.addrs[0]+"/v1/services/m/streams", "application/json", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	events := make(chan streamEvent)
+	go func() {
+		defer res.Body.Close()
+		defer close(events)
+		for sc := bufio.NewScanner(res.Body); sc.Scan(); {
+			if data, ok := strings.CutPrefix(sc.Text(), "data: "); ok {
+				var ev streamEvent
+				_ = json.Unmarshal([]byte(data), &ev)
+				events <- ev
+			}
+		}
+	}()
+	return res.StatusCode, events
+}
+
+// A caller streams an answer while a stage dies in the middle of it. The
+// tokens come as they are made, each once and in order, as the oracle has
+// them, and "done" gives their number.
+func TestStreamUnderStageDeath(t *testing.T) {
+	is := is.New(t)
+	r := newModelRig(t, 8, 1, twoByTwo, nil)
+	r.engines["b1"].dieAfter = 3
+	status, events := r.stream(t, `{"customer":"c","prompt":"nest","max_tokens":6}`)
+	is.Equal(status, http.StatusOK)
+	want := citronengine.Oracle("nest", 8, 6)
+	for i, tok := range want {
+		ev := <-events
+		is.Equal(ev, streamEvent{Type: "token", Offset: i, Token: tok})
+	}
+	is.Equal(<-events, streamEvent{Type: "done", Offset: 6})
+}
+
+// Every engine of a stage dies in mid-stream. The caller has some tokens
+// already, so the status is spent; the stream must end with "failed", not
+// simply stop, or a cut answer would look like a whole one.
+func TestStreamSaysWhenItFails(t *testing.T) {
+	is := is.New(t)
+	r := newModelRig(t, 4, 1, []stage{{name: "a1", to: 4}}, nil)
+	r.engines["a1"].dieAfter = 2
+	status, events := r.stream(t, `{"customer":"c","prompt":"nest","max_tokens":6}`)
+	is.Equal(status, http.StatusOK)
+	var all []streamEvent
+	for ev := range events {
+		all = append(all, ev)
+	}
+	is.Equal(len(all), 3)
+	is.Equal(all[2], streamEvent{Type: "failed", Offset: 2, Code: "outcome_unknown"})
+}
+
+// Nothing has been sent yet when the request fails: the caller gets a
+// plain refusal with its status, not a stream.
+func TestStreamRefusedBeforeFirstToken(t *testing.T) {
+	is := is.New(t)
+	r := newModelRig(t, 4, 1, []stage{{name: "a1", to: 4}}, nil)
+	r.engines["a1"].set(refused)
+	status, _ := r.stream(t, `{"customer":"c","prompt":"nest","max_tokens":6}`)
+	is.Equal(status, http.StatusServiceUnavailable)
+	status, _ = r.stream(t, `{"customer":"nobody"}`)
+	is.Equal(status, http.StatusForbidden)
+}
--- a/citronkv/server.go
+++ b/citronkv/server.go
@@ -104,6 +104,13 @@
 	s.expireLocked(id)
 }
 
+// Leases is the number of leases that live.
+func (s *Server) Leases() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.leases)
+}
+
 // Run sweeps lapsed leases until ctx ends.
 func (s *Server) Run(ctx context.Context) {
 	for ctx.Err() == nil {
