Claims of unknown fate are taken back; a key whose entry is gone is said to be unknown, not in progress

Cause: with a KV that applies the claim, loses the reply and goes down before the read-back, the key stays "started" and nobody runs it.

Ruled out: a lease on the key (a paused holder's lease lapses and another entry runs the request again); letting the next try take the claim over (it cannot know that the first holder is not about to run it).

Mended: the entry that made the claim, and only it, deletes its own record at the revision read, trying until the KV answers; Release and Settle are tried again likewise. Records name the incarnation of their entry; one that is not among the known entries is gone.

--- a/citronentry/discovery.go
+++ b/citronentry/discovery.go
@@ -106,7 +106,7 @@
 }
 
 func (e *Entry) self() citronroute.EntryAddr {
-	return citronroute.EntryAddr{Name: e.set.Name, Addr: e.set.Advertise, Zone: e.set.Zone}
+	return citronroute.EntryAddr{Name: e.set.Name, Addr: e.set.Advertise, Zone: e.set.Zone, Incarnation: e.incarnation}
 }
 
 // listed is what discovery answers: the known entries, with this one
--- a/citronentry/once.go
+++ b/citronentry/once.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -15,7 +16,7 @@
 	// onceTimeout bounds a non-idempotent call whose service sets no
 	// timeout. It does not end when the caller stops waiting.
 	onceTimeout   = time.Minute
-	settleTimeout = 10 * time.Second
+	settleTimeout = time.Minute
 	// settleGrace is how long an answer waits to be recorded first.
 	settleGrace = 200 * time.Millisecond
 )
@@ -42,7 +43,7 @@
 // runOnce runs a non-idempotent request at most once across all entries.
 func (a *api) runOnce(ctx context.Context, r *request) (*deck.SubmitResult, error) {
 	e := a.e
-	claim, err := e.ledger.Claim(ctx, r.svc.Name, r.Customer, r.key(), citronledger.Record{State: citronledger.Started, Entry: e.set.Name, Request: r.id})
+	claim, err := e.ledger.Claim(ctx, r.svc.Name, r.Customer, r.key(), a.record(r, citronledger.Started))
 	if err != nil {
 		return nil, a.ledgerDown(ctx, r, err)
 	}
@@ -100,6 +101,10 @@
 	<-o.answered
 }
 
+func (a *api) record(r *request, state citronledger.State) citronledger.Record {
+	return citronledger.Record{State: state, Entry: a.e.set.Name, Incarnation: a.e.incarnation, Request: r.id}
+}
+
 // settle records how the call ended: its answer, or that it did not run.
 func (a *api) settle(ctx context.Context, r *request, claim citronledger.Claim, res *deck.SubmitResult, err error) {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
@@ -107,7 +112,9 @@
 	var ref *deck.Refusal
 	switch {
 	case err == nil:
-		a.e.ledger.Settle(ctx, claim, citronledger.Record{State: citronledger.Done, Entry: a.e.set.Name, Request: r.id, Tokens: res.Tokens, Result: deref(res.Result)})
+		rec := a.record(r, citronledger.Done)
+		rec.Tokens, rec.Result = res.Tokens, deref(res.Result)
+		a.e.ledger.Settle(ctx, claim, rec)
 	case errors.As(err, &ref) && ref.Code == codeNotRun:
 		a.e.ledger.Release(ctx, claim)
 	}
@@ -125,6 +132,12 @@
 		return res, nil
 	}
 	ref := refusal("in_progress", "a request with this idempotency key was started and has no recorded answer yet; it will not run again", retryAfterBusy)
+	if own := rec.Incarnation == e.incarnation; !own && !e.snap.Load().Lives(rec.Entry, rec.Incarnation) {
+		// Nobody is left to record an answer: "in progress" would have
+		// the caller ask for ever.
+		e.metrics.unknown.Add(1)
+		ref = refusal(codeUnknown, fmt.Sprintf("entry %s, which ran the request with this idempotency key, is gone: the request may have run; it will not run again", rec.Entry), retryAfterDown)
+	}
 	ref.IdempotencyKey = r.IdempotencyKey
 	return nil, ref
 }
--- a/citronentry/once_test.go
+++ b/citronentry/once_test.go
@@ -1,6 +1,7 @@
 package citronentry_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -100,17 +101,30 @@
 // Random interleavings of submits at either entry, retries of old keys,
 // lost KV replies and KV outages. Oracle: every key runs at most once;
 // a "not run" answer means the upstream never ran it at that moment; a
-// "served" or "replayed" answer means it ran exactly once.
+// "served" or "replayed" answer means it ran exactly once. Once the KV is
+// well, asking again with any key must end in its answer: a key left
+// "started" by a claim that never ran would be refused for ever.
 func TestAtMostOnceStateful(t *testing.T) {
 	r := newPlainRig(t, 2, 1)
 	n := 0
 	rapid.Check(t, func(rt *rapid.T) {
 		n++
 		var keys []string
+		judge := func(key string, a answer) {
+			runs := r.runs(key)
+			switch {
+			case runs > 1:
+				rt.Fatalf("key %s ran %d times", key, runs)
+			case a.code == "not_run" && runs != 0:
+				rt.Fatalf("key %s answered not run but ran %d times", key, runs)
+			case a.status == http.StatusOK && runs != 1:
+				rt.Fatalf("key %s answered %s but ran %d times", key, a.body, runs)
+			}
+		}
 		for range rapid.IntRange(1, 12).Draw(rt, "steps") {
 			switch rapid.IntRange(0, 3).Draw(rt, "action") {
 			case 0:
-				r.kv.SetFaults(citronkv.Faults{LoseReplies: rapid.IntRange(1, 3).Draw(rt, "lose")})
+				r.kv.SetFaults(citronkv.Faults{LoseReplies: rapid.IntRange(1, 3).Draw(rt, "lose"), DownAfterLoss: rapid.Bool().Draw(rt, "down after")})
 			case 1:
 				r.kv.SetFaults(citronkv.Faults{Down: rapid.Bool().Draw(rt, "down")})
 			default:
@@ -120,18 +134,50 @@
 				} else {
 					keys = append(keys, key)
 				}
-				a := r.submit(rapid.IntRange(0, 1).Draw(rt, "entry"), "release", key, time.Second)
-				runs := r.runs(key)
-				switch {
-				case runs > 1:
-					rt.Fatalf("key %s ran %d times", key, runs)
-				case strings.Contains(a.body, "not_run") && runs != 0:
-					rt.Fatalf("key %s answered not run but ran %d times", key, runs)
-				case a.status == http.StatusOK && runs != 1:
-					rt.Fatalf("key %s answered %s but ran %d times", key, a.body, runs)
-				}
+				judge(key, r.submit(rapid.IntRange(0, 1).Draw(rt, "entry"), "release", key, time.Second))
 			}
 		}
 		r.kv.SetFaults(citronkv.Faults{})
+		for i, key := range keys {
+			a := r.submit(i%2, "release", key, time.Minute)
+			for tries := 0; a.status != http.StatusOK; tries++ {
+				if tries > 8_000 {
+					rt.Fatalf("key %s is refused for ever: %s", key, a.body)
+				}
+				time.Sleep(time.Millisecond)
+				a = r.submit(i%2, "release", key, time.Minute)
+			}
+			judge(key, a)
+		}
 	})
 }
+
+// The KV applies a claim, loses its reply and goes down before the entry
+// can read the key back. The caller is told "outcome unknown"; nothing
+// ran. Once the KV is back, the entry must take its claim back, so that
+// the caller's next try runs instead of hearing "in progress" for ever.
+func TestClaimOfUnknownFateIsTakenBack(t *testing.T) {
+	is := is.New(t)
+	r := newPlainRig(t, 2, 1)
+	r.kv.SetFaults(citronkv.Faults{LoseReplies: 1, DownAfterLoss: true})
+	is.Equal(r.submit(0, "release", "k", time.Minute).code, "outcome_unknown")
+	is.Equal(r.runs("k"), 0)
+	is.Equal(r.submit(1, "release", "k", time.Minute).code, "outcome_unknown") // still down
+	r.kv.SetFaults(citronkv.Faults{})
+	eventually(t, "served", func() bool { return r.submit(1, "release", "k", time.Minute).status == http.StatusOK })
+	is.Equal(r.runs("k"), 1)
+}
+
+// The entry that runs a release is killed before it can record the answer,
+// and another takes its name. Whether the release ran is not known, and it
+// must not run again; the caller who retries must be told so, not "in
+// progress", which would have it ask for ever.
+func TestOwnerOfKeyIsGone(t *testing.T) {
+	is := is.New(t)
+	r := newPlainRig(t, 1, 1)
+	_, err := r.kv.Put(context.Background(), "idem/release/c/k", []byte(`{"state":"started","entry":"entry-0","incarnation":"dead","request":"entry-0-dead-1"}`), citronkv.Absent, 0)
+	is.NoErr(err)
+	a := r.submit(0, "release", "k", time.Minute)
+	is.Equal(a.code, "outcome_unknown")
+	is.Equal(r.runs("k"), 0)
+}
--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -51,7 +51,7 @@
 	UpstreamFrozen      Event = 314
 	RequestOverloaded   Event = 315
 	StageMoved          Event = 316
-	LedgerSettleRetry   Event = 317
+	LedgerRetry         Event = 317
 
 	KVFaultSet   Event = 400
 	KVLeaseLapse Event = 401
@@ -96,7 +96,7 @@
 	UpstreamFrozen:      {slog.LevelWarn, "upstream.frozen", "a back end with calls in flight answered neither them nor two probes; its calls were ended"},
 	RequestOverloaded:   {slog.LevelWarn, "request.overloaded", "a request was refused before anything was sent: the service has more than it can carry"},
 	StageMoved:          {slog.LevelInfo, "stage.moved", "a request left an engine that is leaving; its kv cache went with it"},
-	LedgerSettleRetry:   {slog.LevelWarn, "ledger.settle_retry", "recording the answer of a non-idempotent request failed; it is tried again"},
+	LedgerRetry:         {slog.LevelWarn, "ledger.retry", "recording an answer in the ledger, or taking a claim back, failed; it is tried again"},
 
 	KVFaultSet:   {slog.LevelWarn, "kv.fault_set", "the KV stand-in's fault switches changed"},
 	KVLeaseLapse: {slog.LevelInfo, "kv.lease_lapsed", "a lease in the KV stand-in expired and its keys were deleted"},
--- a/citronkv/server.go
+++ b/citronkv/server.go
@@ -36,6 +36,9 @@
 	// LoseReplies applies the next n writes and then answers each with
 	// Unavailable, as when a reply is lost on the way back.
 	LoseReplies int `json:"loseReplies"`
+	// DownAfterLoss makes the service go down with the first lost reply,
+	// so that the writer cannot read back what became of its write.
+	DownAfterLoss bool `json:"downAfterLoss"`
 }
 
 // Counts are the calls the stand-in has served, by kind.
@@ -159,6 +162,7 @@
 func (s *Server) loseReplyLocked() bool {
 	if s.faults.LoseReplies > 0 {
 		s.faults.LoseReplies--
+		s.faults.Down = s.faults.Down || s.faults.DownAfterLoss
 		return true
 	}
 	return false
--- a/citronledger/ledger.go
+++ b/citronledger/ledger.go
@@ -34,9 +34,11 @@
 
 // Record is the value kept under an idempotency key.
 type Record struct {
-	State   State    `json:"state"`
-	Entry   string   `json:"entry"`
-	Request string   `json:"request"`
+	State State `json:"state"`
+	// Entry and Incarnation name the process that runs the request.
+	Entry       string   `json:"entry"`
+	Incarnation string   `json:"incarnation"`
+	Request     string   `json:"request"`
 	Result  string   `json:"result,omitempty"`
 	Tokens  []string `json:"tokens,omitempty"`
 }
@@ -56,8 +58,12 @@
 var ErrDown = errors.New("at-most-once ledger unavailable")
 
 const (
-	settleTries = 5
-	settleWait  = 200 * time.Millisecond
+	retryFirst = 200 * time.Millisecond
+	retryCap   = 3 * time.Second
+	// takeBackFor bounds the effort to take back a claim of unknown fate;
+	// lateWrite is how long a write without reply may still take effect.
+	takeBackFor = 10 * time.Minute
+	lateWrite   = 5 * time.Second
 )
 
 // Ledger is the at-most-once ledger in the KV service.
@@ -89,7 +95,11 @@
 	case errors.Is(err, citronkv.ErrUnavailable):
 		l.ReadBack()
 		citronevent.Log(ctx, l.Log, citronevent.LedgerReadBack, "key", k, "err", err)
-		return l.read(ctx, k, val)
+		c, err := l.read(ctx, k, val)
+		if err != nil {
+			go l.takeBack(context.WithoutCancel(ctx), k, val)
+		}
+		return c, err
 	}
 	return Claim{}, errors.Mark(errors.Wrap(err, "claim idempotency key"), ErrDown)
 }
@@ -115,30 +125,72 @@
 	return Claim{Key: k, Revision: it.Revision, Existing: rec}, nil
 }
 
+// takeBack undoes a claim whose fate is unknown: its reply was lost and it
+// could not be read back. Its caller was told that the attempt did not
+// run, and nothing runs it; were the claim left in place, every later try
+// would hear "in progress" for ever. Only this claim's own record is
+// deleted, at the revision read, so a newer claim is never touched.
+func (l *Ledger) takeBack(ctx context.Context, k string, ours []byte) {
+	ctx, cancel := context.WithTimeout(ctx, takeBackFor)
+	defer cancel()
+	var absentSince time.Time
+	_ = l.retry(ctx, k, func() error {
+		it, mine, err := citronkv.ReadBack(ctx, l.KV, k, ours)
+		switch {
+		case err != nil:
+			return err
+		case mine:
+			l.Wrote()
+			return l.KV.Delete(ctx, k, it.Revision)
+		case it.Revision != 0:
+			return nil // somebody else's
+		}
+		now := l.Clock.Now()
+		if absentSince.IsZero() {
+			absentSince = now
+		}
+		if now.Sub(absentSince) < lateWrite {
+			return citronkv.ErrUnavailable // it may still take effect: look again
+		}
+		return nil
+	})
+}
+
+// retry calls write until it ends other than by ErrUnavailable or ctx ends.
+func (l *Ledger) retry(ctx context.Context, k string, write func() error) error {
+	wait := retryFirst
+	for {
+		err := write()
+		if !errors.Is(err, citronkv.ErrUnavailable) {
+			return err
+		}
+		citronevent.Log(ctx, l.Log, citronevent.LedgerRetry, "key", k, "err", err)
+		if err := l.Clock.Sleep(ctx, wait); err != nil {
+			return err
+		}
+		wait = min(2*wait, retryCap)
+	}
+}
+
 // Settle records the answer so a retry gets it without running again. A
-// write that fails is tried again: its reply may have been lost or the
-// service down for a moment, and writing the same record at the same
-// revision twice cannot harm (the second is a conflict). Giving up loses
-// only the replay: the key stays "started", and a retry is told "in
-// progress", never run twice.
+// write that fails is tried again until ctx ends: its reply may have been
+// lost or the service down for a moment, and writing the same record at
+// the same revision twice cannot harm (the second is a conflict). Giving
+// up loses only the replay: the key stays "started", never run twice.
 func (l *Ledger) Settle(ctx context.Context, c Claim, rec Record) {
 	val, _ := json.Marshal(rec)
-	for try := range settleTries {
+	_ = l.retry(ctx, c.Key, func() error {
 		l.Wrote()
 		_, err := l.KV.Put(ctx, c.Key, val, c.Revision, 0)
-		if !errors.Is(err, citronkv.ErrUnavailable) {
-			return
-		}
-		citronevent.Log(ctx, l.Log, citronevent.LedgerSettleRetry, "key", c.Key, "err", err)
-		if l.Clock.Sleep(ctx, settleWait<<try) != nil {
-			return
-		}
-	}
+		return err
+	})
 }
 
 // Release deletes a key whose request provably did not run, so that the
 // caller may send it again.
 func (l *Ledger) Release(ctx context.Context, c Claim) {
-	l.Wrote()
-	_ = l.KV.Delete(ctx, c.Key, c.Revision)
+	_ = l.retry(ctx, c.Key, func() error {
+		l.Wrote()
+		return l.KV.Delete(ctx, c.Key, c.Revision)
+	})
 }
--- a/citronroute/snapshot.go
+++ b/citronroute/snapshot.go
@@ -1,6 +1,7 @@
 package citronroute
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -12,6 +13,8 @@
 	Name string `json:"name"`
 	Addr string `json:"addr"`
 	Zone string `json:"zone"`
+	// Incarnation tells this process from earlier ones of the same name.
+	Incarnation string `json:"incarnation"`
 }
 
 // Snapshot is the immutable routing state under one fleet revision. A
@@ -51,6 +54,12 @@
 	return c, ok
 }
 
+// Lives reports whether the process of that name and incarnation is among
+// the entries known.
+func (s *Snapshot) Lives(name, incarnation string) bool {
+	return slices.ContainsFunc(s.Entries, func(e EntryAddr) bool { return e.Name == name && e.Incarnation == incarnation })
+}
+
 // Window is how many requests of svc one entry sends on at once, by
 // Little's law: the engines' token rate times the time between tokens is
 // the number of requests that keep them busy without making the tokens
