--- a/citroncli/apply.go
+++ b/citroncli/apply.go
@@ -1,28 +1,28 @@
 package citroncli
 
-// citrondeck check and citrondeck apply: the operators' commands. check
-// reads a fleet text and names the line and column of each problem.
-// apply checks it, then writes it to the KV service with compare-and-swap
-// on the revision it read, so two operators editing at once cannot
-// overwrite each other unseen, and records an audit entry.
+// citrondeck check, apply and audit: the operators' commands. check reads
+// a fleet text and names the line and column of each problem. apply checks
+// it and puts it in force with compare-and-swap, so two operators editing
+// at once cannot overwrite each other unseen. audit prints who changed
+// what.
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"os"
 	"os/user"
 	"time"
 
-	"citrondeck.dev/citrondeck/citronentry"
+	"citrondeck.dev/citrondeck/citronclock"
+	"citrondeck.dev/citrondeck/citronconfig"
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronfleet"
 	"citrondeck.dev/citrondeck/citronkv"
 	"github.com/cockroachdb/errors"
 )
 
+const operatorTimeout = 15 * time.Second
+
 type checkCmd struct {
 	File string `short:"f" help:"Fleet text to check." required:"" type:"existingfile"`
 	List bool   `help:"Also print one line per back end: kind, name, addr, zone, layers, capacity."`
@@ -31,15 +31,19 @@
 type applyCmd struct {
 	File string `short:"f" help:"Fleet text to apply." required:"" type:"existingfile"`
 	KV   string `help:"Base URL of the KV service." default:"http://127.0.0.1:7000"`
-	// Expect pins the revision the operator edited from; zero takes the
-	// revision read just before writing.
-	Expect int64  `help:"Apply only if the fleet in force is at this revision (0: the one read now)."`
+	// Expect pins the revision the operator edited from.
+	Expect int64  `help:"Apply only if the fleet in force is at this revision (-1: whatever it is now)." default:"-1"`
 	Who    string `help:"Operator name for the audit trail (default: the login name)."`
 }
 
+type auditCmd struct {
+	KV string `help:"Base URL of the KV service." default:"http://127.0.0.1:7000"`
+}
+
 func init() {
 	Register(Plugin{Name: "check", Help: "Check a fleet text; print each problem with its line and column.", New: func() any { return &checkCmd{} }})
 	Register(Plugin{Name: "apply", Help: "Check a fleet text and put it in force with compare-and-swap; audit the change.", New: func() any { return &applyCmd{} }})
+	Register(Plugin{Name: "audit", Help: "Print the audit trail: every change of configuration, oldest first.", New: func() any { return &auditCmd{} }})
 }
 
 func readFleet(path string) ([]byte, citronfleet.Fleet, error) {
@@ -51,14 +55,18 @@
 	return text, f, err
 }
 
+func config(base string) citronconfig.Config {
+	return citronconfig.Config{KV: citronkv.NewClient(httpClient(), base), Clock: citronclock.Real{}}
+}
+
 func (c *checkCmd) Run(g *Globals) error {
 	_, f, err := readFleet(c.File)
 	if err != nil {
 		return err
 	}
-	engines := 0
+	backends := 0
 	for _, s := range f.Services {
-		engines += len(s.Backends())
+		backends += len(s.Backends())
 		for _, b := range s.Backends() {
 			if c.List {
 				fmt.Fprintf(g.Out, "%s %s %s %s %d:%d %d\n", s.Kind, b.Name, b.Addr, b.Zone, b.Range[0], b.Range[1], b.Capacity)
@@ -68,69 +76,52 @@
 	if c.List {
 		return nil
 	}
-	fmt.Fprintf(g.Out, "%s: fleet %q is good: %d zones, %d customers, %d services, %d back ends\n", c.File, f.Name, len(f.Zones), len(f.Customers), len(f.Services), engines)
+	fmt.Fprintf(g.Out, "%s: fleet %q is good: %d zones, %d customers, %d services, %d back ends\n", c.File, f.Name, len(f.Zones), len(f.Customers), len(f.Services), backends)
 	return nil
 }
 
-// auditRecord is one change of configuration.
-type auditRecord struct {
-	Who      string    `json:"who"`
-	At       time.Time `json:"at"`
-	Revision int64     `json:"revision"`
-	Previous int64     `json:"previous"`
-	SHA256   string    `json:"sha256"`
-	Fleet    string    `json:"fleet"`
-}
-
 func (c *applyCmd) Run(g *Globals) error {
 	text, f, err := readFleet(c.File)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
 	defer cancel()
 	log := g.Logger().With("role", "apply")
-	kv := citronkv.NewClient(httpClient(), c.KV)
-	expect := c.Expect
-	if expect == 0 {
-		cur, err := kv.Get(ctx, citronentry.ConfigKey)
-		switch {
-		case errors.Is(err, citronkv.ErrNotFound):
-			expect = citronkv.Absent
-		case err != nil:
-			return errors.Wrapf(err, "read fleet in force")
-		default:
-			expect = cur.Revision
-		}
+	ch, err := config(c.KV).Apply(ctx, c.File, text, c.who(), c.Expect)
+	switch {
+	case errors.Is(err, citronconfig.ErrRace):
+		citronevent.Log(ctx, log, citronevent.ConfigApplyRace, "expected", c.Expect, "err", err)
+		return errors.Wrap(err, "another operator applied first; read the fleet again, merge, and apply")
+	case errors.Is(err, citronconfig.ErrUnknown):
+		return errors.Wrap(err, "the KV service failed in between; see `citrondeck audit` before applying again")
+	case err != nil:
+		return err
 	}
-	rev, err := kv.Put(ctx, citronentry.ConfigKey, text, expect, 0)
-	if errors.Is(err, citronkv.ErrUnavailable) {
-		// The reply may be lost while the write applied: read back before
-		// reporting failure, or the operator would apply twice.
-		it, ours, rerr := citronkv.ReadBack(ctx, kv, citronentry.ConfigKey, text)
-		if rerr == nil && ours {
-			rev, err = it.Revision, nil
-		}
+	citronevent.Log(ctx, log, citronevent.ConfigAudited, "revision", ch.Revision, "who", ch.Who)
+	fmt.Fprintf(g.Out, "applied fleet %q at revision %d (was %d)\n", f.Name, ch.Revision, ch.Previous)
+	return nil
+}
+
+func (c *applyCmd) who() string {
+	if c.Who != "" {
+		return c.Who
 	}
-	if errors.Is(err, citronkv.ErrConflict) {
-		citronevent.Log(ctx, log, citronevent.ConfigApplyRace, "expected", expect)
-		return errors.Newf("the fleet in force changed since revision %d (another operator applied); read it again, merge, and apply", expect)
+	if u, err := user.Current(); err == nil {
+		return u.Username
 	}
+	return "unknown"
+}
+
+func (c *auditCmd) Run(g *Globals) error {
+	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
+	defer cancel()
+	trail, err := config(c.KV).Trail(ctx)
 	if err != nil {
-		return errors.Wrap(err, "write fleet text")
-	}
-	sum := sha256.Sum256(text)
-	who := c.Who
-	if who == "" {
-		if u, err := user.Current(); err == nil {
-			who = u.Username
-		}
+		return err
 	}
-	rec, _ := json.Marshal(auditRecord{Who: who, At: time.Now().UTC(), Revision: rev, Previous: expect, SHA256: hex.EncodeToString(sum[:]), Fleet: f.Name})
-	if _, err := kv.Put(ctx, fmt.Sprintf("%s%020d", citronentry.AuditPrefix, rev), rec, citronkv.Absent, 0); err != nil {
-		fmt.Fprintf(g.Err, "warning: fleet applied at revision %d but its audit record was not written: %v\n", rev, err)
+	for _, ch := range trail {
+		fmt.Fprintf(g.Out, "%d (was %d) %s %s fleet %q sha256 %.12s\n", ch.Revision, ch.Previous, ch.At.Format(time.RFC3339), ch.Who, ch.Fleet, ch.SHA256)
 	}
-	citronevent.Log(ctx, log, citronevent.ConfigAudited, "revision", rev, "who", who)
-	fmt.Fprintf(g.Out, "applied fleet %q at revision %d (was %d)\n", f.Name, rev, expect)
 	return nil
 }
--- /dev/null
+++ b/citronconfig/config.go
@@ -0,0 +1,239 @@
+// Package citronconfig changes the fleet text in force and keeps the audit
+// trail of the changes.
+//
+// One key holds the text together with who changed it, when, and from what
+// revision, so that a change and its audit cannot come apart: whoever
+// replaces a text first copies its change record to the audit prefix, and
+// the newest change stands in the key itself. A change is written with
+// compare-and-swap on the revision its author saw, so of two operators
+// editing at once one is told to look again; neither overwrites the other
+// unseen.
+package citronconfig
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronclock"
+	"citrondeck.dev/citrondeck/citronfleet"
+	"citrondeck.dev/citrondeck/citronkv"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+)
+
+// Keys in the KV service.
+const (
+	// Key holds the fleet text in force and its change record.
+	Key = "deck/config/fleet"
+	// AuditPrefix holds one change record per replaced text, by revision.
+	AuditPrefix = "audit/"
+)
+
+// Change says who put a fleet text in force, and when.
+type Change struct {
+	// ID tells this change from every other, also from one of the same
+	// text by the same operator.
+	ID  string    `json:"id"`
+	Who string    `json:"who"`
+	At  time.Time `json:"at"`
+	// Revision is the KV revision the change got; Previous the one it
+	// replaced (0: there was none).
+	Revision citronkv.Revision `json:"revision"`
+	Previous citronkv.Revision `json:"previous"`
+	Fleet    string            `json:"fleet"`
+	SHA256   string            `json:"sha256"`
+}
+
+// envelope is the value of Key.
+type envelope struct {
+	Change Change `json:"change"`
+	Text   string `json:"text"`
+}
+
+// Errors of Apply.
+var (
+	// ErrRace: another operator's change came first; nothing was written.
+	ErrRace = errors.New("the fleet in force changed since it was read")
+	// ErrUnknown: the KV service did not say whether the change was
+	// written, nor could it be found out.
+	ErrUnknown = errors.New("whether the change was written is unknown")
+)
+
+// Decode returns the fleet text and the change record in a value of Key. A
+// value that is not an envelope is taken as a bare fleet text, as an
+// operator may have put it there by hand.
+func Decode(it citronkv.Item) (text []byte, c Change) {
+	var e envelope
+	if json.Unmarshal(it.Value, &e) != nil || e.Text == "" {
+		return it.Value, Change{Revision: it.Revision}
+	}
+	e.Change.Revision = it.Revision
+	return []byte(e.Text), e.Change
+}
+
+// Parse decodes and checks the fleet text in a value of Key.
+func Parse(it citronkv.Item) (citronfleet.Fleet, error) {
+	text, _ := Decode(it)
+	f, err := citronfleet.Parse(Key, text)
+	if err != nil {
+		return citronfleet.Fleet{}, err
+	}
+	return f.WithRevision(it.Revision), nil
+}
+
+// Config changes the configuration through a KV service.
+type Config struct {
+	KV    citronkv.Store
+	Clock citronclock.Clock
+}
+
+// Current returns the item in force; its revision is 0 when there is none.
+func (c Config) Current(ctx context.Context) (citronkv.Item, error) {
+	it, err := c.KV.Get(ctx, Key)
+	if errors.Is(err, citronkv.ErrNotFound) {
+		return citronkv.Item{}, nil
+	}
+	return it, errors.Wrap(err, "read the fleet in force")
+}
+
+const (
+	applyTries = 4
+	applyWait  = 200 * time.Millisecond
+)
+
+// Apply checks text and puts it in force, replacing revision expect (0:
+// none may be there; a negative value: whatever is in force now).
+func (c Config) Apply(ctx context.Context, file string, text []byte, who string, expect citronkv.Revision) (Change, error) {
+	f, err := citronfleet.Parse(file, text)
+	if err != nil {
+		return Change{}, err
+	}
+	cur, err := c.Current(ctx)
+	if err != nil {
+		return Change{}, err
+	}
+	if expect < 0 {
+		expect = cur.Revision
+	}
+	if cur.Revision != expect {
+		return Change{}, errors.Wrapf(ErrRace, "at revision %d, not %d", cur.Revision, expect)
+	}
+	if err := c.audit(ctx, cur); err != nil {
+		return Change{}, err
+	}
+	sum := sha256.Sum256(text)
+	ch := Change{ID: uuid.NewString(), Who: who, At: c.Clock.Now().UTC(), Previous: expect, Fleet: f.Name, SHA256: hex.EncodeToString(sum[:])}
+	val, err := json.Marshal(envelope{Change: ch, Text: string(text)})
+	if err != nil {
+		return Change{}, errors.Wrap(err, "encode the change")
+	}
+	ch.Revision, err = c.write(ctx, val, ch)
+	return ch, err
+}
+
+// audit copies the change record of the item about to be replaced.
+func (c Config) audit(ctx context.Context, it citronkv.Item) error {
+	if it.Revision == 0 {
+		return nil
+	}
+	_, ch := Decode(it)
+	rec, _ := json.Marshal(ch)
+	_, err := c.KV.Put(ctx, auditKey(it.Revision), rec, citronkv.Absent, 0)
+	if errors.Is(err, citronkv.ErrConflict) {
+		return nil // another operator copied it already
+	}
+	return errors.Wrap(err, "copy the audit record of the change in force")
+}
+
+func auditKey(rev citronkv.Revision) string { return fmt.Sprintf("%s%020d", AuditPrefix, rev) }
+
+// write puts the change in force. A write whose reply is lost may have
+// been applied, and another operator may have replaced it since. Writing
+// again on the same expected revision cannot apply it twice; whether it
+// was applied shows in the key or, once replaced, in the audit trail,
+// since nobody replaces a change without copying its record there.
+func (c Config) write(ctx context.Context, val []byte, ch Change) (citronkv.Revision, error) {
+	lost := false
+	for try := range applyTries {
+		rev, err := c.KV.Put(ctx, Key, val, ch.Previous, 0)
+		switch {
+		case err == nil:
+			return rev, nil
+		case errors.Is(err, citronkv.ErrConflict) && !lost:
+			return 0, ErrRace
+		case errors.Is(err, citronkv.ErrConflict):
+			rev, ferr := c.find(ctx, ch.ID)
+			if ferr == nil && rev == 0 {
+				return 0, ErrRace
+			}
+			if ferr == nil {
+				return rev, nil
+			}
+		case !errors.Is(err, citronkv.ErrUnavailable):
+			return 0, errors.Wrap(err, "write the fleet text")
+		}
+		lost = true
+		if c.Clock.Sleep(ctx, applyWait<<try) != nil {
+			break
+		}
+	}
+	return 0, errors.Wrapf(ErrUnknown, "change %s", ch.ID)
+}
+
+// find returns the revision that change id got, or 0 if it was not made.
+func (c Config) find(ctx context.Context, id string) (citronkv.Revision, error) {
+	trail, err := c.Trail(ctx)
+	if err != nil {
+		return 0, err
+	}
+	for _, ch := range trail {
+		if ch.ID == id {
+			return ch.Revision, nil
+		}
+	}
+	return 0, nil
+}
+
+// Trail returns the audit trail, oldest change first; its last element is
+// the change in force.
+func (c Config) Trail(ctx context.Context) ([]Change, error) {
+	// The change in force is read first: one that is replaced in between
+	// is then found under the audit prefix, where its replacer put it.
+	cur, err := c.Current(ctx)
+	if err != nil {
+		return nil, err
+	}
+	items, _, err := c.KV.Range(ctx, AuditPrefix)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the audit trail")
+	}
+	byRev := map[citronkv.Revision]Change{}
+	for _, it := range items {
+		var ch Change
+		if err := json.Unmarshal(it.Value, &ch); err != nil {
+			return nil, errors.Wrapf(err, "audit record %s", strings.TrimPrefix(it.Key, AuditPrefix))
+		}
+		byRev[ch.Revision] = ch
+	}
+	if cur.Revision != 0 {
+		_, ch := Decode(cur)
+		byRev[cur.Revision] = ch
+	}
+	return sorted(byRev), nil
+}
+
+func sorted(byRev map[citronkv.Revision]Change) []Change {
+	revs := slices.Sorted(maps.Keys(byRev))
+	out := make([]Change, len(revs))
+	for i, r := range revs {
+		out[i] = byRev[r]
+	}
+	return out
+}
--- a/citronentry/config_test.go
+++ b/citronentry/config_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"citrondeck.dev/citrondeck/citronentry"
+	"citrondeck.dev/citrondeck/citronconfig"
 	"citrondeck.dev/citrondeck/citronkv"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -49,7 +49,7 @@
 		fake = &staleStore{Server: s}
 		return fake
 	})
-	base, err := r.kv.Get(context.Background(), citronentry.ConfigKey)
+	base, err := r.kv.Get(context.Background(), citronconfig.Key)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -61,11 +61,11 @@
 			switch rapid.IntRange(0, 2).Draw(rt, "action") {
 			case 0: // an operator applies a changed text
 				text := strings.Replace(string(base.Value), "fleet: t", fmt.Sprintf("fleet: t%d", len(history)), 1)
-				rev, err := r.kv.Put(context.Background(), citronentry.ConfigKey, []byte(text), citronkv.AnyRevision, 0)
+				rev, err := r.kv.Put(context.Background(), citronconfig.Key, []byte(text), citronkv.AnyRevision, 0)
 				if err != nil {
 					continue // the KV is down: nothing was accepted
 				}
-				history = append(history, citronkv.Item{Key: citronentry.ConfigKey, Value: []byte(text), Revision: rev})
+				history = append(history, citronkv.Item{Key: citronconfig.Key, Value: []byte(text), Revision: rev})
 			case 1: // an old text is offered again
 				fake.offer(rapid.SampledFrom(history).Draw(rt, "old"))
 			case 2:
--- a/citronentry/control.go
+++ b/citronentry/control.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"citrondeck.dev/citrondeck/citronconfig"
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronfleet"
 	"citrondeck.dev/citrondeck/citronkv"
@@ -22,12 +23,9 @@
 
 // Keys in the KV service.
 const (
-	// ConfigKey holds the fleet text in force.
-	ConfigKey = "deck/config/fleet"
 	// EntriesPrefix holds one key per entry, each under that entry's lease.
 	EntriesPrefix = "deck/entries/"
-	// AuditPrefix holds one record per applied change.
-	AuditPrefix = "audit/"
+	// watchPrefix covers it and the configuration (citronconfig.Key).
 	watchPrefix = "deck/"
 )
 
@@ -150,7 +148,7 @@
 	}
 	for _, it := range w.items {
 		switch {
-		case it.Key == ConfigKey && !it.Deleted:
+		case it.Key == citronconfig.Key && !it.Deleted:
 			c.applyFleet(ctx, it)
 		case strings.HasPrefix(it.Key, EntriesPrefix):
 			c.members.apply(it, now)
@@ -171,12 +169,12 @@
 		}
 		return
 	}
-	f, err := citronfleet.Parse(ConfigKey, it.Value)
+	f, err := citronconfig.Parse(it)
 	if err != nil {
 		citronevent.Log(ctx, l, citronevent.ConfigRejected, "revision", it.Revision, "err", err)
 		return
 	}
-	c.fleet = f.WithRevision(it.Revision)
+	c.fleet = f
 	c.dirty = true
 	citronevent.Log(ctx, l, citronevent.ConfigApplied, "revision", it.Revision, "services", len(f.Services))
 }
--- a/citronentry/rig_test.go
+++ b/citronentry/rig_test.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"citrondeck.dev/citrondeck/citronclock"
+	"citrondeck.dev/citrondeck/citronconfig"
 	"citrondeck.dev/citrondeck/citronengine"
 	"citrondeck.dev/citrondeck/citronentry"
 	"citrondeck.dev/citrondeck/citronkv"
@@ -150,7 +151,7 @@
 
 func (d *deck) apply(t testing.TB, fleet string) {
 	t.Helper()
-	if _, err := d.kv.Put(context.Background(), citronentry.ConfigKey, []byte(fleet), citronkv.AnyRevision, 0); err != nil {
+	if _, err := d.kv.Put(context.Background(), citronconfig.Key, []byte(fleet), citronkv.AnyRevision, 0); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/citronledger/ledger.go
+++ b/citronledger/ledger.go
@@ -39,8 +39,8 @@
 	Entry       string   `json:"entry"`
 	Incarnation string   `json:"incarnation"`
 	Request     string   `json:"request"`
-	Result  string   `json:"result,omitempty"`
-	Tokens  []string `json:"tokens,omitempty"`
+	Result      string   `json:"result,omitempty"`
+	Tokens      []string `json:"tokens,omitempty"`
 }
 
 // Claim is the outcome of trying to create a key.
