--- a/citroncli/load.go
+++ b/citroncli/load.go
@@ -23,6 +23,7 @@
 	Tokens    int           `help:"Tokens per model request." default:"8"`
 	Tries     int           `help:"Times one request may be sent, across entries." default:"4"`
 	Timeout   time.Duration `help:"Longest the whole surge may take." default:"5m"`
+	Service   string        `help:"Send to this service only (default: all in turn)."`
 	RunPrefix string        `help:"Prefix for prompts and idempotency keys (default: the time)."`
 }
 
@@ -43,7 +44,7 @@
 	defer cancel()
 	r, err := citronload.Run(ctx, httpClient(), citronload.Plan{
 		Entry: c.Entry, Zone: c.Zone, Fleet: f, Count: c.Count, Rate: c.Rate,
-		Workers: c.Workers, MaxTokens: c.Tokens, Tries: c.Tries, Prefix: prefix,
+		Workers: c.Workers, MaxTokens: c.Tokens, Tries: c.Tries, Prefix: prefix, Service: c.Service,
 	})
 	if err != nil {
 		return err
--- a/citronentry/model.go
+++ b/citronentry/model.go
@@ -46,12 +46,13 @@
 
 func (a *api) runModel(ctx context.Context, r *request) (*deck.SubmitResult, error) {
 	e := a.e
-	m := &modelRun{a: a, r: r, attempt: 1, pick: citronroute.Picker{Snapshot: r.snap, Zone: e.set.Zone}}
-	m.chain = m.pick.Chain(r.svc, 0)
-	if m.chain == nil {
+	m := &modelRun{a: a, r: r, attempt: 1, pick: a.picker(r)}
+	if m.chain = m.pick.Chain(r.svc, 0); m.chain == nil {
 		return nil, a.giveUp(ctx, r, false, errors.Newf("service %s: no chain of engines covers its layers", r.svc.Name))
 	}
 	m.prefill = make([]int, len(m.chain))
+	bind(m.chain...)
+	defer func() { unbind(m.chain...) }()
 	tokens := make([]string, 0, r.MaxTokens)
 	var prev uint64
 	for pos := range r.MaxTokens {
@@ -178,7 +179,8 @@
 // pos. It reports whether the layers are covered again.
 func (m *modelRun) rechain(ctx context.Context, i, pos int) bool {
 	if to := m.pick.Twin(m.r.svc, m.chain[i]); to != nil {
-		m.chain[i], m.prefill[i] = to, pos
+		m.swap(i, to)
+		m.prefill[i] = pos
 		return true
 	}
 	rest := m.pick.Chain(m.r.svc, m.chain[i].Spec.Range[0])
@@ -203,6 +205,8 @@
 			dropped = append(dropped, b)
 		}
 	}
+	unbind(m.chain[i:]...)
+	bind(rest...)
 	m.chain = append(m.chain[:i:i], rest...)
 	m.prefill = append(m.prefill[:i:i], prefill...)
 	m.release(ctx, dropped)
@@ -234,13 +238,31 @@
 		if err != nil || next != pos {
 			continue
 		}
-		m.chain[i] = to
+		m.swap(i, to)
 		m.release(ctx, []*citronroute.Backend{b})
 		m.a.e.metrics.stageMoved.Add(1)
 		citronevent.Log(ctx, m.a.e.log, citronevent.StageMoved, "request", m.r.id, "from", b.Spec.Name, "to", to.Spec.Name, "pos", pos)
 	}
 }
 
+func (m *modelRun) swap(i int, to *citronroute.Backend) {
+	bind(to)
+	unbind(m.chain[i])
+	m.chain[i] = to
+}
+
+func bind(bs ...*citronroute.Backend) {
+	for _, b := range bs {
+		b.Bind()
+	}
+}
+
+func unbind(bs ...*citronroute.Backend) {
+	for _, b := range bs {
+		b.Unbind()
+	}
+}
+
 // twin picks the least loaded engine that holds exactly b's layers.
 func (m *modelRun) twin(s *citronroute.Snapshot, b *citronroute.Backend) *citronroute.Backend {
 	pick := m.pick
--- a/citronentry/pipeline_test.go
+++ b/citronentry/pipeline_test.go
@@ -18,8 +18,8 @@
 	for _, victim := range []string{"a1", "b1"} {
 		t.Run(victim, func(t *testing.T) {
 			r := newModelRig(t, 8, 1, twoByTwo, nil)
-			// Ties in load go to the first engine in the fleet text, so
-			// the request starts on a1 and b1.
+			// Ties in load go to the entry's own zone, so the request
+			// starts on a1 and b1.
 			r.engines[victim].dieAfter = 3
 			a := r.ask(0, "layout-"+victim, 6)
 			wantOracle(t, a, "layout-"+victim, 8, 6)
--- a/citronentry/plain.go
+++ b/citronentry/plain.go
@@ -17,7 +17,7 @@
 // idempotent, else only while no upstream received the call.
 func (a *api) runPlain(ctx context.Context, r *request, once *oneCall) (*deck.SubmitResult, error) {
 	e := a.e
-	pick := citronroute.Picker{Snapshot: r.snap, Zone: e.set.Zone}
+	pick := a.picker(r)
 	// reached stays true once any upstream may have run the call: a later
 	// refusal by another upstream does not make "not run" true.
 	reached := false
--- a/citronentry/rig_test.go
+++ b/citronentry/rig_test.go
@@ -261,13 +261,24 @@
 
 func modelFleet(layers int, stages []stage, engines map[string]*backendHandle) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "fleet: t\nzones: [a]\ncustomers: [{name: c}]\nservices:\n  - name: m\n    kind: model\n    layers: %d\n    engines:\n", layers)
+	fmt.Fprintf(&b, "fleet: t\nzones: [a, b]\ncustomers: [{name: c}]\nservices:\n  - name: m\n    kind: model\n    layers: %d\n    engines:\n", layers)
+	first := map[int]bool{}
 	for _, s := range stages {
-		fmt.Fprintf(&b, "      - {name: %s, addr: %q, zone: a, layers: [%d, %d]}\n", s.name, engines[s.name].addr(), s.from, s.to)
+		fmt.Fprintf(&b, "      - {name: %s, addr: %q, zone: %s, layers: [%d, %d]}\n", s.name, engines[s.name].addr(), zoneOf(first, s.from), s.from, s.to)
 	}
 	return b.String()
 }
 
+// zoneOf puts the first back end of each kind in the entries' zone and the
+// others elsewhere, so that with equal load the first is chosen.
+func zoneOf(first map[int]bool, kind int) string {
+	if first[kind] {
+		return "b"
+	}
+	first[kind] = true
+	return "a"
+}
+
 func newModelRig(t testing.TB, layers, entries int, stages []stage, store func(*citronkv.Server) citronkv.Store) *modelRig {
 	t.Helper()
 	r := &modelRig{deck: newDeck(), engines: map[string]*backendHandle{}, layers: layers}
@@ -313,15 +324,16 @@
 	t.Helper()
 	r := &plainRig{deck: newDeck()}
 	var list []string
+	first := map[int]bool{}
 	for i := range upstreams {
 		s := citronplain.NewServer(fmt.Sprintf("u%d", i+1))
 		b := newBackend(s.Mount)
 		b.plain = s
 		r.ups = append(r.ups, b)
-		list = append(list, fmt.Sprintf("{name: u%d, addr: %q, zone: a}", i+1, b.addr()))
+		list = append(list, fmt.Sprintf("{name: u%d, addr: %q, zone: %s}", i+1, b.addr(), zoneOf(first, 0)))
 	}
 	r.apply(t, fmt.Sprintf(`fleet: t
-zones: [a]
+zones: [a, b]
 customers: [{name: c}]
 services:
   - name: release
--- a/citronentry/serve.go
+++ b/citronentry/serve.go
@@ -193,6 +193,10 @@
 	return a.runPlain(ctx, r, once)
 }
 
+func (a *api) picker(r *request) citronroute.Picker {
+	return citronroute.Picker{Snapshot: r.snap, Zone: a.e.set.Zone, Salt: a.e.set.Name}
+}
+
 // verdict is what a failed call says of its back end and of the call.
 type verdict struct {
 	// reached: the call may have run there.
--- a/citronload/load.go
+++ b/citronload/load.go
@@ -35,6 +35,8 @@
 	MaxTokens int
 	// Tries bounds how often one request is sent (across entries).
 	Tries int
+	// Service, when set, is the only one requests go to.
+	Service string
 	// Prefix makes prompts and keys unique to this run.
 	Prefix string
 }
@@ -112,11 +114,17 @@
 	r := Report{Latency: hdrhistogram.New(1, 60_000_000, 3), Entries: len(entries), FinalCodes: map[string]int64{}}
 	var services []citronfleet.Service
 	for _, s := range p.Fleet.Services {
+		if p.Service != "" && s.Name != p.Service {
+			continue
+		}
 		services = append(services, s)
 		if s.Kind == citronfleet.Model {
 			r.BoundTokensPerSecond += s.Bound()
 		}
 	}
+	if len(services) == 0 {
+		return Report{}, errors.Newf("the fleet text has no service %q", p.Service)
+	}
 	jobs := make(chan job)
 	var mu sync.Mutex
 	var wg sync.WaitGroup
--- a/citronroute/backend.go
+++ b/citronroute/backend.go
@@ -42,7 +42,11 @@
 // back end.
 type activity struct {
 	inflight atomic.Int64
-	probing  atomic.Bool
+	// bound is the number of requests whose chain runs through here. It
+	// says what is coming, where calls in flight only say where the
+	// requests happen to be at this instant.
+	bound   atomic.Int64
+	probing atomic.Bool
 
 	mu         sync.Mutex
 	calls      map[*call]struct{}
@@ -58,6 +62,12 @@
 // Inflight is the number of calls this entry has in flight at b.
 func (b *Backend) Inflight() int64 { return b.inflight.Load() }
 
+// Bind notes that a request's chain runs through b; Unbind ends that.
+func (b *Backend) Bind() { b.bound.Add(1) }
+
+// Unbind ends a Bind.
+func (b *Backend) Unbind() { b.bound.Add(-1) }
+
 // Do runs fn, one call to b, under the watchdog's eye. If b freezes, fn's
 // context ends and Do returns ErrFrozen.
 func (b *Backend) Do(ctx context.Context, clock citronclock.Clock, fn func(context.Context) error) error {
--- a/citronroute/snapshot.go
+++ b/citronroute/snapshot.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"citrondeck.dev/citrondeck/citronfleet"
+	"github.com/cespare/xxhash/v2"
 )
 
 // EntryAddr is one entry instance as discovery lists it.
@@ -98,6 +99,8 @@
 type Picker struct {
 	Snapshot *Snapshot
 	Zone     string
+	// Salt differs between entries; see better.
+	Salt     string
 	excluded map[string]bool
 }
 
@@ -178,11 +181,21 @@
 	return best
 }
 
-// better orders back ends by load, then by zone (same zone first).
+// better orders back ends by the requests bound to them, then the calls in
+// flight, then zone (same zone first), then Salt. Without the salt every
+// entry would give its first requests to the back ends that stand first in
+// the fleet text.
 func (p *Picker) better(a, b *Backend) bool {
-	la, lb := a.Inflight(), b.Inflight()
-	if la != lb {
-		return la < lb
+	if x, y := a.bound.Load(), b.bound.Load(); x != y {
+		return x < y
 	}
-	return a.Spec.Zone == p.Zone && b.Spec.Zone != p.Zone
+	if x, y := a.Inflight(), b.Inflight(); x != y {
+		return x < y
+	}
+	if x, y := a.Spec.Zone == p.Zone, b.Spec.Zone == p.Zone; x != y {
+		return x
+	}
+	return p.rank(a) < p.rank(b)
 }
+
+func (p *Picker) rank(b *Backend) uint64 { return xxhash.Sum64String(p.Salt + b.Spec.Name) }
--- /dev/null
+++ b/scripts/lib.sh
@@ -0,0 +1,62 @@
+# Shared by the scripts here: start and stop the processes of one fleet on
+# loopback. Each role is its own process. Source it; call build once.
+bin=""
+pids=()
+declare -A pid_of
+
+build() {
+  work=$(mktemp -d)
+  bin="$work/citrondeck"
+  go build -o "$bin" .
+  trap 'stop_all; rm -rf "$work"' EXIT
+}
+
+# start NAME ARGS...: run citrondeck ARGS in the background.
+start() {
+  local name=$1; shift
+  "$bin" "$@" 2>>"$work/log" &
+  pids+=($!); pid_of[$name]=$!
+}
+
+# start_kv: the KV stand-in and instance list, ready to answer.
+start_kv() {
+  start kv kv --listen 127.0.0.1:7000 --instance-lag "${LAG:-1s}"
+  until curl -sf http://127.0.0.1:7000/debug/vars >/dev/null; do sleep 0.05; done
+}
+
+# start_backends FLEET: every engine and plain upstream of the fleet text.
+start_backends() {
+  local kind name addr zone layers cap
+  while read -r kind name addr zone layers cap; do
+    if [ "$kind" = model ]; then
+      start "$name" engine --name "$name" --listen "$addr" --zone "$zone" --layers "$layers" --capacity "$cap"
+    else
+      start "$name" plain --name "$name" --listen "$addr" --zone "$zone"
+    fi
+  done < <("$bin" check -f "$1" --list | sort -u -k2,2)
+}
+
+# start_entries N FLEET: entries in the fleet's zones in turn, ready once
+# discovery lists them all.
+start_entries() {
+  local n=$1 zones i
+  zones=($(grep '^zones:' "$2" | tr -d '[],' | cut -d: -f2))
+  for i in $(seq "$n"); do
+    start "entry-$i" entry --name "entry-$i" --listen "127.0.0.1:$((8080 + i))" --zone "${zones[$(((i - 1) % ${#zones[@]}))]}"
+  done
+  until [ "$(curl -s http://127.0.0.1:8081/v1/entries | grep -o '"addr"' | wc -l)" -ge "$n" ]; do sleep 0.05; done
+}
+
+# var PORT NAME: one number out of an entry's metrics.
+var() { curl -s "http://127.0.0.1:$1/debug/vars" | tr -d ' \n' | grep -o "\"$2\":[0-9]*" | head -1 | cut -d: -f2; }
+
+# cpu_ticks PID and rss_kb PID, from /proc.
+cpu_ticks() { awk '{print $14+$15}' "/proc/$1/stat"; }
+rss_kb() { awk '/VmRSS/{print $2}' "/proc/$1/status"; }
+
+stop_all() {
+  local p
+  for p in "${pids[@]}"; do kill -CONT "$p" 2>/dev/null; kill -TERM "$p" 2>/dev/null; done
+  wait 2>/dev/null
+  pids=(); pid_of=()
+}
