--- a/citronfleet/check_test.go
+++ b/citronfleet/check_test.go
@@ -75,3 +75,31 @@
 	fmt.Println(err)
 	// Output: fleet.yaml:4:9: services[0]: a plain service needs upstreams
 }
+
+// Parsing and checking a fleet text: of one model on 164 engines, and of
+// the two-year size.
+func BenchmarkParse(b *testing.B) {
+	for _, models := range []int{1, 25} {
+		var t strings.Builder
+		t.WriteString("fleet: t\nzones: [a]\ncustomers:\n")
+		for c := range 710 {
+			fmt.Fprintf(&t, "  - {name: customer-%03d, share: 1}\n", c)
+		}
+		t.WriteString("services:\n")
+		for m := range models {
+			fmt.Fprintf(&t, "  - name: model-%02d\n    kind: model\n    layers: 32\n    engines:\n", m)
+			for e := range 164 {
+				fmt.Fprintf(&t, "      - {name: engine-%02d-%03d, addr: \"10.0.%d.%d:7000\", zone: a, layers: [%d, %d], capacity: 3000}\n", m, e, m, e, e%4*8, e%4*8+8)
+			}
+		}
+		b.Run(fmt.Sprintf("engines=%d", models*164), func(b *testing.B) {
+			b.ReportAllocs()
+			b.ReportMetric(float64(t.Len()), "text-bytes")
+			for b.Loop() {
+				if _, err := citronfleet.Parse("f", []byte(t.String())); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/citronroute/route_test.go
@@ -0,0 +1,146 @@
+package citronroute_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronfleet"
+	"citrondeck.dev/citrondeck/citronroute"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func build(svc citronfleet.Service, avoid map[string]citronroute.Reason) *citronroute.Snapshot {
+	f := citronfleet.Fleet{Services: []citronfleet.Service{svc}}
+	return citronroute.NewPool(http.DefaultClient).Build(f, avoid, nil, true)
+}
+
+// Random layer ranges, some engines avoided. Oracle: boundaries reachable
+// by plain dynamic programming. A chain must be found exactly when one
+// exists, and must cover every layer once and in order with engines that
+// are not avoided.
+func TestChainIsAnExactCover(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		layers := rapid.IntRange(1, 12).Draw(rt, "layers")
+		svc := citronfleet.Service{Name: "m", Kind: citronfleet.Model, Layers: layers}
+		avoid := map[string]citronroute.Reason{}
+		reach := make([]bool, layers+1)
+		reach[0] = true
+		for i := range rapid.IntRange(1, 20).Draw(rt, "engines") {
+			from := rapid.IntRange(0, layers-1).Draw(rt, "from")
+			to := rapid.IntRange(from+1, layers).Draw(rt, "to")
+			name := fmt.Sprintf("e%d", i)
+			svc.Engines = append(svc.Engines, citronfleet.Backend{Name: name, Addr: name, Range: [2]int{from, to}})
+			if rapid.IntRange(0, 3).Draw(rt, "avoided") == 0 {
+				avoid[name] = citronroute.Leaving
+			}
+		}
+		for b := range layers {
+			for _, e := range svc.Engines {
+				if reach[b] && e.Range[0] == b && avoid[e.Name] == "" {
+					reach[e.Range[1]] = true
+				}
+			}
+		}
+		pick := citronroute.Picker{Snapshot: build(svc, avoid)}
+		chain := pick.Chain(svc, 0)
+		if (chain != nil) != reach[layers] {
+			rt.Fatalf("chain found: %v, one exists: %v", chain != nil, reach[layers])
+		}
+		next := 0
+		for _, b := range chain {
+			if b.Spec.Range[0] != next || avoid[b.Spec.Name] != "" {
+				rt.Fatalf("after layer %d comes %s [%d,%d), avoided: %q", next, b.Spec.Name, b.Spec.Range[0], b.Spec.Range[1], avoid[b.Spec.Name])
+			}
+			next = b.Spec.Range[1]
+		}
+		if chain != nil && next != layers {
+			rt.Fatalf("the chain ends at layer %d of %d", next, layers)
+		}
+	})
+}
+
+// grid is a service of replicas times stages engines.
+func grid(stages, replicas int) citronfleet.Service {
+	svc := citronfleet.Service{Name: "m", Kind: citronfleet.Model, Layers: 8 * stages}
+	for r := range replicas {
+		for s := range stages {
+			name := fmt.Sprintf("e%d-%d", s, r)
+			svc.Engines = append(svc.Engines, citronfleet.Backend{Name: name, Addr: name, Range: [2]int{8 * s, 8 * (s + 1)}, Capacity: 400})
+		}
+	}
+	return svc
+}
+
+// Requests that stay on their chains must spread evenly: no engine may
+// hold two more than another that does the same work.
+func TestChainsSpreadEvenly(t *testing.T) {
+	is := is.New(t)
+	svc := grid(4, 5)
+	s := build(svc, nil)
+	held := map[string]int{}
+	for range 52 {
+		pick := citronroute.Picker{Snapshot: s}
+		for _, b := range pick.Chain(svc, 0) {
+			b.Bind()
+			held[b.Spec.Name]++
+		}
+	}
+	for name, n := range held {
+		is.True(n == 10 || n == 11) // 52 over 5 replicas
+		_ = name
+	}
+	is.Equal(len(held), 20)
+}
+
+// The window is the entries' even share of the requests that keep the
+// engines busy at the token gap aimed for.
+func TestWindow(t *testing.T) {
+	is := is.New(t)
+	svc := grid(2, 5) // 2000 tokens/s
+	s := build(svc, nil)
+	is.Equal(s.Window(svc, 100*time.Millisecond, 7), 200)
+	s.Entries = make([]citronroute.EntryAddr, 4)
+	is.Equal(s.Window(svc, 100*time.Millisecond, 7), 50)
+	is.Equal(s.Window(citronfleet.Service{Kind: citronfleet.Plain}, time.Second, 7), 7)
+}
+
+// Choosing a chain, for the fleets of today and of two years on (one of
+// 25 models on 4,100 engines).
+func BenchmarkChain(b *testing.B) {
+	for _, replicas := range []int{10, 41} {
+		b.Run(fmt.Sprintf("engines=%d", 4*replicas), func(b *testing.B) {
+			svc := grid(4, replicas)
+			s := build(svc, nil)
+			b.ReportAllocs()
+			for b.Loop() {
+				pick := citronroute.Picker{Snapshot: s}
+				_ = pick.Chain(svc, 0)
+			}
+		})
+	}
+}
+
+// Building a snapshot, as after each configuration change.
+func BenchmarkBuild(b *testing.B) {
+	for _, models := range []int{1, 25} {
+		b.Run(fmt.Sprintf("models=%d/engines=%d", models, models*164), func(b *testing.B) {
+			var f citronfleet.Fleet
+			for m := range models {
+				svc := grid(4, 41)
+				svc.Name = fmt.Sprint(m)
+				for i := range svc.Engines {
+					svc.Engines[i].Name += svc.Name
+				}
+				f.Services = append(f.Services, svc)
+			}
+			pool := citronroute.NewPool(http.DefaultClient)
+			b.ReportAllocs()
+			for b.Loop() {
+				pool.Build(f, nil, nil, true)
+			}
+		})
+	}
+}
