--- a/citronconfig/config.go
+++ b/citronconfig/config.go
@@ -1,19 +1,17 @@
 // Package citronconfig changes the fleet text in force and keeps the audit
 // trail of the changes.
 //
-// One key holds the text together with who changed it, when, and from what
-// revision, so that a change and its audit cannot come apart: whoever
-// replaces a text first copies its change record to the audit prefix, and
-// the newest change stands in the key itself. A change is written with
-// compare-and-swap on the revision its author saw, so of two operators
-// editing at once one is told to look again; neither overwrites the other
-// unseen.
+// One key, the head, names what is in force together with who changed it,
+// when, and from what revision, so that a change and its audit cannot come
+// apart: whoever replaces a head first copies its change record to the
+// audit prefix, and the newest change stands in the head itself. A change
+// is written with compare-and-swap on the revision its author saw, so of
+// two operators editing at once one is told to look again; neither
+// overwrites the other unseen. See section.go for what the head names.
 package citronconfig
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -30,7 +28,7 @@
 
 // Keys in the KV service.
 const (
-	// Key holds the fleet text in force and its change record.
+	// Key is the head: what is in force, and its change record.
 	Key = "deck/config/fleet"
 	// AuditPrefix holds one change record per replaced text, by revision.
 	AuditPrefix = "audit/"
@@ -51,12 +49,6 @@
 	SHA256   string            `json:"sha256"`
 }
 
-// envelope is the value of Key.
-type envelope struct {
-	Change Change `json:"change"`
-	Text   string `json:"text"`
-}
-
 // Errors of Apply.
 var (
 	// ErrRace: another operator's change came first; nothing was written.
@@ -66,26 +58,14 @@
 	ErrUnknown = errors.New("whether the change was written is unknown")
 )
 
-// Decode returns the fleet text and the change record in a value of Key. A
-// value that is not an envelope is taken as a bare fleet text, as an
-// operator may have put it there by hand.
-func Decode(it citronkv.Item) (text []byte, c Change) {
-	var e envelope
-	if json.Unmarshal(it.Value, &e) != nil || e.Text == "" {
-		return it.Value, Change{Revision: it.Revision}
-	}
-	e.Change.Revision = it.Revision
-	return []byte(e.Text), e.Change
-}
-
-// Parse decodes and checks the fleet text in a value of Key.
-func Parse(it citronkv.Item) (citronfleet.Fleet, error) {
-	text, _ := Decode(it)
-	f, err := citronfleet.Parse(Key, text)
-	if err != nil {
-		return citronfleet.Fleet{}, err
+// changeOf returns the change record in a value of Key; that of a bare
+// fleet text knows no more than its revision.
+func changeOf(it citronkv.Item) Change {
+	h, ok := parseHead(it)
+	if !ok {
+		return Change{Revision: it.Revision}
 	}
-	return f.WithRevision(it.Revision), nil
+	return h.Change
 }
 
 // Config changes the configuration through a KV service.
@@ -128,23 +108,82 @@
 	if err := c.audit(ctx, cur); err != nil {
 		return Change{}, err
 	}
-	sum := sha256.Sum256(text)
-	ch := Change{ID: uuid.NewString(), Who: who, At: c.Clock.Now().UTC(), Previous: expect, Fleet: f.Name, SHA256: hex.EncodeToString(sum[:])}
-	val, err := json.Marshal(envelope{Change: ch, Text: string(text)})
+	ch := Change{ID: uuid.NewString(), Who: who, At: c.Clock.Now().UTC(), Previous: expect, Fleet: f.Name, SHA256: hashOf(text)}
+	h, sections, err := split(f, ch)
 	if err != nil {
-		return Change{}, errors.Wrap(err, "encode the change")
+		return Change{}, err
+	}
+	old, err := c.store(ctx, cur, h, sections, text)
+	if err != nil {
+		return Change{}, err
+	}
+	val, _ := json.Marshal(h)
+	if ch.Revision, err = c.write(ctx, val, ch); err == nil {
+		c.drop(ctx, old)
 	}
-	ch.Revision, err = c.write(ctx, val, ch)
 	return ch, err
 }
 
+// store writes the text and the sections that the head in force does not
+// name, and returns the items that only that head names.
+func (c Config) store(ctx context.Context, cur citronkv.Item, h head, sections []section, text []byte) (old []citronkv.Item, err error) {
+	in, _ := parseHead(cur)
+	for _, s := range sections {
+		if slices.Contains(in.sections(), s.hash) {
+			continue
+		}
+		if _, err := c.KV.Put(ctx, sectionPrefix+s.hash, s.value, citronkv.AnyRevision, 0); err != nil {
+			return nil, errors.Wrap(err, "write a section of the fleet text")
+		}
+	}
+	if _, err := c.KV.Put(ctx, textPrefix+h.Change.ID, text, citronkv.AnyRevision, 0); err != nil {
+		return nil, errors.Wrap(err, "write the fleet text")
+	}
+	stale := []string{textPrefix + in.Change.ID}
+	for _, hash := range in.sections() {
+		if !slices.Contains(h.sections(), hash) {
+			stale = append(stale, sectionPrefix+hash)
+		}
+	}
+	for _, key := range stale {
+		if it, err := c.KV.Get(ctx, key); err == nil {
+			old = append(old, it)
+		}
+	}
+	return old, nil
+}
+
+// drop deletes what only the replaced head named. An operator who puts
+// such a section in force again, starting from our head, has written it
+// after we read it, so its revision differs and the delete does nothing;
+// one who started before our head loses the race for the next. What a
+// failure here leaves behind is only garbage.
+func (c Config) drop(ctx context.Context, old []citronkv.Item) {
+	for _, it := range old {
+		_ = c.KV.Delete(ctx, it.Key, it.Revision)
+	}
+}
+
+// Text returns the fleet text in force, as its operator wrote it.
+func (c Config) Text(ctx context.Context) ([]byte, Change, error) {
+	cur, err := c.Current(ctx)
+	if err != nil {
+		return nil, Change{}, err
+	}
+	h, ok := parseHead(cur)
+	if !ok {
+		return cur.Value, Change{Revision: cur.Revision}, nil
+	}
+	it, err := c.KV.Get(ctx, textPrefix+h.Change.ID)
+	return it.Value, h.Change, errors.Wrap(err, "read the fleet text")
+}
+
 // audit copies the change record of the item about to be replaced.
 func (c Config) audit(ctx context.Context, it citronkv.Item) error {
 	if it.Revision == 0 {
 		return nil
 	}
-	_, ch := Decode(it)
-	rec, _ := json.Marshal(ch)
+	rec, _ := json.Marshal(changeOf(it))
 	_, err := c.KV.Put(ctx, auditKey(it.Revision), rec, citronkv.Absent, 0)
 	if errors.Is(err, citronkv.ErrConflict) {
 		return nil // another operator copied it already
@@ -223,8 +262,7 @@
 		byRev[ch.Revision] = ch
 	}
 	if cur.Revision != 0 {
-		_, ch := Decode(cur)
-		byRev[cur.Revision] = ch
+		byRev[cur.Revision] = changeOf(cur)
 	}
 	return sorted(byRev), nil
 }
--- a/citronconfig/config_test.go
+++ b/citronconfig/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,8 +15,14 @@
 	"pgregory.net/rapid"
 )
 
+// text is fleet n. It has two services out of four that alternate, so
+// that sections come, go, stay and come back.
 func text(n int) []byte {
-	return fmt.Appendf(nil, "fleet: f%d\nzones: [a]\nservices: []\n", n)
+	t := fmt.Appendf(nil, "fleet: f%d\nzones: [a]\nservices:\n", n)
+	for _, s := range []int{n % 2, 2 + n/2%2} {
+		t = fmt.Appendf(t, "  - {name: s%d, kind: plain, upstreams: [{name: u%d, addr: \"h:%d\", zone: a}]}\n", s, s, s)
+	}
+	return t
 }
 
 // eager is a clock whose sleepers wake at once.
@@ -57,9 +64,8 @@
 	}
 	_, err = alice.Apply(ctx, "f", text(2), "alice", -1)
 	is.True(errors.Is(err, citronconfig.ErrRace))
-	cur, err := bob.Current(ctx)
+	got, ch, err := bob.Text(ctx)
 	is.NoErr(err)
-	got, ch := citronconfig.Decode(cur)
 	is.Equal(string(got), string(text(1)))
 	is.Equal(ch.Who, "bob")
 }
@@ -132,6 +138,14 @@
 				rt.Fatalf("%s was reported applied at %d, the trail says %d", name, rev, inForce[name])
 			}
 		}
+		// What is in force can be loaded, as it was written.
+		if cur, err := ops[0].Current(ctx); err != nil || cur.Revision == 0 {
+			return
+		} else if got, err := (&citronconfig.Loader{KV: kv}).Load(ctx, cur); err != nil {
+			rt.Fatalf("the fleet in force cannot be loaded: %v", err)
+		} else if got.Name != trail[len(trail)-1].Fleet || len(got.Services) != 2 {
+			rt.Fatalf("loaded %q with %d services, in force is %q", got.Name, len(got.Services), trail[len(trail)-1].Fleet)
+		}
 		for name := range refused {
 			if rev, ok := inForce[name]; ok {
 				rt.Fatalf("%s was reported refused, but was in force at %d", name, rev)
@@ -143,8 +157,117 @@
 // A text put by hand, without the envelope, is taken as it is.
 func TestBareTextIsTaken(t *testing.T) {
 	is := is.New(t)
-	f, err := citronconfig.Parse(citronkv.Item{Value: text(7), Revision: 3})
+	f, err := new(citronconfig.Loader).Load(context.Background(), citronkv.Item{Value: text(7), Revision: 3})
 	is.NoErr(err)
 	is.Equal(f.Name, "f7")
 	is.Equal(f.Revision, int64(3))
 }
+
+// A change of one service costs an entry that section and no other, and
+// what only the replaced head named is gone from the KV service.
+func TestChangeCostsItsSections(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	kv := citronkv.NewServer(citronclock.Real{}, 0)
+	cfg := citronconfig.Config{KV: kv, Clock: eager{}}
+	l := &citronconfig.Loader{KV: kv}
+	load := func() (sections int64) {
+		cur, err := cfg.Current(ctx)
+		is.NoErr(err)
+		before := kv.Counts().Reads
+		_, err = l.Load(ctx, cur)
+		is.NoErr(err)
+		return kv.Counts().Reads - before
+	}
+	for n, want := range []int64{3, 1, 2} { // 0: all; 1: one service; 2: both
+		_, err := cfg.Apply(ctx, "f", text(n), "alice", -1)
+		is.NoErr(err)
+		is.Equal(load(), want)
+	}
+	left, _, err := kv.Range(ctx, "config/")
+	is.NoErr(err)
+	is.Equal(len(left), 4) // three sections and the text
+}
+
+// A section is damaged, or gone: the loader says so and returns nothing,
+// so that the fleet in force stays.
+func TestLoaderRefusesDamage(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	kv := citronkv.NewServer(citronclock.Real{}, 0)
+	cfg := citronconfig.Config{KV: kv, Clock: eager{}}
+	_, err := cfg.Apply(ctx, "f", text(0), "alice", -1)
+	is.NoErr(err)
+	cur, err := cfg.Current(ctx)
+	is.NoErr(err)
+	items, _, err := kv.Range(ctx, "config/section/")
+	is.NoErr(err)
+	for _, it := range items { // still JSON of the right shape
+		_, err = kv.Put(ctx, it.Key, []byte(strings.ReplaceAll(string(it.Value), "u0", "u9")), citronkv.AnyRevision, 0)
+		is.NoErr(err)
+	}
+	f, err := (&citronconfig.Loader{KV: kv}).Load(ctx, cur)
+	is.True(err != nil)
+	is.Equal(f.Name, "")
+	is.NoErr(kv.Delete(ctx, items[0].Key, citronkv.AnyRevision))
+	_, err = (&citronconfig.Loader{KV: kv}).Load(ctx, cur)
+	is.True(errors.Is(err, citronkv.ErrNotFound))
+}
+
+// What one change of configuration costs an entry at the two-year size: a
+// change of one of 25 services on 4,100 engines.
+func BenchmarkLoadChange(b *testing.B) {
+	ctx := context.Background()
+	kv := citronkv.NewServer(citronclock.Real{}, 0)
+	cfg := citronconfig.Config{KV: kv, Clock: eager{}}
+	l := &citronconfig.Loader{KV: kv}
+	size := func(it citronkv.Item) int64 { return int64(len(it.Value)) }
+	var bytes, n int64
+	for i := 0; b.Loop(); i++ {
+		b.StopTimer()
+		if _, err := cfg.Apply(ctx, "f", large(i), "bench", -1); err != nil {
+			b.Fatal(err)
+		}
+		cur, err := cfg.Current(ctx)
+		if err != nil {
+			b.Fatal(err)
+		}
+		items, _, _ := kv.Range(ctx, "config/section/")
+		for _, it := range items {
+			if it.Revision > cur.Revision-3 { // written by this change
+				bytes += size(it)
+			}
+		}
+		bytes += size(cur)
+		n++
+		b.StartTimer()
+		if _, err := l.Load(ctx, cur); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(bytes)/float64(n), "bytes/change")
+}
+
+// large is a fleet of the two-year size whose service i%25 varies with i.
+func large(i int) []byte {
+	t := []byte("fleet: t\nzones: [a]\ncustomers:\n")
+	for c := range 710 {
+		t = fmt.Appendf(t, "  - {name: customer-%03d, share: 1}\n", c)
+	}
+	t = append(t, "services:\n"...)
+	for m := range 25 {
+		layers := 32
+		if m == i%25 {
+			layers += 8 * (1 + i/25%5)
+		}
+		t = fmt.Appendf(t, "  - name: model-%02d\n    kind: model\n    layers: %d\n    timeout: %dms\n    engines:\n", m, layers, 1+i/25)
+		for e := range 164 {
+			from, to := e%4*8, e%4*8+8
+			if e%4 == 3 {
+				to = layers
+			}
+			t = fmt.Appendf(t, "      - {name: engine-%02d-%03d, addr: \"10.0.%d.%d:7000\", zone: a, layers: [%d, %d], capacity: 3000}\n", m, e, m, e, from, to)
+		}
+	}
+	return t
+}
--- a/citronentry/control.go
+++ b/citronentry/control.go
@@ -50,6 +50,8 @@
 	trouble  troubles
 	kvUp     bool
 	watchRev citronkv.Revision
+	// loader belongs to the watch goroutine once that runs.
+	loader *citronconfig.Loader
 	// dirty: what is published is out of date.
 	dirty bool
 
@@ -60,7 +62,7 @@
 
 func newControl(e *Entry) *control {
 	return &control{
-		e: e, members: members{}, leaving: map[string]bool{}, trouble: troubles{},
+		e: e, loader: &citronconfig.Loader{KV: e.kv}, members: members{}, leaving: map[string]bool{}, trouble: troubles{},
 		watched: make(chan watchResult, 1), instances: make(chan []citronkv.Instance, 1), probed: make(chan probeResult, 16),
 	}
 }
@@ -69,14 +71,14 @@
 // false if ctx ended first.
 func (c *control) loadFirst(ctx context.Context) bool {
 	for ctx.Err() == nil {
-		items, rev, err := c.e.kv.Range(ctx, watchPrefix)
-		if err == nil {
+		w, rev := c.readAll(ctx)
+		if w.err == nil {
 			c.watchRev = rev
-			c.takeWatch(ctx, watchResult{items: items, full: true})
+			c.takeWatch(ctx, w)
 			c.publish()
 			return true
 		}
-		citronevent.Log(ctx, c.e.log, citronevent.ConfigKVDown, "step", "initial load", "err", err)
+		citronevent.Log(ctx, c.e.log, citronevent.ConfigKVDown, "step", "initial load", "err", w.err)
 		_ = c.e.clock.Sleep(ctx, kvBackoffFirst)
 	}
 	return false
@@ -147,36 +149,33 @@
 		c.dirty = true
 	}
 	for _, it := range w.items {
-		switch {
-		case it.Key == citronconfig.Key && !it.Deleted:
-			c.applyFleet(ctx, it)
-		case strings.HasPrefix(it.Key, EntriesPrefix):
+		if strings.HasPrefix(it.Key, EntriesPrefix) {
 			c.members.apply(it, now)
 			c.dirty = true
 		}
 	}
+	if w.rejected != nil {
+		citronevent.Log(ctx, c.e.log, citronevent.ConfigRejected, "in_force", c.fleet.Revision, "err", w.rejected)
+	}
+	if w.fleet != nil {
+		c.applyFleet(ctx, *w.fleet)
+	}
 }
 
-// applyFleet puts a fleet text in force unless it is older than the one
-// in force. A revision never goes back: a watch may replay an old event
-// after a reconnect, and a KV replica may answer from behind; applying it
-// would revert an accepted configuration.
-func (c *control) applyFleet(ctx context.Context, it citronkv.Item) {
-	l := c.e.log
-	if it.Revision <= c.fleet.Revision {
-		if it.Revision < c.fleet.Revision {
-			citronevent.Log(ctx, l, citronevent.ConfigStale, "offered", it.Revision, "in_force", c.fleet.Revision)
+// applyFleet puts a fleet in force unless it is older than the one in
+// force. A revision never goes back: a watch may replay an old event after
+// a reconnect, and a KV replica may answer from behind; applying it would
+// revert an accepted configuration.
+func (c *control) applyFleet(ctx context.Context, f citronfleet.Fleet) {
+	if f.Revision <= c.fleet.Revision {
+		if f.Revision < c.fleet.Revision {
+			citronevent.Log(ctx, c.e.log, citronevent.ConfigStale, "offered", f.Revision, "in_force", c.fleet.Revision)
 		}
 		return
 	}
-	f, err := citronconfig.Parse(it)
-	if err != nil {
-		citronevent.Log(ctx, l, citronevent.ConfigRejected, "revision", it.Revision, "err", err)
-		return
-	}
 	c.fleet = f
 	c.dirty = true
-	citronevent.Log(ctx, l, citronevent.ConfigApplied, "revision", it.Revision, "services", len(f.Services))
+	citronevent.Log(ctx, c.e.log, citronevent.ConfigApplied, "revision", f.Revision, "services", len(f.Services))
 }
 
 // pollInstances reads the platform's instance list again and again.
--- a/citronfleet/fleet.go
+++ b/citronfleet/fleet.go
@@ -29,48 +29,48 @@
 
 // Fleet is one accepted fleet text.
 type Fleet struct {
-	Name      string     `yaml:"fleet"`
-	Zones     []string   `yaml:"zones"`
-	Customers []Customer `yaml:"customers"`
-	Services  []Service  `yaml:"services"`
+	Name      string     `json:"fleet,omitempty" yaml:"fleet"`
+	Zones     []string   `json:"zones,omitempty" yaml:"zones"`
+	Customers []Customer `json:"customers,omitempty" yaml:"customers"`
+	Services  []Service  `json:"services,omitempty" yaml:"services"`
 	// Revision is the KV revision the text was read at; zero when parsed
 	// from a file.
-	Revision int64 `yaml:"-"`
+	Revision int64 `json:"-" yaml:"-"`
 }
 
 // Customer is a party whose callers send requests.
 type Customer struct {
-	Name string `yaml:"name"`
+	Name string `json:"name,omitempty" yaml:"name"`
 	// Share is the customer's weight when engines are short.
-	Share int `yaml:"share"`
+	Share int `json:"share,omitempty" yaml:"share"`
 }
 
 // Service is a model or a plain service.
 type Service struct {
-	Name string `yaml:"name"`
-	Kind Kind   `yaml:"kind"`
+	Name string `json:"name,omitempty" yaml:"name"`
+	Kind Kind   `json:"kind,omitempty" yaml:"kind"`
 	// Idempotent is false for calls that must run at most once.
-	Idempotent *bool    `yaml:"idempotent"`
-	Depends    []string `yaml:"depends"`
+	Idempotent *bool    `json:"idempotent,omitempty" yaml:"idempotent"`
+	Depends    []string `json:"depends,omitempty" yaml:"depends"`
 	// Layers is the model's layer count (model services).
-	Layers int `yaml:"layers"`
+	Layers int `json:"layers,omitempty" yaml:"layers"`
 	// Engines hold the model's layers (model services).
-	Engines []Backend `yaml:"engines"`
+	Engines []Backend `json:"engines,omitempty" yaml:"engines"`
 	// Upstreams serve a plain service.
-	Upstreams []Backend `yaml:"upstreams"`
+	Upstreams []Backend `json:"upstreams,omitempty" yaml:"upstreams"`
 	// Timeout bounds one request end to end.
-	Timeout time.Duration `yaml:"timeout"`
+	Timeout time.Duration `json:"timeout,omitempty" yaml:"timeout"`
 }
 
 // Backend is an engine or an upstream of a plain service.
 type Backend struct {
-	Name string `yaml:"name"`
-	Addr string `yaml:"addr"`
-	Zone string `yaml:"zone"`
+	Name string `json:"name,omitempty" yaml:"name"`
+	Addr string `json:"addr,omitempty" yaml:"addr"`
+	Zone string `json:"zone,omitempty" yaml:"zone"`
 	// Range is [from, to): the layers an engine holds.
-	Range [2]int `yaml:"layers"`
+	Range [2]int `json:"layers,omitempty" yaml:"layers"`
 	// Capacity is the engine's declared tokens per second.
-	Capacity int `yaml:"capacity"`
+	Capacity int `json:"capacity,omitempty" yaml:"capacity"`
 }
 
 // IsIdempotent reports whether a call may be repeated; services are
