--- a/citroncli/load.go
+++ b/citroncli/load.go
@@ -22,6 +22,7 @@
 	Workers   int           `help:"Callers sending at once." default:"32"`
 	Tokens    int           `help:"Tokens per model request." default:"8"`
 	Tries     int           `help:"Times one request may be sent, across entries." default:"4"`
+	TryFor    time.Duration `help:"Longest one try may take before the next entry is tried." default:"5s"`
 	Timeout   time.Duration `help:"Longest the whole surge may take." default:"5m"`
 	Service   string        `help:"Send to this service only (default: all in turn)."`
 	RunPrefix string        `help:"Prefix for prompts and idempotency keys (default: the time)."`
@@ -44,7 +45,7 @@
 	defer cancel()
 	r, err := citronload.Run(ctx, httpClient(), citronload.Plan{
 		Entry: c.Entry, Zone: c.Zone, Fleet: f, Count: c.Count, Rate: c.Rate,
-		Workers: c.Workers, MaxTokens: c.Tokens, Tries: c.Tries, Prefix: prefix, Service: c.Service,
+		Workers: c.Workers, MaxTokens: c.Tokens, Tries: c.Tries, TryTimeout: c.TryFor, Prefix: prefix, Service: c.Service,
 	})
 	if err != nil {
 		return err
--- a/citronentry/discovery.go
+++ b/citronentry/discovery.go
@@ -10,8 +10,11 @@
 // entry always lists itself until it stops.
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -28,6 +31,13 @@
 	// and takes the next on its list.
 	lingerFor     = 15 * time.Second
 	leaveDeadline = time.Second
+	// keepaliveBudget is how many lease renewals a second all entries
+	// together may cost the KV service; with many entries each renews less
+	// often, and its lease lives longer.
+	keepaliveBudget = 100
+	// discoveryMax bounds the answer to a caller. It is a random choice,
+	// the caller's zone first, so that callers spread over the entries.
+	discoveryMax = 12
 )
 
 // registration is the value of an entry's discovery key.
@@ -124,6 +134,30 @@
 	return out
 }
 
+// leaseTTL is how long the entry's discovery lease lives.
+func (e *Entry) leaseTTL() time.Duration {
+	const renewals = 3 // a lease is renewed thrice in its life
+	n := len(e.snap.Load().Entries)
+	return max(e.set.LeaseTTL, renewals*time.Duration(n)*time.Second/keepaliveBudget)
+}
+
+// choose picks the entries a caller in zone gets to know.
+func choose(all []citronroute.EntryAddr, zone string) []citronroute.EntryAddr {
+	out := slices.Clone(all)
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	slices.SortStableFunc(out, func(a, b citronroute.EntryAddr) int {
+		return cmp.Compare(btoi(b.Zone == zone), btoi(a.Zone == zone))
+	})
+	return out[:min(len(out), discoveryMax)]
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // register holds the entry's key under a lease, renewing it and putting
 // the key back after a lapse. When ctx ends it marks the key as leaving
 // and revokes the lease, so the entry leaves discovery at once.
@@ -131,14 +165,18 @@
 	key := EntriesPrefix + e.set.Name
 	val, _ := json.Marshal(registration{EntryAddr: e.self()})
 	var id citronkv.LeaseID
+	var ttl time.Duration
 	for {
-		if id == 0 {
-			id = e.enlist(ctx, key, val)
+		// The fleet of entries grew: a lease of the old length would lapse
+		// between renewals this far apart.
+		if want := e.leaseTTL(); id == 0 || want > ttl {
+			ttl = want
+			id = e.enlist(ctx, key, val, ttl)
 		} else if err := e.kv.KeepAlive(ctx, id); errors.Is(err, citronkv.ErrLeaseExpired) {
 			id = 0
 			continue
 		}
-		if e.clock.Sleep(ctx, e.set.LeaseTTL/3) != nil {
+		if e.clock.Sleep(ctx, ttl/3) != nil {
 			break
 		}
 	}
@@ -153,8 +191,8 @@
 }
 
 // enlist takes a lease and puts the key under it; 0 if that failed.
-func (e *Entry) enlist(ctx context.Context, key string, val []byte) citronkv.LeaseID {
-	id, err := e.kv.Grant(ctx, e.set.LeaseTTL)
+func (e *Entry) enlist(ctx context.Context, key string, val []byte, ttl time.Duration) citronkv.LeaseID {
+	id, err := e.kv.Grant(ctx, ttl)
 	if err != nil {
 		return 0
 	}
--- a/citronentry/once_test.go
+++ b/citronentry/once_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -168,6 +169,32 @@
 	is.Equal(r.runs("k"), 1)
 }
 
+// The KV service freezes: it takes writes and does not answer. The first
+// caller is told "outcome unknown" once its claim and its read-back have
+// timed out; those behind it must hear the same at once, without a claim
+// of their own being held against the frozen service.
+func TestFrozenKVHoldsNobodyUp(t *testing.T) {
+	is := is.New(t)
+	r := newPlainRig(t, 1, 1)
+	r.kv.SetFaults(citronkv.Faults{Slow: time.Hour})
+	is.Equal(r.submit(0, "release", "first", time.Minute).code, "outcome_unknown")
+	claims := func() int {
+		n, err := strconv.Atoi(r.entries[0].Metrics().Get("ledger_writes").String())
+		is.NoErr(err)
+		return n
+	}
+	before := claims()
+	for i := range 50 {
+		is.Equal(r.submit(0, "release", fmt.Sprint(i), time.Minute).code, "outcome_unknown")
+	}
+	// One claim is let through at a time, and each takes its time-outs:
+	// of 50 callers nearly all are answered without one.
+	is.True(claims() <= before+5)
+	is.Equal(len(r.ups[0].plain.Runs()), 0)
+	r.kv.SetFaults(citronkv.Faults{})
+	eventually(t, "served", func() bool { return r.submit(0, "release", "again", time.Minute).status == http.StatusOK })
+}
+
 // The entry that runs a release is killed before it can record the answer,
 // and another takes its name. Whether the release ran is not known, and it
 // must not run again; the caller who retries must be told so, not "in
--- a/citronentry/serve.go
+++ b/citronentry/serve.go
@@ -70,15 +70,9 @@
 // Entries implements deck.Service.
 func (a *api) Entries(_ context.Context, p *deck.EntriesPayload) (*deck.EntriesResult, error) {
 	s := a.e.snap.Load()
-	zone := deref(p.Zone)
-	list := a.e.listed(s)
-	out := make([]*deck.EntryAddr, 0, len(list))
-	for _, same := range []bool{true, false} {
-		for _, en := range list {
-			if (en.Zone == zone) == same {
-				out = append(out, &deck.EntryAddr{Name: en.Name, Addr: en.Addr, Zone: en.Zone})
-			}
-		}
+	var out []*deck.EntryAddr
+	for _, en := range choose(a.e.listed(s), deref(p.Zone)) {
+		out = append(out, &deck.EntryAddr{Name: en.Name, Addr: en.Addr, Zone: en.Zone})
 	}
 	return &deck.EntriesResult{Entries: out, TTLSeconds: int(a.e.set.DiscoveryTTL / time.Second), Revision: &s.Fleet.Revision}, nil
 }
--- a/citronkv/client.go
+++ b/citronkv/client.go
@@ -10,6 +10,12 @@
 	"github.com/cockroachdb/errors"
 )
 
+// watchWait is how long the client lets a watch wait. A cut that swallows
+// packets leaves a waiting watch hanging with no error; an accepted change
+// must be in force within 4 s all the same, so the wait and its deadline
+// end before that and the watch is asked anew.
+const watchWait = 2500 * time.Millisecond
+
 // Client is a Store that speaks to the stand-in over connect-go.
 type Client struct {
 	get                        *citronwire.Unary[keyRequest, itemResponse]
@@ -43,7 +49,7 @@
 		instLag:       citronwire.NewUnary[lagRequest, lagRequest](hc, base, procInstLagOp),
 		base:          base,
 		callTimeout:   2 * time.Second,
-		watchDeadline: watchWaitMax + 2*time.Second,
+		watchDeadline: watchWait + time.Second,
 	}
 }
 
@@ -118,7 +124,7 @@
 func (c *Client) Watch(ctx context.Context, prefix string, after Revision) ([]Item, Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.watchDeadline)
 	defer cancel()
-	r, err := c.watch.Call(ctx, &watchRequest{Prefix: prefix, After: after})
+	r, err := c.watch.Call(ctx, &watchRequest{Prefix: prefix, After: after, Wait: watchWait})
 	if err != nil {
 		return nil, 0, fromConnect(err)
 	}
--- a/citronkv/server.go
+++ b/citronkv/server.go
@@ -281,11 +281,15 @@
 
 // Watch implements Store.
 func (s *Server) Watch(ctx context.Context, prefix string, after Revision) ([]Item, Revision, error) {
+	return s.watchFor(ctx, prefix, after, watchWaitMax)
+}
+
+func (s *Server) watchFor(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Item, Revision, error) {
 	s.watches.Add(1)
 	if err := s.gate(ctx); err != nil {
 		return nil, 0, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWaitMax)
+	ctx, cancel := context.WithTimeout(ctx, min(wait, watchWaitMax))
 	defer cancel()
 	for {
 		s.mu.Lock()
@@ -390,7 +394,7 @@
 		return &itemResponse{}, toConnect(s.Delete(ctx, r.Key, r.Expect))
 	})
 	citronwire.Handle(mux, procWatch, func(ctx context.Context, r *watchRequest) (*itemsResponse, error) {
-		items, rev, err := s.Watch(ctx, r.Prefix, r.After)
+		items, rev, err := s.watchFor(ctx, r.Prefix, r.After, r.Wait)
 		return &itemsResponse{Items: items, Revision: rev}, toConnect(err)
 	})
 	citronwire.Handle(mux, procLease, func(ctx context.Context, r *leaseRequest) (*leaseRequest, error) {
--- a/citronkv/wire.go
+++ b/citronkv/wire.go
@@ -40,6 +40,8 @@
 type watchRequest struct {
 	Prefix string   `json:"prefix"`
 	After  Revision `json:"after"`
+	// Wait is how long the answer may wait for a change.
+	Wait time.Duration `json:"wait"`
 }
 
 type leaseRequest struct {
--- a/citronledger/ledger.go
+++ b/citronledger/ledger.go
@@ -15,6 +15,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"sync"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronclock"
@@ -58,8 +59,10 @@
 var ErrDown = errors.New("at-most-once ledger unavailable")
 
 const (
-	retryFirst = 200 * time.Millisecond
-	retryCap   = 3 * time.Second
+	// claimTimeout bounds the write of a claim, and its read-back.
+	claimTimeout = time.Second
+	retryFirst   = 200 * time.Millisecond
+	retryCap     = 3 * time.Second
 	// takeBackFor bounds the effort to take back a claim of unknown fate;
 	// lateWrite is how long a write without reply may still take effect.
 	takeBackFor = 10 * time.Minute
@@ -73,6 +76,39 @@
 	Log   *slog.Logger
 	// Wrote and ReadBack count calls for the metrics.
 	Wrote, ReadBack func()
+
+	breaker breaker
+}
+
+// breaker keeps claims from waiting on a service that does not answer.
+type breaker struct {
+	mu sync.Mutex
+	// retryAt is when one claim is let through; zero while closed.
+	retryAt time.Time
+	trying  bool
+}
+
+func (b *breaker) allow(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.retryAt.IsZero() {
+		return true
+	}
+	if b.trying || now.Before(b.retryAt) {
+		return false
+	}
+	b.trying = true
+	return true
+}
+
+func (b *breaker) done(ok bool, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.trying = false
+	b.retryAt = time.Time{}
+	if !ok {
+		b.retryAt = now.Add(retryFirst)
+	}
 }
 
 func key(service, customer, idempotencyKey string) string {
@@ -82,11 +118,26 @@
 // Claim creates the key or reports who holds it. A create whose reply is
 // lost may have been applied: the key is read back and is ours if it
 // holds our record.
+//
+// While the KV service does not answer, Claim says ErrDown at once and lets
+// one claim a retryFirst through to see whether it is back; else each
+// request would be held for the time-outs of its claim and read-back, and
+// hear the same.
 func (l *Ledger) Claim(ctx context.Context, service, customer, idempotencyKey string, rec Record) (Claim, error) {
-	k := key(service, customer, idempotencyKey)
+	if !l.breaker.allow(l.Clock.Now()) {
+		return Claim{}, errors.Mark(errors.New("the KV service did not answer a moment ago"), ErrDown)
+	}
+	c, err := l.claim(ctx, key(service, customer, idempotencyKey), rec)
+	l.breaker.done(err == nil, l.Clock.Now())
+	return c, err
+}
+
+func (l *Ledger) claim(ctx context.Context, k string, rec Record) (Claim, error) {
 	val, _ := json.Marshal(rec)
 	l.Wrote()
-	rev, err := l.KV.Put(ctx, k, val, citronkv.Absent, 0)
+	pctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	rev, err := l.KV.Put(pctx, k, val, citronkv.Absent, 0)
 	switch {
 	case err == nil:
 		return Claim{Key: k, Owned: true, Revision: rev}, nil
@@ -105,6 +156,8 @@
 }
 
 func (l *Ledger) read(ctx context.Context, k string, ours []byte) (Claim, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
 	it, mine, err := citronkv.ReadBack(ctx, l.KV, k, ours)
 	if err != nil {
 		return Claim{}, errors.Mark(errors.Wrap(err, "read back idempotency key"), ErrDown)
--- a/citronload/load.go
+++ b/citronload/load.go
@@ -33,8 +33,11 @@
 	Rate      float64 // requests per second; 0 is as fast as Workers allow
 	Workers   int
 	MaxTokens int
-	// Tries bounds how often one request is sent (across entries).
-	Tries int
+	// Tries bounds how often one request is sent (across entries), and
+	// TryTimeout how long one of them may take: an entry that is frozen
+	// never answers.
+	Tries      int
+	TryTimeout time.Duration
 	// Service, when set, is the only one requests go to.
 	Service string
 	// Prefix makes prompts and keys unique to this run.
@@ -183,7 +186,7 @@
 		r.Served++
 	case "replayed":
 		r.Replayed++
-	case "not_run", "draining":
+	case "not_run", "draining", "overloaded":
 		r.NotRun++
 	case "outcome_unknown", "in_progress":
 		r.Unknown++
@@ -214,20 +217,11 @@
 	tries := max(1, p.Tries)
 	for t := 0; t < tries; t++ {
 		addr := entries[(j.i+t)%len(entries)]
-		req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/services/"+j.svc.Name+"/requests", bytes.NewReader(payload))
-		req.Header.Set("Content-Type", "application/json")
-		if key != "" {
-			req.Header.Set("Idempotency-Key", key)
-		}
-		res, err := hc.Do(req)
+		res, a, err := post(ctx, hc, "http://"+addr+"/v1/services/"+j.svc.Name+"/requests", key, payload, p.TryTimeout)
 		if err != nil {
-			o.refused++ // connection refused or reset: try the next entry
+			o.refused++ // refused, reset or timed out: try the next entry
 			continue
 		}
-		body, _ := io.ReadAll(res.Body)
-		res.Body.Close()
-		var a submitAnswer
-		_ = json.Unmarshal(body, &a)
 		if res.StatusCode == http.StatusOK {
 			o.final = a.Outcome
 			o.tokens = len(a.Tokens)
@@ -240,7 +234,7 @@
 		}
 		ra, _ := strconv.Atoi(res.Header.Get("Retry-After"))
 		switch a.Code {
-		case "not_run", "draining", "in_progress", "outcome_unknown":
+		case "not_run", "draining", "overloaded", "in_progress", "outcome_unknown":
 			if ra > 0 && t < tries-1 {
 				time.Sleep(time.Duration(min(ra, 2)) * time.Second)
 			}
@@ -251,6 +245,35 @@
 	return o
 }
 
+// post sends one try and reads its whole answer.
+func post(ctx context.Context, hc *http.Client, url, key string, payload []byte, timeout time.Duration) (*http.Response, submitAnswer, error) {
+	if timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, timeout)
+		defer cancel()
+	}
+	var a submitAnswer
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(payload))
+	if err != nil {
+		return nil, a, errors.Wrap(err, "make request")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	res, err := hc.Do(req)
+	if err != nil {
+		return nil, a, errors.Wrapf(err, "send to %s", url)
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return nil, a, errors.Wrapf(err, "read answer from %s", url)
+	}
+	_ = json.Unmarshal(body, &a)
+	return res, a, nil
+}
+
 func correct(svc citronfleet.Service, b submitBody, a submitAnswer) bool {
 	if svc.Kind == citronfleet.Model {
 		return slices.Equal(a.Tokens, citronengine.Oracle(b.Prompt, svc.Layers, b.MaxTokens))
@@ -308,5 +331,5 @@
 	fmt.Fprintf(w, "latency ms          p50 %.1f  p95 %.1f  p99 %.1f  max %.1f\n",
 		float64(r.Latency.ValueAtQuantile(50))/1000, float64(r.Latency.ValueAtQuantile(95))/1000,
 		float64(r.Latency.ValueAtQuantile(99))/1000, float64(r.Latency.Max())/1000)
-	fmt.Fprintf(w, "connects refused    %d\n", r.RefusedConnect)
+	fmt.Fprintf(w, "tries that failed   %d\n", r.RefusedConnect)
 }
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -8,7 +8,7 @@
   work=$(mktemp -d)
   bin="$work/citrondeck"
   go build -o "$bin" .
-  trap 'stop_all; rm -rf "$work"' EXIT
+  trap 'stop_all; [ -n "${KEEP_LOG:-}" ] && cp "$work/log" "$KEEP_LOG"; rm -rf "$work"' EXIT
 }
 
 # start NAME ARGS...: run citrondeck ARGS in the background.
@@ -27,7 +27,9 @@
 # start_backends FLEET: every engine and plain upstream of the fleet text.
 start_backends() {
   local kind name addr zone layers cap
+  # A leftover process on one of the addresses would answer in place of ours.
   while read -r kind name addr zone layers cap; do
+    if curl -s -o /dev/null --max-time 0.2 "http://$addr/"; then echo "$addr is in use" >&2; return 1; fi
     if [ "$kind" = model ]; then
       start "$name" engine --name "$name" --listen "$addr" --zone "$zone" --layers "$layers" --capacity "$cap"
     else
@@ -56,7 +58,7 @@
 
 stop_all() {
   local p
-  for p in "${pids[@]}"; do kill -CONT "$p" 2>/dev/null; kill -TERM "$p" 2>/dev/null; done
-  wait 2>/dev/null
+  for p in "${pids[@]}"; do kill -CONT "$p" 2>/dev/null || true; kill -TERM "$p" 2>/dev/null || true; done
+  wait 2>/dev/null || true
   pids=(); pid_of=()
 }
