--- a/citroncli/cli.go
+++ b/citroncli/cli.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"citrondeck.dev/citrondeck/citronwire"
 	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
@@ -153,10 +154,13 @@
 	return nil
 }
 
-func httpClient() *http.Client {
+func httpClient() *http.Client { return countedClient(new(citronwire.Traffic)) }
+
+// countedClient returns a client whose bytes are counted in t.
+func countedClient(t *citronwire.Traffic) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: 256,
 		IdleConnTimeout:     30 * time.Second,
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:         t.Dial((&net.Dialer{Timeout: time.Second}).DialContext),
 	}}
 }
--- a/citroncli/entry.go
+++ b/citroncli/entry.go
@@ -13,6 +13,7 @@
 	"citrondeck.dev/citrondeck/citronentry"
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronkv"
+	"citrondeck.dev/citrondeck/citronwire"
 	"github.com/cockroachdb/errors"
 )
 
@@ -45,9 +46,12 @@
 	}
 	ctx, stop := signalContext()
 	defer stop()
-	hc := httpClient()
-	kv := citronkv.NewClient(hc, c.KV)
-	e := citronentry.New(set, citronclock.Real{}, g.Logger().With("role", "entry"), kv, kv.Instances, hc)
+	// Control traffic has a client of its own, so that its cost shows.
+	control := new(citronwire.Traffic)
+	kv := citronkv.NewClient(countedClient(control), c.KV)
+	e := citronentry.New(set, citronclock.Real{}, g.Logger().With("role", "entry"), kv, kv.Instances, httpClient())
+	e.Metrics().Set("control_bytes_read", &control.Read)
+	e.Metrics().Set("control_bytes_written", &control.Written)
 	expvar.Publish("entry", e.Metrics())
 	ln, err := net.Listen("tcp", set.Listen)
 	if err != nil {
--- a/citronentry/control.go
+++ b/citronentry/control.go
@@ -30,9 +30,15 @@
 )
 
 const (
-	instancePoll   = 500 * time.Millisecond
-	controlTick    = 100 * time.Millisecond
-	reportCapacity = 1024
+	// instancePoll is the time between two polls of the instance list, and
+	// instancePollRow what each row of it adds: the list comes whole every
+	// time, and its bytes and decoding must stay within what an entry may
+	// spend on control. Engines say themselves that they are leaving, so
+	// the list may be later the longer it is.
+	instancePoll    = 500 * time.Millisecond
+	instancePollRow = 1500 * time.Microsecond
+	controlTick     = 100 * time.Millisecond
+	reportCapacity  = 1024
 )
 
 // report is what traffic tells the control goroutine about a back end.
@@ -180,17 +186,19 @@
 
 // pollInstances reads the platform's instance list again and again.
 func (c *control) pollInstances(ctx context.Context) {
+	wait := instancePoll
 	for ctx.Err() == nil {
 		list, err := c.e.instances(ctx)
 		c.e.metrics.instancePolls.Add(1)
 		if err == nil { // on an error the last list read stays in force
+			wait = max(instancePoll, time.Duration(len(list))*instancePollRow)
 			select {
 			case c.instances <- list:
 			case <-ctx.Done():
 				return
 			}
 		}
-		_ = c.e.clock.Sleep(ctx, instancePoll)
+		_ = c.e.clock.Sleep(ctx, wait)
 	}
 }
 
--- a/citronroute/snapshot.go
+++ b/citronroute/snapshot.go
@@ -28,6 +28,8 @@
 	Entries []EntryAddr
 	KVUp    bool
 
+	// list holds the back ends again, for passes over all of them.
+	list      []*Backend
 	services  map[string]citronfleet.Service
 	customers map[string]citronfleet.Customer
 }
@@ -90,6 +92,9 @@
 			s.Backends[b.Name] = p.get(b, svc.Kind)
 		}
 	}
+	for _, b := range s.Backends {
+		s.list = append(s.list, b)
+	}
 	p.keep(s.Backends)
 	return s
 }
--- a/citronroute/watchdog.go
+++ b/citronroute/watchdog.go
@@ -37,7 +37,10 @@
 func (w *Watchdog) Run(ctx context.Context) {
 	for w.Clock.Sleep(ctx, w.StallAfter/4) == nil {
 		now := w.Clock.Now()
-		for _, b := range w.Current().Backends {
+		for _, b := range w.Current().list {
+			if b.Inflight() == 0 {
+				continue
+			}
 			since, ok := b.silentSince()
 			if !ok || now.Sub(since) < w.StallAfter || !b.probing.CompareAndSwap(false, true) {
 				continue
--- a/citronwire/wire.go
+++ b/citronwire/wire.go
@@ -15,6 +15,8 @@
 import (
 	"context"
 	"encoding/json"
+	"expvar"
+	"net"
 	"net/http"
 
 	"connectrpc.com/connect"
@@ -106,3 +108,36 @@
 	err.Meta().Set(LeavingHeader, name)
 	return err
 }
+
+// Traffic counts the bytes of a client's connections.
+type Traffic struct {
+	Read, Written expvar.Int
+}
+
+// Dial wraps dial so that what its connections carry is counted.
+func (t *Traffic) Dial(dial func(context.Context, string, string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: c, t: t}, nil
+	}
+}
+
+type countedConn struct {
+	net.Conn
+	t *Traffic
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.t.Read.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.t.Written.Add(int64(n))
+	return n, err
+}
