A frozen entry leaves discovery when its lease lapses; load split and honest about what it could not check

Also, an upstream that could not be asked for its executions counted as "0 doubled".

Ruled out: dropping the linger (TestDiscoverySurvivesLapsedLeases: an outage would empty the lists again).

Now a key lingers only if this entry's own renewals failed lately; before any lease can lapse in an outage each entry has missed a renewal.

TestLapsedEntryIsDelistedWhileKVIsWell before: never came: ghost delisted.

--- a/citronentry/control.go
+++ b/citronentry/control.go
@@ -149,14 +149,14 @@
 	}
 	c.dirty = c.dirty || !c.kvUp
 	c.kvUp = true
-	now := c.e.clock.Now()
+	linger := c.e.lingerUntil(c.e.clock.Now())
 	if w.full {
-		c.members.replace(w.items, now)
+		c.members.replace(w.items, linger)
 		c.dirty = true
 	}
 	for _, it := range w.items {
 		if strings.HasPrefix(it.Key, EntriesPrefix) {
-			c.members.apply(it, now)
+			c.members.apply(it, linger)
 			c.dirty = true
 		}
 	}
--- a/citronentry/discovery.go
+++ b/citronentry/discovery.go
@@ -5,9 +5,12 @@
 // well: a KV outage longer than the lease, or a paused holder, lapses
 // leases. Were a vanished key taken for a departed entry, an outage would
 // empty every entry's list at once, and callers asking then would be sent
-// nowhere. So an entry that stops first marks its key as leaving; a key
-// that vanishes without that mark is listed for lingerFor more, and an
-// entry always lists itself until it stops.
+// nowhere. So a key that vanishes while this entry's own renewals fail, or
+// shortly after, stays listed for lingerFor more; by the time any lease can
+// lapse in an outage, each entry has missed a renewal of its own. While the
+// KV service is well a vanished key means an entry that is frozen or dead,
+// and it is dropped at once. An entry that stops marks its key as leaving,
+// and an entry always lists itself until it stops.
 
 import (
 	"cmp"
@@ -26,8 +29,8 @@
 )
 
 const (
-	// lingerFor is how long an entry stays listed after its lease lapsed.
-	// A caller sent to one that is truly gone is refused the connection
+	// lingerFor is how long an entry stays listed after its lease lapsed in
+	// or shortly after an outage of the KV service. A caller sent to one that is truly gone is refused the connection
 	// and takes the next on its list.
 	lingerFor     = 15 * time.Second
 	leaveDeadline = time.Second
@@ -57,13 +60,13 @@
 // members is the entry list; the control goroutine owns it.
 type members map[string]member
 
-// apply takes one changed discovery key and reports whether the list may
-// have changed.
-func (m members) apply(it citronkv.Item, now time.Time) {
+// apply takes one changed discovery key. A key that vanished is listed
+// until lingerUntil.
+func (m members) apply(it citronkv.Item, lingerUntil time.Time) {
 	name := strings.TrimPrefix(it.Key, EntriesPrefix)
 	if it.Deleted {
 		if old, ok := m[name]; ok && old.until.IsZero() {
-			old.until = now.Add(lingerFor)
+			old.until = lingerUntil
 			m[name] = old
 		}
 		return
@@ -80,7 +83,7 @@
 }
 
 // replace takes the whole list, as after a compacted watch.
-func (m members) replace(items []citronkv.Item, now time.Time) {
+func (m members) replace(items []citronkv.Item, lingerUntil time.Time) {
 	present := map[string]bool{}
 	for _, it := range items {
 		if strings.HasPrefix(it.Key, EntriesPrefix) {
@@ -89,7 +92,7 @@
 	}
 	for name := range m {
 		if !present[EntriesPrefix+name] {
-			m.apply(citronkv.Item{Key: EntriesPrefix + name, Deleted: true}, now)
+			m.apply(citronkv.Item{Key: EntriesPrefix + name, Deleted: true}, lingerUntil)
 		}
 	}
 }
@@ -134,6 +137,14 @@
 	return out
 }
 
+// lingerUntil is how long a member whose key vanishes now stays listed.
+func (e *Entry) lingerUntil(now time.Time) time.Time {
+	if now.Sub(time.Unix(0, e.renewalFailed.Load())) < lingerFor {
+		return now.Add(lingerFor)
+	}
+	return now
+}
+
 // leaseTTL is how long the entry's discovery lease lives.
 func (e *Entry) leaseTTL() time.Duration {
 	const renewals = 3 // a lease is renewed thrice in its life
@@ -175,6 +186,8 @@
 		} else if err := e.kv.KeepAlive(ctx, id); errors.Is(err, citronkv.ErrLeaseExpired) {
 			id = 0
 			continue
+		} else if err != nil {
+			e.renewalFailed.Store(e.clock.Now().UnixNano())
 		}
 		if e.clock.Sleep(ctx, ttl/3) != nil {
 			break
@@ -194,9 +207,11 @@
 func (e *Entry) enlist(ctx context.Context, key string, val []byte, ttl time.Duration) citronkv.LeaseID {
 	id, err := e.kv.Grant(ctx, ttl)
 	if err != nil {
+		e.renewalFailed.Store(e.clock.Now().UnixNano())
 		return 0
 	}
 	if _, err := e.kv.Put(ctx, key, val, citronkv.AnyRevision, id); err != nil {
+		e.renewalFailed.Store(e.clock.Now().UnixNano())
 		return 0 // the reply may be lost; the next try puts it under a new lease
 	}
 	citronevent.Log(ctx, e.log, citronevent.DiscoveryRegistered, "lease", int64(id))
--- a/citronentry/entry.go
+++ b/citronentry/entry.go
@@ -61,7 +61,10 @@
 	gates   sync.Map // service name -> *citronadmit.Gate
 	work    *work
 	leaving atomic.Bool
-	metrics *metrics
+	// renewalFailed is when a renewal of the discovery lease last failed,
+	// in Unix nanoseconds.
+	renewalFailed atomic.Int64
+	metrics       *metrics
 }
 
 // New returns an entry. instances reads the platform's instance list.
--- a/citronentry/membership_test.go
+++ b/citronentry/membership_test.go
@@ -147,14 +147,7 @@
 	sweep, stop := context.WithCancel(context.Background())
 	defer stop()
 	go r.kv.Run(sweep)
-	listed := func(entry int) int {
-		res, err := http.Get("http://" + r.addrs[entry] + "/v1/entries?zone=a")
-		is.NoErr(err)
-		defer res.Body.Close()
-		body, err := io.ReadAll(res.Body)
-		is.NoErr(err)
-		return strings.Count(string(body), `"addr"`)
-	}
+	listed := func(entry int) int { return r.listed(t, entry) }
 	eventually(t, "both listed", func() bool { return listed(0) == 2 && listed(1) == 2 })
 	r.kv.SetFaults(citronkv.Faults{Down: true})
 	eventually(t, "leases lapsed", func() bool { return r.kv.Leases() == 0 })
@@ -169,3 +162,31 @@
 	<-r.done[1]
 	eventually(t, "the stopped entry delisted", func() bool { return listed(0) == 1 })
 }
+
+// An entry freezes or is killed: its lease lapses while the KV service is
+// well. It must leave the list at once; callers sent to a frozen entry lose
+// a whole time-out each.
+func TestLapsedEntryIsDelistedWhileKVIsWell(t *testing.T) {
+	is := is.New(t)
+	r := newModelRig(t, 4, 1, oneStage, nil)
+	ctx := context.Background()
+	id, err := r.kv.Grant(ctx, time.Minute)
+	is.NoErr(err)
+	_, err = r.kv.Put(ctx, citronentry.EntriesPrefix+"ghost", []byte(`{"name":"ghost","addr":"ghost:1","zone":"a"}`), citronkv.Absent, id)
+	is.NoErr(err)
+	eventually(t, "ghost listed", func() bool { return r.listed(t, 0) == 2 })
+	r.kv.ExpireLease(id)
+	eventually(t, "ghost delisted", func() bool { return r.listed(t, 0) == 1 })
+}
+
+// listed is how many entries discovery names.
+func (d *deck) listed(t *testing.T, entry int) int {
+	t.Helper()
+	is := is.New(t)
+	res, err := http.Get("http://" + d.addrs[entry] + "/v1/entries?zone=a")
+	is.NoErr(err)
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	is.NoErr(err)
+	return strings.Count(string(body), `"addr"`)
+}
--- /dev/null
+++ b/citronload/report.go
@@ -0,0 +1,128 @@
+package citronload
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronfleet"
+	"citrondeck.dev/citrondeck/citronplain"
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Report is what a surge came to.
+type Report struct {
+	Sent, Served, Replayed int64
+	NotRun, Unknown, Lost  int64
+	Misdelivered, Doubled  int64
+	Tokens                 int64
+	Elapsed                time.Duration
+	Latency                *hdrhistogram.Histogram
+	BoundTokensPerSecond   float64
+	Entries                int
+	// FailedTries got no answer: refused, reset or timed out.
+	FailedTries   int64
+	NonIdempotent int64
+	// Unchecked upstreams could not be asked what they ran, so Doubled
+	// says nothing of them.
+	Unchecked int
+}
+
+type outcome struct {
+	final         string
+	tokens        int
+	misdelivered  bool
+	refused       int64
+	nonIdempotent bool
+}
+
+func (r *Report) add(o outcome) {
+	r.Sent++
+	r.FailedTries += o.refused
+	if o.nonIdempotent {
+		r.NonIdempotent++
+	}
+	switch o.final {
+	case "served":
+		r.Served++
+	case "replayed":
+		r.Replayed++
+	case "not_run", "draining", "overloaded":
+		r.NotRun++
+	case "outcome_unknown", "in_progress":
+		r.Unknown++
+	case "lost":
+		r.Lost++
+	}
+	if o.misdelivered {
+		r.Misdelivered++
+	}
+	r.Tokens += int64(o.tokens)
+}
+
+// executionsTimeout bounds asking one upstream what it ran.
+const executionsTimeout = 5 * time.Second
+
+// doubled asks every upstream of a non-idempotent plain service how often
+// each key of this run ran, and counts the keys that ran more than once.
+func doubled(ctx context.Context, hc *http.Client, p Plan) (n int64, unchecked int) {
+	runs := map[string]int{}
+	asked := map[string]bool{} // services may share upstreams: ask each once
+	for _, s := range p.Fleet.Services {
+		if s.Kind != citronfleet.Plain || s.IsIdempotent() {
+			continue
+		}
+		for _, u := range s.Upstreams {
+			if asked[u.Addr] {
+				continue
+			}
+			asked[u.Addr] = true
+			got, err := executions(ctx, hc, u.Addr)
+			if err != nil {
+				unchecked++
+				continue
+			}
+			for k, n := range got {
+				runs[k] += n
+			}
+		}
+	}
+	for k, c := range runs {
+		if c > 1 && len(k) > len(p.Prefix) && k[:len(p.Prefix)] == p.Prefix {
+			n++
+		}
+	}
+	return n, unchecked
+}
+
+func executions(ctx context.Context, hc *http.Client, addr string) (map[string]int, error) {
+	ctx, cancel := context.WithTimeout(ctx, executionsTimeout)
+	defer cancel()
+	return citronplain.NewClient(hc, "http://"+addr).Executions(ctx)
+}
+
+// Print writes the report for a person.
+func (r Report) Print(w io.Writer) {
+	secs := r.Elapsed.Seconds()
+	fmt.Fprintf(w, "entries used        %d\n", r.Entries)
+	fmt.Fprintf(w, "requests            %d (%d non-idempotent)\n", r.Sent, r.NonIdempotent)
+	fmt.Fprintf(w, "served              %d (+%d replayed from the ledger)\n", r.Served, r.Replayed)
+	fmt.Fprintf(w, "not run             %d\n", r.NotRun)
+	fmt.Fprintf(w, "outcome unknown     %d\n", r.Unknown)
+	fmt.Fprintf(w, "lost                %d\n", r.Lost)
+	fmt.Fprintf(w, "doubled             %d\n", r.Doubled)
+	if r.Unchecked > 0 {
+		fmt.Fprintf(w, "not asked           %d upstreams could not say what they ran\n", r.Unchecked)
+	}
+	fmt.Fprintf(w, "misdelivered        %d\n", r.Misdelivered)
+	fmt.Fprintf(w, "throughput          %.1f req/s, %.1f tokens/s over %.2fs\n", float64(r.Sent)/secs, float64(r.Tokens)/secs, secs)
+	if r.BoundTokensPerSecond > 0 {
+		fmt.Fprintf(w, "token bound         %.0f tokens/s (achieved/bound %.3f)\n", r.BoundTokensPerSecond, float64(r.Tokens)/secs/r.BoundTokensPerSecond)
+	}
+	fmt.Fprintf(w, "latency ms          p50 %.1f  p95 %.1f  p99 %.1f  max %.1f\n",
+		float64(r.Latency.ValueAtQuantile(50))/1000, float64(r.Latency.ValueAtQuantile(95))/1000,
+		float64(r.Latency.ValueAtQuantile(99))/1000, float64(r.Latency.Max())/1000)
+	fmt.Fprintf(w, "tries that failed   %d\n", r.FailedTries)
+}
