Found on reading: "not run" for a step under way, an impatient caller stopping others, a stream outliving its caller

The step under way now counts as reached. - A claim ended by its caller's own deadline opened the ledger's breaker, so others were refused for 200 ms: TestImpatientCallerDoesNotStopOthers: "" != served. A claim whose caller ran out of time gives no verdict. - A streamed non-idempotent model request runs on when its caller leaves and would write into a connection that may serve somebody else: TestStreamOnlyWhereItMayEnd: 200 != 400. Only idempotent model services stream. deadline_ms is bounded to 1 ms - 1 h by the API.

Ruled out for the second: claiming apart from the caller's deadline (a caller with 50 ms would hear after up to 2 s).

--- a/citronentry/api_test.go
+++ b/citronentry/api_test.go
@@ -23,6 +23,7 @@
 		{"unknown customer", "/v1/services/release/requests", `{"customer":"x"}`, "k", 403, "unknown_customer"},
 		{"missing idempotency key", "/v1/services/release/requests", `{"customer":"c"}`, "", 400, "missing_idempotency_key"},
 		{"malformed body", "/v1/services/release/requests", `{"customer":`, "k", 400, ""},
+		{"no time to wait", "/v1/services/release/requests", `{"customer":"c","deadline_ms":0}`, "k", 400, ""},
 		{"oversize body", "/v1/services/release/requests", `{"customer":"c","body":"` + strings.Repeat("x", 2<<20) + `"}`, "k", 413, "too_large"},
 	}
 	for _, c := range cases {
--- a/citronentry/model.go
+++ b/citronentry/model.go
@@ -90,6 +90,8 @@
 			continue
 		}
 		if ctx.Err() != nil {
+			// The step was under way: the engine may run it.
+			m.reached = m.reached || judge(err).reached
 			return 0, err
 		}
 		if citronwire.Code(err) == connect.CodeFailedPrecondition && m.spend() {
--- a/citronentry/once_test.go
+++ b/citronentry/once_test.go
@@ -200,6 +200,17 @@
 	eventually(t, "served", func() bool { return r.submit(0, "release", "again", time.Minute).status == http.StatusOK })
 }
 
+// The KV service is slow and one caller impatient: its deadline ends its
+// claim. That says nothing of the KV service, so the next caller, who has
+// time, must be served, not refused because the ledger "did not answer".
+func TestImpatientCallerDoesNotStopOthers(t *testing.T) {
+	is := is.New(t)
+	r := newPlainRig(t, 1, 1)
+	r.kv.SetFaults(citronkv.Faults{Slow: 50 * time.Millisecond})
+	is.Equal(r.submit(0, "release", "hasty", 5*time.Millisecond).code, "outcome_unknown")
+	is.Equal(r.submit(0, "release", "patient", time.Minute).outcome, "served")
+}
+
 // The entry that runs a release is killed before it can record the answer,
 // and another takes its name. Whether the release ran is not known, and it
 // must not run again; the caller who retries must be told so, not "in
--- a/citronentry/pipeline_test.go
+++ b/citronentry/pipeline_test.go
@@ -5,6 +5,7 @@
 	"sync"
 	"testing"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
 
@@ -85,3 +86,19 @@
 		}
 	})
 }
+
+// The first step of a request is still at an engine when the caller's
+// deadline passes. The engine may run it, so the answer must be "outcome
+// unknown", not "not run".
+func TestDeadlineDuringFirstStep(t *testing.T) {
+	is := is.New(t)
+	r := newModelRig(t, 4, 1, []stage{{name: "a1", to: 4}}, nil)
+	hold := make(chan struct{})
+	defer close(hold)
+	r.engines["a1"].hold = hold
+	ask := func() string {
+		return r.post(0, "/v1/services/m/requests", "", `{"customer":"c","prompt":"p","deadline_ms":50}`).code
+	}
+	is.Equal(ask(), "outcome_unknown")
+	is.Equal(r.engines["a1"].work.Load(), int64(1))
+}
--- a/citronentry/serve.go
+++ b/citronentry/serve.go
@@ -82,7 +82,7 @@
 	return a.serve(ctx, p, nil)
 }
 
-// Stream implements deck.Service. Until the first token the caller gets
+// Stream implements deck.Service, for idempotent model services. Until the first token the caller gets
 // refusals as HTTP statuses; after it, as the last event of the stream.
 func (a *api) Stream(ctx context.Context, p *deck.SubmitPayload, st deck.StreamServerStream) error {
 	sent, id := 0, ""
@@ -114,17 +114,14 @@
 	defer e.work.leave()
 
 	r := &request{SubmitPayload: p, id: fmt.Sprintf("%s-%s-%d", e.set.Name, e.incarnation, e.seq.Add(1)), snap: e.snap.Load()}
+	if emit != nil {
+		r.emit = emit(r.id)
+	}
 	if ref := a.check(r); ref != nil {
 		e.metrics.rejected.Add(1)
 		citronevent.Log(ctx, e.log, citronevent.RequestRejected, "request", r.id, "code", ref.Code, "service", p.Service, "customer", p.Customer)
 		return nil, ref
 	}
-	if emit != nil {
-		if r.svc.Kind != citronfleet.Model {
-			return nil, refusal("bad_request", "only model services stream", retryAfterNow)
-		}
-		r.emit = emit(r.id)
-	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(p.DeadlineMs)*time.Millisecond)
 	defer cancel()
 	release, err := a.admit(ctx, r)
@@ -152,6 +149,12 @@
 	if !svc.IsIdempotent() && r.key() == "" {
 		return refusal("missing_idempotency_key", fmt.Sprintf("service %q is not idempotent: send an Idempotency-Key header", svc.Name), retryAfterNow)
 	}
+	if r.emit != nil && (svc.Kind != citronfleet.Model || !svc.IsIdempotent()) {
+		// A non-idempotent request runs on when its caller leaves; its
+		// tokens would be written into a connection that by then may
+		// serve somebody else.
+		return refusal("bad_request", fmt.Sprintf("service %q does not stream: only idempotent model services do", svc.Name), retryAfterNow)
+	}
 	r.svc = svc
 	return nil
 }
--- a/citronentry/stream_test.go
+++ b/citronentry/stream_test.go
@@ -84,3 +84,19 @@
 	status, _ = r.stream(t, `{"customer":"nobody"}`)
 	is.Equal(status, http.StatusForbidden)
 }
+
+// A non-idempotent request runs on when its caller leaves, and its stream
+// would then be written into a connection that serves somebody else. So
+// such a service does not stream, nor does a plain one.
+func TestStreamOnlyWhereItMayEnd(t *testing.T) {
+	is := is.New(t)
+	r := newModelRig(t, 4, 1, []stage{{name: "a1", to: 4}}, nil)
+	text := modelFleet(4, []stage{{name: "a1", to: 4}}, r.engines)
+	before := r.entries[0].Revision()
+	r.apply(t, strings.Replace(text, "kind: model", "kind: model\n    idempotent: false", 1))
+	eventually(t, "the change in force", func() bool { return r.entries[0].Revision() > before })
+	a := r.post(0, "/v1/services/m/streams", "key", `{"customer":"c","prompt":"nest"}`)
+	is.Equal(a.status, http.StatusBadRequest)
+	is.Equal(a.code, "bad_request")
+	is.Equal(r.engines["a1"].work.Load(), int64(0))
+}
--- a/citronledger/ledger.go
+++ b/citronledger/ledger.go
@@ -101,6 +101,13 @@
 	return true
 }
 
+// noVerdict ends a claim that did not find out whether the service answers.
+func (b *breaker) noVerdict() {
+	b.mu.Lock()
+	b.trying = false
+	b.mu.Unlock()
+}
+
 func (b *breaker) done(ok bool, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -128,6 +135,12 @@
 		return Claim{}, errors.Mark(errors.New("the KV service did not answer a moment ago"), ErrDown)
 	}
 	c, err := l.claim(ctx, key(service, customer, idempotencyKey), rec)
+	if err != nil && ctx.Err() != nil {
+		// The caller ran out of time, which says nothing of the service:
+		// one impatient caller must not have the others refused.
+		l.breaker.noVerdict()
+		return c, err
+	}
 	l.breaker.done(err == nil, l.Clock.Now())
 	return c, err
 }
--- a/design/design.go
+++ b/design/design.go
@@ -44,7 +44,11 @@
 	})
 	Attribute("body", String, "Body for a plain service")
 	Attribute("idempotency_key", String, "Required for non-idempotent services")
-	Attribute("deadline_ms", Int, "Time the caller will wait, in milliseconds", func() { Default(30000) })
+	Attribute("deadline_ms", Int, "Time the caller will wait, in milliseconds", func() {
+		Default(30000)
+		Minimum(1)
+		Maximum(3600000)
+	})
 	Required("service", "customer")
 })
 
@@ -112,7 +116,7 @@
 	})
 
 	Method("stream", func() {
-		Description("Run one request on a model service and send each token as it is generated, as server-sent events. The last event is of type done or failed.")
+		Description("Run one request on an idempotent model service and send each token as it is generated, as server-sent events. The last event is of type done or failed.")
 		Payload(SubmitPayload)
 		StreamingResult(TokenEvent)
 		HTTP(func() {
--- a/gen/deck/service.go
+++ b/gen/deck/service.go
@@ -15,8 +15,8 @@
 type Service interface {
 	// Run one request on a service and return its whole answer.
 	Submit(context.Context, *SubmitPayload) (res *SubmitResult, err error)
-	// Run one request on a model service and send each token as it is generated,
-	// as server-sent events. The last event is of type done or failed.
+	// Run one request on an idempotent model service and send each token as it is
+	// generated, as server-sent events. The last event is of type done or failed.
 	Stream(context.Context, *SubmitPayload, StreamServerStream) (err error)
 	// Which entry addresses to use, nearest zone first, and how long to keep the
 	// answer.
--- a/gen/http/cli/entry/cli.go
+++ b/gen/http/cli/entry/cli.go
@@ -29,7 +29,7 @@
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "deck submit --body '{\n      \"body\": \"Rem quos commodi.\",\n      \"customer\": \"Perferendis totam qui.\",\n      \"deadline_ms\": 6671438436116350196,\n      \"max_tokens\": 891,\n      \"priority\": 324699011526666663,\n      \"prompt\": \"Magni consequatur deleniti officiis placeat et labore.\"\n   }' --service \"Neque aperiam asperiores labore facere.\" --idempotency-key \"Ab facilis et corrupti cum quod.\"" + "\n" +
+	return os.Args[0] + " " + "deck submit --body '{\n      \"body\": \"Rem quos commodi.\",\n      \"customer\": \"Perferendis totam qui.\",\n      \"deadline_ms\": 1008334,\n      \"max_tokens\": 891,\n      \"priority\": 324699011526666663,\n      \"prompt\": \"Magni consequatur deleniti officiis placeat et labore.\"\n   }' --service \"Neque aperiam asperiores labore facere.\" --idempotency-key \"Ab facilis et corrupti cum quod.\"" + "\n" +
 		""
 }
 
@@ -156,7 +156,7 @@
 	fmt.Fprintf(os.Stderr, "Usage:\n    %s [globalflags] deck COMMAND [flags]\n\n", os.Args[0])
 	fmt.Fprintln(os.Stderr, "COMMAND:")
 	fmt.Fprintln(os.Stderr, `    submit: Run one request on a service and return its whole answer.`)
-	fmt.Fprintln(os.Stderr, `    stream: Run one request on a model service and send each token as it is generated, as server-sent events. The last event is of type done or failed.`)
+	fmt.Fprintln(os.Stderr, `    stream: Run one request on an idempotent model service and send each token as it is generated, as server-sent events. The last event is of type done or failed.`)
 	fmt.Fprintln(os.Stderr, `    entries: Which entry addresses to use, nearest zone first, and how long to keep the answer.`)
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Additional help:")
@@ -181,7 +181,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "deck submit --body '{\n      \"body\": \"Rem quos commodi.\",\n      \"customer\": \"Perferendis totam qui.\",\n      \"deadline_ms\": 6671438436116350196,\n      \"max_tokens\": 891,\n      \"priority\": 324699011526666663,\n      \"prompt\": \"Magni consequatur deleniti officiis placeat et labore.\"\n   }' --service \"Neque aperiam asperiores labore facere.\" --idempotency-key \"Ab facilis et corrupti cum quod.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "deck submit --body '{\n      \"body\": \"Rem quos commodi.\",\n      \"customer\": \"Perferendis totam qui.\",\n      \"deadline_ms\": 1008334,\n      \"max_tokens\": 891,\n      \"priority\": 324699011526666663,\n      \"prompt\": \"Magni consequatur deleniti officiis placeat et labore.\"\n   }' --service \"Neque aperiam asperiores labore facere.\" --idempotency-key \"Ab facilis et corrupti cum quod.\"")
 }
 
 func deckStreamUsage() {
@@ -194,7 +194,7 @@
 
 	// Description
 	fmt.Fprintln(os.Stderr)
-	fmt.Fprintln(os.Stderr, `Run one request on a model service and send each token as it is generated, as server-sent events. The last event is of type done or failed.`)
+	fmt.Fprintln(os.Stderr, `Run one request on an idempotent model service and send each token as it is generated, as server-sent events. The last event is of type done or failed.`)
 
 	// Flags list
 	fmt.Fprintln(os.Stderr, `    -body JSON: `)
@@ -203,7 +203,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "deck stream --body '{\n      \"body\": \"Voluptate et.\",\n      \"customer\": \"Assumenda necessitatibus voluptas.\",\n      \"deadline_ms\": 8535942421271431967,\n      \"max_tokens\": 3273,\n      \"priority\": 635487298964456288,\n      \"prompt\": \"Vitae corrupti assumenda similique corrupti.\"\n   }' --service \"Cupiditate natus fugiat distinctio doloribus perferendis vitae.\" --idempotency-key \"Quaerat libero.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "deck stream --body '{\n      \"body\": \"Voluptate et.\",\n      \"customer\": \"Assumenda necessitatibus voluptas.\",\n      \"deadline_ms\": 2007625,\n      \"max_tokens\": 3273,\n      \"priority\": 635487298964456288,\n      \"prompt\": \"Vitae corrupti assumenda similique corrupti.\"\n   }' --service \"Cupiditate natus fugiat distinctio doloribus perferendis vitae.\" --idempotency-key \"Quaerat libero.\"")
 }
 
 func deckEntriesUsage() {
--- a/gen/http/deck/client/cli.go
+++ b/gen/http/deck/client/cli.go
@@ -23,7 +23,7 @@
 	{
 		err = json.Unmarshal([]byte(deckSubmitBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"body\": \"Rem quos commodi.\",\n      \"customer\": \"Perferendis totam qui.\",\n      \"deadline_ms\": 6671438436116350196,\n      \"max_tokens\": 891,\n      \"priority\": 324699011526666663,\n      \"prompt\": \"Magni consequatur deleniti officiis placeat et labore.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"body\": \"Rem quos commodi.\",\n      \"customer\": \"Perferendis totam qui.\",\n      \"deadline_ms\": 1008334,\n      \"max_tokens\": 891,\n      \"priority\": 324699011526666663,\n      \"prompt\": \"Magni consequatur deleniti officiis placeat et labore.\"\n   }'")
 		}
 		if body.MaxTokens < 1 {
 			err = goa.MergeErrors(err, goa.InvalidRangeError("body.max_tokens", body.MaxTokens, 1, true))
@@ -31,6 +31,12 @@
 		if body.MaxTokens > 4096 {
 			err = goa.MergeErrors(err, goa.InvalidRangeError("body.max_tokens", body.MaxTokens, 4096, false))
 		}
+		if body.DeadlineMs < 1 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.deadline_ms", body.DeadlineMs, 1, true))
+		}
+		if body.DeadlineMs > 3.6e+06 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.deadline_ms", body.DeadlineMs, 3.6e+06, false))
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -85,7 +91,7 @@
 	{
 		err = json.Unmarshal([]byte(deckStreamBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"body\": \"Voluptate et.\",\n      \"customer\": \"Assumenda necessitatibus voluptas.\",\n      \"deadline_ms\": 8535942421271431967,\n      \"max_tokens\": 3273,\n      \"priority\": 635487298964456288,\n      \"prompt\": \"Vitae corrupti assumenda similique corrupti.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"body\": \"Voluptate et.\",\n      \"customer\": \"Assumenda necessitatibus voluptas.\",\n      \"deadline_ms\": 2007625,\n      \"max_tokens\": 3273,\n      \"priority\": 635487298964456288,\n      \"prompt\": \"Vitae corrupti assumenda similique corrupti.\"\n   }'")
 		}
 		if body.MaxTokens < 1 {
 			err = goa.MergeErrors(err, goa.InvalidRangeError("body.max_tokens", body.MaxTokens, 1, true))
@@ -93,6 +99,12 @@
 		if body.MaxTokens > 4096 {
 			err = goa.MergeErrors(err, goa.InvalidRangeError("body.max_tokens", body.MaxTokens, 4096, false))
 		}
+		if body.DeadlineMs < 1 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.deadline_ms", body.DeadlineMs, 1, true))
+		}
+		if body.DeadlineMs > 3.6e+06 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.deadline_ms", body.DeadlineMs, 3.6e+06, false))
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/gen/http/deck/server/types.go
+++ b/gen/http/deck/server/types.go
@@ -719,6 +719,16 @@
 			err = goa.MergeErrors(err, goa.InvalidRangeError("body.max_tokens", *body.MaxTokens, 4096, false))
 		}
 	}
+	if body.DeadlineMs != nil {
+		if *body.DeadlineMs < 1 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.deadline_ms", *body.DeadlineMs, 1, true))
+		}
+	}
+	if body.DeadlineMs != nil {
+		if *body.DeadlineMs > 3.6e+06 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.deadline_ms", *body.DeadlineMs, 3.6e+06, false))
+		}
+	}
 	return
 }
 
@@ -737,5 +747,15 @@
 			err = goa.MergeErrors(err, goa.InvalidRangeError("body.max_tokens", *body.MaxTokens, 4096, false))
 		}
 	}
+	if body.DeadlineMs != nil {
+		if *body.DeadlineMs < 1 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.deadline_ms", *body.DeadlineMs, 1, true))
+		}
+	}
+	if body.DeadlineMs != nil {
+		if *body.DeadlineMs > 3.6e+06 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("body.deadline_ms", *body.DeadlineMs, 3.6e+06, false))
+		}
+	}
 	return
 }
