--- a/citroncli/load.go
+++ b/citroncli/load.go
@@ -24,6 +24,8 @@
 	Tries     int           `help:"Times one request may be sent, across entries." default:"4"`
 	TryFor    time.Duration `help:"Longest one try may take before the next entry is tried." default:"5s"`
 	Timeout   time.Duration `help:"Longest the whole surge may take." default:"5m"`
+	At        string        `help:"Hour at which the surge starts, today, as HH:MM:SS (default: now)."`
+	Urgent    float64       `help:"Share of the requests sent with priority 9, from 0 to 1." default:"0"`
 	Service   string        `help:"Send to this service only (default: all in turn)."`
 	RunPrefix string        `help:"Prefix for prompts and idempotency keys (default: the time)."`
 }
@@ -41,11 +43,16 @@
 	if prefix == "" {
 		prefix = fmt.Sprintf("run%d", time.Now().UnixNano())
 	}
+	wait, err := untilHour(c.At, time.Now())
+	if err != nil {
+		return err
+	}
+	time.Sleep(wait)
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
 	defer cancel()
 	r, err := citronload.Run(ctx, httpClient(), citronload.Plan{
 		Entry: c.Entry, Zone: c.Zone, Fleet: f, Count: c.Count, Rate: c.Rate,
-		Workers: c.Workers, MaxTokens: c.Tokens, Tries: c.Tries, TryTimeout: c.TryFor, Prefix: prefix, Service: c.Service,
+		Workers: c.Workers, MaxTokens: c.Tokens, Tries: c.Tries, TryTimeout: c.TryFor, Prefix: prefix, Service: c.Service, Urgent: c.Urgent,
 	})
 	if err != nil {
 		return err
@@ -56,3 +63,18 @@
 	}
 	return nil
 }
+
+// untilHour is the time from now until hour (HH:MM:SS) today; none when
+// hour is empty or past.
+func untilHour(hour string, now time.Time) (time.Duration, error) {
+	if hour == "" {
+		return 0, nil
+	}
+	t, err := time.ParseInLocation(time.TimeOnly, hour, now.Location())
+	if err != nil {
+		return 0, errors.Newf("--at %q: want HH:MM:SS", hour)
+	}
+	y, m, d := now.Date()
+	at := time.Date(y, m, d, t.Hour(), t.Minute(), t.Second(), 0, now.Location())
+	return max(0, at.Sub(now)), nil
+}
--- a/citronload/caller.go
+++ b/citronload/caller.go
@@ -24,6 +24,7 @@
 	Prompt    string `json:"prompt,omitempty"`
 	MaxTokens int    `json:"max_tokens,omitempty"`
 	Body      string `json:"body,omitempty"`
+	Priority  int    `json:"priority,omitempty"`
 }
 
 type submitAnswer struct {
@@ -104,6 +105,9 @@
 func one(ctx context.Context, hc *http.Client, p Plan, dir *directory, j job) outcome {
 	cust := p.Fleet.Customers[j.i%len(p.Fleet.Customers)].Name
 	b := submitBody{Customer: cust}
+	if float64(j.i%100) < 100*p.Urgent {
+		b.Priority = urgentPriority
+	}
 	key := ""
 	if j.svc.Kind == citronfleet.Model {
 		b.Prompt = fmt.Sprintf("%s-prompt-%d", p.Prefix, j.i)
--- a/citronload/load.go
+++ b/citronload/load.go
@@ -30,12 +30,16 @@
 	// never answers.
 	Tries      int
 	TryTimeout time.Duration
+	// Urgent is the share of the requests sent with urgentPriority.
+	Urgent float64
 	// Service, when set, is the only one requests go to.
 	Service string
 	// Prefix makes prompts and keys unique to this run.
 	Prefix string
 }
 
+const urgentPriority = 9
+
 type job struct {
 	i   int
 	svc citronfleet.Service
