--- a/citronentry/entry.go
+++ b/citronentry/entry.go
@@ -73,7 +73,7 @@
 	e := &Entry{
 		set: set, clock: clock, log: log.With("entry", set.Name), kv: kv, instances: instances,
 		incarnation: uuid.NewString()[:8],
-		pool:        citronroute.NewPool(hc),
+		pool:        citronroute.NewPool(hc, set.Name),
 		reports:     make(chan report, reportCapacity),
 		work:        newWork(),
 		metrics:     newMetrics(),
--- a/citronentry/serve.go
+++ b/citronentry/serve.go
@@ -191,7 +191,7 @@
 }
 
 func (a *api) picker(r *request) citronroute.Picker {
-	return citronroute.Picker{Snapshot: r.snap, Zone: a.e.set.Zone, Salt: a.e.set.Name}
+	return citronroute.Picker{Snapshot: r.snap, Zone: a.e.set.Zone}
 }
 
 // verdict is what a failed call says of its back end and of the call.
--- a/citronroute/backend.go
+++ b/citronroute/backend.go
@@ -19,6 +19,7 @@
 	"citrondeck.dev/citrondeck/citronengine"
 	"citrondeck.dev/citrondeck/citronfleet"
 	"citrondeck.dev/citrondeck/citronplain"
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 )
 
@@ -35,6 +36,8 @@
 	Kind   citronfleet.Kind
 	Engine *citronengine.Client
 	Plain  *citronplain.Client
+	// rank breaks ties between back ends; see Pool.salt.
+	rank uint64
 	*activity
 }
 
@@ -164,12 +167,17 @@
 // snapshots, so they survive a configuration change. The control
 // goroutine alone uses it.
 type Pool struct {
-	hc    *http.Client
+	hc *http.Client
+	// salt differs between entries. Without it every entry would give its
+	// first requests to the back ends that stand first in the fleet text.
+	salt  string
 	byKey map[string]*Backend
 }
 
-// NewPool returns a pool whose clients use hc.
-func NewPool(hc *http.Client) *Pool { return &Pool{hc: hc, byKey: map[string]*Backend{}} }
+// NewPool returns a pool whose clients use hc; salt is the entry's name.
+func NewPool(hc *http.Client, salt string) *Pool {
+	return &Pool{hc: hc, salt: salt, byKey: map[string]*Backend{}}
+}
 
 func (p *Pool) get(spec citronfleet.Backend, kind citronfleet.Kind) *Backend {
 	key := string(kind) + "|" + spec.Name + "|" + spec.Addr
@@ -178,7 +186,7 @@
 		nb.Spec = spec
 		return &nb
 	}
-	b := &Backend{Spec: spec, Kind: kind, activity: &activity{calls: map[*call]struct{}{}}}
+	b := &Backend{Spec: spec, Kind: kind, rank: xxhash.Sum64String(p.salt + spec.Name), activity: &activity{calls: map[*call]struct{}{}}}
 	base := "http://" + spec.Addr
 	if kind == citronfleet.Model {
 		b.Engine = citronengine.NewClient(p.hc, base)
--- a/citronroute/route_test.go
+++ b/citronroute/route_test.go
@@ -14,7 +14,7 @@
 
 func build(svc citronfleet.Service, avoid map[string]citronroute.Reason) *citronroute.Snapshot {
 	f := citronfleet.Fleet{Services: []citronfleet.Service{svc}}
-	return citronroute.NewPool(http.DefaultClient).Build(f, avoid, nil, true)
+	return citronroute.NewPool(http.DefaultClient, "").Build(f, avoid, nil, true)
 }
 
 // Random layer ranges, some engines avoided. Oracle: boundaries reachable
@@ -136,7 +136,7 @@
 				}
 				f.Services = append(f.Services, svc)
 			}
-			pool := citronroute.NewPool(http.DefaultClient)
+			pool := citronroute.NewPool(http.DefaultClient, "")
 			b.ReportAllocs()
 			for b.Loop() {
 				pool.Build(f, nil, nil, true)
--- a/citronroute/snapshot.go
+++ b/citronroute/snapshot.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"citrondeck.dev/citrondeck/citronfleet"
-	"github.com/cespare/xxhash/v2"
 )
 
 // EntryAddr is one entry instance as discovery lists it.
@@ -104,8 +103,6 @@
 type Picker struct {
 	Snapshot *Snapshot
 	Zone     string
-	// Salt differs between entries; see better.
-	Salt     string
 	excluded map[string]bool
 }
 
@@ -187,9 +184,7 @@
 }
 
 // better orders back ends by the requests bound to them, then the calls in
-// flight, then zone (same zone first), then Salt. Without the salt every
-// entry would give its first requests to the back ends that stand first in
-// the fleet text.
+// flight, then zone (same zone first), then rank.
 func (p *Picker) better(a, b *Backend) bool {
 	if x, y := a.bound.Load(), b.bound.Load(); x != y {
 		return x < y
@@ -200,7 +195,5 @@
 	if x, y := a.Spec.Zone == p.Zone, b.Spec.Zone == p.Zone; x != y {
 		return x
 	}
-	return p.rank(a) < p.rank(b)
+	return a.rank < b.rank
 }
-
-func (p *Picker) rank(b *Backend) uint64 { return xxhash.Sum64String(p.Salt + b.Spec.Name) }
