--- /dev/null
+++ b/citroncli/node.go
@@ -0,0 +1,115 @@
+package citroncli
+
+// citrondeck node: a node on the users' platform. Its settings file is
+// named by an environment variable or --settings.
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronbudget"
+	"citrondeck.dev/citrondeck/citronclock"
+	"citrondeck.dev/citrondeck/citronevent"
+	"citrondeck.dev/citrondeck/citronforward"
+	"citrondeck.dev/citrondeck/citronnode"
+	"citrondeck.dev/citrondeck/platform"
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+type nodeCmd struct {
+	Settings string `help:"Settings file in the platform's format (TOML)." env:"CITRONDECK_SETTINGS"`
+	Metrics  string `help:"Address for metrics as text, at /metrics; empty: none."`
+}
+
+func init() {
+	Register(Plugin{Name: "node", Help: "Run a node on the users' platform: caller traffic, directory, placement.", New: func() any { return &nodeCmd{} }})
+}
+
+const (
+	// leaderLease outlives two lost renewals and is short enough that a
+	// dead leader is replaced well before engines' holes cost callers.
+	leaderLease = 2500 * time.Millisecond
+	// directoryTTL is how long callers keep an answer; some keep it three
+	// times as long, so a node that stops has to serve on for that time.
+	directoryTTL = time.Second
+	maxBody      = 64 << 20
+)
+
+func (c *nodeCmd) Run(g *Globals) error {
+	set, err := platform.ReadSettings(c.Settings)
+	if err != nil {
+		citronevent.Log(context.Background(), g.Logger(), citronevent.SettingsInvalid, "err", err)
+		return err
+	}
+	log := g.Logger().With("node", set.Name)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	clock := citronclock.Real{}
+	budget := citronbudget.New(citronbudget.Limits{Ratio: set.RepeatRatio, Slack: set.RepeatSlack, Window: set.RepeatWindow})
+	engines := platform.NewEngines()
+	node := citronnode.New(citronnode.Settings{
+		Name: set.Name, Zone: set.Zone, Front: set.Front, Peer: set.Peer, Seeds: set.Seeds,
+		LeaseTTL: max(leaderLease, set.LeaseMin), Grace: set.Grace,
+	}, citronnode.Sources{
+		Store: platform.NewStore(set.Store), ConfigKey: platform.ConfigKey, EnginePrefix: platform.EnginePrefix,
+		DecodeConfig: platform.DecodeConfig, DecodeEngine: platform.DecodeEngine, Orders: engines,
+	}, clock, log, budget, httpClient())
+	registry := prometheus.NewRegistry()
+	forwarder := &citronforward.Forwarder{
+		Zone: set.Zone, Clock: clock, Log: log, Upstream: engines, Budget: budget,
+		Current: node.Traffic, Metrics: citronforward.NewMetrics(registry),
+	}
+	ingress := &platform.Ingress{Forwarder: forwarder, Leaving: node.Leaving, Track: node.Track, MaxBodyBytes: maxBody}
+
+	bg, end := context.WithCancel(context.Background())
+	defer end()
+	var servers sync.WaitGroup
+	failed := make(chan error, 8)
+	serveOn := func(addr string, h http.Handler) {
+		if addr == "" {
+			return
+		}
+		servers.Go(func() {
+			if err := platform.Serve(bg, addr, h); err != nil {
+				failed <- err
+			}
+		})
+	}
+	peers := http.NewServeMux()
+	node.Handle(peers)
+	metrics := http.NewServeMux()
+	metrics.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	serveOn(set.Front, ingress)
+	serveOn(set.Ready, platform.Ready(node.Ready))
+	serveOn(set.Peer, peers)
+	serveOn(set.Directory, &platform.Directory{Addresses: node.Addresses, TTL: min(directoryTTL, set.MaxTTL)})
+	serveOn(c.Metrics, metrics)
+	servers.Go(func() { node.Run(bg) })
+	citronevent.Log(ctx, log, citronevent.ProcessStarted, "role", "node", "addr", set.Front, "zone", set.Zone)
+	for {
+		select {
+		case err := <-failed:
+			end()
+			servers.Wait()
+			return errors.Wrap(err, "node")
+		case <-hup:
+			citronevent.Log(ctx, log, citronevent.SettingsReload, "path", c.Settings)
+		case <-ctx.Done():
+			citronevent.Log(bg, log, citronevent.ProcessStopping, "role", "node")
+			node.Drain(bg)
+			end()
+			servers.Wait()
+			citronevent.Log(context.Background(), log, citronevent.ProcessStopped, "role", "node")
+			return nil
+		}
+	}
+}
--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -53,6 +53,30 @@
 	StageMoved          Event = 316
 	LedgerRetry         Event = 317
 
+	ForwardRefused Event = 500
+	AttemptFailed  Event = 501
+	StreamBroken   Event = 502
+	PartReplaced   Event = 503
+	RepathFailed   Event = 504
+	AnswerSampled  Event = 505
+
+	TableApplied   Event = 600
+	TableRejected  Event = 601
+	EnginesChanged Event = 602
+	EngineRejected Event = 603
+	StoreLost      Event = 604
+	StoreBack      Event = 605
+	MemberJoined   Event = 606
+	MemberLost     Event = 607
+	LeaderElected  Event = 608
+	LeaderResigned Event = 609
+	PlacePlanned   Event = 610
+	PlaceOrdered   Event = 611
+	PlaceFailed    Event = 612
+	GossipFailed   Event = 613
+	LogDropped     Event = 614
+	SettingsReload Event = 615
+
 	// 400 to 403 were announced for the stand-ins and never logged.
 )
 
@@ -93,7 +117,31 @@
 	UpstreamFrozen:      {slog.LevelWarn, "upstream.frozen", "a back end with calls in flight answered neither them nor two probes; its calls were ended"},
 	RequestOverloaded:   {slog.LevelWarn, "request.overloaded", "a request was refused before anything was sent: the service has more than it can carry"},
 	StageMoved:          {slog.LevelInfo, "stage.moved", "a request left an engine that is leaving; its kv cache went with it"},
-	LedgerRetry:         {slog.LevelWarn, "ledger.retry", "recording an answer in the ledger, or taking a claim back, failed; it is tried again"},
+	ForwardRefused:      {slog.LevelWarn, "forward.refused", "a request was given an answer of the node's own; gives the reason and for how long it was held"},
+	AttemptFailed:       {slog.LevelWarn, "attempt.failed", "a call to an engine brought no sound answer; gives what is known of it"},
+	StreamBroken:        {slog.LevelWarn, "stream.broken", "a stream ended before its last event and could not be resumed"},
+	PartReplaced:        {slog.LevelWarn, "part.replaced", "an engine of a running stream's path died, stalled or is leaving; the stream is moved"},
+	RepathFailed:        {slog.LevelWarn, "repath.failed", "an engine did not move a running request to another path"},
+	AnswerSampled:       {slog.LevelInfo, "answer.sampled", "a request was answered in full; one in many is logged"},
+
+	TableApplied:   {slog.LevelInfo, "table.applied", "a node put a new version of the configuration in force"},
+	TableRejected:  {slog.LevelError, "table.rejected", "a configuration could not be read; the one in force stays"},
+	EnginesChanged: {slog.LevelInfo, "engines.changed", "the list of engines changed; gives its revision and what changed"},
+	EngineRejected: {slog.LevelError, "engine.rejected", "an entry of the list of engines could not be read; it is left out"},
+	StoreLost:      {slog.LevelWarn, "store.lost", "the store does not answer this node; what is known stays in force"},
+	StoreBack:      {slog.LevelInfo, "store.back", "the store answers again"},
+	MemberJoined:   {slog.LevelInfo, "member.joined", "another node was heard of for the first time or came back"},
+	MemberLost:     {slog.LevelWarn, "member.lost", "another node was not heard of for too long, or said that it leaves"},
+	LeaderElected:  {slog.LevelInfo, "leader.elected", "this node holds the lease under which layers are placed"},
+	LeaderResigned: {slog.LevelWarn, "leader.resigned", "this node lost the lease, or could not renew it in time; it gives no more orders"},
+	PlacePlanned:   {slog.LevelInfo, "place.planned", "the leader decided which engines are to hold other layers; gives the reason"},
+	PlaceOrdered:   {slog.LevelInfo, "place.ordered", "an engine accepted an order to hold a range of layers"},
+	PlaceFailed:    {slog.LevelWarn, "place.failed", "an order to hold layers was refused or not answered; the engine's state decides what follows"},
+	GossipFailed:   {slog.LevelDebug, "gossip.failed", "another node did not answer an exchange"},
+	LogDropped:     {slog.LevelWarn, "log.dropped", "log lines were dropped because the reader of the log was too slow or an event came too often"},
+	SettingsReload: {slog.LevelInfo, "settings.reload", "a reload was asked for; what the settings say of bounds is in force"},
+
+	LedgerRetry: {slog.LevelWarn, "ledger.retry", "recording an answer in the ledger, or taking a claim back, failed; it is tried again"},
 }
 
 // Log writes event e with its number and name.
--- /dev/null
+++ b/citronforward/forward.go
@@ -0,0 +1,297 @@
+// Package citronforward takes one caller's request to its final answer: it
+// chooses where the request runs, sends it, judges what comes back, and
+// sends it again where that is allowed and helps.
+//
+// The life of a request:
+//
+//	route and key -> engine or path -> send -> whole answer    -> caller
+//	                      ^               |-> stream of events -> caller
+//	                      |               |                |
+//	                      +-- did not run-+   part failed--+ (repair.go)
+//
+// What may be sent again is decided here and nowhere else. A request that
+// may have run is sent again only if its route says that it is idempotent;
+// a request that certainly did not run may be sent again whatever its kind.
+// All repeats draw on the budget that the nodes share.
+package citronforward
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronbudget"
+	"citrondeck.dev/citrondeck/citronclock"
+	"citrondeck.dev/citrondeck/citronevent"
+	"citrondeck.dev/citrondeck/citronpath"
+	"citrondeck.dev/citrondeck/citronpool"
+	"citrondeck.dev/citrondeck/citrontable"
+	"github.com/cockroachdb/errors"
+)
+
+// Request is a caller's request.
+type Request struct {
+	ID           string
+	Method, Host string
+	// Path is the path alone; Target is path and query as they were sent.
+	Path, Target string
+	Header       http.Header
+	Body         []byte
+	// Received is when the request was read, Wait how long the caller
+	// waits from then on; zero is unknown.
+	Received time.Time
+	Wait     time.Duration
+	Key      string
+	// ResumeAfter is the id of the last event that the caller has.
+	ResumeAfter string
+	// PromptTokens and OutputTokens are the request's size, zero if it
+	// declares none; OutputHint is the caller's guess of its output.
+	PromptTokens, OutputTokens, OutputHint int
+}
+
+// tokens is the cache that the request is likely to need.
+func (r *Request) tokens() int {
+	out := r.OutputTokens
+	if r.OutputHint > 0 && r.OutputHint < out {
+		out = r.OutputHint
+	}
+	return r.PromptTokens + out
+}
+
+// Call is a request on its way to one engine, or to the first of a path.
+type Call struct {
+	*Request
+	Engine *citronpool.Engine
+	// Route holds the hops of a model's request; empty for plain services.
+	Hops     citronpath.Path
+	Customer string
+	// Left is the time that the engine may use.
+	Left time.Duration
+	// After is the id of the last event that the caller has.
+	After string
+	// Once: the call must not be repeated by the transport and must not
+	// share a connection with earlier calls.
+	Once bool
+	// Urgent calls go before others at the engine.
+	Urgent bool
+}
+
+// Reply is an engine's answer up to its body.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+	// NotRun: the engine says that it did not run the request.
+	NotRun bool
+	// Fault is the address of the engine of the path that is at fault.
+	Fault string
+	// Signed: the answer is an engine's own.
+	Signed bool
+}
+
+// Errors of Upstream.Send. Any other error leaves it open whether the
+// request ran.
+var (
+	// ErrNotSent: no byte of the request left this node.
+	ErrNotSent = errors.New("request was not sent")
+	// ErrForeign: the answer belongs to another request.
+	ErrForeign = errors.New("answer belongs to another request")
+)
+
+// Report is an engine's state as it tells it.
+type Report struct {
+	// Stalled maps request ids to the address of the engine they wait for.
+	Stalled map[string]string
+}
+
+// Upstream speaks to engines.
+type Upstream interface {
+	Send(context.Context, Call) (*Reply, error)
+	Report(ctx context.Context, addr string) (Report, error)
+	// Repath moves a running request to another path with the same first
+	// engine. ErrUnknownRequest and *PartError say why it did not.
+	Repath(ctx context.Context, first, id string, path citronpath.Path) error
+}
+
+// ErrUnknownRequest is the answer to an order for a request that the engine
+// does not run.
+var ErrUnknownRequest = errors.New("engine does not run this request")
+
+// PartError names an engine that cannot take its part of a path.
+type PartError struct{ Addr string }
+
+func (e *PartError) Error() string { return "no room or no such part at " + e.Addr }
+
+// Sink takes the answer to the caller.
+type Sink interface {
+	// Answer sends a whole answer with the engine's status and header.
+	Answer(status int, header http.Header, body []byte)
+	// Refuse sends an answer of this node's own. A retryAfter of zero or
+	// more tells the caller when to come back; negative leaves it out.
+	Refuse(status int, retryAfter time.Duration, reason string)
+	// Begin starts a stream.
+	Begin(status int, header http.Header)
+	// Event sends one whole event.
+	Event([]byte) error
+	// Abort ends a stream so that it cannot look complete.
+	Abort()
+}
+
+// State is what traffic reads: a configuration, the engines and the number
+// of nodes that share them. It is immutable.
+type State struct {
+	Table *citrontable.Table
+	View  *citronpool.View
+	Nodes int
+}
+
+// Forwarder forwards requests.
+type Forwarder struct {
+	Zone     string
+	Clock    citronclock.Clock
+	Log      *slog.Logger
+	Upstream Upstream
+	Budget   *citronbudget.Budget
+	// Current returns the newest state, nil before the first.
+	Current func() *State
+	Metrics *Metrics
+}
+
+// job is one request on its way.
+type job struct {
+	*Request
+	f        *Forwarder
+	out      Sink
+	route    citrontable.Route
+	service  citrontable.Service
+	customer string
+	deadline time.Time
+	// avoid holds engines that failed this request or refused it.
+	avoid map[string]bool
+	// runs counts engines that may have run it, refused those that did not.
+	runs, refused int
+	// retryAfter is when a refusal tells the caller to come back.
+	retryAfter time.Duration
+}
+
+// What a caller is told when nothing can run its request now.
+const (
+	// retryNoState: a node that starts has its state within a second.
+	retryNoState = 500 * time.Millisecond
+	// retryNoEngine: a repair that loads a few layers takes about a second.
+	retryNoEngine = time.Second
+	// retryBusy: about the time in which a twentieth of the running
+	// requests end.
+	retryBusy = 400 * time.Millisecond
+	// maxRefused is how many engines may refuse a request before it is
+	// given up: with more, the engines are full and asking on costs the
+	// caller time that it could use elsewhere.
+	maxRefused = 4
+	// answerMargin is left for the final answer to reach the caller in
+	// its time.
+	answerMargin = 15 * time.Millisecond
+	// defaultWait bounds requests that state no time of their own.
+	defaultWait = 30 * time.Second
+)
+
+// Serve takes a request to its final answer.
+func (f *Forwarder) Serve(ctx context.Context, r *Request, out Sink) {
+	s := f.Current()
+	if s == nil || s.Table == nil {
+		f.refuse(r, out, http.StatusServiceUnavailable, retryNoState, "this node has no configuration yet")
+		return
+	}
+	j, ok := f.newJob(s, r, out)
+	if !ok {
+		return
+	}
+	f.Metrics.Requests.WithLabelValues(j.route.Kind.String()).Inc()
+	f.Budget.Request(j.service.Name, r.Received)
+	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	defer cancel()
+	if j.route.Kind == citrontable.Streaming {
+		j.stream(ctx)
+		return
+	}
+	j.whole(ctx)
+}
+
+// newJob finds the request's route, customer and service, or refuses it.
+func (f *Forwarder) newJob(s *State, r *Request, out Sink) (*job, bool) {
+	route, ok := s.Table.Route(r.Host, r.Path)
+	if !ok {
+		f.refuse(r, out, http.StatusNotFound, -1, "no route for this host and path")
+		return nil, false
+	}
+	j := &job{Request: r, f: f, out: out, route: route, avoid: map[string]bool{}, retryAfter: retryNoEngine}
+	if s.Table.NeedsKey(route) {
+		c, ok := s.Table.Customer(r.Key)
+		if !ok {
+			f.refuse(r, out, http.StatusUnauthorized, -1, "unknown key")
+			return nil, false
+		}
+		j.customer = c.Name
+	}
+	if limit := s.Table.Limits.MaxBodyBytes; limit > 0 && int64(len(r.Body)) > limit {
+		f.refuse(r, out, http.StatusRequestEntityTooLarge, -1, "body is over the limit")
+		return nil, false
+	}
+	name := route.Pick(rand.Float64())
+	j.service, ok = s.Table.Services[name]
+	if !ok {
+		j.service = citrontable.Service{Name: name}
+	}
+	wait := r.Wait
+	if wait <= 0 {
+		wait = defaultWait
+	}
+	if route.Timeout > 0 {
+		wait = min(wait, route.Timeout)
+	}
+	j.deadline = r.Received.Add(wait - min(answerMargin, wait/10))
+	return j, true
+}
+
+func (f *Forwarder) refuse(r *Request, out Sink, status int, after time.Duration, reason string) {
+	f.Metrics.Refusals.WithLabelValues(reason).Inc()
+	citronevent.Log(context.Background(), f.Log, citronevent.ForwardRefused, "request", r.ID, "status", status, "reason", reason, "retryAfter", after, "held", f.Clock.Now().Sub(r.Received))
+	out.Refuse(status, after, reason)
+}
+
+// giveUp is the final answer of a request that no engine answered.
+func (j *job) giveUp(ctx context.Context, reason string) {
+	status := http.StatusServiceUnavailable
+	after := j.retryAfter
+	if j.runs > 0 {
+		// An engine may have run it: nothing is promised.
+		status = http.StatusBadGateway
+		if ctx.Err() != nil {
+			status = http.StatusGatewayTimeout
+		}
+		after = -1
+	}
+	j.f.refuse(j.Request, j.out, status, after, reason)
+}
+
+func (j *job) left() time.Duration { return j.deadline.Sub(j.f.Clock.Now()) }
+
+// mayRepeat reports whether the request may be sent once more after an
+// engine may have run it, and counts the repeat.
+func (j *job) mayRepeat() bool {
+	return j.route.Idempotent() && j.runs < max(1, j.route.MaxAttempts) && j.takeBudget()
+}
+
+// mayMove reports whether the request may go to another engine after one
+// refused it without running it, and counts the repeat.
+func (j *job) mayMove() bool { return j.refused <= maxRefused && j.takeBudget() }
+
+func (j *job) takeBudget() bool {
+	if j.f.Budget.Take(j.service.Name, j.f.Clock.Now()) {
+		return true
+	}
+	j.f.Metrics.BudgetSpent.Inc()
+	return false
+}
--- /dev/null
+++ b/citronforward/stream.go
@@ -0,0 +1,345 @@
+package citronforward
+
+// Streams: events are passed on one by one as they arrive, each of them
+// whole. While a stream runs, its path is watched, and a part that dies or
+// leaves is replaced before the caller gives up (repair.go).
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronevent"
+	"citrondeck.dev/citrondeck/citronpath"
+	"github.com/cockroachdb/errors"
+)
+
+// maxEventBytes bounds one event.
+const maxEventBytes = 1 << 20
+
+// event is one whole event of a stream.
+type event struct {
+	text []byte
+	id   string
+}
+
+// readEvent reads up to the blank line that ends an event. An event that
+// the end of the stream cuts off is an error, never an event.
+func readEvent(r *bufio.Reader) (event, error) {
+	var ev event
+	for {
+		line, err := r.ReadBytes('\n')
+		if err != nil {
+			if errors.Is(err, io.EOF) && len(ev.text)+len(line) > 0 {
+				return event{}, io.ErrUnexpectedEOF
+			}
+			return event{}, err
+		}
+		ev.text = append(ev.text, line...)
+		if len(ev.text) > maxEventBytes {
+			return event{}, errors.New("event is over the limit")
+		}
+		trimmed := bytes.TrimRight(line, "\r\n")
+		if len(trimmed) == 0 {
+			return ev, nil
+		}
+		if id, ok := bytes.CutPrefix(trimmed, []byte("id:")); ok {
+			ev.id = string(bytes.TrimSpace(id))
+		}
+	}
+}
+
+// streamJob is a stream on its way.
+type streamJob struct {
+	*job
+	// begun: the caller has the head of the answer.
+	begun bool
+	// last is the id of the newest event that the caller has.
+	last string
+	// lastAt is when it was passed on, longest the longest pause so far.
+	lastAt  time.Time
+	longest time.Duration
+	path    citronpath.Path
+	// pathSince is when the path was chosen or last changed.
+	pathSince time.Time
+	release   func()
+}
+
+// verdict is how one run of a stream ended.
+type verdict int
+
+const (
+	// finished: the caller has the whole stream.
+	finished verdict = iota
+	// callerLeft: there is nobody to answer, or no time left.
+	callerLeft
+	// refusedRun: the engines did not run it.
+	refusedRun
+	// brokenRun: it broke off; it may be resumed elsewhere.
+	brokenRun
+	// engineAnswer: the engine's own failure has been passed on.
+	engineAnswer
+)
+
+// stream serves a streaming request.
+func (j *job) stream(ctx context.Context) {
+	s := &streamJob{job: j, last: j.ResumeAfter, lastAt: j.Received}
+	defer s.unbind()
+	reason := "no path runs all layers"
+	for {
+		state := j.f.Current()
+		if j.service.Model == nil {
+			reason = "service runs no model"
+			break
+		}
+		p, ok := j.path(state, "")
+		if !ok {
+			break
+		}
+		s.bind(p)
+		v := s.run(ctx)
+		if v == finished || v == engineAnswer {
+			j.f.Metrics.Pause.Observe(s.longest.Seconds())
+			return
+		}
+		if v == callerLeft {
+			reason = "out of time"
+			break
+		}
+		if v == refusedRun {
+			reason = "engines are full"
+			j.refused++
+			j.retryAfter = retryBusy
+			if j.mayMove() {
+				continue
+			}
+			break
+		}
+		reason = "stream broke off"
+		j.runs++
+		if !s.mayResume() {
+			break
+		}
+		j.f.Metrics.Repairs.WithLabelValues("resume").Inc()
+	}
+	if s.begun {
+		citronevent.Log(ctx, j.f.Log, citronevent.StreamBroken, "request", j.ID, "reason", reason, "lastEvent", s.last, "runs", j.runs, "left", j.left())
+		j.out.Abort()
+		return
+	}
+	j.giveUp(ctx, reason)
+}
+
+// mayResume reports whether another run may go on after the last event.
+// Runs whose first engine is gone do not count against the route's limit.
+func (s *streamJob) mayResume() bool {
+	now := s.f.Clock.Now()
+	first := s.path[0].Engine
+	if cur, ok := s.f.Current().View.ByID(first.ID); !ok || cur.Leaving || (!cur.DeadSince().IsZero() && now.Sub(cur.DeadSince()) < deadMemory) {
+		s.runs--
+	}
+	ok := s.mayRepeat()
+	return ok
+}
+
+func (s *streamJob) bind(p citronpath.Path) {
+	s.unbind()
+	s.path = p
+	s.pathSince = s.f.Clock.Now()
+	ends := make([]func(), len(p))
+	for i, h := range p {
+		ends[i] = h.Engine.Begin(s.tokens())
+	}
+	s.release = func() {
+		for _, end := range ends {
+			end()
+		}
+	}
+}
+
+func (s *streamJob) unbind() {
+	if s.release != nil {
+		s.release()
+		s.release = nil
+	}
+}
+
+// run sends the stream over its path and passes events on until it ends.
+func (s *streamJob) run(ctx context.Context) verdict {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w := newWatch(s, ctx)
+	replies := make(chan sent, 1)
+	call := Call{Request: s.Request, Engine: s.path[0].Engine, Hops: s.path, Customer: s.customer, Left: s.left(), After: s.last, Once: !s.route.Idempotent(), Urgent: s.begun}
+	go func() {
+		reply, err := s.f.Upstream.Send(ctx, call)
+		replies <- sent{reply, err}
+	}()
+	for {
+		select {
+		case r := <-replies:
+			if r.err != nil {
+				return s.sendFailed(ctx, r.err)
+			}
+			defer r.reply.Body.Close()
+			return s.receive(ctx, r.reply, w)
+		case <-ctx.Done():
+			return callerLeft
+		case <-w.tick():
+			if w.check() == replaceRun {
+				return brokenRun
+			}
+		}
+	}
+}
+
+type sent struct {
+	reply *Reply
+	err   error
+}
+
+func (s *streamJob) sendFailed(ctx context.Context, err error) verdict {
+	if ctx.Err() != nil {
+		return callerLeft
+	}
+	first := s.path[0].Engine
+	res := s.judge(first, err)
+	s.f.Metrics.Attempts.WithLabelValues(res.outcome.String()).Inc()
+	s.logAttempt(first, res)
+	s.avoid[first.ID] = true
+	if res.outcome == notRun {
+		return refusedRun
+	}
+	return brokenRun
+}
+
+// receive reads the engine's answer and passes it on.
+func (s *streamJob) receive(ctx context.Context, reply *Reply, w *watch) verdict {
+	first := s.path[0].Engine
+	if reply.NotRun {
+		_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, maxAnswerBytes)) // so that the connection can be kept
+		s.refusedBy(first, reply)
+		s.f.Metrics.Attempts.WithLabelValues(notRun.String()).Inc()
+		s.logAttempt(first, result{outcome: notRun, status: reply.Status, err: errors.Newf("refused, at fault %s", reply.Fault)})
+		return refusedRun
+	}
+	if reply.Status != http.StatusOK {
+		return s.engineFailure(ctx, reply)
+	}
+	if !reply.Signed || reply.Header.Get("Content-Encoding") != "" {
+		s.logAttempt(first, result{outcome: unknown, status: reply.Status, err: errors.New("answer is not the engine's own")})
+		s.avoid[first.ID] = true
+		return brokenRun
+	}
+	events := make(chan eventOrErr)
+	go readEvents(ctx, reply.Body, events)
+	for {
+		select {
+		case e := <-events:
+			if e.err != nil {
+				return s.streamEnded(ctx, e.err)
+			}
+			if v, done := s.pass(reply, e.event); done {
+				return v
+			}
+		case <-ctx.Done():
+			return callerLeft
+		case <-w.tick():
+			if w.check() == replaceRun {
+				return brokenRun
+			}
+		}
+	}
+}
+
+type eventOrErr struct {
+	event
+	err error
+}
+
+func readEvents(ctx context.Context, body io.Reader, out chan<- eventOrErr) {
+	r := bufio.NewReader(body)
+	for {
+		ev, err := readEvent(r)
+		select {
+		case out <- eventOrErr{ev, err}:
+		case <-ctx.Done():
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// pass sends one event on. An event that the caller has already is left
+// out: a run that was resumed may start earlier than it was asked to.
+func (s *streamJob) pass(reply *Reply, ev event) (verdict, bool) {
+	if ev.id != "" && s.last != "" && !after(ev.id, s.last) {
+		return 0, false
+	}
+	now := s.f.Clock.Now()
+	if !s.begun {
+		s.begun = true
+		s.f.Metrics.FirstEvent.Observe(now.Sub(s.Received).Seconds())
+		s.out.Begin(reply.Status, reply.Header)
+	} else {
+		s.longest = max(s.longest, now.Sub(s.lastAt))
+	}
+	if err := s.out.Event(ev.text); err != nil {
+		return callerLeft, true
+	}
+	if ev.id != "" {
+		s.last = ev.id
+	}
+	s.lastAt = now
+	return 0, false
+}
+
+// after reports whether event id a comes after b.
+func after(a, b string) bool {
+	x, errA := strconv.ParseInt(a, 10, 64)
+	y, errB := strconv.ParseInt(b, 10, 64)
+	if errA != nil || errB != nil {
+		return a != b
+	}
+	return x > y
+}
+
+func (s *streamJob) streamEnded(ctx context.Context, err error) verdict {
+	if errors.Is(err, io.EOF) {
+		if !s.begun {
+			return brokenRun // an empty stream is no answer
+		}
+		s.path[0].Engine.Answered(s.f.Clock.Now().Sub(s.pathSince))
+		return finished
+	}
+	if ctx.Err() != nil {
+		return callerLeft
+	}
+	first := s.path[0].Engine
+	s.logAttempt(first, result{outcome: unknown, err: errors.Wrap(err, "read stream")})
+	s.avoid[first.ID] = true
+	return brokenRun
+}
+
+// engineFailure handles an answer that is no stream: the engine ran the
+// request and failed.
+func (s *streamJob) engineFailure(ctx context.Context, reply *Reply) verdict {
+	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes))
+	if err != nil && ctx.Err() != nil {
+		return callerLeft
+	}
+	first := s.path[0].Engine
+	s.logAttempt(first, result{outcome: failed, status: reply.Status, err: err})
+	s.avoid[first.ID] = true
+	if err != nil || s.begun || reply.Status >= 500 && s.route.Idempotent() && s.runs+1 < s.route.MaxAttempts {
+		return brokenRun
+	}
+	s.out.Answer(reply.Status, reply.Header, body)
+	return engineAnswer
+}
--- /dev/null
+++ b/citronnode/control.go
@@ -0,0 +1,324 @@
+package citronnode
+
+// The control loop: the one goroutine that owns what this node believes.
+// Documents come from the store and from other nodes alike; the higher
+// revision wins, whoever brings it, so a node never goes back.
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronevent"
+	"citrondeck.dev/citrondeck/citronforward"
+	"citrondeck.dev/citrondeck/citronkv"
+	"citrondeck.dev/citrondeck/citronmodel"
+	"citrondeck.dev/citrondeck/citronpeer"
+	"citrondeck.dev/citrondeck/citronpool"
+	"citrondeck.dev/citrondeck/citrontable"
+)
+
+const (
+	// inboxSize lets sources go on while the loop builds a table.
+	inboxSize = 256
+	// tickEvery is how often the loop looks at what time changes.
+	tickEvery = 100 * time.Millisecond
+	// lapseGrace is how long an engine whose entry lapsed during an outage
+	// of the store stays in use: entries of live engines are back within
+	// two seconds.
+	lapseGrace = 2500 * time.Millisecond
+	// troubleMemory is how long after a failed call to the store a lapsed
+	// entry is put down to the outage.
+	troubleMemory = 4 * time.Second
+	// memberTimeout is when a node that was not heard of is taken for
+	// dead: several rounds of gossip.
+	memberTimeout = 2 * time.Second
+	// memberForget is when it is no longer asked.
+	memberForget = 20 * time.Second
+)
+
+// message is an input of the control loop.
+type message interface{ isMessage() }
+
+// configSeen brings a configuration.
+type configSeen struct {
+	body   []byte
+	source string
+}
+
+// listSeen brings the whole list of engines as of a revision.
+type listSeen struct {
+	items    []citronkv.Item
+	revision int64
+	source   string
+}
+
+// listChanged brings changes of the list up to a revision.
+type listChanged struct {
+	items    []citronkv.Item
+	revision int64
+}
+
+// membersSeen brings news of other nodes.
+type membersSeen struct{ members []citronpeer.Member }
+
+func (configSeen) isMessage()  {}
+func (listSeen) isMessage()    {}
+func (listChanged) isMessage() {}
+func (membersSeen) isMessage() {}
+
+// listed is an entry of the list of engines.
+type listed struct {
+	engine citronmodel.Engine
+	item   citronkv.Item
+	// lapsed is when the entry was found missing; zero while it is there.
+	lapsed time.Time
+}
+
+type known struct {
+	citronpeer.Member
+	heard time.Time
+	alive bool
+}
+
+// control is the state of the loop.
+type control struct {
+	n       *Node
+	config  citronpeer.Document
+	table   *citrontable.Table
+	list    map[string]listed
+	listRev int64
+	// listDoc is the list as it is passed on; made anew when it changes.
+	listDoc citronpeer.Document
+	members map[string]known
+	self    citronpeer.Member
+	view    *citronpool.View
+	// listSince is when the first list came.
+	listSince time.Time
+	changed   bool
+}
+
+func (n *Node) loop(ctx context.Context) {
+	c := &control{n: n, list: map[string]listed{}, members: map[string]known{}, self: n.snap.Load().self}
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-n.control:
+			c.take(ctx, m)
+		case <-tick.C:
+			c.tick(ctx)
+		}
+		c.publish()
+	}
+}
+
+func (c *control) take(ctx context.Context, m message) {
+	switch m := m.(type) {
+	case configSeen:
+		c.takeConfig(ctx, m)
+	case listSeen:
+		c.takeList(ctx, m)
+	case listChanged:
+		c.takeChanges(ctx, m)
+	case membersSeen:
+		c.takeMembers(ctx, m.members)
+	}
+}
+
+func (c *control) takeConfig(ctx context.Context, m configSeen) {
+	t, err := c.n.src.DecodeConfig(m.body)
+	if err != nil {
+		citronevent.Log(ctx, c.n.log, citronevent.TableRejected, "source", m.source, "err", err)
+		return
+	}
+	if c.table != nil && t.Version <= c.table.Version {
+		return
+	}
+	c.table = t
+	c.config = citronpeer.Document{Revision: t.Version, Body: m.body}
+	c.changed = true
+	c.n.tell()
+	citronevent.Log(ctx, c.n.log, citronevent.TableApplied, "version", t.Version, "source", m.source)
+}
+
+func (c *control) takeList(ctx context.Context, m listSeen) {
+	if m.revision <= c.listRev && c.listRev > 0 {
+		return
+	}
+	seen := map[string]bool{}
+	for _, it := range m.items {
+		seen[it.Key] = true
+		c.put(ctx, it)
+	}
+	for key, l := range c.list {
+		if !seen[key] {
+			c.drop(ctx, key, l)
+		}
+	}
+	c.listAt(ctx, m.revision, m.source)
+}
+
+func (c *control) takeChanges(ctx context.Context, m listChanged) {
+	if m.revision <= c.listRev {
+		return
+	}
+	for _, it := range m.items {
+		if it.Revision <= c.listRev {
+			continue
+		}
+		if !it.Deleted {
+			c.put(ctx, it)
+			continue
+		}
+		if l, ok := c.list[it.Key]; ok {
+			c.drop(ctx, it.Key, l)
+		}
+	}
+	if len(m.items) > 0 {
+		c.listAt(ctx, m.revision, "store")
+	}
+}
+
+func (c *control) listAt(ctx context.Context, revision int64, source string) {
+	c.listRev = revision
+	if c.listSince.IsZero() {
+		c.listSince = c.n.clock.Now()
+	}
+	c.changed = true
+	c.listDoc = citronpeer.Document{}
+	c.n.tell()
+	citronevent.Log(ctx, c.n.log, citronevent.EnginesChanged, "revision", revision, "engines", len(c.list), "source", source)
+}
+
+func (c *control) put(ctx context.Context, it citronkv.Item) {
+	e, err := c.n.src.DecodeEngine(it.Key, it.Value)
+	if err != nil {
+		citronevent.Log(ctx, c.n.log, citronevent.EngineRejected, "key", it.Key, "err", err)
+		return
+	}
+	if old, ok := c.list[it.Key]; !ok || old.engine != e || !old.lapsed.IsZero() {
+		citronevent.Log(ctx, c.n.log, citronevent.EnginesChanged, "engine", e.ID, "peer", e.Addr, "service", e.Service, "zone", e.Zone, "kind", e.Kind, "from", e.Layers.From, "to", e.Layers.To, "leaving", e.Leaving)
+	}
+	c.list[it.Key] = listed{engine: e, item: it}
+}
+
+// drop takes an engine out. An entry that lapsed while the store was away
+// may belong to a live engine that could not renew it: it stays in use for
+// the time in which it would come back.
+func (c *control) drop(ctx context.Context, key string, l listed) {
+	now := c.n.clock.Now()
+	trouble := time.Unix(0, c.n.storeTrouble.Load())
+	if !l.engine.Leaving && now.Sub(trouble) < troubleMemory {
+		if l.lapsed.IsZero() {
+			l.lapsed = now
+			c.list[key] = l
+		}
+		return
+	}
+	delete(c.list, key)
+	citronevent.Log(ctx, c.n.log, citronevent.EnginesChanged, "engine", l.engine.ID, "peer", l.engine.Addr, "gone", true)
+}
+
+func (c *control) takeMembers(ctx context.Context, members []citronpeer.Member) {
+	for _, m := range members {
+		if m.Name == c.self.Name {
+			continue
+		}
+		old, ok := c.members[m.Name]
+		if ok && !m.Newer(old.Member) {
+			continue
+		}
+		k := known{Member: m, heard: c.n.clock.Now(), alive: true}
+		c.members[m.Name] = k
+		if !ok || !old.alive || old.Leaving != m.Leaving || old.Ready != m.Ready {
+			c.changed = true
+			citronevent.Log(ctx, c.n.log, citronevent.MemberJoined, "member", m.Name, "peer", m.Peer, "ready", m.Ready, "leaving", m.Leaving)
+		}
+	}
+}
+
+func (c *control) tick(ctx context.Context) {
+	now := c.n.clock.Now()
+	for key, l := range c.list {
+		if !l.lapsed.IsZero() && now.Sub(l.lapsed) > lapseGrace {
+			delete(c.list, key)
+			c.changed = true
+			c.listDoc = citronpeer.Document{}
+			citronevent.Log(ctx, c.n.log, citronevent.EnginesChanged, "engine", l.engine.ID, "peer", l.engine.Addr, "gone", true, "lapsed", now.Sub(l.lapsed))
+		}
+	}
+	for name, m := range c.members {
+		age := now.Sub(m.heard)
+		if m.alive && age > memberTimeout {
+			m.alive = false
+			c.members[name] = m
+			c.changed = true
+			citronevent.Log(ctx, c.n.log, citronevent.MemberLost, "member", name, "peer", m.Peer, "age", age)
+		}
+		if age > memberForget {
+			delete(c.members, name)
+		}
+	}
+	c.self.Beat++
+	c.self.Leaving = c.n.leaving.Load()
+	c.self.Ready = c.n.Ready()
+}
+
+// settle is how long after the first list a node waits before it says that
+// it is ready: on a cold start engines are still registering.
+const settle = 300 * time.Millisecond
+
+// publish makes the newest state visible to traffic, gossip and placement.
+func (c *control) publish() {
+	old := c.n.snap.Load()
+	s := &snapshot{config: c.config, self: c.self, traffic: old.traffic, engines: old.engines}
+	s.listSettled = !c.listSince.IsZero() && c.n.clock.Now().Sub(c.listSince) > settle
+	nodes := 1
+	for _, m := range c.members {
+		if m.alive {
+			s.members = append(s.members, m.Member)
+			nodes++
+		}
+	}
+	if c.changed {
+		c.changed = false
+		s.engines = c.engines()
+		c.view = citronpool.Build(s.engines, c.view)
+		if c.table != nil {
+			s.traffic = &citronforward.State{Table: c.table, View: c.view, Nodes: nodes}
+		}
+		c.n.budget.Share(nodes)
+	}
+	if c.listDoc.Body == nil && c.listRev > 0 {
+		c.listDoc = citronpeer.Document{Revision: c.listRev, Body: c.encodeList()}
+	}
+	s.list = c.listDoc
+	c.n.snap.Store(s)
+}
+
+func (c *control) engines() []citronmodel.Engine {
+	out := make([]citronmodel.Engine, 0, len(c.list))
+	for _, l := range c.list {
+		out = append(out, l.engine)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+func (c *control) encodeList() []byte {
+	items := make([]citronkv.Item, 0, len(c.list))
+	for _, l := range c.list {
+		if l.lapsed.IsZero() {
+			items = append(items, l.item)
+		}
+	}
+	body, err := json.Marshal(items)
+	if err != nil {
+		return nil // items are plain values; marshalling them cannot fail
+	}
+	return body
+}
--- /dev/null
+++ b/citronnode/node.go
@@ -0,0 +1,166 @@
+// Package citronnode is a node that serves callers in front of engines: it
+// keeps the configuration, the list of engines and the other nodes up to
+// date, forwards requests by them, tells callers where to connect, and,
+// when it holds the leader's lease, places layers on engines.
+//
+//	store --watch--> sources --+                 +--> traffic (citronforward)
+//	nodes --gossip-> exchange -+--> control loop +--> directory
+//	                           (one goroutine)   +--> placement (leader only)
+//
+// All nodes are alike, keep nothing on disk, and learn what must last from
+// the store. The control loop owns all state and publishes it as immutable
+// snapshots; traffic and directory only read those.
+package citronnode
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronbudget"
+	"citrondeck.dev/citrondeck/citronclock"
+	"citrondeck.dev/citrondeck/citronevent"
+	"citrondeck.dev/citrondeck/citronforward"
+	"citrondeck.dev/citrondeck/citronkv"
+	"citrondeck.dev/citrondeck/citronmodel"
+	"citrondeck.dev/citrondeck/citronpeer"
+	"citrondeck.dev/citrondeck/citronplace"
+	"citrondeck.dev/citrondeck/citrontable"
+)
+
+// Settings of a node.
+type Settings struct {
+	Name, Zone string
+	// Front and Peer are this node's addresses for callers and nodes.
+	Front, Peer string
+	// Seeds are peer addresses of nodes that may be running.
+	Seeds []string
+	// LeaseTTL is the life of the leader's lease without renewal.
+	LeaseTTL time.Duration
+	// Grace is the time between the signal to stop and the kill.
+	Grace time.Duration
+}
+
+// Sources is where a node's documents come from and how to read them.
+type Sources struct {
+	Store        citronkv.Store
+	ConfigKey    string
+	EnginePrefix string
+	DecodeConfig func([]byte) (*citrontable.Table, error)
+	DecodeEngine func(key string, text []byte) (citronmodel.Engine, error)
+	Orders       citronplace.Orders
+}
+
+// Node is one node.
+type Node struct {
+	set    Settings
+	src    Sources
+	clock  citronclock.Clock
+	log    *slog.Logger
+	budget *citronbudget.Budget
+	peers  *citronpeer.Client
+
+	// control is the control loop's inbox; see control.go.
+	control chan message
+	snap    atomic.Pointer[snapshot]
+	leaving atomic.Bool
+	// news wakes the gossip loop when a document changed.
+	news chan struct{}
+	// storeTrouble is when a call to the store last failed (Unix ns).
+	storeTrouble atomic.Int64
+	inflight     sync.WaitGroup
+	running      atomic.Int64
+}
+
+// snapshot is what the control loop publishes.
+type snapshot struct {
+	traffic *citronforward.State
+	engines []citronmodel.Engine
+	members []citronpeer.Member
+	// config and list are the documents passed on to other nodes.
+	config, list citronpeer.Document
+	self         citronpeer.Member
+	listSettled  bool
+}
+
+// New returns a node. hc is used to speak to other nodes.
+func New(set Settings, src Sources, clock citronclock.Clock, log *slog.Logger, budget *citronbudget.Budget, hc *http.Client) *Node {
+	n := &Node{
+		set: set, src: src, clock: clock, log: log, budget: budget,
+		peers:   &citronpeer.Client{HC: hc, Timeout: exchangeTimeout},
+		control: make(chan message, inboxSize),
+		news:    make(chan struct{}, 1),
+	}
+	n.snap.Store(&snapshot{self: citronpeer.Member{Name: set.Name, Zone: set.Zone, Front: set.Front, Peer: set.Peer, Started: clock.Now().UnixNano()}})
+	return n
+}
+
+// Traffic returns what requests are forwarded by, nil before there is any.
+func (n *Node) Traffic() *citronforward.State { return n.snap.Load().traffic }
+
+// Ready reports whether callers may connect.
+func (n *Node) Ready() bool { return !n.leaving.Load() && n.snap.Load().ready() }
+
+// Leaving reports whether this node is about to stop.
+func (n *Node) Leaving() bool { return n.leaving.Load() }
+
+func (s *snapshot) ready() bool { return s.traffic != nil && s.listSettled }
+
+// Track counts a request in flight.
+func (n *Node) Track() func() {
+	n.inflight.Add(1)
+	n.running.Add(1)
+	return func() {
+		n.running.Add(-1)
+		n.inflight.Done()
+	}
+}
+
+// Handle mounts what other nodes call.
+func (n *Node) Handle(mux *http.ServeMux) { citronpeer.Handle(mux, n.answer) }
+
+// Run keeps the node up to date until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { n.loop(ctx) })
+	tasks.Go(func() { n.gossip(ctx) })
+	tasks.Go(func() { n.follow(ctx, n.src.ConfigKey, true) })
+	tasks.Go(func() { n.follow(ctx, n.src.EnginePrefix, false) })
+	tasks.Go(func() { n.lead(ctx) })
+}
+
+const (
+	// leaveSettle is the part of the grace in which callers still find
+	// this node: their answers from the directory are some seconds old.
+	leaveSettle = 0.55
+	// leaveMargin is kept before the kill.
+	leaveMargin = 400 * time.Millisecond
+)
+
+// Drain takes the node out of the directory, serves on while callers still
+// know its address, and returns when nothing is in flight or the grace is
+// nearly over.
+func (n *Node) Drain(ctx context.Context) {
+	n.leaving.Store(true)
+	n.tell()
+	citronevent.Log(ctx, n.log, citronevent.DrainStarted, "inflight", n.running.Load())
+	end := n.clock.Now().Add(n.set.Grace - leaveMargin)
+	_ = n.clock.Sleep(ctx, time.Duration(float64(n.set.Grace)*leaveSettle))
+	for n.running.Load() > 0 && n.clock.Now().Before(end) && ctx.Err() == nil {
+		_ = n.clock.Sleep(ctx, drainPoll)
+	}
+	citronevent.Log(ctx, n.log, citronevent.DrainDone, "inflight", n.running.Load())
+}
+
+const drainPoll = 50 * time.Millisecond
+
+func (n *Node) tell() {
+	select {
+	case n.news <- struct{}{}:
+	default: // a wake-up is pending already
+	}
+}
--- /dev/null
+++ b/citronnode/placement.go
@@ -0,0 +1,163 @@
+package citronnode
+
+// Placement: the leader compares what engines hold with what they should
+// hold and gives orders for the difference. It keeps no plan: each round
+// starts from the engines' own entries, so a new leader goes on where the
+// old one stopped.
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronevent"
+	"citrondeck.dev/citrondeck/citronmodel"
+	"citrondeck.dev/citrondeck/citronplace"
+)
+
+const (
+	placeEvery = 200 * time.Millisecond
+	// listQuiet is how long the list of engines must not have grown before
+	// a model is placed for the first time: engines register one after the
+	// other, and a plan for half of them would fill those to the brim.
+	listQuiet = 1200 * time.Millisecond
+	// orderSettle is how long after an order the list may still show the
+	// state before it; the engine itself is asked only after that.
+	orderSettle = 2500 * time.Millisecond
+)
+
+// placer is the state of one reign.
+type placer struct {
+	n *Node
+	// pending are the spans that engines were last ordered to hold.
+	mu      sync.Mutex
+	pending map[string]pendingOrder
+	// count and since tell how long the list has had its size.
+	count int
+	since time.Time
+}
+
+type pendingOrder struct {
+	span    citronmodel.Span
+	at      time.Time
+	running bool
+}
+
+func (n *Node) place(ctx context.Context) {
+	p := &placer{n: n, pending: map[string]pendingOrder{}, since: n.clock.Now()}
+	var orders sync.WaitGroup
+	defer orders.Wait()
+	for ctx.Err() == nil {
+		p.round(ctx, &orders)
+		_ = n.clock.Sleep(ctx, placeEvery)
+	}
+}
+
+func (p *placer) round(ctx context.Context, orders *sync.WaitGroup) {
+	s := p.n.snap.Load()
+	if s.traffic == nil {
+		return
+	}
+	now := p.n.clock.Now()
+	if len(s.engines) != p.count {
+		p.count, p.since = len(s.engines), now
+	}
+	for _, svc := range s.traffic.Table.Services {
+		if svc.Model == nil {
+			continue
+		}
+		engines := p.placeable(s, svc.Name, now)
+		if !anyPlaced(engines) && now.Sub(p.since) < listQuiet {
+			continue
+		}
+		for id, span := range citronplace.Decide(*svc.Model, engines) {
+			p.order(ctx, orders, engines, id, span, now)
+		}
+	}
+}
+
+// placeable returns the engines of a service that may hold layers, each
+// with the span that it holds or was ordered to hold.
+func (p *placer) placeable(s *snapshot, service string, now time.Time) []citronmodel.Engine {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []citronmodel.Engine
+	for _, e := range s.engines {
+		if e.Service != service || e.Leaving || e.Kind == "" {
+			continue
+		}
+		if d := s.traffic.View; d != nil {
+			if pe, ok := d.ByID(e.ID); ok && !pe.DeadSince().IsZero() && now.Sub(pe.DeadSince()) < deadFor {
+				continue
+			}
+		}
+		if o, ok := p.pending[e.ID]; ok {
+			if o.span == e.Layers {
+				delete(p.pending, e.ID)
+			} else if o.running || now.Sub(o.at) < orderSettle {
+				e.Layers = o.span
+			}
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// deadFor is how long an engine that did not answer is left out of the
+// placement; an engine that is gone is off the list by then.
+const deadFor = 4 * time.Second
+
+func anyPlaced(engines []citronmodel.Engine) bool {
+	for _, e := range engines {
+		if !e.Layers.Empty() {
+			return true
+		}
+	}
+	return false
+}
+
+// order has one engine hold a span, unless an order to it is under way.
+func (p *placer) order(ctx context.Context, orders *sync.WaitGroup, engines []citronmodel.Engine, id string, span citronmodel.Span, now time.Time) {
+	for _, e := range engines {
+		if e.ID != id || e.Layers == span {
+			continue
+		}
+		p.mu.Lock()
+		if p.pending[id].running {
+			p.mu.Unlock()
+			return
+		}
+		p.pending[id] = pendingOrder{span: span, at: now, running: true}
+		p.mu.Unlock()
+		citronevent.Log(ctx, p.n.log, citronevent.PlacePlanned, "engine", e.ID, "peer", e.Addr, "kind", e.Kind, "zone", e.Zone, "from", span.From, "to", span.To, "hadFrom", e.Layers.From, "hadTo", e.Layers.To)
+		orders.Go(func() {
+			err := p.carryOut(ctx, e, span)
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			o := p.pending[id]
+			o.running = false
+			o.at = p.n.clock.Now()
+			p.pending[id] = o
+			if err != nil {
+				delete(p.pending, id)
+				citronevent.Log(ctx, p.n.log, citronevent.PlaceFailed, "engine", e.ID, "peer", e.Addr, "err", err)
+			}
+		})
+	}
+}
+
+// carryOut asks the engine for its state and gives the order that fits it.
+func (p *placer) carryOut(ctx context.Context, e citronmodel.Engine, span citronmodel.Span) error {
+	st, err := p.n.src.Orders.State(ctx, e.Addr)
+	if err != nil {
+		return err
+	}
+	if st.Layers == span {
+		return nil
+	}
+	if err := p.n.src.Orders.Place(ctx, e, span, st.Accepted); err != nil {
+		return err
+	}
+	citronevent.Log(ctx, p.n.log, citronevent.PlaceOrdered, "engine", e.ID, "peer", e.Addr, "from", span.From, "to", span.To, "accepted", st.Accepted)
+	return nil
+}
--- /dev/null
+++ b/citronnode/sources.go
@@ -0,0 +1,203 @@
+package citronnode
+
+// Sources of what a node knows: watches on the store, and exchanges with
+// other nodes.
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronevent"
+	"citrondeck.dev/citrondeck/citronkv"
+	"citrondeck.dev/citrondeck/citronpeer"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// retryFirst and retryMost bound the wait after a failed call to the
+	// store. All nodes meet an outage together, so the wait is drawn at
+	// random and grows: they must not return as one.
+	retryFirst = 150 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
+	// gather is how long changes of the list of engines are collected
+	// before the next watch: each watch is a priced call.
+	gather = 150 * time.Millisecond
+	// gossipEvery and fanout set how news spreads.
+	gossipEvery = 300 * time.Millisecond
+	fanout      = 3
+	// exchangeTimeout bounds one exchange; a node that is well answers
+	// within milliseconds.
+	exchangeTimeout = 500 * time.Millisecond
+)
+
+// follow keeps a prefix of the store up to date: it reads all of it and
+// then watches from that revision on. When the store has dropped the
+// history since, it reads all again.
+func (n *Node) follow(ctx context.Context, prefix string, config bool) {
+	wait := retryFirst
+	down := false
+	for ctx.Err() == nil {
+		err := n.followOnce(ctx, prefix, config, func() {
+			wait = retryFirst
+			if down {
+				down = false
+				citronevent.Log(ctx, n.log, citronevent.StoreBack, "step", prefix)
+			}
+		})
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, citronkv.ErrCompacted) {
+			continue
+		}
+		n.storeTrouble.Store(n.clock.Now().UnixNano())
+		if !down {
+			down = true
+			citronevent.Log(ctx, n.log, citronevent.StoreLost, "step", prefix, "err", err)
+		}
+		_ = n.clock.Sleep(ctx, wait/2+rand.N(wait))
+		wait = min(wait*2, retryMost)
+	}
+}
+
+func (n *Node) followOnce(ctx context.Context, prefix string, config bool, well func()) error {
+	items, rev, err := n.src.Store.Range(ctx, prefix)
+	if err != nil {
+		return err
+	}
+	well()
+	if config {
+		n.sendConfig(ctx, items)
+	} else {
+		n.send(ctx, listSeen{items: items, revision: rev, source: "store"})
+	}
+	for {
+		events, next, err := n.src.Store.Watch(ctx, prefix, rev)
+		if err != nil {
+			return err
+		}
+		well()
+		rev = max(rev, next)
+		if config {
+			n.sendConfig(ctx, events)
+			continue
+		}
+		n.send(ctx, listChanged{items: events, revision: rev})
+		if len(events) > 0 {
+			_ = n.clock.Sleep(ctx, gather)
+		}
+	}
+}
+
+func (n *Node) sendConfig(ctx context.Context, items []citronkv.Item) {
+	for _, it := range items {
+		if it.Key == n.src.ConfigKey && !it.Deleted {
+			n.send(ctx, configSeen{body: it.Value, source: "store"})
+		}
+	}
+}
+
+func (n *Node) send(ctx context.Context, m message) {
+	select {
+	case n.control <- m:
+	case <-ctx.Done():
+	}
+}
+
+// gossip exchanges knowledge with a few other nodes at a time.
+func (n *Node) gossip(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.news:
+		case <-timer.C:
+		}
+		for _, addr := range n.partners() {
+			go n.exchange(ctx, addr)
+		}
+		timer.Reset(gossipEvery/2 + rand.N(gossipEvery))
+	}
+}
+
+// partners draws the nodes to ask: a few that are known, or the seeds while
+// none is.
+func (n *Node) partners() []string {
+	s := n.snap.Load()
+	addrs := make([]string, 0, len(s.members))
+	for _, m := range s.members {
+		addrs = append(addrs, m.Peer)
+	}
+	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	if len(addrs) > fanout {
+		addrs = addrs[:fanout]
+	}
+	if len(addrs) < fanout || rand.N(seedChance) == 0 {
+		for _, a := range n.set.Seeds {
+			if a != n.set.Peer {
+				addrs = append(addrs, a)
+			}
+		}
+	}
+	return addrs
+}
+
+// seedChance: one round in so many also asks the seeds, so that two halves
+// of a fleet that lost each other meet again.
+const seedChance = 10
+
+func (n *Node) exchange(ctx context.Context, addr string) {
+	s := n.snap.Load()
+	theirs, err := n.peers.Exchange(ctx, addr, s.knowledge(citronpeer.Knowledge{Config: s.config, Engines: s.list}))
+	if err != nil {
+		citronevent.Log(ctx, n.log, citronevent.GossipFailed, "peer", addr, "err", err)
+		return
+	}
+	n.learn(ctx, theirs)
+}
+
+// knowledge is what this node tells one that knows other; bodies that the
+// other has are left out.
+func (s *snapshot) knowledge(other citronpeer.Knowledge) citronpeer.Knowledge {
+	k := citronpeer.Knowledge{Members: append([]citronpeer.Member{s.self}, s.members...), Config: s.config, Engines: s.list}
+	if other.Config.Revision >= k.Config.Revision {
+		k.Config.Body = nil
+	}
+	if other.Engines.Revision >= k.Engines.Revision {
+		k.Engines.Body = nil
+	}
+	return k
+}
+
+// answer is this node's side of an exchange that another began.
+func (n *Node) answer(theirs citronpeer.Knowledge) citronpeer.Knowledge {
+	ctx := context.Background()
+	n.learn(ctx, theirs)
+	s := n.snap.Load()
+	if theirs.Config.Revision > s.config.Revision || theirs.Engines.Revision > s.list.Revision {
+		for _, m := range theirs.Members[:min(1, len(theirs.Members))] {
+			go n.exchange(ctx, m.Peer)
+		}
+	}
+	return s.knowledge(theirs)
+}
+
+func (n *Node) learn(ctx context.Context, k citronpeer.Knowledge) {
+	n.send(ctx, membersSeen{k.Members})
+	if len(k.Config.Body) > 0 {
+		n.send(ctx, configSeen{body: k.Config.Body, source: "node"})
+	}
+	if len(k.Engines.Body) == 0 {
+		return
+	}
+	var items []citronkv.Item
+	if err := json.Unmarshal(k.Engines.Body, &items); err != nil {
+		citronevent.Log(ctx, n.log, citronevent.EngineRejected, "key", "exchange", "err", err)
+		return
+	}
+	n.send(ctx, listSeen{items: items, revision: k.Engines.Revision, source: "node"})
+}
--- /dev/null
+++ b/citronpeer/peer.go
@@ -0,0 +1,92 @@
+// Package citronpeer lets nodes tell each other what they know: who is
+// there, which configuration is the newest, and which engines are leaving.
+//
+// A node that the store turns away for a while still has to learn of a new
+// configuration and of engines that leave. Every node asks a few others,
+// drawn at random, a few times a second; whoever has the older document
+// takes the newer one. News reaches all nodes in a number of rounds that
+// grows with the logarithm of the fleet, at a cost for each node that does
+// not grow with it.
+package citronpeer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronwire"
+)
+
+// Member is a node as the others know it.
+type Member struct {
+	Name string `json:"name"`
+	Zone string `json:"zone"`
+	// Front is where callers connect, Peer where other nodes do.
+	Front string `json:"front"`
+	Peer  string `json:"peer"`
+	// Started tells a restarted process from the one before it; Beat
+	// grows while the process lives.
+	Started int64 `json:"started"`
+	Beat    int64 `json:"beat"`
+	// Ready: callers may connect. Leaving: it will stop.
+	Ready   bool `json:"ready"`
+	Leaving bool `json:"leaving"`
+}
+
+// Newer reports whether m is later news of the same node than o.
+func (m Member) Newer(o Member) bool {
+	if m.Started != o.Started {
+		return m.Started > o.Started
+	}
+	return m.Beat > o.Beat
+}
+
+// Document is something that nodes pass on whole; the higher revision wins.
+type Document struct {
+	Revision int64  `json:"revision"`
+	Body     []byte `json:"body,omitempty"`
+}
+
+// Knowledge is what a node tells another. Documents whose body is empty
+// only tell which revision it has.
+type Knowledge struct {
+	Members []Member
+	Config  Document
+	Engines Document
+}
+
+type exchangeMessage struct {
+	Members []Member `json:"members"`
+	Config  Document `json:"config"`
+	Engines Document `json:"engines"`
+}
+
+const procedure = "/citron.peer/Exchange"
+
+// Handle mounts the exchange on mux. answer gets what the other node knows
+// and returns what this one knows, with the bodies that the other lacks.
+func Handle(mux *http.ServeMux, answer func(Knowledge) Knowledge) {
+	citronwire.Handle(mux, procedure, func(_ context.Context, m *exchangeMessage) (*exchangeMessage, error) {
+		a := exchangeMessage(answer(Knowledge(*m)))
+		return &a, nil
+	})
+}
+
+// Client asks other nodes.
+type Client struct {
+	HC      *http.Client
+	Timeout time.Duration
+}
+
+// Exchange tells the node at addr what this one knows and returns what that
+// one knows.
+func (c *Client) Exchange(ctx context.Context, addr string, k Knowledge) (Knowledge, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	m := exchangeMessage(k)
+	res, err := citronwire.NewUnary[exchangeMessage, exchangeMessage](c.HC, "http://"+addr, procedure).Call(ctx, &m)
+	if err != nil {
+		return Knowledge{}, err
+	}
+	return Knowledge(*res), nil
+}
--- /dev/null
+++ b/citronpool/pool.go
@@ -0,0 +1,151 @@
+// Package citronpool keeps what a node sees of each engine while it sends
+// requests there: how many it has in flight, and whether the engine has just
+// failed. The list of engines is read by traffic as an immutable View; the
+// counters beside it are atomic and outlive a change of the list.
+package citronpool
+
+import (
+	"sync/atomic"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronmodel"
+)
+
+// Engine is an engine of the list with this node's own counters.
+type Engine struct {
+	citronmodel.Engine
+	*State
+}
+
+// State is what this node saw of one incarnation of an engine.
+type State struct {
+	inflight atomic.Int64
+	tokens   atomic.Int64
+	// avoidUntil is when the engine may get new work again (Unix ns).
+	avoidUntil atomic.Int64
+	failures   atomic.Int64
+	deadSince  atomic.Int64
+	// latency is a running mean of answer times in microseconds.
+	latency atomic.Int64
+}
+
+// Begin counts a request of so many tokens; the result ends it.
+func (s *State) Begin(tokens int) func() {
+	s.inflight.Add(1)
+	s.tokens.Add(int64(tokens))
+	var done atomic.Bool
+	return func() {
+		if done.CompareAndSwap(false, true) {
+			s.inflight.Add(-1)
+			s.tokens.Add(-int64(tokens))
+		}
+	}
+}
+
+// Inflight is the number of this node's requests at the engine.
+func (s *State) Inflight() int64 { return s.inflight.Load() }
+
+// Tokens is the cache that this node's requests at the engine may need.
+func (s *State) Tokens() int64 { return s.tokens.Load() }
+
+const (
+	// firstAvoid is how long an engine is left alone after one failure.
+	// The wait doubles at each further failure without a success between:
+	// a crashed engine is back after seconds, a full one after a few
+	// hundred milliseconds.
+	firstAvoid = 300 * time.Millisecond
+	maxAvoid   = 4 * time.Second
+)
+
+// Failed leaves the engine alone for a while.
+func (s *State) Failed(now time.Time) {
+	n := s.failures.Add(1)
+	wait := maxAvoid
+	if n < 5 {
+		wait = min(maxAvoid, firstAvoid<<(n-1))
+	}
+	s.avoidUntil.Store(now.Add(wait).UnixNano())
+}
+
+// Busy leaves the engine alone for the given time without holding the
+// failure against it.
+func (s *State) Busy(now time.Time, wait time.Duration) {
+	s.avoidUntil.Store(now.Add(wait).UnixNano())
+}
+
+// Dead marks an engine that no longer answers. Requests that run through
+// it are moved away.
+func (s *State) Dead(now time.Time) {
+	s.Failed(now)
+	s.deadSince.Store(now.UnixNano())
+}
+
+// DeadSince is when the engine was last found dead; zero if it answered
+// since.
+func (s *State) DeadSince() time.Time {
+	n := s.deadSince.Load()
+	if n == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, n)
+}
+
+const latencyWeight = 8
+
+// Answered records a sound answer and how long it took.
+func (s *State) Answered(took time.Duration) {
+	s.failures.Store(0)
+	s.avoidUntil.Store(0)
+	s.deadSince.Store(0)
+	old := s.latency.Load()
+	if old == 0 {
+		s.latency.Store(took.Microseconds())
+		return
+	}
+	s.latency.Store(old + (took.Microseconds()-old)/latencyWeight)
+}
+
+// Latency is the running mean of the engine's answer times.
+func (s *State) Latency() time.Duration {
+	return time.Duration(s.latency.Load()) * time.Microsecond
+}
+
+// Usable reports whether the engine may get new work.
+func (e *Engine) Usable(now time.Time) bool {
+	return !e.Leaving && e.avoidUntil.Load() <= now.UnixNano()
+}
+
+// View is the list of engines at one moment.
+type View struct {
+	// ByService holds the engines of each service.
+	ByService map[string][]*Engine
+	byAddr    map[string]*Engine
+	byID      map[string]*Engine
+}
+
+// Build makes a view of engines; an engine that prev knows keeps its State.
+func Build(engines []citronmodel.Engine, prev *View) *View {
+	v := &View{ByService: map[string][]*Engine{}, byAddr: map[string]*Engine{}, byID: map[string]*Engine{}}
+	for _, e := range engines {
+		p := &Engine{Engine: e, State: &State{}}
+		if prev != nil && prev.byID[e.ID] != nil {
+			p.State = prev.byID[e.ID].State
+		}
+		v.ByService[e.Service] = append(v.ByService[e.Service], p)
+		v.byAddr[e.Addr] = p
+		v.byID[e.ID] = p
+	}
+	return v
+}
+
+// ByAddr returns the engine at an address.
+func (v *View) ByAddr(addr string) (*Engine, bool) {
+	e, ok := v.byAddr[addr]
+	return e, ok
+}
+
+// ByID returns the engine with an id.
+func (v *View) ByID(id string) (*Engine, bool) {
+	e, ok := v.byID[id]
+	return e, ok
+}
