--- a/citronnode/sources.go
+++ b/citronnode/sources.go
@@ -74,7 +74,7 @@
 		n.send(ctx, listSeen{items: items, revision: rev, source: "store"})
 	}
 	for {
-		events, next, err := n.src.Store.Watch(ctx, prefix, rev)
+		events, next, err := n.watch(ctx, prefix, rev)
 		if err != nil {
 			return err
 		}
@@ -91,6 +91,48 @@
 	}
 }
 
+const (
+	// lookEvery is how often some node of the fleet reads the store anew.
+	lookEvery = 500 * time.Millisecond
+	// longestWatch bounds a watch however many nodes there are.
+	longestWatch = 20 * time.Second
+	// watchAnswer is the time allowed for the answer to a watch that ends
+	// without events.
+	watchAnswer = time.Second
+)
+
+// watch waits for changes, at most until it is this node's turn to look.
+//
+// A watch can miss changes without an error: the store may hold it while it
+// drops its history, and a connection may go silent for good. The node then
+// believes an old state until the watch ends. The nodes' watches therefore
+// end in turn, one every lookEvery, and gossip takes what the one node
+// finds to the others; each node's own watches can be long, and few.
+func (n *Node) watch(ctx context.Context, prefix string, after citronkv.Revision) ([]citronkv.Item, citronkv.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, n.untilTurn()+watchAnswer)
+	defer cancel()
+	return n.src.Store.Watch(ctx, prefix, after)
+}
+
+// untilTurn is the time until this node's next turn, by its place among the
+// nodes that it knows.
+func (n *Node) untilTurn() time.Duration {
+	s := n.snap.Load()
+	rank := 0
+	for _, m := range s.members {
+		if m.Name < n.set.Name {
+			rank++
+		}
+	}
+	period := min(lookEvery*time.Duration(len(s.members)+1), longestWatch)
+	now := time.Duration(n.clock.Now().UnixNano())
+	wait := (time.Duration(rank)*lookEvery - now%period + period) % period
+	if wait < lookEvery/2 {
+		wait += period
+	}
+	return wait
+}
+
 func (n *Node) sendConfig(ctx context.Context, items []citronkv.Item) {
 	for _, it := range items {
 		if it.Key == n.src.ConfigKey && !it.Deleted {
