Streams are placed by what all nodes have running, and refused when no path has room

Each node knew only its own requests; repair filled the first spare engines to the brim. Ruled out: engine time (decode steps stay under 40 ms at that load).

--- a/citroncli/node.go
+++ b/citroncli/node.go
@@ -17,6 +17,7 @@
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronforward"
 	"citrondeck.dev/citrondeck/citronnode"
+	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/platform"
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -55,6 +56,7 @@
 	signal.Notify(hup, syscall.SIGHUP)
 	clock := citronclock.Real{}
 	budget := citronbudget.New(citronbudget.Limits{Ratio: set.RepeatRatio, Slack: set.RepeatSlack, Window: set.RepeatWindow})
+	loads := &citronpool.Loads{}
 	engines := platform.NewEngines()
 	node := citronnode.New(citronnode.Settings{
 		Name: set.Name, Zone: set.Zone, Front: set.Front, Peer: set.Peer, Seeds: set.Seeds,
@@ -62,10 +64,10 @@
 	}, citronnode.Sources{
 		Store: platform.NewStore(set.Store), ConfigKey: platform.ConfigKey, EnginePrefix: platform.EnginePrefix,
 		DecodeConfig: platform.DecodeConfig, DecodeEngine: platform.DecodeEngine, Orders: engines,
-	}, clock, log, budget, httpClient())
+	}, clock, log, budget, loads, httpClient())
 	registry := prometheus.NewRegistry()
 	forwarder := &citronforward.Forwarder{
-		Zone: set.Zone, Clock: clock, Log: log, Upstream: engines, Budget: budget,
+		Zone: set.Zone, Clock: clock, Log: log, Upstream: engines, Budget: budget, Loads: loads,
 		Current: node.Traffic, Metrics: citronforward.NewMetrics(registry),
 	}
 	ingress := &platform.Ingress{Forwarder: forwarder, Leaving: node.Leaving, Track: node.Track, MaxBodyBytes: maxBody}
--- /dev/null
+++ b/citronforward/admit.go
@@ -0,0 +1,59 @@
+package citronforward
+
+// Admission of streams.
+//
+// The load it answers: a surge, or the loss of engines at the peak, brings
+// more streams than the engines can cache. An engine whose cache is full
+// preempts its newest requests and reads them again, so that beyond this
+// point every stream is late and less work is done in all. A stream that
+// finds no path with room waits a moment for one, since streams end all the
+// time; then it is refused with the time after which room is likely. Streams
+// that have begun are let through: the caller has part of the answer.
+
+import (
+	"context"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronpath"
+)
+
+const (
+	// fullest is the share of the fullest engine's cache up to which
+	// streams are let in. Requests are counted with all tokens that they
+	// may come to, which is about a tenth more than they hold on average.
+	fullest = 1.05
+	// roomShare is the part of the target time for the first event that
+	// may go into waiting; the rest is needed for reading the prompt.
+	roomShare = 0.3
+	// roomPoll is how often a waiting stream looks again.
+	roomPoll = 20 * time.Millisecond
+	// retryRoom and retryRoomMost bound what a refused caller is told; in
+	// between, the time grows with how far the load is over the limit. A
+	// stream lasts about five seconds, so a fifth of the places is free
+	// again after one.
+	retryRoom     = 300 * time.Millisecond
+	retryRoomMost = 3 * time.Second
+	streamTime    = 5 * time.Second
+)
+
+// room returns a path with room for the stream. full says that there were
+// paths but none with room.
+func (s *streamJob) room(ctx context.Context) (p citronpath.Path, full, ok bool) {
+	until := s.f.Clock.Now().Add(time.Duration(float64(s.route.Target) * roomShare))
+	for {
+		state := s.f.Current()
+		p, ok = s.job.path(state, "")
+		if !ok {
+			return nil, false, false
+		}
+		used := p.Used(s.query(state, ""))
+		if used <= fullest || s.begun || s.ResumeAfter != "" {
+			return p, false, true
+		}
+		if s.f.Clock.Now().Add(roomPoll).After(until) || s.f.Clock.Sleep(ctx, roomPoll) != nil {
+			over := time.Duration((used - fullest) / used * float64(streamTime))
+			s.retryAfter = min(retryRoom+over, retryRoomMost)
+			return nil, true, false
+		}
+	}
+}
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -140,12 +140,14 @@
 	Abort()
 }
 
-// State is what traffic reads: a configuration, the engines and the number
-// of nodes that share them. It is immutable.
+// State is what traffic reads: a configuration, the engines and what other
+// nodes have running there. It is immutable.
 type State struct {
 	Table *citrontable.Table
 	View  *citronpool.View
-	Nodes int
+	// Others is the cache, in tokens, that requests of other nodes take in
+	// each zone.
+	Others map[string]int64
 }
 
 // Forwarder forwards requests.
@@ -155,9 +157,12 @@
 	Log      *slog.Logger
 	Upstream Upstream
 	Budget   *citronbudget.Budget
+	Loads    *citronpool.Loads
 	// Current returns the newest state, nil before the first.
 	Current func() *State
 	Metrics *Metrics
+
+	reports reports
 }
 
 // job is one request on its way.
--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -83,7 +83,7 @@
 	err  error
 }
 
-func newWatch(s *streamJob, ctx context.Context) *watch { 
+func newWatch(s *streamJob, ctx context.Context) *watch {
 	w := &watch{s: s, ctx: ctx, ticker: time.NewTicker(checkEvery), reports: make(chan reportResult, 1), moves: make(chan moveResult, 1)}
 	context.AfterFunc(ctx, w.ticker.Stop)
 	return w
@@ -175,7 +175,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(w.ctx, reportTimeout)
 		defer cancel()
-		r, err := w.s.f.Upstream.Report(ctx, first)
+		r, err := w.s.f.reports.ask(ctx, w.s.f.Upstream, first)
 		w.reports <- reportResult{r, err}
 	}()
 }
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -91,12 +91,14 @@
 	defer s.unbind()
 	reason := "no path runs all layers"
 	for {
-		state := j.f.Current()
 		if j.service.Model == nil {
 			reason = "service runs no model"
 			break
 		}
-		p, ok := j.path(state, "")
+		p, full, ok := s.room(ctx)
+		if full {
+			reason = "engines' cache is full"
+		}
 		if !ok {
 			break
 		}
@@ -150,9 +152,15 @@
 	s.unbind()
 	s.path = p
 	s.pathSince = s.f.Clock.Now()
-	ends := make([]func(), len(p))
-	for i, h := range p {
-		ends[i] = h.Engine.Begin(s.tokens())
+	ends := make([]func(), 0, 2*len(p))
+	zones := map[string]bool{}
+	for _, h := range p {
+		ends = append(ends, h.Engine.Begin(s.tokens()))
+		if zone := h.Engine.Zone; !zones[zone] {
+			zones[zone] = true
+			s.f.Loads.Add(zone, s.tokens())
+			ends = append(ends, func() { s.f.Loads.Add(zone, -s.tokens()) })
+		}
 	}
 	s.release = func() {
 		for _, end := range ends {
--- a/citronforward/whole.go
+++ b/citronforward/whole.go
@@ -224,7 +224,11 @@
 
 // path chooses a path for the request's model.
 func (j *job) path(s *State, first string) (citronpath.Path, bool) {
-	return citronpath.Choose(s.View.ByService[j.service.Name], citronpath.Query{
-		Spec: *j.service.Model, Zone: j.f.Zone, Now: j.f.Clock.Now(), Avoid: j.avoid, First: first, Sharers: s.Nodes,
-	})
+	return citronpath.Choose(s.View.ByService[j.service.Name], j.query(s, first))
+}
+
+func (j *job) query(s *State, first string) citronpath.Query {
+	return citronpath.Query{
+		Spec: *j.service.Model, Zone: j.f.Zone, Now: j.f.Clock.Now(), Avoid: j.avoid, First: first, Others: s.Others,
+	}
 }
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -266,6 +266,7 @@
 	c.self.Beat++
 	c.self.Leaving = c.n.leaving.Load()
 	c.self.Ready = c.n.Ready()
+	c.self.Load = c.n.loads.Sums()
 }
 
 // settle is how long after the first list a node waits before it says that
@@ -277,21 +278,24 @@
 	old := c.n.snap.Load()
 	s := &snapshot{config: c.config, self: c.self, traffic: old.traffic, engines: old.engines}
 	s.listSettled = !c.listSince.IsZero() && c.n.clock.Now().Sub(c.listSince) > settle
-	nodes := 1
+	others := map[string]int64{}
 	for _, m := range c.members {
-		if m.alive {
-			s.members = append(s.members, m.Member)
-			nodes++
+		if !m.alive {
+			continue
+		}
+		s.members = append(s.members, m.Member)
+		for zone, tokens := range m.Load {
+			others[zone] += tokens
 		}
 	}
 	if c.changed {
 		c.changed = false
 		s.engines = c.engines()
 		c.view = citronpool.Build(s.engines, c.view)
-		if c.table != nil {
-			s.traffic = &citronforward.State{Table: c.table, View: c.view, Nodes: nodes}
-		}
-		c.n.budget.Share(nodes)
+		c.n.budget.Share(len(s.members) + 1)
+	}
+	if c.table != nil {
+		s.traffic = &citronforward.State{Table: c.table, View: c.view, Others: others}
 	}
 	if c.listDoc.Body == nil && c.listRev > 0 {
 		c.listDoc = citronpeer.Document{Revision: c.listRev, Body: c.encodeList()}
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -28,6 +28,7 @@
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronpeer"
 	"citrondeck.dev/citrondeck/citronplace"
+	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citrontable"
 )
 
@@ -61,6 +62,7 @@
 	clock  citronclock.Clock
 	log    *slog.Logger
 	budget *citronbudget.Budget
+	loads  *citronpool.Loads
 	peers  *citronpeer.Client
 
 	// control is the control loop's inbox; see control.go.
@@ -87,9 +89,9 @@
 }
 
 // New returns a node. hc is used to speak to other nodes.
-func New(set Settings, src Sources, clock citronclock.Clock, log *slog.Logger, budget *citronbudget.Budget, hc *http.Client) *Node {
+func New(set Settings, src Sources, clock citronclock.Clock, log *slog.Logger, budget *citronbudget.Budget, loads *citronpool.Loads, hc *http.Client) *Node {
 	n := &Node{
-		set: set, src: src, clock: clock, log: log, budget: budget,
+		set: set, src: src, clock: clock, log: log, budget: budget, loads: loads,
 		peers:   &citronpeer.Client{HC: hc, Timeout: exchangeTimeout},
 		control: make(chan message, inboxSize),
 		news:    make(chan struct{}, 1),
--- a/citronpath/path.go
+++ b/citronpath/path.go
@@ -47,9 +47,9 @@
 	Avoid map[string]bool
 	// First, if set, must be the first engine of the path.
 	First string
-	// Sharers is how many nodes send requests to the same engines; this
-	// node's own requests stand for that many.
-	Sharers int
+	// Others is the cache, in tokens, that requests of other nodes take
+	// in each zone.
+	Others map[string]int64
 }
 
 // Costs are in milliseconds of one token step, the unit that StepTime has.
@@ -68,20 +68,39 @@
 	typicalWriters = 120
 	typicalContext = 110_000
 	// fullAt is the share of an engine's cache beyond which a further
-	// request risks preemption; overfull makes such an engine the last
-	// choice without ruling it out.
-	fullAt   = 0.9
-	overfull = 40
+	// request risks preemption; overfull, a step of the whole zone's cost,
+	// makes another zone the better choice before that point is passed.
+	fullAt   = 0.8
+	overfull = 60
 )
 
-// cost of running one layer at e.
-func (q Query) perLayer(e *citronpool.Engine) float64 {
-	ms := q.Spec.StepTime(e.Kind, 1, typicalWriters, typicalContext)
+// Used is the share of an engine's cache that running requests may need.
+// Requests of other nodes are known by zone only; all requests of a zone
+// pass through about the same engines.
+func (q Query) Used(e *citronpool.Engine) float64 {
 	cache := q.Spec.CacheTokens(e.Kind, e.Layers.Len())
 	if cache <= 0 {
 		return math.Inf(1)
 	}
-	used := float64(e.Tokens()) * float64(max(1, q.Sharers)) / cache
+	return (float64(e.Tokens()) + float64(q.Others[e.Zone])) / cache
+}
+
+// Used is the share of cache taken at the fullest engine of the path.
+func (p Path) Used(q Query) float64 {
+	most := 0.0
+	for _, h := range p {
+		most = max(most, q.Used(h.Engine))
+	}
+	return most
+}
+
+// cost of running one layer at e.
+func (q Query) perLayer(e *citronpool.Engine) float64 {
+	ms := q.Spec.StepTime(e.Kind, 1, typicalWriters, typicalContext)
+	used := q.Used(e)
+	if math.IsInf(used, 1) {
+		return used
+	}
 	c := ms * (1 + used)
 	if used > fullAt {
 		c += overfull * (used - fullAt) / float64(e.Layers.Len())
--- a/citronpeer/peer.go
+++ b/citronpeer/peer.go
@@ -31,6 +31,8 @@
 	// Ready: callers may connect. Leaving: it will stop.
 	Ready   bool `json:"ready"`
 	Leaving bool `json:"leaving"`
+	// Load is the cache, in tokens, that the node's requests take by zone.
+	Load map[string]int64 `json:"load,omitempty"`
 }
 
 // Newer reports whether m is later news of the same node than o.
--- a/citronplace/plan.go
+++ b/citronplace/plan.go
@@ -33,6 +33,9 @@
 	// repairShare is the part of the zone's even cache that an engine must
 	// keep when it takes in layers of a dead neighbour.
 	repairShare = 0.45
+	// repairSearch and repairSteps bound the search for the evenest repair.
+	repairSearch = 4
+	repairSteps  = 12
 )
 
 // Decide returns the placement for all engines of a service. Engines that
@@ -136,15 +139,33 @@
 	return low
 }
 
-// repair fills gaps without moving layers that work.
-func repair(spec citronmodel.Spec, engines []citronmodel.Engine, gaps []citronmodel.Span, tokens float64) (Plan, bool) {
-	plan := Plan{}
-	for _, g := range gaps {
-		if !fillGap(spec, engines, plan, g, tokens) {
-			return nil, false
+// repair fills gaps without moving layers that work, as evenly as it can:
+// with the largest cache that all engines which take part can keep. It
+// fails if that is less than least.
+func repair(spec citronmodel.Spec, engines []citronmodel.Engine, gaps []citronmodel.Span, least float64) (Plan, bool) {
+	try := func(tokens float64) (Plan, bool) {
+		plan := Plan{}
+		for _, g := range gaps {
+			if !fillGap(spec, engines, plan, g, tokens) {
+				return nil, false
+			}
+		}
+		return plan, true
+	}
+	best, ok := try(least)
+	if !ok {
+		return nil, false
+	}
+	low, high := least, least*repairSearch
+	for range repairSteps {
+		mid := (low + high) / 2
+		if plan, ok := try(mid); ok {
+			low, best = mid, plan
+		} else {
+			high = mid
 		}
 	}
-	return plan, true
+	return best, true
 }
 
 // current is what an engine holds once plan is carried out.
--- a/citronpool/pool.go
+++ b/citronpool/pool.go
@@ -5,6 +5,7 @@
 package citronpool
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -149,3 +150,29 @@
 	e, ok := v.byID[id]
 	return e, ok
 }
+
+// Loads counts the tokens of this node's requests by the zone whose engines
+// run them. Nodes tell each other these sums: a node that knew only its own
+// requests would send more to a zone that the others have filled.
+type Loads struct{ zones sync.Map }
+
+func (l *Loads) zone(name string) *atomic.Int64 {
+	v, ok := l.zones.Load(name)
+	if !ok {
+		v, _ = l.zones.LoadOrStore(name, new(atomic.Int64))
+	}
+	return v.(*atomic.Int64)
+}
+
+// Add counts so many tokens more in a zone.
+func (l *Loads) Add(zone string, tokens int) { l.zone(zone).Add(int64(tokens)) }
+
+// Sums returns the tokens of all zones.
+func (l *Loads) Sums() map[string]int64 {
+	out := map[string]int64{}
+	l.zones.Range(func(k, v any) bool {
+		out[k.(string)] = v.(*atomic.Int64).Load()
+		return true
+	})
+	return out
+}
