Dead engines are found in 0.3 s and streams resumed in another zone; a lost answer is never 'not run'

Cause 1: after a crash of one engine in the middle of a path its zone's 150 streams fell silent; the first engine's report named the dead part only 0.6 s later, a repath across zones handed 26 MB a stream over the pipe (pauses of 1.9 s), the leader heard of the dead engine from the list after 4 s. Now a silent stream has all engines of its path asked (shared answers), streams resume in another zone's copy when their own has nobody for the part, nodes tell each other of dead engines, the leader checks and repairs at once, and the budget of repeats is dealt by need instead of in equal parts.

--- a/citronbudget/budget.go
+++ b/citronbudget/budget.go
@@ -1,10 +1,16 @@
-// Package citronbudget limits how often a node sends requests again.
+// Package citronbudget limits how often nodes send requests again.
 //
 // When engines fail, every request in flight wants a second try at once.
 // Without a limit the second tries arrive on top of the ordinary load just
 // when capacity is lowest, and the failure spreads. The nodes share one
 // budget for each service: a share of its requests plus a fixed slack in any
-// window. Each node keeps to its part without talking to the others.
+// window.
+//
+// A failure hits the nodes unevenly: those of the zone whose engine died
+// need many repeats at once, the others none. So the budget is not divided
+// for good. Nodes tell each other what they have used; in each interval a
+// node may use a part of what was left at the last news, so small that all
+// of them together cannot pass the limit before the next news.
 package citronbudget
 
 import (
@@ -23,62 +29,115 @@
 }
 
 const (
-	// slices a window is divided into; a slice more is kept, so that any
-	// span of a window's length is covered.
+	// slices a window is divided into; one more is kept, so that any span
+	// of a window's length is covered.
 	slices = 20
-	// margin is the part of the budget that a node uses: the rest covers
-	// nodes that take more than their share of the traffic.
-	margin = 0.8
+	// margin is the part of the budget that is used at all; the rest
+	// covers news that is under way.
+	margin = 0.65
+	// boost lets a node take more than its equal part of what is left, as
+	// not all nodes need theirs: margin x boost is under 1, so one
+	// interval cannot pass the limit whatever the nodes do.
+	boost = 1.5
+	// interval is the time in which news reaches all nodes.
+	interval = 800 * time.Millisecond
 )
 
-type counts struct{ requests, repeats float64 }
+// Usage is what was sent for a service in a window.
+type Usage struct{ Requests, Repeats float64 }
 
 type ring struct {
 	slot   int64
-	slices [slices + 1]counts
+	slices [slices + 1]Usage
+	// others is what the other nodes have sent, by their last news.
+	others Usage
+	// allowance is what this node may still use in this interval.
+	allowance float64
+}
+
+func (r *ring) sum() Usage {
+	var sum Usage
+	for _, u := range r.slices {
+		sum.Requests += u.Requests
+		sum.Repeats += u.Repeats
+	}
+	return sum
 }
 
 // Budget counts the requests and repeats of one node.
 type Budget struct {
 	mu     sync.Mutex
 	limits Limits
-	nodes  int
 	rings  map[string]*ring
+	nodes  int
+	dealt  time.Time
 }
 
 // New returns a budget for one node of one.
 func New(l Limits) *Budget { return &Budget{limits: l, nodes: 1, rings: map[string]*ring{}} }
 
-// Share sets how many nodes divide the slack.
-func (b *Budget) Share(nodes int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.nodes = max(1, nodes)
-}
-
 func (b *Budget) at(service string, now time.Time) *ring {
 	slot := now.UnixNano() / int64(b.limits.Window/slices)
 	r := b.rings[service]
 	if r == nil {
 		r = &ring{slot: slot}
 		b.rings[service] = r
+		r.allowance = b.part(r)
+	}
+	if slot-r.slot > slices {
+		r.slices = [slices + 1]Usage{}
+		r.slot = slot
 	}
 	for r.slot < slot {
 		r.slot++
-		r.slices[r.slot%(slices+1)] = counts{}
-		if slot-r.slot > slices {
-			r.slot = slot - slices - 1
-		}
+		r.slices[r.slot%(slices+1)] = Usage{}
 	}
 	return r
 }
 
+// part is what this node may use of what is left.
+func (b *Budget) part(r *ring) float64 {
+	own := r.sum()
+	limit := margin * (b.limits.Ratio*(own.Requests+r.others.Requests) + b.limits.Slack)
+	left := max(0, limit-own.Repeats-r.others.Repeats)
+	return left * min(1, boost/float64(b.nodes))
+}
+
+// Learn takes what the other nodes have used, and how many nodes there are.
+func (b *Budget) Learn(others map[string]Usage, nodes int, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for service, u := range others {
+		b.at(service, now).others = u
+	}
+	b.nodes = max(1, nodes)
+	if now.Sub(b.dealt) < interval {
+		return
+	}
+	b.dealt = now
+	for service := range b.rings {
+		r := b.at(service, now)
+		r.allowance = b.part(r)
+	}
+}
+
+// Used returns what this node has sent in the last window.
+func (b *Budget) Used(now time.Time) map[string]Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := map[string]Usage{}
+	for service := range b.rings {
+		out[service] = b.at(service, now).sum()
+	}
+	return out
+}
+
 // Request counts a caller's request for a service.
 func (b *Budget) Request(service string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.at(service, now)
-	r.slices[r.slot%(slices+1)].requests++
+	r.slices[r.slot%(slices+1)].Requests++
 }
 
 // Take counts a repeat if the budget allows it.
@@ -86,14 +145,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.at(service, now)
-	var sum counts
-	for _, c := range r.slices {
-		sum.requests += c.requests
-		sum.repeats += c.repeats
-	}
-	if sum.repeats+1 > margin*(b.limits.Ratio*sum.requests+b.limits.Slack/float64(b.nodes)) {
+	if r.allowance < 1 {
 		return false
 	}
-	r.slices[r.slot%(slices+1)].repeats++
+	r.allowance--
+	r.slices[r.slot%(slices+1)].Repeats++
 	return true
 }
--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -59,6 +59,8 @@
 	PartReplaced   Event = 503
 	RepathFailed   Event = 504
 	AnswerSampled  Event = 505
+	StreamLate     Event = 506
+	StreamAsked    Event = 507
 
 	TableApplied   Event = 600
 	TableRejected  Event = 601
@@ -76,6 +78,7 @@
 	GossipFailed   Event = 613
 	LogDropped     Event = 614
 	SettingsReload Event = 615
+	EngineDead     Event = 616
 
 	// 400 to 403 were announced for the stand-ins and never logged.
 )
@@ -122,6 +125,8 @@
 	StreamBroken:        {slog.LevelWarn, "stream.broken", "a stream ended before its last event and could not be resumed"},
 	PartReplaced:        {slog.LevelWarn, "part.replaced", "an engine of a running stream's path died, stalled or is leaving; the stream is moved"},
 	RepathFailed:        {slog.LevelWarn, "repath.failed", "an engine did not move a running request to another path"},
+	StreamLate:          {slog.LevelInfo, "stream.late", "a stream was whole but late: its first event or a pause took longer than its route aims for; gives the moves of its path"},
+	StreamAsked:         {slog.LevelInfo, "stream.asked", "a silent stream's first engine told which requests wait for another engine"},
 	AnswerSampled:       {slog.LevelInfo, "answer.sampled", "a request was answered in full; one in many is logged"},
 
 	TableApplied:   {slog.LevelInfo, "table.applied", "a node put a new version of the configuration in force"},
@@ -139,6 +144,7 @@
 	PlaceFailed:    {slog.LevelWarn, "place.failed", "an order to hold layers was refused or not answered; the engine's state decides what follows"},
 	GossipFailed:   {slog.LevelDebug, "gossip.failed", "another node did not answer an exchange"},
 	LogDropped:     {slog.LevelWarn, "log.dropped", "log lines were dropped because the reader of the log was too slow or an event came too often"},
+	EngineDead:     {slog.LevelWarn, "engine.dead", "an engine that a node suspected did not answer the leader; its layers are placed elsewhere"},
 	SettingsReload: {slog.LevelInfo, "settings.reload", "a reload was asked for; what the settings say of bounds is in force"},
 
 	LedgerRetry: {slog.LevelWarn, "ledger.retry", "recording an answer in the ledger, or taking a claim back, failed; it is tried again"},
--- a/citronforward/admit.go
+++ b/citronforward/admit.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronpath"
@@ -24,16 +25,16 @@
 	fullest = 1.05
 	// roomShare is the part of the target time for the first event that
 	// may go into waiting; the rest is needed for reading the prompt.
-	roomShare = 0.3
+	roomShare = 0.12
 	// roomPoll is how often a waiting stream looks again.
 	roomPoll = 20 * time.Millisecond
-	// retryRoom and retryRoomMost bound what a refused caller is told; in
-	// between, the time grows with how far the load is over the limit. A
-	// stream lasts about five seconds, so a fifth of the places is free
-	// again after one.
-	retryRoom     = 300 * time.Millisecond
-	retryRoomMost = 3 * time.Second
-	streamTime    = 5 * time.Second
+	// retryRoom to retryRoomMost is what refused callers are told. A
+	// stream lasts about five seconds and a lost zone is whole again after
+	// as many, so a caller that returns sooner is likely to be refused
+	// again. The times are drawn at random: callers that were refused
+	// together must not return together.
+	retryRoom     = 1500 * time.Millisecond
+	retryRoomMost = 6 * time.Second
 )
 
 // room returns a path with room for the stream. full says that there were
@@ -51,8 +52,7 @@
 			return p, false, true
 		}
 		if s.f.Clock.Now().Add(roomPoll).After(until) || s.f.Clock.Sleep(ctx, roomPoll) != nil {
-			over := time.Duration((used - fullest) / used * float64(streamTime))
-			s.retryAfter = min(retryRoom+over, retryRoomMost)
+			s.retryAfter = retryRoom + rand.N(retryRoomMost-retryRoom)
 			return nil, true, false
 		}
 	}
--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -5,36 +5,45 @@
 // An engine in the middle of a path does not speak to this node: when it
 // dies, the stream just falls silent, and the first engine gives up only
 // after seconds, when the caller has long left. So a stream that is silent
-// for several times its usual pause asks the first engine what it waits
-// for. The answer names the dead engine; all streams that run through it
-// are then moved at once, without asking again.
+// for several times its usual pause has all engines of its path asked for a
+// sign of life; all streams that run through one that gives none are moved
+// at once, without asking again.
+//
+// There are two ways to move a stream. A repath keeps the run and replaces
+// the dead part: the new part has to read all tokens so far, which are
+// handed to it by the part before, so it is cheap within a zone and slow
+// across the pipe between zones. A resume starts a new run after the last
+// event: all parts read the prompt again, so it fits another zone's copy.
 //
 // An engine that is leaving serves on for a short while. Streams that run
 // through it are moved before it exits, spread over time so that their
-// prompts are not all read again at the same moment.
+// prompts are not all read again at the same moment, and after the time in
+// which its layers are placed on another engine of the zone.
 
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronpath"
+	"citrondeck.dev/citrondeck/citronpool"
 	"github.com/cockroachdb/errors"
 )
 
 const (
 	// checkEvery is how often a running stream looks at its path.
 	checkEvery = 50 * time.Millisecond
-	// silentAfter is the pause after which the first engine is asked.
-	// Events are about 100 ms apart under load, so this is a few of them;
-	// the caller leaves after 2 s.
-	silentAfter = 350 * time.Millisecond
+	// silentAfter is the pause after which the engines are asked. Events
+	// are about 100 ms apart under load, so this is a few of them; the
+	// caller leaves after 2 s.
+	silentAfter = 270 * time.Millisecond
 	// firstSilence is the same before the first event, which waits for
 	// the prompt to be read: up to 300 ms under load.
-	firstSilence = 600 * time.Millisecond
+	firstSilence = 500 * time.Millisecond
 	// askAgain is the time between two questions about one stream.
-	askAgain = 250 * time.Millisecond
+	askAgain = 300 * time.Millisecond
 	// reportTimeout is when an engine that does not tell its state counts
 	// as dead: it answers within a few milliseconds.
 	reportTimeout = 250 * time.Millisecond
@@ -47,7 +56,10 @@
 	maxRepaths = 4
 	// leaveSpread is the time over which streams move away from an engine
 	// that is leaving; it serves on for two seconds or more.
-	leaveSpread = 900 * time.Millisecond
+	leaveSpread = 700 * time.Millisecond
+	// leaveWait is how long a stream waits before that for the layers to
+	// be placed on another engine: a decision and a load of a few layers.
+	leaveWait = 900 * time.Millisecond
 )
 
 // action is what a check of a running stream calls for.
@@ -69,6 +81,9 @@
 	moving  bool
 	askedAt time.Time
 	repaths int
+	// waitUntil keeps a stream that cannot be moved now from trying again
+	// at every check.
+	waitUntil time.Time
 	// leaveAt is when this stream moves away from a leaving engine.
 	leaveAt time.Time
 }
@@ -108,6 +123,9 @@
 		return goOn
 	}
 	now := w.s.f.Clock.Now()
+	if now.Before(w.waitUntil) {
+		return goOn
+	}
 	since := w.s.lastAt
 	if w.s.pathSince.After(since) {
 		since = w.s.pathSince
@@ -157,7 +175,7 @@
 			continue
 		}
 		if w.leaveAt.IsZero() {
-			w.leaveAt = now.Add(time.Duration(rand.Int64N(int64(leaveSpread))))
+			w.leaveAt = now.Add(leaveWait + rand.N(leaveSpread))
 		}
 		if now.After(w.leaveAt) {
 			return i
@@ -167,28 +185,40 @@
 	return -1
 }
 
-// ask asks the first engine what the stream waits for.
+// ask asks all engines of the path for a sign of life. The first also
+// tells which of its requests wait for another engine.
 func (w *watch) ask(now time.Time) {
 	w.asking = true
 	w.askedAt = now
-	first := w.s.path[0].Engine.Addr
+	path := w.s.path
 	go func() {
-		ctx, cancel := context.WithTimeout(w.ctx, reportTimeout)
-		defer cancel()
-		r, err := w.s.f.reports.ask(ctx, w.s.f.Upstream, first)
+		var wait sync.WaitGroup
+		for _, h := range path[1:] {
+			wait.Go(func() { w.s.f.probe(w.ctx, h.Engine) })
+		}
+		r, err := w.s.f.reports.ask(w.ctx, w.s.f.Upstream, path[0].Engine.Addr)
+		wait.Wait()
 		w.reports <- reportResult{r, err}
 	}()
 }
 
+// probe asks an engine for a sign of life and notes if it gives none.
+func (f *Forwarder) probe(ctx context.Context, e *citronpool.Engine) {
+	if _, err := f.reports.ask(ctx, f.Upstream, e.Addr); err != nil && ctx.Err() == nil {
+		e.Dead(f.Clock.Now())
+	}
+}
+
 // heard takes the first engine's answer.
 func (w *watch) heard(r reportResult) action {
 	now := w.s.f.Clock.Now()
+	first := w.s.path[0].Engine
 	if r.err != nil {
 		if w.ctx.Err() != nil {
 			return goOn
 		}
-		w.s.path[0].Engine.Dead(now)
-		return w.replace(0, "no report: "+r.err.Error())
+		first.Dead(now)
+		return w.replace(0, "dead")
 	}
 	addr, ok := r.report.Stalled[w.s.ID]
 	if !ok {
@@ -217,16 +247,18 @@
 	return w.reroute(reason)
 }
 
-// reroute orders the first engine to take another path.
+// reroute replaces the path behind the first engine, or the whole run where
+// that is cheaper.
 func (w *watch) reroute(reason string) action {
 	s := w.s
-	if w.repaths >= maxRepaths {
-		return w.resume(reason)
-	}
 	p, ok := s.job.path(s.f.Current(), s.path[0].Engine.ID)
-	if !ok {
+	if !ok || w.repaths >= maxRepaths {
 		return w.resume(reason)
 	}
+	if !p.OneZone() && s.canResume() && s.takeBudget() {
+		s.paid = true
+		return replaceRun
+	}
 	w.repaths++
 	w.moving = true
 	w.leaveAt = time.Time{}
@@ -239,19 +271,21 @@
 	return goOn
 }
 
-// resume ends the run unless that would only lose it: a path that still
-// works, with nothing to go to, is better than none.
+// resume ends the run, so that another may go on after the last event. A
+// path whose engine is only leaving still works: it is better than none.
 func (w *watch) resume(reason string) action {
-	if !w.s.route.Idempotent() && w.s.begun {
-		return goOn
+	s := w.s
+	_, ok := s.job.path(s.f.Current(), "")
+	if ok && s.canResume() && s.takeBudget() {
+		s.paid = true
+		return replaceRun
 	}
 	if reason == "leaving" {
-		if _, ok := w.s.job.path(w.s.f.Current(), ""); !ok || w.s.runs+1 >= w.s.route.MaxAttempts+1 {
-			w.leaveAt = w.s.f.Clock.Now().Add(leaveSpread)
-			return goOn
-		}
+		w.leaveAt = s.f.Clock.Now().Add(leaveSpread / 2)
+		return goOn
 	}
-	return replaceRun
+	w.waitUntil = s.f.Clock.Now().Add(4 * checkEvery)
+	return goOn
 }
 
 // moved takes the answer to an order to move the request.
--- a/citronforward/reports.go
+++ b/citronforward/reports.go
@@ -8,8 +8,8 @@
 
 // reportFresh is how long an engine's report serves all streams that ask
 // for it. When an engine in the middle of a zone's path dies, all streams
-// of the zone fall silent at once and would each ask the same first engine.
-const reportFresh = 100 * time.Millisecond
+// of the zone fall silent at once and would each ask the same engines.
+const reportFresh = 500 * time.Millisecond
 
 // reports shares engines' reports between streams.
 type reports struct {
--- /dev/null
+++ b/citronforward/rig_test.go
@@ -0,0 +1,160 @@
+package citronforward_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronbudget"
+	"citrondeck.dev/citrondeck/citronclock"
+	"citrondeck.dev/citrondeck/citronforward"
+	"citrondeck.dev/citrondeck/citronmodel"
+	"citrondeck.dev/citrondeck/citronpath"
+	"citrondeck.dev/citrondeck/citronpool"
+	"citrondeck.dev/citrondeck/citrontable"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// sent is one call that the fake engines saw.
+type sent struct {
+	engine string
+	after  string
+	path   citronpath.Path
+	once   bool
+}
+
+// fakeEngines answers calls as the test says, by engine.
+type fakeEngines struct {
+	mu      sync.Mutex
+	calls   []sent
+	repaths []citronpath.Path
+	answer  func(ctx context.Context, n int, c citronforward.Call) (*citronforward.Reply, error)
+	report  func(addr string) (citronforward.Report, error)
+	repath  func(path citronpath.Path) error
+}
+
+func (f *fakeEngines) Send(ctx context.Context, c citronforward.Call) (*citronforward.Reply, error) {
+	f.mu.Lock()
+	n := len(f.calls)
+	f.calls = append(f.calls, sent{engine: c.Engine.ID, after: c.After, path: c.Hops, once: c.Once})
+	f.mu.Unlock()
+	return f.answer(ctx, n, c)
+}
+
+func (f *fakeEngines) Report(_ context.Context, addr string) (citronforward.Report, error) {
+	if f.report == nil {
+		return citronforward.Report{}, nil
+	}
+	return f.report(addr)
+}
+
+func (f *fakeEngines) Repath(_ context.Context, _, _ string, p citronpath.Path) error {
+	f.mu.Lock()
+	f.repaths = append(f.repaths, p)
+	f.mu.Unlock()
+	if f.repath == nil {
+		return nil
+	}
+	return f.repath(p)
+}
+
+func (f *fakeEngines) seen() []sent {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]sent(nil), f.calls...)
+}
+
+// caller records the answer that the caller gets.
+type caller struct {
+	status     int
+	retryAfter time.Duration
+	body       string
+	aborted    bool
+	refused    bool
+}
+
+func (c *caller) Answer(status int, _ http.Header, body []byte) {
+	c.status, c.body = status, string(body)
+}
+
+func (c *caller) Refuse(status int, after time.Duration, _ string) {
+	c.status, c.retryAfter, c.refused = status, after, true
+}
+func (c *caller) Begin(status int, _ http.Header) { c.status = status }
+func (c *caller) Event(text []byte) error         { c.body += string(text); return nil }
+func (c *caller) Abort()                          { c.aborted = true }
+
+var spec = citronmodel.Spec{
+	Layers: 8, LayerMB: 1000, TokenBytes: 8000, StepMS: 1, PerSeqMS: 0.005, ContextMSPerK: 0.006, ReadPerS: 160_000, Slots: 8,
+	Kinds: map[string]citronmodel.Kind{"fast": {Name: "fast", MemoryMB: 10_000, StepFactor: 2, ReadFactor: 3}},
+}
+
+func engine(id, zone string, from, to int) citronmodel.Engine {
+	return citronmodel.Engine{ID: id, Service: "model", Addr: id + ":1", Zone: zone, Kind: "fast", Layers: citronmodel.Span{From: from, To: to}}
+}
+
+func plain(id, zone string) citronmodel.Engine {
+	return citronmodel.Engine{ID: id, Service: "app", Addr: id + ":1", Zone: zone}
+}
+
+// rig is a forwarder in zone "a" before fake engines.
+type rig struct {
+	*citronforward.Forwarder
+	engines *fakeEngines
+	view    *citronpool.View
+}
+
+func newRig(t *testing.T, engines ...citronmodel.Engine) *rig {
+	t.Helper()
+	route := func(name string, kind citrontable.Kind, service string, attempts int) citrontable.Route {
+		return citrontable.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Timeout: time.Second, Target: 100 * time.Millisecond,
+			MaxGap: 250 * time.Millisecond, MaxAttempts: attempts, Services: []citrontable.Weighted{{Service: service, Weight: 1}},
+			Resumable: kind == citrontable.Streaming, Public: name == "public",
+		}
+	}
+	table := citrontable.New(7, []citrontable.Route{
+		route("safe", citrontable.Safe, "app", 2), route("unsafe", citrontable.Unsafe, "app", 1),
+		route("stream", citrontable.Streaming, "model", 2), route("public", citrontable.Safe, "app", 2),
+	}, []citrontable.Service{{Name: "app"}, {Name: "model", Model: &spec}},
+		[]citrontable.Customer{{Name: "council", Keys: []string{"k1"}}}, citrontable.Limits{MaxBodyBytes: 100})
+	r := &rig{engines: &fakeEngines{}, view: citronpool.Build(engines, nil)}
+	state := &citronforward.State{Table: table, View: r.view, Others: map[string]int64{}}
+	r.Forwarder = &citronforward.Forwarder{
+		Zone: "a", Clock: citronclock.Real{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Upstream: r.engines,
+		Budget:  citronbudget.New(citronbudget.Limits{Ratio: 0.2, Slack: 200, Window: 10 * time.Second}),
+		Loads:   &citronpool.Loads{},
+		Current: func() *citronforward.State { return state },
+		Metrics: citronforward.NewMetrics(prometheus.NewRegistry()),
+	}
+	return r
+}
+
+// ask sends a request of a route and returns what the caller got.
+func (r *rig) ask(route string, wait time.Duration, change ...func(*citronforward.Request)) *caller {
+	req := &citronforward.Request{
+		ID: "r1", Method: "POST", Host: "h", Path: "/" + route + "/x", Target: "/" + route + "/x", Header: http.Header{},
+		Received: time.Now(), Wait: wait, Key: "k1", PromptTokens: 100, OutputTokens: 20,
+	}
+	for _, f := range change {
+		f(req)
+	}
+	c := &caller{}
+	r.Serve(context.Background(), req, c)
+	return c
+}
+
+func reply(status int, body string) *citronforward.Reply {
+	return &citronforward.Reply{Status: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body)), Signed: true}
+}
+
+func shed(fault string) *citronforward.Reply {
+	r := reply(http.StatusServiceUnavailable, "")
+	r.NotRun, r.Fault, r.Signed = true, fault, false
+	return r
+}
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -63,7 +63,14 @@
 	// lastAt is when it was passed on, longest the longest pause so far.
 	lastAt  time.Time
 	longest time.Duration
-	path    citronpath.Path
+	// longestAt is the event before that pause, firstTook the time to the
+	// first event, moves how often the path changed.
+	longestAt string
+	firstTook time.Duration
+	moves     int
+	// paid: the budget has been charged for the next run.
+	paid bool
+	path citronpath.Path
 	// pathSince is when the path was chosen or last changed.
 	pathSince time.Time
 	release   func()
@@ -105,10 +112,11 @@
 		s.bind(p)
 		v := s.run(ctx)
 		if v == finished || v == engineAnswer {
-			j.f.Metrics.Pause.Observe(s.longest.Seconds())
+			s.ended(ctx)
 			return
 		}
 		if v == callerLeft {
+			j.runs++ // the engines may have begun
 			reason = "out of time"
 			break
 		}
@@ -122,8 +130,9 @@
 			break
 		}
 		reason = "stream broke off"
+		resume := s.mayResume()
 		j.runs++
-		if !s.mayResume() {
+		if !resume {
 			break
 		}
 		j.f.Metrics.Repairs.WithLabelValues("resume").Inc()
@@ -136,20 +145,40 @@
 	j.giveUp(ctx, reason)
 }
 
-// mayResume reports whether another run may go on after the last event.
+// ended records a stream that the caller has whole.
+func (s *streamJob) ended(ctx context.Context) {
+	s.f.Metrics.Pause.Observe(s.longest.Seconds())
+	if s.firstTook > s.route.Target || s.longest > s.route.MaxGap {
+		citronevent.Log(ctx, s.f.Log, citronevent.StreamLate, "request", s.ID, "first", s.firstTook, "pause", s.longest, "afterEvent", s.longestAt, "moves", s.moves, "runs", s.runs+1, "engine", s.path[0].Engine.ID, "zone", s.path[0].Engine.Zone)
+	}
+}
+
+// canResume reports whether another run may go on after the last event.
 // Runs whose first engine is gone do not count against the route's limit.
-func (s *streamJob) mayResume() bool {
-	now := s.f.Clock.Now()
+func (s *streamJob) canResume() bool {
+	if !s.route.Idempotent() {
+		return false
+	}
+	runs := s.runs + 1
 	first := s.path[0].Engine
-	if cur, ok := s.f.Current().View.ByID(first.ID); !ok || cur.Leaving || (!cur.DeadSince().IsZero() && now.Sub(cur.DeadSince()) < deadMemory) {
-		s.runs--
+	if cur, ok := s.f.Current().View.ByID(first.ID); !ok || cur.Leaving || s.f.Clock.Now().Sub(cur.DeadSince()) < deadMemory {
+		runs--
 	}
-	ok := s.mayRepeat()
-	return ok
+	return runs < max(1, s.route.MaxAttempts)
+}
+
+// mayResume is canResume with the budget, unless it is paid already.
+func (s *streamJob) mayResume() bool {
+	paid := s.paid
+	s.paid = false
+	return paid || s.canResume() && s.takeBudget()
 }
 
 func (s *streamJob) bind(p citronpath.Path) {
 	s.unbind()
+	if s.path != nil {
+		s.moves++
+	}
 	s.path = p
 	s.pathSince = s.f.Clock.Now()
 	ends := make([]func(), 0, 2*len(p))
@@ -293,10 +322,11 @@
 	now := s.f.Clock.Now()
 	if !s.begun {
 		s.begun = true
-		s.f.Metrics.FirstEvent.Observe(now.Sub(s.Received).Seconds())
+		s.firstTook = now.Sub(s.Received)
+		s.f.Metrics.FirstEvent.Observe(s.firstTook.Seconds())
 		s.out.Begin(reply.Status, reply.Header)
-	} else {
-		s.longest = max(s.longest, now.Sub(s.lastAt))
+	} else if pause := now.Sub(s.lastAt); pause > s.longest {
+		s.longest, s.longestAt = pause, s.last
 	}
 	if err := s.out.Event(ev.text); err != nil {
 		return callerLeft, true
--- /dev/null
+++ b/citronforward/stream_test.go
@@ -0,0 +1,240 @@
+package citronforward_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronforward"
+	"citrondeck.dev/citrondeck/citronmodel"
+	"citrondeck.dev/citrondeck/citronpath"
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: t%d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// breaking is a body that ends with an error after its text.
+type breaking struct {
+	io.Reader
+	err error
+}
+
+func (b breaking) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = b.err
+	}
+	return n, err
+}
+
+func (breaking) Close() error { return nil }
+
+// silent is a body that says no more after its text until ctx ends.
+type silent struct {
+	io.Reader
+	ctx context.Context
+}
+
+func (s silent) Read(p []byte) (int, error) {
+	n, err := s.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		<-s.ctx.Done()
+		return n, s.ctx.Err()
+	}
+	return n, err
+}
+
+func (silent) Close() error { return nil }
+
+// The engine dies in the middle of an event. The caller must see each event
+// once and whole, so the cut one is dropped and the stream goes on at
+// another engine after the last event that went out.
+func TestStreamIsResumedAfterLastWholeEvent(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, engine("m1", "a", 0, 8), engine("m2", "a", 0, 8))
+	r.engines.answer = func(_ context.Context, n int, c citronforward.Call) (*citronforward.Reply, error) {
+		if n == 0 {
+			rep := reply(200, "")
+			rep.Body = breaking{strings.NewReader(events(1, 3) + "id: 4\ndata: t"), io.ErrUnexpectedEOF}
+			return rep, nil
+		}
+		return reply(200, events(4, 6)), nil
+	}
+	got := r.ask("stream", time.Second)
+	is.Equal(got.body, events(1, 6))
+	is.True(!got.aborted)
+	calls := r.engines.seen()
+	is.Equal(len(calls), 2)
+	is.Equal(calls[1].after, "3")
+	is.True(calls[0].engine != calls[1].engine)
+}
+
+// A clean end in the middle of an event is a cut too.
+func TestCutEventIsNoEnd(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, engine("m1", "a", 0, 8), engine("m2", "a", 0, 8))
+	r.engines.answer = func(_ context.Context, n int, _ citronforward.Call) (*citronforward.Reply, error) {
+		if n == 0 {
+			return reply(200, events(1, 2)+"id: 3\n"), nil
+		}
+		return reply(200, events(3, 3)), nil
+	}
+	is.Equal(r.ask("stream", time.Second).body, events(1, 3))
+}
+
+// A run that was resumed may begin before the event it was asked for; the
+// caller must not get events twice.
+func TestEventsAreNotRepeated(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, engine("m1", "a", 0, 8), engine("m2", "a", 0, 8))
+	r.engines.answer = func(_ context.Context, n int, _ citronforward.Call) (*citronforward.Reply, error) {
+		if n == 0 {
+			rep := reply(200, "")
+			rep.Body = breaking{strings.NewReader(events(1, 3)), errReset}
+			return rep, nil
+		}
+		return reply(200, events(2, 5)), nil
+	}
+	is.Equal(r.ask("stream", time.Second).body, events(1, 5))
+}
+
+// All runs that the route allows break off: what the caller has must not
+// look complete.
+func TestBrokenStreamDoesNotLookComplete(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, engine("m1", "a", 0, 8), engine("m2", "a", 0, 8), engine("m3", "a", 0, 8))
+	r.engines.answer = func(_ context.Context, n int, _ citronforward.Call) (*citronforward.Reply, error) {
+		rep := reply(200, "")
+		rep.Body = breaking{strings.NewReader(events(n+1, n+1)), errReset}
+		return rep, nil
+	}
+	got := r.ask("stream", time.Second)
+	is.True(got.aborted)
+	is.Equal(len(r.engines.seen()), 2) // the route's limit
+}
+
+// An engine in the middle of the path dies. It has no connection to this
+// node, so the stream only falls silent; the first engine is well. The
+// stream must be moved long before the caller gives up after 2 s: within
+// the zone by a new path behind the same first engine.
+func TestDeadMiddlePartIsReplacedInZone(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, engine("m1", "a", 0, 4), engine("m2", "a", 4, 8), engine("m3", "a", 4, 8))
+	moved := make(chan struct{})
+	dead := ""
+	r.engines.answer = func(ctx context.Context, _ int, c citronforward.Call) (*citronforward.Reply, error) {
+		dead = c.Hops[1].Engine.Addr
+		body, w := io.Pipe()
+		go func() {
+			_, _ = io.WriteString(w, events(1, 2))
+			select {
+			case <-moved:
+				_, _ = io.WriteString(w, events(3, 4))
+			case <-ctx.Done():
+			}
+			_ = w.Close()
+		}()
+		rep := reply(200, "")
+		rep.Body = body
+		return rep, nil
+	}
+	r.engines.report = func(addr string) (citronforward.Report, error) {
+		if addr == dead {
+			return citronforward.Report{}, errReset
+		}
+		return citronforward.Report{}, nil
+	}
+	r.engines.repath = func(citronpath.Path) error {
+		close(moved)
+		return nil
+	}
+	got := r.ask("stream", 5*time.Second, func(q *citronforward.Request) { q.Wait = 5 * time.Second })
+	is.Equal(got.body, events(1, 4))
+	is.Equal(len(r.engines.seen()), 1) // the run went on
+	is.Equal(len(r.engines.repaths), 1)
+	is.True(r.engines.repaths[0][1].Engine.Addr != dead)
+}
+
+// The same, but the zone has nobody else for the dead part. Handing all
+// tokens so far to another zone would take seconds on the pipe, so the
+// stream is resumed on another zone's copy.
+func TestDeadMiddlePartWithoutSpareResumesInOtherZone(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, engine("m1", "a", 0, 4), engine("m2", "a", 4, 8), engine("n1", "b", 0, 4), engine("n2", "b", 4, 8))
+	r.engines.answer = func(ctx context.Context, n int, _ citronforward.Call) (*citronforward.Reply, error) {
+		if n > 0 {
+			return reply(200, events(3, 4)), nil
+		}
+		rep := reply(200, "")
+		rep.Body = silent{strings.NewReader(events(1, 2)), ctx}
+		return rep, nil
+	}
+	r.engines.report = func(addr string) (citronforward.Report, error) {
+		if addr == "m2:1" {
+			return citronforward.Report{}, errReset
+		}
+		return citronforward.Report{}, nil
+	}
+	got := r.ask("stream", 5*time.Second)
+	is.Equal(got.body, events(1, 4))
+	calls := r.engines.seen()
+	is.Equal(len(calls), 2)
+	is.Equal(calls[1].engine, "n1")
+	is.Equal(calls[1].after, "2")
+	is.Equal(len(r.engines.repaths), 0)
+}
+
+// A surge: other nodes have filled all caches. One more stream would make
+// engines preempt running ones, so it is refused while the caller has time
+// to come back, and never sent.
+func TestStreamIsRefusedWhenCachesAreFull(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, engine("m1", "a", 0, 8))
+	state := *r.Current()
+	state.Others = map[string]int64{"a": int64(2 * spec.CacheTokens("fast", 8))}
+	r.Current = func() *citronforward.State { return &state }
+	got := r.ask("stream", 20*time.Second)
+	is.Equal(got.status, 503)
+	is.True(got.retryAfter >= time.Second)
+	is.Equal(len(r.engines.seen()), 0)
+}
+
+// A caller that comes back with events of its own is let in: it would
+// otherwise lose what it has.
+func TestResumingCallerIsLetIn(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, engine("m1", "a", 0, 8))
+	state := *r.Current()
+	state.Others = map[string]int64{"a": int64(2 * spec.CacheTokens("fast", 8))}
+	r.Current = func() *citronforward.State { return &state }
+	r.engines.answer = func(context.Context, int, citronforward.Call) (*citronforward.Reply, error) {
+		return reply(200, events(5, 6)), nil
+	}
+	got := r.ask("stream", time.Second, func(q *citronforward.Request) { q.ResumeAfter = "4" })
+	is.Equal(got.body, events(5, 6))
+}
+
+// Engines that refuse without running are left after a few, at once.
+func TestRefusingEnginesAreNotAskedForEver(t *testing.T) {
+	is := is.New(t)
+	engines := make([]citronmodel.Engine, 0, 9)
+	for i := range 9 {
+		engines = append(engines, engine(fmt.Sprintf("m%d", i), "a", 0, 8))
+	}
+	r := newRig(t, engines...)
+	r.engines.answer = func(context.Context, int, citronforward.Call) (*citronforward.Reply, error) { return shed(""), nil }
+	got := r.ask("stream", 10*time.Second)
+	is.Equal(got.status, 503)
+	is.True(got.retryAfter > 0)
+	is.True(len(r.engines.seen()) <= 5)
+}
--- a/citronforward/whole.go
+++ b/citronforward/whole.go
@@ -67,22 +67,21 @@
 			return
 		}
 		j.logAttempt(e, res)
-		if ctx.Err() != nil {
-			break
-		}
 		j.avoid[e.ID] = true
 		if res.outcome == notRun {
 			j.refused++
-			if !j.mayMove() {
+			if ctx.Err() != nil || !j.mayMove() {
 				break
 			}
 			continue
 		}
+		// Counted before anything else: once a call may have run, no way
+		// out of here may tell the caller that the request did not.
 		j.runs++
 		if res.outcome == failed {
 			fallback = &res
 		}
-		if !j.mayRepeat() {
+		if ctx.Err() != nil || !j.mayRepeat() {
 			break
 		}
 	}
@@ -163,6 +162,8 @@
 	if at, ok := j.f.Current().View.ByAddr(reply.Fault); reply.Fault != "" && ok {
 		j.avoid[at.ID] = true
 		at.Busy(now, busyPause)
+		// It may be full, or dead, which the running streams need to know.
+		go j.f.probe(context.Background(), at)
 		return
 	}
 	if reply.Status == http.StatusMisdirectedRequest {
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -10,6 +10,7 @@
 	"sort"
 	"time"
 
+	"citrondeck.dev/citrondeck/citronbudget"
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronforward"
 	"citrondeck.dev/citrondeck/citronkv"
@@ -34,6 +35,9 @@
 	// memberTimeout is when a node that was not heard of is taken for
 	// dead: several rounds of gossip.
 	memberTimeout = 2 * time.Second
+	// deadNews is how long a node tells others of an engine that it found
+	// dead; they check for themselves.
+	deadNews = 1500 * time.Millisecond
 	// memberForget is when it is no longer asked.
 	memberForget = 20 * time.Second
 )
@@ -234,6 +238,7 @@
 		}
 		k := known{Member: m, heard: c.n.clock.Now(), alive: true}
 		c.members[m.Name] = k
+		c.suspect(m.Dead)
 		if !ok || !old.alive || old.Leaving != m.Leaving || old.Ready != m.Ready {
 			c.changed = true
 			citronevent.Log(ctx, c.n.log, citronevent.MemberJoined, "member", m.Name, "peer", m.Peer, "ready", m.Ready, "leaving", m.Leaving)
@@ -241,6 +246,18 @@
 	}
 }
 
+// suspect leaves engines alone that another node found dead.
+func (c *control) suspect(ids []string) {
+	if c.view == nil {
+		return
+	}
+	for _, id := range ids {
+		if e, ok := c.view.ByID(id); ok {
+			e.Suspect(c.n.clock.Now())
+		}
+	}
+}
+
 func (c *control) tick(ctx context.Context) {
 	now := c.n.clock.Now()
 	for key, l := range c.list {
@@ -267,6 +284,17 @@
 	c.self.Leaving = c.n.leaving.Load()
 	c.self.Ready = c.n.Ready()
 	c.self.Load = c.n.loads.Sums()
+	c.self.Sent = map[string]citronpeer.Sent{}
+	for service, u := range c.n.budget.Used(now) {
+		c.self.Sent[service] = citronpeer.Sent(u)
+	}
+	if c.view != nil {
+		dead := c.view.Dead(now.Add(-deadNews))
+		if len(dead) > len(c.self.Dead) {
+			c.n.tell()
+		}
+		c.self.Dead = dead
+	}
 }
 
 // settle is how long after the first list a node waits before it says that
@@ -279,6 +307,7 @@
 	s := &snapshot{config: c.config, self: c.self, traffic: old.traffic, engines: old.engines}
 	s.listSettled = !c.listSince.IsZero() && c.n.clock.Now().Sub(c.listSince) > settle
 	others := map[string]int64{}
+	sent := map[string]citronbudget.Usage{}
 	for _, m := range c.members {
 		if !m.alive {
 			continue
@@ -287,13 +316,19 @@
 		for zone, tokens := range m.Load {
 			others[zone] += tokens
 		}
+		for service, u := range m.Sent {
+			sum := sent[service]
+			sum.Requests += u.Requests
+			sum.Repeats += u.Repeats
+			sent[service] = sum
+		}
 	}
 	if c.changed {
 		c.changed = false
 		s.engines = c.engines()
 		c.view = citronpool.Build(s.engines, c.view)
-		c.n.budget.Share(len(s.members) + 1)
 	}
+	c.n.budget.Learn(sent, len(s.members)+1, c.n.clock.Now())
 	if c.table != nil {
 		s.traffic = &citronforward.State{Table: c.table, View: c.view, Others: others}
 	}
--- a/citronnode/placement.go
+++ b/citronnode/placement.go
@@ -32,6 +32,9 @@
 	// pending are the spans that engines were last ordered to hold.
 	mu      sync.Mutex
 	pending map[string]pendingOrder
+	// dead are engines that did not answer this node's own question;
+	// checked is when an engine was last asked.
+	dead, checked map[string]time.Time
 	// count and since tell how long the list has had its size.
 	count int
 	since time.Time
@@ -44,7 +47,7 @@
 }
 
 func (n *Node) place(ctx context.Context) {
-	p := &placer{n: n, pending: map[string]pendingOrder{}, since: n.clock.Now()}
+	p := &placer{n: n, pending: map[string]pendingOrder{}, dead: map[string]time.Time{}, checked: map[string]time.Time{}, since: n.clock.Now()}
 	var orders sync.WaitGroup
 	defer orders.Wait()
 	for ctx.Err() == nil {
@@ -62,6 +65,7 @@
 	if len(s.engines) != p.count {
 		p.count, p.since = len(s.engines), now
 	}
+	p.check(ctx, s, now)
 	for _, svc := range s.traffic.Table.Services {
 		if svc.Model == nil {
 			continue
@@ -86,10 +90,8 @@
 		if e.Service != service || e.Leaving || e.Kind == "" {
 			continue
 		}
-		if d := s.traffic.View; d != nil {
-			if pe, ok := d.ByID(e.ID); ok && !pe.DeadSince().IsZero() && now.Sub(pe.DeadSince()) < deadFor {
-				continue
-			}
+		if dead, ok := p.dead[e.ID]; ok && now.Sub(dead) < deadFor {
+			continue
 		}
 		if o, ok := p.pending[e.ID]; ok {
 			if o.span == e.Layers {
@@ -107,6 +109,50 @@
 // placement; an engine that is gone is off the list by then.
 const deadFor = 4 * time.Second
 
+const (
+	// checkAgain is the time between two questions to a suspect engine.
+	checkAgain = 700 * time.Millisecond
+	// checkTimeout is when an engine that does not answer counts as dead.
+	checkTimeout = 350 * time.Millisecond
+)
+
+// check asks the engines that some node has found dead. Their layers are
+// given to others only if they do not answer the leader either: one node may
+// have lost its path to an engine that is well for all others.
+func (p *placer) check(ctx context.Context, s *snapshot, now time.Time) {
+	suspects := s.traffic.View.Dead(now.Add(-deadNews))
+	for _, m := range s.members {
+		suspects = append(suspects, m.Dead...)
+	}
+	for _, id := range suspects {
+		e, ok := s.traffic.View.ByID(id)
+		if !ok || e.Kind == "" || now.Sub(p.checkedAt(id)) < checkAgain {
+			continue
+		}
+		p.mark(p.checked, id, now)
+		go func() {
+			ask, cancel := context.WithTimeout(ctx, checkTimeout)
+			defer cancel()
+			if _, err := p.n.src.Orders.State(ask, e.Addr); err != nil && ctx.Err() == nil {
+				p.mark(p.dead, id, p.n.clock.Now())
+				citronevent.Log(ctx, p.n.log, citronevent.EngineDead, "engine", id, "peer", e.Addr, "err", err)
+			}
+		}()
+	}
+}
+
+func (p *placer) checkedAt(id string) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.checked[id]
+}
+
+func (p *placer) mark(times map[string]time.Time, id string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	times[id] = now
+}
+
 func anyPlaced(engines []citronmodel.Engine) bool {
 	for _, e := range engines {
 		if !e.Layers.Empty() {
--- a/citronpath/path.go
+++ b/citronpath/path.go
@@ -37,6 +37,16 @@
 	return false
 }
 
+// OneZone reports whether all engines of the path are in one zone.
+func (p Path) OneZone() bool {
+	for _, h := range p {
+		if h.Engine.Zone != p[0].Engine.Zone {
+			return false
+		}
+	}
+	return true
+}
+
 // Query is what a path is chosen for.
 type Query struct {
 	Spec citronmodel.Spec
--- a/citronpeer/peer.go
+++ b/citronpeer/peer.go
@@ -33,6 +33,16 @@
 	Leaving bool `json:"leaving"`
 	// Load is the cache, in tokens, that the node's requests take by zone.
 	Load map[string]int64 `json:"load,omitempty"`
+	// Sent is what the node has sent for each service in a window.
+	Sent map[string]Sent `json:"sent,omitempty"`
+	// Dead are ids of engines that the node has just found not to answer.
+	Dead []string `json:"dead,omitempty"`
+}
+
+// Sent counts requests and repeats.
+type Sent struct {
+	Requests float64 `json:"requests"`
+	Repeats  float64 `json:"repeats"`
 }
 
 // Newer reports whether m is later news of the same node than o.
--- a/citronpool/pool.go
+++ b/citronpool/pool.go
@@ -81,6 +81,14 @@
 	s.deadSince.Store(now.UnixNano())
 }
 
+// Suspect leaves alone for a moment an engine that another node has found
+// dead.
+func (s *State) Suspect(now time.Time) {
+	if until := now.Add(firstAvoid).UnixNano(); s.avoidUntil.Load() < until {
+		s.avoidUntil.Store(until)
+	}
+}
+
 // DeadSince is when the engine was last found dead; zero if it answered
 // since.
 func (s *State) DeadSince() time.Time {
@@ -139,6 +147,17 @@
 	return v
 }
 
+// Dead returns the ids of engines that were found dead after a moment.
+func (v *View) Dead(after time.Time) []string {
+	var out []string
+	for id, e := range v.byID {
+		if e.DeadSince().After(after) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // ByAddr returns the engine at an address.
 func (v *View) ByAddr(addr string) (*Engine, bool) {
 	e, ok := v.byAddr[addr]
