--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sort"
 	"time"
 
@@ -29,6 +30,10 @@
 	// of the store stays in use: entries of live engines are back within
 	// two seconds.
 	lapseGrace = 2500 * time.Millisecond
+	// lapseFewest and lapsePart say how many entries that go within
+	// lapseGrace are too many for a coincidence.
+	lapseFewest = 4
+	lapsePart   = 6
 	// troubleMemory is how long after a failed call to the store a lapsed
 	// entry is put down to the outage.
 	troubleMemory = 4 * time.Second
@@ -98,6 +103,10 @@
 	members map[string]known
 	self    citronpeer.Member
 	view    *citronpool.View
+	// vanished are the times at which entries went lately; lapse is
+	// whether they are put down to the store.
+	vanished []time.Time
+	lapse    bool
 	// listSince is when the first list came.
 	listSince time.Time
 	changed   bool
@@ -210,21 +219,30 @@
 	c.list[it.Key] = listed{engine: e, item: it}
 }
 
-// drop takes an engine out. An entry that lapsed while the store was away
-// may belong to a live engine that could not renew it: it stays in use for
-// the time in which it would come back.
+// drop notes that an engine's entry is gone. There are three causes. The
+// engine died: it is found dead by those who use it. It leaves without
+// having said so: it serves on for a short while, and must get no new work.
+// Or its entry lapsed because it could not renew it while the store was
+// away: it is well, and its entry is back within two seconds. The last is
+// told from the others by the store's trouble, or by many entries going at
+// once; then the engine stays in use for that time.
 func (c *control) drop(ctx context.Context, key string, l listed) {
-	now := c.n.clock.Now()
-	trouble := time.Unix(0, c.n.storeTrouble.Load())
-	if !l.engine.Leaving && now.Sub(trouble) < troubleMemory {
-		if l.lapsed.IsZero() {
-			l.lapsed = now
-			c.list[key] = l
-		}
+	if !l.lapsed.IsZero() {
 		return
 	}
-	delete(c.list, key)
-	citronevent.Log(ctx, c.n.log, citronevent.EnginesChanged, "engine", l.engine.ID, "peer", l.engine.Addr, "gone", true)
+	l.lapsed = c.n.clock.Now()
+	c.list[key] = l
+	c.vanished = append(c.vanished, l.lapsed)
+	citronevent.Log(ctx, c.n.log, citronevent.EnginesChanged, "engine", l.engine.ID, "peer", l.engine.Addr, "missing", true)
+}
+
+// lapseKept reports whether missing entries are put down to the store.
+func (c *control) lapseKept(now time.Time) bool {
+	if now.Sub(time.Unix(0, c.n.storeTrouble.Load())) < troubleMemory {
+		return true
+	}
+	c.vanished = slices.DeleteFunc(c.vanished, func(t time.Time) bool { return now.Sub(t) > lapseGrace })
+	return len(c.vanished) >= max(lapseFewest, len(c.list)/lapsePart)
 }
 
 func (c *control) takeMembers(ctx context.Context, members []citronpeer.Member) {
@@ -260,6 +278,9 @@
 
 func (c *control) tick(ctx context.Context) {
 	now := c.n.clock.Now()
+	if lapse := c.lapseKept(now); lapse != c.lapse {
+		c.lapse, c.changed = lapse, true
+	}
 	for key, l := range c.list {
 		if !l.lapsed.IsZero() && now.Sub(l.lapsed) > lapseGrace {
 			delete(c.list, key)
@@ -301,10 +322,15 @@
 // it is ready: on a cold start engines are still registering.
 const settle = 300 * time.Millisecond
 
+// listWhole is how long after its first list a node may take it for whole:
+// entries that lapsed before that are back by then.
+const listWhole = 2200 * time.Millisecond
+
 // publish makes the newest state visible to traffic, gossip and placement.
 func (c *control) publish() {
 	old := c.n.snap.Load()
 	s := &snapshot{config: c.config, self: c.self, traffic: old.traffic, engines: old.engines}
+	s.listWhole = !c.lapse && !c.listSince.IsZero() && c.n.clock.Now().Sub(c.listSince) > listWhole
 	s.listSettled = !c.listSince.IsZero() && c.n.clock.Now().Sub(c.listSince) > settle
 	others := map[string]int64{}
 	sent := map[string]citronbudget.Usage{}
@@ -342,7 +368,9 @@
 func (c *control) engines() []citronmodel.Engine {
 	out := make([]citronmodel.Engine, 0, len(c.list))
 	for _, l := range c.list {
-		out = append(out, l.engine)
+		e := l.engine
+		e.Leaving = e.Leaving || !l.lapsed.IsZero() && !c.lapse
+		out = append(out, e)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
 	return out
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -86,6 +86,8 @@
 	config, list citronpeer.Document
 	self         citronpeer.Member
 	listSettled  bool
+	// listWhole: no entries are missing that may come back.
+	listWhole bool
 }
 
 // New returns a node. hc is used to speak to other nodes.
--- a/citronnode/placement.go
+++ b/citronnode/placement.go
@@ -13,6 +13,7 @@
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronplace"
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -21,9 +22,13 @@
 	// a model is placed for the first time: engines register one after the
 	// other, and a plan for half of them would fill those to the brim.
 	listQuiet = 1200 * time.Millisecond
-	// orderSettle is how long after an order the list may still show the
-	// state before it; the engine itself is asked only after that.
-	orderSettle = 2500 * time.Millisecond
+	// orderLife is how long an order that an engine accepted is trusted to
+	// be under way: it may wait for running requests, which last some
+	// seconds, before it loads. After that the engine is asked again.
+	orderLife = 8 * time.Second
+	// orderAgain is how long an engine that did not take an order is left
+	// alone: another order may be under way there.
+	orderAgain = 700 * time.Millisecond
 )
 
 // placer is the state of one reign.
@@ -40,10 +45,13 @@
 	since time.Time
 }
 
+// pendingOrder is the newest order to an engine.
 type pendingOrder struct {
-	span    citronmodel.Span
+	goal    citronmodel.Span
 	at      time.Time
 	running bool
+	// failed: the engine did not take it, or is not known to have.
+	failed bool
 }
 
 func (n *Node) place(ctx context.Context) {
@@ -70,39 +78,50 @@
 		if svc.Model == nil {
 			continue
 		}
-		engines := p.placeable(s, svc.Name, now)
-		if !anyPlaced(engines) && now.Sub(p.since) < listQuiet {
+		engines, served := p.placeable(s, svc.Name, now)
+		if !s.listWhole || !anyPlaced(engines) && now.Sub(p.since) < listQuiet {
 			continue
 		}
-		for id, span := range citronplace.Decide(*svc.Model, engines) {
-			p.order(ctx, orders, engines, id, span, now)
+		for id, o := range citronplace.Decide(*svc.Model, engines, served) {
+			p.order(ctx, orders, engines, id, o, now)
 		}
 	}
 }
 
-// placeable returns the engines of a service that may hold layers, each
-// with the span that it holds or was ordered to hold.
-func (p *placer) placeable(s *snapshot, service string, now time.Time) []citronmodel.Engine {
+// placeable returns the engines of a service that may hold layers, and the
+// spans that leaving ones still serve, by zone.
+func (p *placer) placeable(s *snapshot, service string, now time.Time) ([]citronplace.Engine, map[string][]citronmodel.Span) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var out []citronmodel.Engine
+	var out []citronplace.Engine
+	served := map[string][]citronmodel.Span{}
 	for _, e := range s.engines {
-		if e.Service != service || e.Leaving || e.Kind == "" {
+		if e.Service != service || e.Kind == "" {
 			continue
 		}
 		if dead, ok := p.dead[e.ID]; ok && now.Sub(dead) < deadFor {
 			continue
 		}
-		if o, ok := p.pending[e.ID]; ok {
-			if o.span == e.Layers {
-				delete(p.pending, e.ID)
-			} else if o.running || now.Sub(o.at) < orderSettle {
-				e.Layers = o.span
-			}
+		if e.Leaving {
+			served[e.Zone] = append(served[e.Zone], e.Layers)
+			continue
 		}
-		out = append(out, e)
+		out = append(out, citronplace.Engine{Engine: e, Goal: p.goal(e, now)})
 	}
-	return out
+	return out, served
+}
+
+// goal is what an engine holds once its newest order is carried out.
+func (p *placer) goal(e citronmodel.Engine, now time.Time) citronmodel.Span {
+	o, ok := p.pending[e.ID]
+	if !ok || o.failed {
+		return e.Layers
+	}
+	if !o.running && (o.goal == e.Layers || now.Sub(o.at) > orderLife) {
+		delete(p.pending, e.ID)
+		return e.Layers
+	}
+	return o.goal
 }
 
 // deadFor is how long an engine that did not answer is left out of the
@@ -153,7 +172,7 @@
 	times[id] = now
 }
 
-func anyPlaced(engines []citronmodel.Engine) bool {
+func anyPlaced(engines []citronplace.Engine) bool {
 	for _, e := range engines {
 		if !e.Layers.Empty() {
 			return true
@@ -163,47 +182,60 @@
 }
 
 // order has one engine hold a span, unless an order to it is under way.
-func (p *placer) order(ctx context.Context, orders *sync.WaitGroup, engines []citronmodel.Engine, id string, span citronmodel.Span, now time.Time) {
+func (p *placer) order(ctx context.Context, orders *sync.WaitGroup, engines []citronplace.Engine, id string, o citronplace.Order, now time.Time) {
 	for _, e := range engines {
-		if e.ID != id || e.Layers == span {
+		if e.ID != id || e.Goal == o.Span || !p.begin(id, o.Span, now) {
 			continue
 		}
-		p.mu.Lock()
-		if p.pending[id].running {
-			p.mu.Unlock()
-			return
-		}
-		p.pending[id] = pendingOrder{span: span, at: now, running: true}
-		p.mu.Unlock()
-		citronevent.Log(ctx, p.n.log, citronevent.PlacePlanned, "engine", e.ID, "peer", e.Addr, "kind", e.Kind, "zone", e.Zone, "from", span.From, "to", span.To, "hadFrom", e.Layers.From, "hadTo", e.Layers.To)
+		citronevent.Log(ctx, p.n.log, citronevent.PlacePlanned, "engine", e.ID, "peer", e.Addr, "kind", e.Kind, "zone", e.Zone, "from", o.From, "to", o.To, "cut", o.Cut, "hadFrom", e.Layers.From, "hadTo", e.Layers.To, "goalFrom", e.Goal.From, "goalTo", e.Goal.To)
 		orders.Go(func() {
-			err := p.carryOut(ctx, e, span)
-			p.mu.Lock()
-			defer p.mu.Unlock()
-			o := p.pending[id]
-			o.running = false
-			o.at = p.n.clock.Now()
-			p.pending[id] = o
+			err := p.carryOut(ctx, e.Engine, o)
+			p.end(id, err)
 			if err != nil {
-				delete(p.pending, id)
 				citronevent.Log(ctx, p.n.log, citronevent.PlaceFailed, "engine", e.ID, "peer", e.Addr, "err", err)
 			}
 		})
 	}
 }
 
+// begin notes an order, or returns false if the engine is to be left alone.
+func (p *placer) begin(id string, goal citronmodel.Span, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if o, ok := p.pending[id]; ok && (o.running || o.failed && now.Sub(o.at) < orderAgain) {
+		return false
+	}
+	p.pending[id] = pendingOrder{goal: goal, at: now, running: true}
+	return true
+}
+
+// end notes what became of an order.
+func (p *placer) end(id string, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	o := p.pending[id]
+	o.running, o.failed, o.at = false, err != nil, p.n.clock.Now()
+	p.pending[id] = o
+}
+
+// errBusy means that the engine carries out an earlier order.
+var errBusy = errors.New("engine carries out another order")
+
 // carryOut asks the engine for its state and gives the order that fits it.
-func (p *placer) carryOut(ctx context.Context, e citronmodel.Engine, span citronmodel.Span) error {
+func (p *placer) carryOut(ctx context.Context, e citronmodel.Engine, o citronplace.Order) error {
 	st, err := p.n.src.Orders.State(ctx, e.Addr)
 	if err != nil {
 		return err
 	}
-	if st.Layers == span {
+	if st.Busy {
+		return errBusy
+	}
+	if st.Layers == o.Span {
 		return nil
 	}
-	if err := p.n.src.Orders.Place(ctx, e, span, st.Accepted); err != nil {
+	if err := p.n.src.Orders.Place(ctx, e, o, st.Accepted); err != nil {
 		return err
 	}
-	citronevent.Log(ctx, p.n.log, citronevent.PlaceOrdered, "engine", e.ID, "peer", e.Addr, "from", span.From, "to", span.To, "accepted", st.Accepted)
+	citronevent.Log(ctx, p.n.log, citronevent.PlaceOrdered, "engine", e.ID, "peer", e.Addr, "from", o.From, "to", o.To, "accepted", st.Accepted)
 	return nil
 }
--- a/citronplace/orders.go
+++ b/citronplace/orders.go
@@ -27,5 +27,5 @@
 	// Place orders an engine that has accepted so many orders to hold a
 	// span. An order that was meant for an earlier state is refused, so an
 	// order that arrives late, or twice, changes nothing.
-	Place(ctx context.Context, e citronmodel.Engine, s citronmodel.Span, accepted int64) error
+	Place(ctx context.Context, e citronmodel.Engine, o Order, accepted int64) error
 }
--- a/citronplace/plan.go
+++ b/citronplace/plan.go
@@ -4,13 +4,19 @@
 // callers at the peak, and what layers do not use of an engine's memory
 // caches the running requests. So each zone gets one whole copy, divided so
 // that fast engines hold as many layers as leave them the cache that the
-// others have too; the rest goes to slow engines. Engines left over repeat
-// the first layers, since the first engine of a path bounds how many
-// requests run at once.
+// others have too; the rest goes to slow engines. Engines left over are
+// spares: they repeat the first layers, since the first engine of a path
+// bounds how many requests run at once, until they are needed.
 //
-// What works is not moved: a zone whose copy is whole stays as it is; a hole
-// is filled by spare engines, then by the neighbours of the hole, and only
-// if neither has the room is the zone divided anew.
+// What works is not moved. A hole is filled, in this order, by spare engines
+// and by the engines beside it taking in more layers, which is a load of a
+// few layers and nothing else; by moving the boundaries of as few engines
+// around it as have the room; by dividing the whole zone anew (repair.go).
+// A zone that is whole but has a part with little cache gets a spare for
+// that part (improve.go).
+//
+// All of it is a function of what the engines hold and were ordered to hold,
+// so a new leader decides as the old one would have.
 package citronplace
 
 import (
@@ -21,38 +27,50 @@
 	"citrondeck.dev/citrondeck/citronmodel"
 )
 
-// Plan is which layers each engine is to hold, by id. An engine that is not
-// in it keeps what it has.
-type Plan map[string]citronmodel.Span
+// Engine is an engine that may hold layers.
+type Engine struct {
+	// Engine's Layers are what it holds now.
+	citronmodel.Engine
+	// Goal is what it was last ordered to hold, Layers if no order is
+	// under way.
+	Goal citronmodel.Span
+}
+
+// Order is what an engine is to hold.
+type Order struct {
+	citronmodel.Span
+	// Cut: requests that pass through layers it gives up are not waited
+	// for. Set where a hole has broken all of them anyway.
+	Cut bool
+}
+
+// Plan is the orders by engine id. An engine that is not in it keeps what it
+// has.
+type Plan map[string]Order
 
 const (
 	// headroom is the part of the largest even cache that a new division
 	// aims for. Less than all of it leaves slow engines fewer layers,
 	// which shortens every token, and some engines free as spares.
 	headroom = 0.8
-	// repairShare is the part of the zone's even cache that an engine must
-	// keep when it takes in layers of a dead neighbour.
-	repairShare = 0.45
-	// repairSearch and repairSteps bound the search for the evenest repair.
-	repairSearch = 4
-	repairSteps  = 12
 )
 
-// Decide returns the placement for all engines of a service. Engines that
-// are leaving must not be among them.
-func Decide(spec citronmodel.Spec, engines []citronmodel.Engine) Plan {
+// Decide returns the orders for all engines of a service. Engines that are
+// leaving must not be among them; served are the spans that engines which
+// are leaving still serve, by zone.
+func Decide(spec citronmodel.Spec, engines []Engine, served map[string][]citronmodel.Span) Plan {
 	plan := Plan{}
 	for _, zone := range zones(engines) {
-		for id, s := range decideZone(spec, zone) {
-			plan[id] = s
+		for id, o := range decideZone(spec, zone, served[zone[0].Zone]) {
+			plan[id] = o
 		}
 	}
 	return plan
 }
 
 // zones groups engines by zone, in a fixed order.
-func zones(engines []citronmodel.Engine) [][]citronmodel.Engine {
-	by := map[string][]citronmodel.Engine{}
+func zones(engines []Engine) [][]Engine {
+	by := map[string][]Engine{}
 	for _, e := range engines {
 		by[e.Zone] = append(by[e.Zone], e)
 	}
@@ -61,7 +79,7 @@
 		names = append(names, z)
 	}
 	sort.Strings(names)
-	out := make([][]citronmodel.Engine, 0, len(by))
+	out := make([][]Engine, 0, len(by))
 	for _, z := range names {
 		es := by[z]
 		sort.Slice(es, func(i, j int) bool { return es[i].ID < es[j].ID })
@@ -70,23 +88,23 @@
 	return out
 }
 
-func decideZone(spec citronmodel.Spec, engines []citronmodel.Engine) Plan {
-	gaps := Gaps(spec, engines)
-	if len(gaps) == 0 {
-		return fillSpares(spec, engines, Plan{})
-	}
+func decideZone(spec citronmodel.Spec, engines []Engine, served []citronmodel.Span) Plan {
 	even := evenCache(spec, engines)
-	if plan, ok := repair(spec, engines, gaps, even*repairShare); ok {
-		return plan
+	gaps := Gaps(spec, engines)
+	switch {
+	case len(gaps) == 0:
+		return improve(spec, engines, even)
+	case gaps[0].Len() == spec.Layers:
+		return divide(spec, engines, even*headroom, false)
 	}
-	return divide(spec, engines, even*headroom)
+	return repair(spec, engines, gaps, served, even)
 }
 
-// Gaps returns the layers that no engine holds.
-func Gaps(spec citronmodel.Spec, engines []citronmodel.Engine) []citronmodel.Span {
+// Gaps returns the layers that no engine holds or was ordered to hold.
+func Gaps(spec citronmodel.Spec, engines []Engine) []citronmodel.Span {
 	held := make([]bool, spec.Layers)
 	for _, e := range engines {
-		for l := max(0, e.Layers.From); l < min(e.Layers.To, spec.Layers); l++ {
+		for l := max(0, e.Goal.From); l < min(e.Goal.To, spec.Layers); l++ {
 			held[l] = true
 		}
 	}
@@ -117,19 +135,29 @@
 
 // evenCache is the largest cache, in tokens, that all engines of a zone can
 // have at once while they hold all layers; zero if they cannot hold them.
-func evenCache(spec citronmodel.Spec, engines []citronmodel.Engine) float64 {
+func evenCache(spec citronmodel.Spec, engines []Engine) float64 {
+	return evenCacheFor(spec, engines, spec.Layers)
+}
+
+const (
+	// mostTokens and searchSteps bound the search for an even cache.
+	mostTokens  = 1e7
+	searchSteps = 40
+)
+
+func evenCacheFor(spec citronmodel.Spec, engines []Engine, layers int) float64 {
 	fits := func(tokens float64) bool {
 		sum := 0
 		for _, e := range engines {
 			sum += capacity(spec, e.Kind, tokens)
 		}
-		return sum >= spec.Layers
+		return sum >= layers
 	}
-	low, high := 0.0, 1e7
+	low, high := 0.0, mostTokens
 	if !fits(low) {
 		return 0
 	}
-	for range 40 {
+	for range searchSteps {
 		if mid := (low + high) / 2; fits(mid) {
 			low = mid
 		} else {
@@ -139,98 +167,42 @@
 	return low
 }
 
-// repair fills gaps without moving layers that work, as evenly as it can:
-// with the largest cache that all engines which take part can keep. It
-// fails if that is less than least.
-func repair(spec citronmodel.Spec, engines []citronmodel.Engine, gaps []citronmodel.Span, least float64) (Plan, bool) {
-	try := func(tokens float64) (Plan, bool) {
-		plan := Plan{}
-		for _, g := range gaps {
-			if !fillGap(spec, engines, plan, g, tokens) {
-				return nil, false
-			}
-		}
-		return plan, true
-	}
-	best, ok := try(least)
-	if !ok {
-		return nil, false
-	}
-	low, high := least, least*repairSearch
-	for range repairSteps {
-		mid := (low + high) / 2
-		if plan, ok := try(mid); ok {
-			low, best = mid, plan
-		} else {
-			high = mid
-		}
-	}
-	return best, true
-}
-
 // current is what an engine holds once plan is carried out.
-func current(plan Plan, e citronmodel.Engine) citronmodel.Span {
-	if s, ok := plan[e.ID]; ok {
-		return s
+func current(plan Plan, e Engine) citronmodel.Span {
+	if o, ok := plan[e.ID]; ok {
+		return o.Span
 	}
-	return e.Layers
+	return e.Goal
 }
 
-// fillGap gives a gap to spares, then to the engines beside it.
-func fillGap(spec citronmodel.Spec, engines []citronmodel.Engine, plan Plan, g citronmodel.Span, tokens float64) bool {
-	for _, e := range spares(spec, engines, plan) {
-		if g.Empty() {
-			return true
-		}
-		n := min(capacity(spec, e.Kind, tokens), g.Len())
-		if n <= 0 {
-			continue
-		}
-		plan[e.ID] = citronmodel.Span{From: g.From, To: g.From + n}
-		g.From += n
-	}
-	for _, e := range engines {
-		s := current(plan, e)
-		if g.Empty() || s.Empty() {
-			continue
-		}
-		room := min(capacity(spec, e.Kind, tokens)-s.Len(), g.Len())
-		if room <= 0 {
-			continue
-		}
-		switch {
-		case s.To == g.From:
-			plan[e.ID] = citronmodel.Span{From: s.From, To: s.To + room}
-			g.From += room
-		case s.From == g.To:
-			plan[e.ID] = citronmodel.Span{From: s.From - room, To: s.To}
-			g.To -= room
-		}
-	}
-	return g.Empty()
+// overlap is the part that two spans share.
+func overlap(a, b citronmodel.Span) citronmodel.Span {
+	return citronmodel.Span{From: max(a.From, b.From), To: min(a.To, b.To)}
 }
 
-// spares returns the engines without which all layers that are held stay
-// held, fastest first; empty ones go before those that repeat layers.
-func spares(spec citronmodel.Spec, engines []citronmodel.Engine, plan Plan) []citronmodel.Engine {
+// spares returns the engines without which all layers that are held now
+// stay held, fastest first; empty ones go before those that repeat layers.
+// An engine that has not yet loaded what it was ordered to hold stands for
+// nobody.
+func spares(spec citronmodel.Spec, engines []Engine, plan Plan) []Engine {
 	count := make([]int, spec.Layers)
 	for _, e := range engines {
-		s := current(plan, e)
+		s := overlap(e.Layers, current(plan, e))
 		for l := s.From; l < min(s.To, spec.Layers); l++ {
 			count[l]++
 		}
 	}
 	order := slices.Clone(engines)
 	sort.SliceStable(order, func(i, j int) bool {
-		a, b := order[i].Layers.Empty(), order[j].Layers.Empty()
+		a, b := order[i].Goal.Empty(), order[j].Goal.Empty()
 		if a != b {
 			return a
 		}
 		return spec.Kinds[order[i].Kind].StepFactor < spec.Kinds[order[j].Kind].StepFactor
 	})
-	var out []citronmodel.Engine
+	var out []Engine
 	for _, e := range order {
-		if _, taken := plan[e.ID]; taken {
+		if _, taken := plan[e.ID]; taken || e.Goal != e.Layers {
 			continue
 		}
 		s := e.Layers
@@ -251,44 +223,50 @@
 
 // divide deals all layers anew. Engines keep their order along the model,
 // so that as many layers as possible stay where they are.
-func divide(spec citronmodel.Spec, engines []citronmodel.Engine, tokens float64) Plan {
-	counts, ok := deal(spec, engines, tokens)
+func divide(spec citronmodel.Spec, engines []Engine, tokens float64, cut bool) Plan {
+	counts, ok := deal(spec, engines, tokens, spec.Layers)
 	if !ok {
 		return Plan{}
 	}
 	order := slices.Clone(engines)
 	sort.SliceStable(order, func(i, j int) bool {
 		a, b := order[i], order[j]
-		if a.Layers.Empty() != b.Layers.Empty() {
-			return b.Layers.Empty()
+		if a.Goal.Empty() != b.Goal.Empty() {
+			return b.Goal.Empty()
 		}
-		if a.Layers.Empty() {
+		if a.Goal.Empty() {
 			// Slow engines first: they have few layers, and copies
 			// of the first layers are cheap.
 			return spec.Kinds[a.Kind].StepFactor > spec.Kinds[b.Kind].StepFactor
 		}
-		return a.Layers.From < b.Layers.From
+		return a.Goal.From < b.Goal.From
 	})
+	return fillSpares(spec, engines, lay(order, counts, 0, cut))
+}
+
+// lay gives the engines their counts of layers one after the other.
+func lay(order []Engine, counts map[string]int, at int, cut bool) Plan {
 	plan := Plan{}
-	at := 0
 	for _, e := range order {
-		if n := counts[e.ID]; n > 0 {
-			plan[e.ID] = citronmodel.Span{From: at, To: at + n}
-			at += n
+		n := counts[e.ID]
+		if n == 0 {
+			continue
 		}
+		plan[e.ID] = Order{Span: citronmodel.Span{From: at, To: at + n}, Cut: cut}
+		at += n
 	}
-	return fillSpares(spec, engines, plan)
+	return plan
 }
 
-// deal says how many layers each engine gets: the fastest are filled first,
-// each up to what leaves it the cache asked for.
-func deal(spec citronmodel.Spec, engines []citronmodel.Engine, tokens float64) (map[string]int, bool) {
+// deal says how many of the layers each engine gets: the fastest are filled
+// first, each up to what leaves it the cache asked for.
+func deal(spec citronmodel.Spec, engines []Engine, tokens float64, layers int) (map[string]int, bool) {
 	order := slices.Clone(engines)
 	sort.SliceStable(order, func(i, j int) bool {
 		return spec.Kinds[order[i].Kind].StepFactor < spec.Kinds[order[j].Kind].StepFactor
 	})
 	counts := map[string]int{}
-	left := spec.Layers
+	left := layers
 	for _, e := range order {
 		n := min(capacity(spec, e.Kind, tokens), left)
 		if n > 0 {
@@ -300,7 +278,7 @@
 }
 
 // fillSpares has engines that hold nothing repeat the first layers.
-func fillSpares(spec citronmodel.Spec, engines []citronmodel.Engine, plan Plan) Plan {
+func fillSpares(spec citronmodel.Spec, engines []Engine, plan Plan) Plan {
 	var first citronmodel.Span
 	var kind string
 	for _, e := range engines {
@@ -313,7 +291,7 @@
 			continue
 		}
 		if capacity(spec, e.Kind, spec.CacheTokens(kind, first.Len())*headroom) >= first.Len() {
-			plan[e.ID] = first
+			plan[e.ID] = Order{Span: first}
 		}
 	}
 	return plan
--- /dev/null
+++ b/citronplace/repair.go
@@ -0,0 +1,171 @@
+package citronplace
+
+import (
+	"slices"
+	"sort"
+
+	"citrondeck.dev/citrondeck/citronmodel"
+)
+
+const (
+	// extendShare is the part of the zone's even cache that engines must
+	// keep when they only take in layers: less, and the zone carries so
+	// much less that moving boundaries pays.
+	extendShare = 0.7
+	// leavingShare is the same for a hole that is still served by an
+	// engine that is leaving. Moving boundaries would give up layers that
+	// running requests use, and has to wait for those.
+	leavingShare = 0.35
+	// windowShare is the same for moving the boundaries of some engines.
+	windowShare = 0.7
+	// repairSearch and repairSteps bound the search for the evenest
+	// extension.
+	repairSearch = 4
+	repairSteps  = 12
+)
+
+// repair fills gaps.
+func repair(spec citronmodel.Spec, engines []Engine, gaps, served []citronmodel.Span, even float64) Plan {
+	cut := !covered(gaps, served)
+	share := extendShare
+	if !cut {
+		share = leavingShare
+	}
+	if plan, ok := extend(spec, engines, gaps, even*share); ok {
+		return plan
+	}
+	if plan, ok := window(spec, engines, gaps, even*windowShare, cut); ok {
+		return plan
+	}
+	if plan, ok := extend(spec, engines, gaps, even*leavingShare); ok {
+		return plan
+	}
+	return divide(spec, engines, even*headroom, cut)
+}
+
+// covered reports whether each gap lies in a span that is still served.
+func covered(gaps, served []citronmodel.Span) bool {
+	for _, g := range gaps {
+		if !slices.ContainsFunc(served, func(s citronmodel.Span) bool { return s.Covers(g) }) {
+			return false
+		}
+	}
+	return true
+}
+
+// extend fills gaps without giving up any layer, as evenly as it can: with
+// the largest cache that all engines which take part can keep. It fails if
+// that is less than least.
+func extend(spec citronmodel.Spec, engines []Engine, gaps []citronmodel.Span, least float64) (Plan, bool) {
+	try := func(tokens float64) (Plan, bool) {
+		plan := Plan{}
+		for _, g := range gaps {
+			if !fillGap(spec, engines, plan, g, tokens) {
+				return nil, false
+			}
+		}
+		return plan, true
+	}
+	best, ok := try(least)
+	if !ok {
+		return nil, false
+	}
+	low, high := least, least*repairSearch
+	for range repairSteps {
+		mid := (low + high) / 2
+		if plan, ok := try(mid); ok {
+			low, best = mid, plan
+		} else {
+			high = mid
+		}
+	}
+	return best, true
+}
+
+// fillGap gives a gap to spares, then to the engines beside it.
+func fillGap(spec citronmodel.Spec, engines []Engine, plan Plan, g citronmodel.Span, tokens float64) bool {
+	for _, e := range spares(spec, engines, plan) {
+		if g.Empty() {
+			return true
+		}
+		n := min(capacity(spec, e.Kind, tokens), g.Len())
+		if n <= 0 {
+			continue
+		}
+		plan[e.ID] = Order{Span: citronmodel.Span{From: g.From, To: g.From + n}}
+		g.From += n
+	}
+	for _, e := range engines {
+		s := current(plan, e)
+		if g.Empty() || s.Empty() {
+			continue
+		}
+		room := min(capacity(spec, e.Kind, tokens)-s.Len(), g.Len())
+		if room <= 0 {
+			continue
+		}
+		switch {
+		case s.To == g.From:
+			plan[e.ID] = Order{Span: citronmodel.Span{From: s.From, To: s.To + room}}
+			g.From += room
+		case s.From == g.To:
+			plan[e.ID] = Order{Span: citronmodel.Span{From: s.From - room, To: s.To}}
+			g.To -= room
+		}
+	}
+	return g.Empty()
+}
+
+// window moves the boundaries of as few engines around the gap as have the
+// room for it. Several gaps are not worth it: the zone is divided anew.
+func window(spec citronmodel.Spec, engines []Engine, gaps []citronmodel.Span, least float64, cut bool) (Plan, bool) {
+	if len(gaps) != 1 {
+		return nil, false
+	}
+	g := gaps[0]
+	free := spares(spec, engines, Plan{})
+	var left, right []Engine
+	for _, e := range chain(engines, free) {
+		if e.Goal.To <= g.From {
+			left = append(left, e)
+		} else if e.Goal.From >= g.To {
+			right = append(right, e)
+		}
+	}
+	for r := 1; r <= max(len(left), len(right)); r++ {
+		l, rt := left[max(0, len(left)-r):], right[:min(r, len(right))]
+		all := citronmodel.Span{From: g.From, To: g.To}
+		if len(l) > 0 {
+			all.From = l[0].Goal.From
+		}
+		if len(rt) > 0 {
+			all.To = rt[len(rt)-1].Goal.To
+		}
+		order := slices.Concat(l, free, rt)
+		even := evenCacheFor(spec, order, all.Len())
+		if even < least {
+			continue
+		}
+		if counts, ok := deal(spec, order, even, all.Len()); ok {
+			return lay(order, counts, all.From, cut), true
+		}
+	}
+	return nil, false
+}
+
+// chain returns the engines that hold layers and are no spares, in the order
+// of the model.
+func chain(engines, free []Engine) []Engine {
+	spare := map[string]bool{}
+	for _, e := range free {
+		spare[e.ID] = true
+	}
+	var out []Engine
+	for _, e := range engines {
+		if !spare[e.ID] && !e.Goal.Empty() {
+			out = append(out, e)
+		}
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].Goal.From < out[j].Goal.From })
+	return out
+}
