A leaving engine has not ended: streams stay with it on their last run

Ruled out: client retries (one attempt id). Now only an engine found dead, or one that broke the run while leaving, does not count, and streams wait up to 1.8 s for an engine of the zone to take the layers over before they use up a run.

--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -178,6 +178,8 @@
 	avoid map[string]bool
 	// runs counts engines that may have run it, refused those that did not.
 	runs, refused int
+	// lostRuns counts runs on engines that have ended since.
+	lostRuns int
 	// retryAfter is when a refusal tells the caller to come back.
 	retryAfter time.Duration
 }
@@ -270,7 +272,7 @@
 func (j *job) giveUp(ctx context.Context, reason string) {
 	status := http.StatusServiceUnavailable
 	after := j.retryAfter
-	if j.runs > 0 {
+	if j.runs+j.lostRuns > 0 {
 		// An engine may have run it: nothing is promised.
 		status = http.StatusBadGateway
 		if ctx.Err() != nil {
--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -60,6 +60,11 @@
 	// leaveWait is how long a stream waits before that for the layers to
 	// be placed on another engine: a decision and a load of a few layers.
 	leaveWait = 900 * time.Millisecond
+	// leaveLatest is how long a stream waits for an engine of the zone to
+	// take the layers over before it goes to another zone; leaveAgain is
+	// how often it looks.
+	leaveLatest = 1800 * time.Millisecond
+	leaveAgain  = 150 * time.Millisecond
 )
 
 // action is what a check of a running stream calls for.
@@ -84,6 +89,8 @@
 	// waitUntil keeps a stream that cannot be moved now from trying again
 	// at every check.
 	waitUntil time.Time
+	// leftAt is when a leaving engine was first seen on the path.
+	leftAt time.Time
 	// leaveAt is when this stream moves away from a leaving engine.
 	leaveAt time.Time
 }
@@ -175,6 +182,7 @@
 			continue
 		}
 		if w.leaveAt.IsZero() {
+			w.leftAt = now
 			w.leaveAt = now.Add(leaveWait + rand.N(leaveSpread))
 		}
 		if now.After(w.leaveAt) {
@@ -255,7 +263,12 @@
 	if !ok || w.repaths >= maxRepaths {
 		return w.resume(reason)
 	}
-	if !p.OneZone() && s.canResume() && s.takeBudget() {
+	now := s.f.Clock.Now()
+	if !p.OneZone() && reason == "leaving" && now.Sub(w.leftAt) < leaveLatest {
+		w.leaveAt = now.Add(leaveAgain)
+		return goOn
+	}
+	if !p.OneZone() && s.canResume(false) && s.takeBudget() {
 		s.paid = true
 		return replaceRun
 	}
@@ -276,7 +289,7 @@
 func (w *watch) resume(reason string) action {
 	s := w.s
 	_, ok := s.job.path(s.f.Current(), "")
-	if ok && s.canResume() && s.takeBudget() {
+	if ok && s.canResume(false) && s.takeBudget() {
 		s.paid = true
 		return replaceRun
 	}
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -130,8 +130,13 @@
 			break
 		}
 		reason = "stream broke off"
+		ended := s.firstEnded(true)
 		resume := s.mayResume()
-		j.runs++
+		if !ended {
+			j.runs++
+		} else {
+			j.lostRuns++
+		}
 		if !resume {
 			break
 		}
@@ -154,24 +159,37 @@
 }
 
 // canResume reports whether another run may go on after the last event.
-// Runs whose first engine is gone do not count against the route's limit.
-func (s *streamJob) canResume() bool {
+// Runs whose first engine has ended do not count against the route's limit.
+// An engine that is only leaving has not: while it serves, moving away from
+// it is one more engine that ran the request. broke says that the run ended
+// by itself; then a leaving engine has ended too.
+func (s *streamJob) canResume(broke bool) bool {
 	if !s.route.Idempotent() {
 		return false
 	}
 	runs := s.runs + 1
-	first := s.path[0].Engine
-	if cur, ok := s.f.Current().View.ByID(first.ID); !ok || cur.Leaving || s.f.Clock.Now().Sub(cur.DeadSince()) < deadMemory {
+	if s.firstEnded(broke) {
 		runs--
 	}
 	return runs < max(1, s.route.MaxAttempts)
 }
 
+func (s *streamJob) firstEnded(broke bool) bool {
+	first := s.path[0].Engine
+	if s.f.Clock.Now().Sub(first.DeadSince()) < deadMemory {
+		return true
+	}
+	cur, listed := s.f.Current().View.ByID(first.ID)
+	return broke && (!listed || cur.Leaving)
+}
+
 // mayResume is canResume with the budget, unless it is paid already.
 func (s *streamJob) mayResume() bool {
-	paid := s.paid
-	s.paid = false
-	return paid || s.canResume() && s.takeBudget()
+	if s.paid {
+		s.paid = false
+		return true
+	}
+	return s.canResume(true) && s.takeBudget()
 }
 
 func (s *streamJob) bind(p citronpath.Path) {
--- a/citronforward/stream_test.go
+++ b/citronforward/stream_test.go
@@ -11,6 +11,7 @@
 	"citrondeck.dev/citrondeck/citronforward"
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronpath"
+	"citrondeck.dev/citrondeck/citronpool"
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 )
@@ -238,3 +239,48 @@
 	is.True(got.retryAfter > 0)
 	is.True(len(r.engines.seen()) <= 5)
 }
+
+// Both runs that the route allows have been used when the first engine of
+// the second says that it is leaving. It still serves, so a third engine
+// would run the request beside two that are well: the stream stays, and is
+// resumed only when the engine has ended.
+func TestLastRunStaysWithLeavingEngineUntilItEnds(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, engine("m1", "a", 0, 8), engine("m2", "a", 0, 8), engine("m3", "b", 0, 8))
+	state := r.Current()
+	current := state
+	r.Current = func() *citronforward.State { return current }
+	r.engines.answer = func(ctx context.Context, n int, c citronforward.Call) (*citronforward.Reply, error) {
+		switch n {
+		case 0:
+			rep := reply(200, "")
+			rep.Body = breaking{strings.NewReader(events(1, 1)), errReset}
+			return rep, nil
+		case 1:
+			leaving := *state
+			var engines []citronmodel.Engine
+			for _, e := range state.View.ByService["model"] {
+				e.Engine.Leaving = e.ID == c.Engine.ID
+				engines = append(engines, e.Engine)
+			}
+			leaving.View = citronpool.Build(engines, state.View)
+			current = &leaving
+			body, w := io.Pipe()
+			go func() {
+				_, _ = io.WriteString(w, events(2, 2))
+				time.Sleep(2200 * time.Millisecond) // past the time to move
+				_, _ = io.WriteString(w, events(3, 3))
+				_ = w.CloseWithError(errReset)
+			}()
+			rep := reply(200, "")
+			rep.Body = body
+			return rep, nil
+		}
+		return reply(200, events(4, 4)), nil
+	}
+	got := r.ask("stream", 5*time.Second, func(q *citronforward.Request) { q.Received = time.Now().Add(4 * time.Second) })
+	is.Equal(got.body, events(1, 4))
+	calls := r.engines.seen()
+	is.Equal(len(calls), 3)
+	is.Equal(calls[2].after, "3") // not moved before the engine ended
+}
