Bounded log that never blocks; the leader is known by gossip; nodes register; moments on the steady clock

Cause: logging wrote to a pipe inside requests and without a bound; a node whose seeds are all gone had no peers; every node held a watch on the leader's key (15 s each) only to learn who leads; a jump of the time of day moved the times until which failed engines are left alone, and a process restarted after its clock went back was ignored for 20 s.

--- a/citroncli/cli.go
+++ b/citroncli/cli.go
@@ -47,11 +47,16 @@
 	Err       io.Writer `kong:"-"`
 }
 
+// Level returns the log level.
+func (g *Globals) Level() slog.Level {
+	var lvl slog.Level
+	_ = lvl.UnmarshalText([]byte(g.LogLevel)) // kong has checked the name
+	return lvl
+}
+
 // Logger returns the process logger.
 func (g *Globals) Logger() *slog.Logger {
-	var lvl slog.Level
-	_ = lvl.UnmarshalText([]byte(g.LogLevel))
-	opts := &slog.HandlerOptions{Level: lvl}
+	opts := &slog.HandlerOptions{Level: g.Level()}
 	if g.LogFormat == "json" {
 		return slog.New(slog.NewJSONHandler(g.Err, opts))
 	}
--- a/citroncli/node.go
+++ b/citroncli/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"os"
 	"os/signal"
@@ -16,6 +17,7 @@
 	"citrondeck.dev/citrondeck/citronclock"
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronforward"
+	"citrondeck.dev/citrondeck/citronlog"
 	"citrondeck.dev/citrondeck/citronnode"
 	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/platform"
@@ -49,7 +51,11 @@
 		citronevent.Log(context.Background(), g.Logger(), citronevent.SettingsInvalid, "err", err)
 		return err
 	}
-	log := g.Logger().With("node", set.Name)
+	logging, stopLogging := context.WithCancel(context.Background())
+	handler, written := citronlog.New(logging, g.Out, citronclock.Real{}, g.Level())
+	defer written()
+	defer stopLogging()
+	log := slog.New(handler).With("node", set.Name)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	hup := make(chan os.Signal, 1)
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -21,6 +21,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronbudget"
@@ -163,13 +164,27 @@
 	Metrics *Metrics
 
 	reports reports
+	// answers counts requests that were answered in full.
+	answers atomic.Int64
+}
+
+// sampleEvery is how many answered requests one log line stands for.
+const sampleEvery = 50
+
+// answered logs one in many of the requests that went well.
+func (j *job) answered(args ...any) {
+	if j.f.answers.Add(1)%sampleEvery == 1 {
+		citronevent.Log(context.Background(), j.f.Log, citronevent.AnswerSampled, append([]any{"request", j.ID, "route", j.route.Name, "version", j.version, "took", j.f.Clock.Now().Sub(j.Received)}, args...)...)
+	}
 }
 
 // job is one request on its way.
 type job struct {
 	*Request
-	f        *Forwarder
-	out      Sink
+	f   *Forwarder
+	out Sink
+	// version is that of the configuration which decided route and key.
+	version  int64
 	route    citrontable.Route
 	service  citrontable.Service
 	customer string
@@ -235,7 +250,7 @@
 		f.refuse(r, out, http.StatusNotFound, -1, "no route for this host and path")
 		return nil, false
 	}
-	j := &job{Request: r, f: f, out: out, route: route, avoid: map[string]bool{}, spread: drawSpread(s), retryAfter: retryNoEngine}
+	j := &job{Request: r, f: f, out: out, version: s.Table.Version, route: route, avoid: map[string]bool{}, spread: drawSpread(s), retryAfter: retryNoEngine}
 	if s.Table.NeedsKey(route) {
 		c, ok := s.Table.Customer(r.Key)
 		if !ok {
@@ -266,10 +281,18 @@
 
 func (f *Forwarder) refuse(r *Request, out Sink, status int, after time.Duration, reason string) {
 	f.Metrics.Refusals.WithLabelValues(reason).Inc()
-	citronevent.Log(context.Background(), f.Log, citronevent.ForwardRefused, "request", r.ID, "status", status, "reason", reason, "retryAfter", after, "held", f.Clock.Now().Sub(r.Received))
+	citronevent.Log(context.Background(), f.Log, citronevent.ForwardRefused, "request", r.ID, "status", status, "reason", reason, "retryAfter", after, "held", f.Clock.Now().Sub(r.Received), "version", f.version())
 	out.Refuse(status, after, reason)
 }
 
+// version is that of the configuration in force, zero if there is none.
+func (f *Forwarder) version() int64 {
+	if s := f.Current(); s != nil && s.Table != nil {
+		return s.Table.Version
+	}
+	return 0
+}
+
 // giveUp is the final answer of a request that no engine answered.
 func (j *job) giveUp(ctx context.Context, reason string) {
 	status := http.StatusServiceUnavailable
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -156,6 +156,7 @@
 	if s.firstTook > s.route.Target || s.longest > s.route.MaxGap {
 		citronevent.Log(ctx, s.f.Log, citronevent.StreamLate, "request", s.ID, "first", s.firstTook, "pause", s.longest, "afterEvent", s.longestAt, "moves", s.moves, "runs", s.runs+1, "engine", s.path[0].Engine.ID, "zone", s.path[0].Engine.Zone)
 	}
+	s.answered("first", s.firstTook, "pause", s.longest, "moves", s.moves, "runs", s.runs+1, "engine", s.path[0].Engine.ID)
 }
 
 // canResume reports whether another run may go on after the last event.
--- a/citronforward/whole.go
+++ b/citronforward/whole.go
@@ -65,6 +65,7 @@
 		if res.outcome == answered {
 			j.f.Metrics.Whole.Observe(j.f.Clock.Now().Sub(j.Received).Seconds())
 			j.out.Answer(res.status, res.header, res.body)
+			j.answered("engine", e.ID, "status", res.status, "runs", j.runs+1)
 			return
 		}
 		j.logAttempt(e, res)
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -238,7 +238,7 @@
 
 // lapseKept reports whether missing entries are put down to the store.
 func (c *control) lapseKept(now time.Time) bool {
-	if now.Sub(time.Unix(0, c.n.storeTrouble.Load())) < troubleMemory {
+	if t := c.n.storeTrouble.Load(); t != nil && now.Sub(*t) < troubleMemory {
 		return true
 	}
 	c.vanished = slices.DeleteFunc(c.vanished, func(t time.Time) bool { return now.Sub(t) > lapseGrace })
@@ -251,7 +251,10 @@
 			continue
 		}
 		old, ok := c.members[m.Name]
-		if ok && !m.Newer(old.Member) {
+		// A process restarted after its clock was set back looks older
+		// than the one before it, which is known to be gone by now.
+		restarted := ok && !old.alive && m.Started != old.Started
+		if ok && !restarted && !m.Newer(old.Member) {
 			continue
 		}
 		k := known{Member: m, heard: c.n.clock.Now(), alive: true}
@@ -304,6 +307,7 @@
 	c.self.Beat++
 	c.self.Leaving = c.n.leaving.Load()
 	c.self.Ready = c.n.Ready()
+	c.self.Leads = c.n.leads.Load()
 	c.self.Load = c.n.loads.Sums()
 	c.self.Sent = map[string]citronpeer.Sent{}
 	for service, u := range c.n.budget.Used(now) {
--- a/citronnode/leader.go
+++ b/citronnode/leader.go
@@ -19,54 +19,64 @@
 	leaderKey = "deck/leader"
 	// renewals a lease lives through.
 	renewals = 3
-	// campaignEvery is how often a node that does not lead looks whether
-	// the key is free, beside its watch on it.
+	// campaignWait is how long a node waits before it looks again whether
+	// it should lead. Nodes that wait as long try one after the other.
 	campaignWait = 300 * time.Millisecond
 )
 
+// errHeld means that the key of the leader is held.
+var errHeld = errors.New("another node leads")
+
 func (n *Node) lead(ctx context.Context) {
-	for ctx.Err() == nil {
-		if n.leaving.Load() {
-			return
+	for ctx.Err() == nil && !n.leaving.Load() {
+		_ = n.clock.Sleep(ctx, campaignWait/2+rand.N(campaignWait))
+		if n.leaderKnown() {
+			continue
 		}
 		lease, err := n.campaign(ctx)
 		if err != nil {
-			_ = n.clock.Sleep(ctx, campaignWait+rand.N(campaignWait))
+			if !errors.Is(err, errHeld) {
+				n.trouble()
+			}
 			continue
 		}
 		n.reign(ctx, lease)
 	}
 }
 
-// campaign waits until the key is free and takes it.
+// leaderKnown reports whether another node says that it leads. Only when
+// none does is the store asked.
+func (n *Node) leaderKnown() bool {
+	for _, m := range n.snap.Load().members {
+		if m.Leads && !m.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// campaign takes the key if it is free.
 func (n *Node) campaign(ctx context.Context) (citronkv.LeaseID, error) {
-	_, rev, err := n.src.Store.Range(ctx, leaderKey)
-	if err != nil {
-		return 0, err
+	_, err := n.src.Store.Get(ctx, leaderKey)
+	if err == nil {
+		return 0, errHeld
 	}
-	for {
-		it, err := n.src.Store.Get(ctx, leaderKey)
-		if errors.Is(err, citronkv.ErrNotFound) {
-			break
-		}
-		if err != nil {
-			return 0, err
-		}
-		if _, rev, err = n.src.Store.Watch(ctx, leaderKey, max(rev, it.Revision)); err != nil {
-			return 0, err
-		}
+	if !errors.Is(err, citronkv.ErrNotFound) {
+		return 0, err
 	}
-	// A short random wait lets the nodes try one after the other.
-	_ = n.clock.Sleep(ctx, rand.N(campaignWait))
 	lease, err := n.src.Store.Grant(ctx, n.set.LeaseTTL)
 	if err != nil {
 		return 0, err
 	}
-	if _, err := n.src.Store.Put(ctx, leaderKey, []byte(n.set.Name), citronkv.Absent, lease); err != nil {
-		_ = n.src.Store.Revoke(ctx, lease) // it ends by itself otherwise
-		return 0, err
+	_, err = n.src.Store.Put(ctx, leaderKey, []byte(n.set.Name), citronkv.Absent, lease)
+	if err == nil {
+		return lease, nil
+	}
+	_ = n.src.Store.Revoke(ctx, lease) // it ends by itself otherwise
+	if errors.Is(err, citronkv.ErrConflict) {
+		return 0, errHeld
 	}
-	return lease, nil
+	return 0, err
 }
 
 // reign places layers while the lease is renewed in time.
@@ -74,6 +84,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	citronevent.Log(ctx, n.log, citronevent.LeaderElected, "lease", lease)
+	n.leads.Store(true)
+	defer n.leads.Store(false)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -71,10 +71,13 @@
 	leaving atomic.Bool
 	// news wakes the gossip loop when a document changed.
 	news chan struct{}
-	// storeTrouble is when a call to the store last failed (Unix ns).
-	storeTrouble atomic.Int64
-	inflight     sync.WaitGroup
-	running      atomic.Int64
+	// storeTrouble is when a call to the store last failed.
+	storeTrouble atomic.Pointer[time.Time]
+	leads        atomic.Bool
+	// registered are peer addresses found in the store.
+	registered atomic.Pointer[[]string]
+	inflight   sync.WaitGroup
+	running    atomic.Int64
 }
 
 // snapshot is what the control loop publishes.
@@ -135,6 +138,7 @@
 	tasks.Go(func() { n.follow(ctx, n.src.ConfigKey, true) })
 	tasks.Go(func() { n.follow(ctx, n.src.EnginePrefix, false) })
 	tasks.Go(func() { n.lead(ctx) })
+	tasks.Go(func() { n.register(ctx) })
 }
 
 const (
--- a/citronnode/sources.go
+++ b/citronnode/sources.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronevent"
@@ -53,7 +54,7 @@
 		if errors.Is(err, citronkv.ErrCompacted) {
 			continue
 		}
-		n.storeTrouble.Store(n.clock.Now().UnixNano())
+		n.trouble()
 		if !down {
 			down = true
 			citronevent.Log(ctx, n.log, citronevent.StoreLost, "step", prefix, "err", err)
@@ -63,6 +64,12 @@
 	}
 }
 
+// trouble notes that the store failed this node just now.
+func (n *Node) trouble() {
+	now := n.clock.Now()
+	n.storeTrouble.Store(&now)
+}
+
 func (n *Node) followOnce(ctx context.Context, prefix string, config bool, well func()) error {
 	items, rev, err := n.src.Store.Range(ctx, prefix)
 	if err != nil {
@@ -186,7 +193,7 @@
 		}
 	}
 	if len(addrs) < fanout || rand.N(seedChance) == 0 {
-		for _, a := range n.set.Seeds {
+		for _, a := range n.seeds() {
 			if a != n.set.Peer {
 				addrs = append(addrs, a)
 			}
@@ -195,6 +202,42 @@
 	return addrs
 }
 
+// seeds are the addresses of the settings and one of those in the store.
+func (n *Node) seeds() []string {
+	found := n.registered.Load()
+	if found == nil || len(*found) == 0 {
+		return n.set.Seeds
+	}
+	return append(slices.Clone(n.set.Seeds), (*found)[rand.IntN(len(*found))])
+}
+
+// nodePrefix is where nodes leave their peer addresses.
+const nodePrefix = "deck/nodes/"
+
+// register leaves this node's peer address in the store and reads those of
+// the others, once. The seeds of the settings may all be gone when a machine
+// is replaced; a node without peers would serve callers that nobody sends to
+// it. The entries need no lease: an address where nobody answers costs a
+// connection now and then, and the machine's name is used again.
+func (n *Node) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		_, err := n.src.Store.Put(ctx, nodePrefix+n.set.Name, []byte(n.set.Peer), citronkv.AnyRevision, 0)
+		if err == nil {
+			var items []citronkv.Item
+			if items, _, err = n.src.Store.Range(ctx, nodePrefix); err == nil {
+				addrs := make([]string, len(items))
+				for i, it := range items {
+					addrs[i] = string(it.Value)
+				}
+				n.registered.Store(&addrs)
+				return
+			}
+		}
+		citronevent.Log(ctx, n.log, citronevent.GossipFailed, "peer", nodePrefix, "err", err)
+		_ = n.clock.Sleep(ctx, retryMost+rand.N(retryMost))
+	}
+}
+
 // seedChance: one round in so many also asks the seeds, so that two halves
 // of a fleet that lost each other meet again.
 const seedChance = 10
--- a/citronpeer/peer.go
+++ b/citronpeer/peer.go
@@ -32,6 +32,8 @@
 	// Ready: callers may connect. Leaving: it will stop.
 	Ready   bool `json:"ready"`
 	Leaving bool `json:"leaving"`
+	// Leads: the node holds the lease under which layers are placed.
+	Leads bool `json:"leads,omitempty"`
 	// Load is the cache, in tokens, that the node's requests take by zone.
 	Load map[string]int64 `json:"load,omitempty"`
 	// Sent is what the node has sent for each service in a window.
--- a/citronpool/pool.go
+++ b/citronpool/pool.go
@@ -18,11 +18,19 @@
 	*State
 }
 
+// epoch is what moments are counted from. The difference to it is taken on
+// the steady clock, so a jump of the time of day neither frees an engine
+// that failed nor keeps one locked out.
+var epoch = time.Now()
+
+func since(now time.Time) int64 { return int64(now.Sub(epoch)) }
+
 // State is what this node saw of one incarnation of an engine.
 type State struct {
 	inflight atomic.Int64
 	tokens   atomic.Int64
-	// avoidUntil is when the engine may get new work again (Unix ns).
+	// avoidUntil is when the engine may get new work again, deadSince when
+	// it was last found dead (0: not), in nanoseconds since epoch.
 	avoidUntil atomic.Int64
 	failures   atomic.Int64
 	deadSince  atomic.Int64
@@ -65,26 +73,26 @@
 	if n < 5 {
 		wait = min(maxAvoid, firstAvoid<<(n-1))
 	}
-	s.avoidUntil.Store(now.Add(wait).UnixNano())
+	s.avoidUntil.Store(since(now.Add(wait)))
 }
 
 // Busy leaves the engine alone for the given time without holding the
 // failure against it.
 func (s *State) Busy(now time.Time, wait time.Duration) {
-	s.avoidUntil.Store(now.Add(wait).UnixNano())
+	s.avoidUntil.Store(since(now.Add(wait)))
 }
 
 // Dead marks an engine that no longer answers. Requests that run through
 // it are moved away.
 func (s *State) Dead(now time.Time) {
 	s.Failed(now)
-	s.deadSince.Store(now.UnixNano())
+	s.deadSince.Store(since(now))
 }
 
 // Suspect leaves alone for a moment an engine that another node has found
 // dead.
 func (s *State) Suspect(now time.Time) {
-	if until := now.Add(firstAvoid).UnixNano(); s.avoidUntil.Load() < until {
+	if until := since(now.Add(firstAvoid)); s.avoidUntil.Load() < until {
 		s.avoidUntil.Store(until)
 	}
 }
@@ -96,7 +104,7 @@
 	if n == 0 {
 		return time.Time{}
 	}
-	return time.Unix(0, n)
+	return epoch.Add(time.Duration(n))
 }
 
 const latencyWeight = 8
@@ -121,7 +129,7 @@
 
 // Usable reports whether the engine may get new work.
 func (e *Engine) Usable(now time.Time) bool {
-	return !e.Leaving && e.avoidUntil.Load() <= now.UnixNano()
+	return !e.Leaving && e.avoidUntil.Load() <= since(now)
 }
 
 // View is the list of engines at one moment.
