Streams outlive full engines and stopping nodes; only an engine that refuses connections has ended

Now only a refused connection or a removed entry proves the end, and a question that took far longer than its limit proves nothing.

--- a/citroncli/node.go
+++ b/citroncli/node.go
@@ -74,7 +74,7 @@
 	registry := prometheus.NewRegistry()
 	forwarder := &citronforward.Forwarder{
 		Zone: set.Zone, Clock: clock, Log: log, Upstream: engines, Budget: budget, Loads: loads,
-		Current: node.Traffic, Metrics: citronforward.NewMetrics(registry),
+		Current: node.Traffic, Metrics: citronforward.NewMetrics(registry), Stopping: node.Stopping,
 	}
 	ingress := &platform.Ingress{Forwarder: forwarder, Leaving: node.Leaving, Track: node.Track, MaxBodyBytes: maxBody}
 
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -162,6 +162,9 @@
 	// Current returns the newest state, nil before the first.
 	Current func() *State
 	Metrics *Metrics
+	// Stopping returns for how long this node has been stopping and how
+	// long it will still serve; false while it is not stopping.
+	Stopping func() (since, left time.Duration, stopping bool)
 
 	reports reports
 	// answers counts requests that were answered in full.
@@ -232,6 +235,10 @@
 	if !ok {
 		return
 	}
+	if j.tooLate() {
+		f.refuse(r, out, http.StatusServiceUnavailable, 0, "this node is stopping")
+		return
+	}
 	f.Metrics.Requests.WithLabelValues(j.route.Kind.String()).Inc()
 	f.Budget.Request(j.service.Name, r.Received)
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
@@ -243,6 +250,28 @@
 	j.whole(ctx)
 }
 
+// stopAccept is how long a node that is stopping still takes streams. Callers
+// know its address for a little longer than they keep an answer of the
+// directory; a stream lasts up to eight seconds and must end before the node
+// does.
+const stopAccept = 2500 * time.Millisecond
+
+// tooLate reports whether the node will stop before the request can be
+// expected to end. It has not run, and another node can take it at once.
+func (j *job) tooLate() bool {
+	if j.f.Stopping == nil {
+		return false
+	}
+	since, left, stopping := j.f.Stopping()
+	if !stopping {
+		return false
+	}
+	if j.route.Kind == citrontable.Streaming {
+		return since > stopAccept
+	}
+	return j.left() > left
+}
+
 // newJob finds the request's route, customer and service, or refuses it.
 func (f *Forwarder) newJob(s *State, r *Request, out Sink) (*job, bool) {
 	route, ok := s.Table.Route(r.Host, r.Path)
--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -24,6 +24,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"syscall"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronevent"
@@ -35,6 +36,8 @@
 const (
 	// checkEvery is how often a running stream looks at its path.
 	checkEvery = 50 * time.Millisecond
+	// ownPause between two looks means that this node stood still.
+	ownPause = 6 * checkEvery
 	// silentAfter is the pause after which the engines are asked. Events
 	// are about 100 ms apart under load, so this is a few of them; the
 	// caller leaves after 2 s.
@@ -101,6 +104,8 @@
 	moving  bool
 	askedAt time.Time
 	repaths int
+	// checkedAt is when the path was last looked at.
+	checkedAt time.Time
 	// waitUntil keeps a stream that cannot be moved now from trying again
 	// at every check.
 	waitUntil time.Time
@@ -150,6 +155,12 @@
 		return goOn
 	}
 	now := w.s.f.Clock.Now()
+	stalled := !w.checkedAt.IsZero() && now.Sub(w.checkedAt) > ownPause
+	w.checkedAt = now
+	if stalled {
+		// This node stood still; the silence was its own.
+		w.waitUntil = now.Add(silentAfter)
+	}
 	if now.Before(w.waitUntil) {
 		return goOn
 	}
@@ -233,7 +244,16 @@
 // probe asks an engine for a sign of life and notes if it gives none.
 func (f *Forwarder) probe(ctx context.Context, e *citronpool.Engine) {
 	if _, err := f.reports.ask(ctx, f.Upstream, e.Addr); err != nil && ctx.Err() == nil {
-		e.Dead(f.Clock.Now())
+		f.dead(e, err)
+	}
+}
+
+// dead notes an engine that gave no sign of life, and whether its process
+// has certainly ended.
+func (f *Forwarder) dead(e *citronpool.Engine, err error) {
+	e.Dead(f.Clock.Now())
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		e.End()
 	}
 }
 
@@ -245,7 +265,7 @@
 		if w.ctx.Err() != nil {
 			return goOn
 		}
-		first.Dead(now)
+		w.s.f.dead(first, r.err)
 		return w.replace(0, reasonDead)
 	}
 	addr, ok := r.report.Stalled[w.s.ID]
@@ -286,7 +306,7 @@
 		if w.mayWait() {
 			return goOn
 		}
-		if s.canResume(false) && s.takeBudget() {
+		if s.canResume() && s.takeBudget() {
 			return w.rerun()
 		}
 	}
@@ -325,7 +345,7 @@
 func (w *watch) resume() action {
 	s := w.s
 	_, ok := s.job.path(s.f.Current(), "")
-	if ok && s.canResume(false) && s.takeBudget() {
+	if ok && s.canResume() && s.takeBudget() {
 		return w.rerun()
 	}
 	now := s.f.Clock.Now()
--- a/citronforward/reports.go
+++ b/citronforward/reports.go
@@ -11,6 +11,11 @@
 // of the zone fall silent at once and would each ask the same engines.
 const reportFresh = 500 * time.Millisecond
 
+// ownStall is how much longer than its time limit a question may take: if
+// more, this node itself stood still, and that an engine did not answer in
+// the meantime says nothing about the engine.
+const ownStall = 100 * time.Millisecond
+
 // reports shares engines' reports between streams.
 type reports struct {
 	mu   sync.Mutex
@@ -41,6 +46,9 @@
 			ask, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
 			defer cancel()
 			q.report, q.err = up.Report(ask, addr)
+			if time.Since(q.at) > reportTimeout+ownStall {
+				q.report, q.err = Report{}, nil
+			}
 		}()
 	}
 	r.mu.Unlock()
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -88,6 +88,8 @@
 	refusedRun
 	// brokenRun: it broke off; it may be resumed elsewhere.
 	brokenRun
+	// noPath: there was nothing to run it on.
+	noPath
 	// engineAnswer: the engine's own failure has been passed on.
 	engineAnswer
 )
@@ -96,51 +98,17 @@
 func (j *job) stream(ctx context.Context) {
 	s := &streamJob{job: j, last: j.ResumeAfter, lastAt: j.Received}
 	defer s.unbind()
-	reason := "no path runs all layers"
+	var reason string
 	for {
-		if j.service.Model == nil {
-			reason = "service runs no model"
-			break
-		}
-		p, full, ok := s.room(ctx)
-		if full {
-			reason = "engines' cache is full"
-		}
-		if !ok {
-			break
-		}
-		s.bind(p)
-		v := s.run(ctx)
+		var v verdict
+		v, reason = s.attempt(ctx)
 		if v == finished || v == engineAnswer {
 			s.ended(ctx)
 			return
 		}
-		if v == callerLeft {
-			j.runs++ // the engines may have begun
-			reason = "out of time"
+		if !s.goesOn(ctx, v) {
 			break
 		}
-		if v == refusedRun {
-			reason = "engines are full"
-			j.refused++
-			j.retryAfter = retryBusy
-			if j.mayMove() {
-				continue
-			}
-			break
-		}
-		reason = "stream broke off"
-		ended := s.firstEnded(true)
-		resume := s.mayResume()
-		if !ended {
-			j.runs++
-		} else {
-			j.lostRuns++
-		}
-		if !resume {
-			break
-		}
-		j.f.Metrics.Repairs.WithLabelValues("resume").Inc()
 	}
 	if s.begun {
 		citronevent.Log(ctx, j.f.Log, citronevent.StreamBroken, "request", j.ID, "reason", reason, "lastEvent", s.last, "runs", j.runs, "left", j.left())
@@ -150,6 +118,80 @@
 	j.giveUp(ctx, reason)
 }
 
+// attempt chooses a path and runs the stream over it once.
+func (s *streamJob) attempt(ctx context.Context) (verdict, string) {
+	if s.service.Model == nil {
+		return noPath, "service runs no model"
+	}
+	p, full, ok := s.room(ctx)
+	switch {
+	case full:
+		return noPath, "engines' cache is full"
+	case !ok:
+		return noPath, "no path runs all layers"
+	}
+	s.bind(p)
+	switch v := s.run(ctx); v {
+	case callerLeft:
+		return v, "out of time"
+	case refusedRun:
+		return v, "engines are full"
+	default:
+		return v, "stream broke off"
+	}
+}
+
+// goesOn decides, after an attempt that did not finish the stream, whether
+// there is another.
+func (s *streamJob) goesOn(ctx context.Context, v verdict) bool {
+	switch v {
+	case callerLeft:
+		s.runs++ // the engines may have begun
+		return false
+	case noPath:
+		return s.waitBegun(ctx)
+	case refusedRun:
+		s.refused++
+		s.retryAfter = retryBusy
+		if s.mayMove() {
+			return true
+		}
+		return s.waitBegun(ctx)
+	}
+	ended := s.firstEnded()
+	resume := s.mayResume()
+	if ended {
+		s.lostRuns++
+	} else {
+		s.runs++
+	}
+	if resume {
+		s.f.Metrics.Repairs.WithLabelValues("resume").Inc()
+	}
+	return resume
+}
+
+// againPause is how long a stream that has begun waits before it asks the
+// engines once more: some of their requests end in it.
+const againPause = 150 * time.Millisecond
+
+// waitBegun waits for engines to take a stream that its caller has a part
+// of. To end it would lose what the caller has, and an answer that was
+// promised; a caller that no longer wants to wait leaves by itself.
+func (s *streamJob) waitBegun(ctx context.Context) bool {
+	if !s.begun {
+		return false
+	}
+	s.refused = 0
+	clear(s.avoid)
+	for s.f.Clock.Sleep(ctx, againPause) == nil {
+		if s.takeBudget() {
+			return true
+		}
+	}
+	return false
+}
+
 // ended records a stream that the caller has whole.
 func (s *streamJob) ended(ctx context.Context) {
 	s.f.Metrics.Pause.Observe(s.longest.Seconds())
@@ -161,36 +203,36 @@
 
 // canResume reports whether another run may go on after the last event.
 // Runs whose first engine has ended do not count against the route's limit.
-// An engine that is only leaving has not: while it serves, moving away from
-// it is one more engine that ran the request. broke says that the run ended
-// by itself; then a leaving engine has ended too.
-func (s *streamJob) canResume(broke bool) bool {
+// One that is leaving, or does not answer, has not: it may be well for
+// others and still run the request.
+func (s *streamJob) canResume() bool {
 	if !s.route.Idempotent() {
 		return false
 	}
 	runs := s.runs + 1
-	if s.firstEnded(broke) {
+	if s.firstEnded() {
 		runs--
 	}
 	return runs < max(1, s.route.MaxAttempts)
 }
 
-func (s *streamJob) firstEnded(broke bool) bool {
+func (s *streamJob) firstEnded() bool {
 	first := s.path[0].Engine
-	if s.f.Clock.Now().Sub(first.DeadSince()) < deadMemory {
-		return true
-	}
-	cur, listed := s.f.Current().View.ByID(first.ID)
-	return broke && (!listed || cur.Leaving)
+	_, listed := s.f.Current().View.ByID(first.ID)
+	return first.Ended() || !listed
 }
 
-// mayResume is canResume with the budget, unless it is paid already.
+// mayResume is canResume with the budget, unless it is paid already. If the
+// limit is reached, the first engine is asked whether it has ended.
 func (s *streamJob) mayResume() bool {
 	if s.paid {
 		s.paid = false
 		return true
 	}
-	return s.canResume(true) && s.takeBudget()
+	if !s.canResume() {
+		s.f.probe(context.Background(), s.path[0].Engine)
+	}
+	return s.canResume() && s.takeBudget()
 }
 
 func (s *streamJob) bind(p citronpath.Path) {
--- a/citronforward/stream_test.go
+++ b/citronforward/stream_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -240,6 +242,72 @@
 	is.True(len(r.engines.seen()) <= 5)
 }
 
+// The engine of a running stream breaks off, and all others are full for a
+// moment. The caller has half of its answer; ending the stream would lose
+// it, so the stream waits and is resumed as soon as an engine takes it.
+func TestBegunStreamWaitsForRoom(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, engine("m1", "a", 0, 8), engine("m2", "a", 0, 8), engine("m3", "a", 0, 8))
+	r.engines.answer = func(_ context.Context, n int, _ citronforward.Call) (*citronforward.Reply, error) {
+		switch {
+		case n == 0:
+			rep := reply(200, "")
+			rep.Body = breaking{strings.NewReader(events(1, 3)), errReset}
+			return rep, nil
+		case n < 12:
+			return shed(""), nil
+		}
+		return reply(200, events(4, 5)), nil
+	}
+	got := r.ask("stream", 8*time.Second)
+	is.Equal(got.body, events(1, 5))
+	is.True(!got.aborted)
+}
+
+// A node that is stopping takes no stream that would outlive it, but still
+// answers what ends in time. The refused caller goes to another node at once.
+func TestStoppingNodeTakesOnlyWhatEndsInTime(t *testing.T) {
+	for _, c := range []struct {
+		route       string
+		since, left time.Duration
+		status      int
+	}{
+		{"stream", time.Second, 6 * time.Second, 200},
+		{"stream", 3 * time.Second, 4600 * time.Millisecond, 503},
+		{"unsafe", 5 * time.Second, 2 * time.Second, 200},
+		{"unsafe", 7 * time.Second, 300 * time.Millisecond, 503},
+	} {
+		t.Run(c.route+c.since.String(), func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t, engine("m1", "a", 0, 8), plain("e1", "a"))
+			r.Stopping = func() (time.Duration, time.Duration, bool) { return c.since, c.left, true }
+			r.engines.answer = func(context.Context, int, citronforward.Call) (*citronforward.Reply, error) {
+				return reply(200, events(1, 2)), nil
+			}
+			got := r.ask(c.route, time.Second)
+			is.Equal(got.status, c.status)
+			is.Equal(got.retryAfter, time.Duration(0))
+		})
+	}
+}
+
+// A report that times out does not prove that the engine has ended: this
+// node may have stood still, or lost its way to an engine that is well. A
+// third engine must not run the request then.
+func TestSilentFirstEngineIsNotEnded(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, engine("m1", "a", 0, 8), engine("m2", "a", 0, 8), engine("m3", "a", 0, 8))
+	r.engines.answer = func(ctx context.Context, n int, _ citronforward.Call) (*citronforward.Reply, error) {
+		rep := reply(200, "")
+		rep.Body = silent{strings.NewReader(events(n+1, n+1)), ctx}
+		return rep, nil
+	}
+	r.engines.report = func(string) (citronforward.Report, error) { return citronforward.Report{}, context.DeadlineExceeded }
+	got := r.ask("stream", 2500*time.Millisecond)
+	is.True(got.aborted)
+	is.Equal(len(r.engines.seen()), 2)
+}
+
 // Both runs that the route allows have been used when the first engine of
 // the second says that it is leaving. It still serves, so a third engine
 // would run the request beside two that are well: the stream stays, and is
@@ -249,6 +317,7 @@
 	r := newRig(t, engine("m1", "a", 0, 8), engine("m2", "a", 0, 8), engine("m3", "b", 0, 8))
 	state := r.Current()
 	current := state
+	var ended atomic.Bool
 	r.Current = func() *citronforward.State { return current }
 	r.engines.answer = func(ctx context.Context, n int, c citronforward.Call) (*citronforward.Reply, error) {
 		switch n {
@@ -270,6 +339,7 @@
 				_, _ = io.WriteString(w, events(2, 2))
 				time.Sleep(2200 * time.Millisecond) // past the time to move
 				_, _ = io.WriteString(w, events(3, 3))
+				ended.Store(true)
 				_ = w.CloseWithError(errReset)
 			}()
 			rep := reply(200, "")
@@ -278,6 +348,12 @@
 		}
 		return reply(200, events(4, 4)), nil
 	}
+	r.engines.report = func(string) (citronforward.Report, error) {
+		if ended.Load() {
+			return citronforward.Report{}, syscall.ECONNREFUSED
+		}
+		return citronforward.Report{}, nil
+	}
 	got := r.ask("stream", 5*time.Second, func(q *citronforward.Request) { q.Received = time.Now().Add(4 * time.Second) })
 	is.Equal(got.body, events(1, 4))
 	calls := r.engines.seen()
--- a/citronforward/whole.go
+++ b/citronforward/whole.go
@@ -142,7 +142,7 @@
 func (j *job) judge(e *citronpool.Engine, err error) result {
 	switch {
 	case errors.Is(err, ErrNotSent):
-		e.Dead(j.f.Clock.Now())
+		j.f.dead(e, err)
 		return result{outcome: notRun, err: err}
 	case errors.Is(err, context.Canceled):
 		return result{outcome: unknown, err: err} // the caller left
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -69,6 +69,8 @@
 	control chan message
 	snap    atomic.Pointer[snapshot]
 	leaving atomic.Bool
+	// leftAt is when the node began to stop.
+	leftAt atomic.Pointer[time.Time]
 	// news wakes the gossip loop when a document changed.
 	news chan struct{}
 	// storeTrouble is when a call to the store last failed.
@@ -149,10 +151,23 @@
 	leaveMargin = 400 * time.Millisecond
 )
 
+// Stopping returns for how long the node has been stopping and how long it
+// will still serve; false while it is not stopping.
+func (n *Node) Stopping() (since, left time.Duration, stopping bool) {
+	at := n.leftAt.Load()
+	if at == nil {
+		return 0, 0, false
+	}
+	since = n.clock.Now().Sub(*at)
+	return since, n.set.Grace - leaveMargin - since, true
+}
+
 // Drain takes the node out of the directory, serves on while callers still
 // know its address, and returns when nothing is in flight or the grace is
 // nearly over.
 func (n *Node) Drain(ctx context.Context) {
+	begin := n.clock.Now()
+	n.leftAt.Store(&begin)
 	n.leaving.Store(true)
 	n.tell()
 	citronevent.Log(ctx, n.log, citronevent.DrainStarted, "inflight", n.running.Load())
--- a/citronpool/pool.go
+++ b/citronpool/pool.go
@@ -36,6 +36,8 @@
 	deadSince  atomic.Int64
 	// latency is a running mean of answer times in microseconds.
 	latency atomic.Int64
+	// ended: its address refuses connections.
+	ended atomic.Bool
 }
 
 // Begin counts a request of so many tokens; the result ends it.
@@ -97,6 +99,13 @@
 	}
 }
 
+// End marks an engine whose process is known to have ended.
+func (s *State) End() { s.ended.Store(true) }
+
+// Ended reports whether the engine's process is known to have ended. An
+// engine that only does not answer may still run what it was sent.
+func (s *State) Ended() bool { return s.ended.Load() }
+
 // DeadSince is when the engine was last found dead; zero if it answered
 // since.
 func (s *State) DeadSince() time.Time {
