--- /dev/null
+++ b/citronnode/rig_test.go
@@ -0,0 +1,230 @@
+package citronnode_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronbudget"
+	"citrondeck.dev/citrondeck/citronclock"
+	"citrondeck.dev/citrondeck/citronkv"
+	"citrondeck.dev/citrondeck/citronmodel"
+	"citrondeck.dev/citrondeck/citronnode"
+	"citrondeck.dev/citrondeck/citronplace"
+	"citrondeck.dev/citrondeck/citronpool"
+	"citrondeck.dev/citrondeck/citrontable"
+	"github.com/cockroachdb/errors"
+)
+
+// doored is the store as one node reaches it.
+type doored struct {
+	*citronkv.Server
+	// closed: the store turns this node away.
+	closed atomic.Bool
+	// deaf: watches hear nothing until they end.
+	deaf atomic.Bool
+}
+
+var errTurnedAway = errors.Mark(errors.New("turned away"), citronkv.ErrUnavailable)
+
+func (d *doored) Get(ctx context.Context, key string) (citronkv.Item, error) {
+	if d.closed.Load() {
+		return citronkv.Item{}, errTurnedAway
+	}
+	return d.Server.Get(ctx, key)
+}
+
+func (d *doored) Range(ctx context.Context, prefix string) ([]citronkv.Item, citronkv.Revision, error) {
+	if d.closed.Load() {
+		return nil, 0, errTurnedAway
+	}
+	return d.Server.Range(ctx, prefix)
+}
+
+func (d *doored) Put(ctx context.Context, key string, value []byte, expect citronkv.Revision, lease citronkv.LeaseID) (citronkv.Revision, error) {
+	if d.closed.Load() {
+		return 0, errTurnedAway
+	}
+	return d.Server.Put(ctx, key, value, expect, lease)
+}
+
+func (d *doored) Watch(ctx context.Context, prefix string, after citronkv.Revision) ([]citronkv.Item, citronkv.Revision, error) {
+	if d.closed.Load() {
+		return nil, 0, errTurnedAway
+	}
+	if d.deaf.Load() {
+		<-ctx.Done()
+		return nil, 0, errors.Mark(ctx.Err(), citronkv.ErrUnavailable)
+	}
+	limit, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
+	defer cancel()
+	items, rev, err := d.Server.Watch(limit, prefix, after)
+	if err != nil && limit.Err() != nil && ctx.Err() == nil {
+		return nil, after, nil // the wait ended without events
+	}
+	if d.closed.Load() {
+		return nil, 0, errTurnedAway
+	}
+	return items, rev, err
+}
+
+func (d *doored) KeepAlive(ctx context.Context, id citronkv.LeaseID) error {
+	if d.closed.Load() {
+		return errTurnedAway
+	}
+	return d.Server.KeepAlive(ctx, id)
+}
+
+// orders are engines that carry out each order at once.
+type orders struct {
+	store *citronkv.Server
+	mu    sync.Mutex
+	given int
+}
+
+func (o *orders) State(context.Context, string) (citronplace.EngineState, error) {
+	return citronplace.EngineState{}, nil
+}
+
+func (o *orders) Place(ctx context.Context, e citronmodel.Engine, order citronplace.Order, _ int64) error {
+	o.mu.Lock()
+	o.given++
+	o.mu.Unlock()
+	e.Layers = order.Span
+	return putEngine(ctx, o.store, e)
+}
+
+func (o *orders) count() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.given
+}
+
+func putEngine(ctx context.Context, s citronkv.Store, e citronmodel.Engine) error {
+	text, err := json.Marshal(e)
+	if err != nil {
+		return err
+	}
+	_, err = s.Put(ctx, "engines/"+e.ID, text, citronkv.AnyRevision, 0)
+	return err
+}
+
+var spec = citronmodel.Spec{
+	Layers: 8, LayerMB: 1000, TokenBytes: 8000, StepMS: 1, ReadPerS: 1000, Slots: 8,
+	Kinds: map[string]citronmodel.Kind{"fast": {Name: "fast", MemoryMB: 6000, StepFactor: 2, ReadFactor: 3}},
+}
+
+func decodeConfig(text []byte) (*citrontable.Table, error) {
+	var version int64
+	if err := json.Unmarshal(text, &version); err != nil {
+		return nil, err
+	}
+	return citrontable.New(version, nil, []citrontable.Service{{Name: "model", Model: &spec}}, nil, citrontable.Limits{}), nil
+}
+
+func decodeEngine(_ string, text []byte) (citronmodel.Engine, error) {
+	var e citronmodel.Engine
+	err := json.Unmarshal(text, &e)
+	return e, err
+}
+
+// fleet is some nodes before one store.
+type fleet struct {
+	t      *testing.T
+	store  *citronkv.Server
+	orders *orders
+	nodes  []*member
+}
+
+type member struct {
+	*citronnode.Node
+	door *doored
+	addr string
+	stop context.CancelFunc
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	store := citronkv.NewServer(citronclock.Real{}, 0)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go store.Run(ctx)
+	return &fleet{t: t, store: store, orders: &orders{store: store}}
+}
+
+// add starts a node; it knows the addresses of those before it.
+func (f *fleet) add(name, zone string) *member {
+	f.t.Helper()
+	mux := http.NewServeMux()
+	hs := httptest.NewServer(mux)
+	addr := strings.TrimPrefix(hs.URL, "http://")
+	var seeds []string
+	for _, m := range f.nodes {
+		seeds = append(seeds, m.addr)
+	}
+	m := &member{door: &doored{Server: f.store}, addr: addr}
+	m.Node = citronnode.New(citronnode.Settings{
+		Name: name, Zone: zone, Front: "front-" + name, Peer: addr, Seeds: seeds, LeaseTTL: 600 * time.Millisecond, Grace: time.Second,
+	}, citronnode.Sources{
+		Store: m.door, ConfigKey: "config", EnginePrefix: "engines/",
+		DecodeConfig: decodeConfig, DecodeEngine: decodeEngine, Orders: f.orders,
+	}, citronclock.Real{}, slog.New(slog.NewTextHandler(io.Discard, nil)), citronbudget.New(citronbudget.Limits{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}), &citronpool.Loads{}, hs.Client())
+	m.Handle(mux)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); m.Run(ctx) }()
+	var once sync.Once
+	m.stop = func() {
+		once.Do(func() {
+			cancel()
+			<-done
+			hs.Close()
+		})
+	}
+	f.t.Cleanup(m.stop)
+	f.nodes = append(f.nodes, m)
+	return m
+}
+
+func (f *fleet) config(text string) {
+	f.t.Helper()
+	if _, err := f.store.Put(context.Background(), "config", []byte(text), citronkv.AnyRevision, 0); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fleet) engine(e citronmodel.Engine) {
+	f.t.Helper()
+	if err := putEngine(context.Background(), f.store, e); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (m *member) version() int64 {
+	if s := m.Traffic(); s != nil {
+		return s.Table.Version
+	}
+	return 0
+}
+
+// patience is how long a test waits for what takes a second at most; a
+// slow machine must not fail it.
+const patience = 30 * time.Second
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("not within %v: %s", patience, what)
+}
--- a/citronnode/sources.go
+++ b/citronnode/sources.go
@@ -81,7 +81,7 @@
 	} else {
 		n.send(ctx, listSeen{items: items, revision: rev, source: "store"})
 	}
-	for {
+	for ctx.Err() == nil {
 		events, next, err := n.watch(ctx, prefix, rev)
 		if err != nil {
 			return err
@@ -97,6 +97,7 @@
 			_ = n.clock.Sleep(ctx, gather)
 		}
 	}
+	return ctx.Err()
 }
 
 const (
