--- a/citronforward/admit.go
+++ b/citronforward/admit.go
@@ -52,6 +52,7 @@
 			return p, false, true
 		}
 		if s.f.Clock.Now().Add(roomPoll).After(until) || s.f.Clock.Sleep(ctx, roomPoll) != nil {
+			s.used = used
 			s.retryAfter = retryRoom + rand.N(retryRoomMost-retryRoom)
 			return nil, true, false
 		}
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -19,6 +19,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -199,6 +200,9 @@
 	runs, refused int
 	// lostRuns counts runs on engines that have ended since.
 	lostRuns int
+	// used is the share of cache taken at the fullest engine of the best
+	// path, if that is why the request is refused.
+	used float64
 	// retryAfter is when a refusal tells the caller to come back.
 	retryAfter time.Duration
 }
@@ -340,9 +344,10 @@
 	return j, true
 }
 
-func (f *Forwarder) refuse(r *Request, out Sink, status int, after time.Duration, reason string) {
+func (f *Forwarder) refuse(r *Request, out Sink, status int, after time.Duration, reason string, more ...any) {
 	f.Metrics.Refusals.WithLabelValues(reason).Inc()
-	citronevent.Log(context.Background(), f.Log, citronevent.ForwardRefused, "request", r.ID, "status", status, "reason", reason, "retryAfter", after, "held", f.Clock.Now().Sub(r.Received), "version", f.version())
+	args := []any{"request", r.ID, "status", status, "reason", reason, "retryAfter", after, "held", f.Clock.Now().Sub(r.Received), "version", f.version()}
+	citronevent.Log(context.Background(), f.Log, citronevent.ForwardRefused, append(args, more...)...)
 	out.Refuse(status, after, reason)
 }
 
@@ -366,7 +371,7 @@
 		}
 		after = -1
 	}
-	j.f.refuse(j.Request, j.out, status, after, reason)
+	j.f.refuse(j.Request, j.out, status, after, reason, "service", j.service.Name, "customer", j.customer, "runs", j.runs+j.lostRuns, "refused", j.refused, "used", math.Round(100*j.used)/100)
 }
 
 func (j *job) left() time.Duration { return j.deadline.Sub(j.f.Clock.Now()) }
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -133,6 +133,9 @@
 	s.bind(p)
 	switch v := s.run(ctx); v {
 	case callerLeft:
+		if errors.Is(ctx.Err(), context.Canceled) {
+			return v, "the caller left"
+		}
 		return v, "out of time"
 	case refusedRun:
 		return v, "engines are full"
