A leader goes on while the store is away, and another stands in for one that died

Now a leader that cannot renew goes on while it hears most nodes and none of them leads; if it dies too the first node by name stands in until the store answers. Missing entries no longer stop placement, as they stay in the list meanwhile.

--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -79,6 +79,7 @@
 	LogDropped     Event = 614
 	SettingsReload Event = 615
 	EngineDead     Event = 616
+	LeaderStandsIn Event = 617
 
 	// 400 to 403 were announced for the stand-ins and never logged.
 )
@@ -144,6 +145,7 @@
 	PlaceFailed:    {slog.LevelWarn, "place.failed", "an order to hold layers was refused or not answered; the engine's state decides what follows"},
 	GossipFailed:   {slog.LevelDebug, "gossip.failed", "another node did not answer an exchange"},
 	LogDropped:     {slog.LevelWarn, "log.dropped", "log lines were dropped because the reader of the log was too slow or an event came too often"},
+	LeaderStandsIn: {slog.LevelWarn, "leader.stands_in", "no node leads and the store does not answer; this node places layers until one of the two changes"},
 	EngineDead:     {slog.LevelWarn, "engine.dead", "an engine that a node suspected did not answer the leader; its layers are placed elsewhere"},
 	SettingsReload: {slog.LevelInfo, "settings.reload", "a reload was asked for; what the settings say of bounds is in force"},
 
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -330,14 +330,15 @@
 const settle = 300 * time.Millisecond
 
 // listWhole is how long after its first list a node may take it for whole:
-// entries that lapsed before that are back by then.
+// entries that lapsed before that are back by then. Entries that lapse later
+// stay in its list meanwhile.
 const listWhole = 2200 * time.Millisecond
 
 // publish makes the newest state visible to traffic, gossip and placement.
 func (c *control) publish() {
 	old := c.n.snap.Load()
 	s := &snapshot{config: c.config, self: c.self, traffic: old.traffic, engines: old.engines}
-	s.listWhole = !c.lapse && !c.listSince.IsZero() && c.n.clock.Now().Sub(c.listSince) > listWhole
+	s.listWhole = !c.listSince.IsZero() && c.n.clock.Now().Sub(c.listSince) > listWhole
 	s.listSettled = !c.listSince.IsZero() && c.n.clock.Now().Sub(c.listSince) > settle
 	others := map[string]int64{}
 	sent := map[string]citronbudget.Usage{}
--- a/citronnode/leader.go
+++ b/citronnode/leader.go
@@ -1,17 +1,24 @@
 package citronnode
 
 // Leadership: the node that holds a key under a lease places layers. A
-// leader that cannot renew its lease stops giving orders before the lease
-// can have ended, so that two nodes do not place at once; what an order of
-// the old one still does is met by the engines' own order counts.
+// leader whose lease has ended stops giving orders.
+//
+// While the store is away nobody can take the lease, and engines die all the
+// same. So a leader that cannot renew goes on as long as it hears most of
+// the nodes that it was elected among and none of them leads. If the store
+// only turned this node away and another was elected, gossip tells it within
+// a second; what two leaders order in that second is met by the engines'
+// order counts: an order that was meant for an earlier state is refused.
 
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronkv"
+	"citrondeck.dev/citrondeck/citronpeer"
 	"github.com/cockroachdb/errors"
 )
 
@@ -34,21 +41,70 @@
 			continue
 		}
 		lease, err := n.campaign(ctx)
-		if err != nil {
-			if !errors.Is(err, errHeld) {
-				n.trouble()
+		switch {
+		case err == nil:
+			n.reign(ctx, lease)
+		case !errors.Is(err, errHeld):
+			n.trouble()
+			if n.first() && n.noLeaderFor() > n.set.LeaseTTL/2 {
+				n.standIn(ctx)
 			}
-			continue
 		}
-		n.reign(ctx, lease)
 	}
 }
 
+// first reports whether this node is the first by name of the nodes that it
+// hears, and hears others at all. A node cut off from all does not lead.
+func (n *Node) first() bool {
+	members := n.snap.Load().members
+	return len(members) > 0 && !slices.ContainsFunc(members, func(m citronpeer.Member) bool {
+		return m.Ready && !m.Leaving && m.Name < n.set.Name
+	})
+}
+
+// noLeaderFor is how long this node has heard of no leader.
+func (n *Node) noLeaderFor() time.Duration {
+	since := n.leaderless.Load()
+	if since == nil {
+		now := n.clock.Now()
+		n.leaderless.CompareAndSwap(nil, &now)
+		return 0
+	}
+	return n.clock.Now().Sub(*since)
+}
+
+// standIn places layers without a lease: the leader died while the store was
+// away, so that nobody can take the lease, and an engine's hole would stay
+// open until the store is back. It ends when the store answers or another
+// node leads.
+func (n *Node) standIn(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	citronevent.Log(ctx, n.log, citronevent.LeaderStandsIn, "members", len(n.snap.Load().members))
+	n.leads.Store(true)
+	defer n.leads.Store(false)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.place(ctx)
+	}()
+	for !n.leaving.Load() && !n.leaderKnown() && ctx.Err() == nil {
+		_, err := n.src.Store.Get(ctx, leaderKey)
+		if err == nil || errors.Is(err, citronkv.ErrNotFound) {
+			break
+		}
+		_ = n.clock.Sleep(ctx, campaignWait)
+	}
+	cancel()
+	<-done
+}
+
 // leaderKnown reports whether another node says that it leads. Only when
 // none does is the store asked.
 func (n *Node) leaderKnown() bool {
 	for _, m := range n.snap.Load().members {
 		if m.Leads && !m.Leaving {
+			n.leaderless.Store(nil)
 			return true
 		}
 	}
@@ -92,21 +148,23 @@
 		n.place(ctx)
 	}()
 	renewed := n.clock.Now()
+	among := len(n.snap.Load().members) + 1
 	for !n.leaving.Load() {
 		_ = n.clock.Sleep(ctx, n.set.LeaseTTL/(renewals+1))
 		asked := n.clock.Now()
 		if ctx.Err() != nil {
 			break
 		}
-		limit, stop := context.WithDeadline(ctx, renewed.Add(n.set.LeaseTTL*renewals/(renewals+1)))
+		limit, stop := context.WithTimeout(ctx, n.set.LeaseTTL/2)
 		err := n.src.Store.KeepAlive(limit, lease)
 		stop()
 		if err == nil {
 			renewed = asked
 			continue
 		}
-		if errors.Is(err, citronkv.ErrLeaseExpired) || n.clock.Now().Sub(renewed) > n.set.LeaseTTL*renewals/(renewals+1) {
-			citronevent.Log(ctx, n.log, citronevent.LeaderResigned, "lease", lease, "age", n.clock.Now().Sub(renewed), "err", err)
+		n.trouble()
+		if errors.Is(err, citronkv.ErrLeaseExpired) || n.leaderKnown() || 2*(len(n.snap.Load().members)+1) <= among && among > 1 {
+			citronevent.Log(ctx, n.log, citronevent.LeaderResigned, "lease", lease, "age", n.clock.Now().Sub(renewed), "heard", len(n.snap.Load().members), "err", err)
 			break
 		}
 	}
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -77,6 +77,8 @@
 	// storeTrouble is when a call to the store last failed.
 	storeTrouble atomic.Pointer[time.Time]
 	leads        atomic.Bool
+	// leaderless is since when no leader has been heard of.
+	leaderless atomic.Pointer[time.Time]
 	// registered are peer addresses found in the store.
 	registered atomic.Pointer[[]string]
 	inflight   sync.WaitGroup
--- a/citronnode/node_test.go
+++ b/citronnode/node_test.go
@@ -194,3 +194,74 @@
 	})
 	is.True(f.orders.count()-before <= 2)
 }
+
+// The store is away for everybody, and an engine dies. Nobody can be elected
+// now; the leader that was has to fill the hole, or callers of the zone wait
+// for the store to come back.
+func TestLeaderGoesOnWhileTheStoreIsAway(t *testing.T) {
+	f := newFleet(t)
+	f.config("1")
+	for i := range 3 {
+		f.engine(citronmodel.Engine{ID: fmt.Sprintf("m%d", i), Service: "model", Addr: fmt.Sprintf("m%d:1", i), Zone: "z1", Kind: "fast"})
+	}
+	a, b := f.add("a", "z1"), f.add("b", "z1")
+	held := func() (n int) {
+		if s := a.Traffic(); s != nil {
+			for _, e := range s.View.ByService["model"] {
+				n += e.Layers.Len()
+			}
+		}
+		return n
+	}
+	eventually(t, "all engines hold layers", func() bool { return held() >= spec.Layers })
+	before := f.orders.count()
+	a.door.closed.Store(true)
+	b.door.closed.Store(true)
+	time.Sleep(1500 * time.Millisecond) // two lives of the lease
+	for _, e := range a.Traffic().View.ByService["model"] {
+		if e.Layers.To == spec.Layers {
+			f.orders.kill(e.Addr)
+			for _, m := range []*member{a, b} {
+				own, _ := m.Traffic().View.ByID(e.ID)
+				own.Dead(time.Now())
+			}
+		}
+	}
+	eventually(t, "an order fills the hole", func() bool { return f.orders.count() > before })
+}
+
+// The same, and the leader dies as well before it could act.
+func TestHoleIsFilledWithoutLeaderAndStore(t *testing.T) {
+	f := newFleet(t)
+	f.config("1")
+	for i := range 3 {
+		f.engine(citronmodel.Engine{ID: fmt.Sprintf("m%d", i), Service: "model", Addr: fmt.Sprintf("m%d:1", i), Zone: "z1", Kind: "fast"})
+	}
+	a := f.add("a", "z1")
+	eventually(t, "the first node leads", func() bool { return f.orders.count() >= 2 })
+	b, c := f.add("b", "z1"), f.add("c", "z1")
+	eventually(t, "all are ready", func() bool { return b.Ready() && c.Ready() })
+	time.Sleep(2500 * time.Millisecond) // their lists count as whole
+	b.door.closed.Store(true)
+	c.door.closed.Store(true)
+	a.stop()
+	before := f.orders.count()
+	for _, e := range b.Traffic().View.ByService["model"] {
+		if e.Layers.To == spec.Layers {
+			f.orders.kill(e.Addr)
+			stop := make(chan struct{})
+			defer close(stop)
+			go func() { // requests keep finding it dead
+				for own, _ := b.Traffic().View.ByID(e.ID); ; time.Sleep(50 * time.Millisecond) {
+					select {
+					case <-stop:
+						return
+					default:
+						own.Dead(time.Now())
+					}
+				}
+			}()
+		}
+	}
+	eventually(t, "an order fills the hole", func() bool { return f.orders.count() > before })
+}
--- a/citronnode/rig_test.go
+++ b/citronnode/rig_test.go
@@ -87,16 +87,29 @@
 type orders struct {
 	store *citronkv.Server
 	mu    sync.Mutex
-	given int
+	given []string
+	// dead is the address of an engine that does not answer.
+	dead string
 }
 
-func (o *orders) State(context.Context, string) (citronplace.EngineState, error) {
+func (o *orders) State(_ context.Context, addr string) (citronplace.EngineState, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if addr == o.dead {
+		return citronplace.EngineState{}, errors.New("no answer")
+	}
 	return citronplace.EngineState{}, nil
 }
 
+func (o *orders) kill(addr string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.dead = addr
+}
+
 func (o *orders) Place(ctx context.Context, e citronmodel.Engine, order citronplace.Order, _ int64) error {
 	o.mu.Lock()
-	o.given++
+	o.given = append(o.given, e.ID)
 	o.mu.Unlock()
 	e.Layers = order.Span
 	return putEngine(ctx, o.store, e)
@@ -105,7 +118,7 @@
 func (o *orders) count() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.given
+	return len(o.given)
 }
 
 func putEngine(ctx context.Context, s citronkv.Store, e citronmodel.Engine) error {
