A leaving engine's hole leaves no weak part

Now such an extension must keep 0.55 of the even cache, else the zone is divided while the engine still serves. The new test fails with the old share.

--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -130,7 +130,7 @@
 	err  error
 }
 
-func newWatch(s *streamJob, ctx context.Context) *watch {
+func newWatch(ctx context.Context, s *streamJob) *watch {
 	w := &watch{s: s, ctx: ctx, ticker: time.NewTicker(checkEvery), reports: make(chan reportResult, 1), moves: make(chan moveResult, 1)}
 	context.AfterFunc(ctx, w.ticker.Stop)
 	return w
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -271,7 +271,7 @@
 func (s *streamJob) run(ctx context.Context) verdict {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	w := newWatch(s, ctx)
+	w := newWatch(ctx, s)
 	replies := make(chan sent, 1)
 	call := Call{Request: s.Request, Engine: s.path[0].Engine, Hops: s.path, Customer: s.customer, Left: s.left(), After: s.last, Once: !s.route.Idempotent(), Urgent: s.begun}
 	go func() {
--- a/citronforward/stream_test.go
+++ b/citronforward/stream_test.go
@@ -65,7 +65,7 @@
 func TestStreamIsResumedAfterLastWholeEvent(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, engine("m1", "a", 0, 8), engine("m2", "a", 0, 8))
-	r.engines.answer = func(_ context.Context, n int, c citronforward.Call) (*citronforward.Reply, error) {
+	r.engines.answer = func(_ context.Context, n int, _ citronforward.Call) (*citronforward.Reply, error) {
 		if n == 0 {
 			rep := reply(200, "")
 			rep.Body = breaking{strings.NewReader(events(1, 3) + "id: 4\ndata: t"), io.ErrUnexpectedEOF}
@@ -336,7 +336,7 @@
 	current := state
 	var ended atomic.Bool
 	r.Current = func() *citronforward.State { return current }
-	r.engines.answer = func(ctx context.Context, n int, c citronforward.Call) (*citronforward.Reply, error) {
+	r.engines.answer = func(_ context.Context, n int, c citronforward.Call) (*citronforward.Reply, error) {
 		switch n {
 		case 0:
 			rep := reply(200, "")
--- a/citronplace/plan_test.go
+++ b/citronplace/plan_test.go
@@ -207,3 +207,34 @@
 		is.True(!o.Cut)
 	}
 }
+
+// A zone is told that one of its two large engines leaves. The other and one
+// spare could take in its layers without moving anything, but would then
+// cache a fifth of what the zone's engines could, and limit it for good.
+func TestLeavingLargeEngineLeavesNoWeakPart(t *testing.T) {
+	is := is.New(t)
+	var left []citronplace.Engine
+	hold := func(id, kind string, from, to int) {
+		s := citronmodel.Span{From: from, To: to}
+		left = append(left, citronplace.Engine{Engine: citronmodel.Engine{ID: id, Zone: "z", Kind: kind, Addr: id, Layers: s}, Goal: s})
+	}
+	hold("slow0", "slow", 0, 6)
+	hold("slow1", "slow", 0, 6) // the spare
+	hold("slow2", "slow", 6, 12)
+	hold("slow3", "slow", 12, 18)
+	hold("small0", "small", 18, 23)
+	hold("small1", "small", 23, 28)
+	hold("small2", "small", 28, 32)
+	hold("small3", "small", 32, 36)
+	hold("large1", "large", 58, 80)
+	gone := citronmodel.Span{From: 36, To: 58}
+	after := carryOut(left, citronplace.Decide(spec, left, map[string][]citronmodel.Span{"z": {gone}}))
+	is.Equal(len(citronplace.Gaps(spec, after)), 0)
+	least := 1e9
+	for _, e := range after {
+		if !e.Layers.Empty() {
+			least = min(least, spec.CacheTokens(e.Kind, e.Layers.Len()))
+		}
+	}
+	is.True(least > 70_000) // the even cache of what is left is 129,000
+}
--- a/citronplace/repair.go
+++ b/citronplace/repair.go
@@ -14,8 +14,10 @@
 	extendShare = 0.7
 	// leavingShare is the same for a hole that is still served by an
 	// engine that is leaving. Moving boundaries would give up layers that
-	// running requests use, and has to wait for those.
-	leavingShare = 0.35
+	// running requests use, and has to wait for those. With 0.35 a zone
+	// that lost a large engine was left with a fifth of its cache for good
+	// (credit of such a day 0.47 instead of 0.59).
+	leavingShare = 0.55
 	// windowShare is the same for moving the boundaries of some engines.
 	windowShare = 0.7
 	// repairSearch and repairSteps bound the search for the evenest
@@ -37,10 +39,11 @@
 	if plan, ok := window(spec, engines, gaps, even*windowShare, cut); ok {
 		return plan
 	}
-	if plan, ok := extend(spec, engines, gaps, even*leavingShare); ok {
+	if plan := divide(spec, engines, even*headroom, cut); len(plan) > 0 {
 		return plan
 	}
-	return divide(spec, engines, even*headroom, cut)
+	plan, _ := extend(spec, engines, gaps, 0)
+	return plan
 }
 
 // covered reports whether each gap lies in a span that is still served.
