--- a/citronbudget/budget.go
+++ b/citronbudget/budget.go
@@ -9,8 +9,10 @@
 // A failure hits the nodes unevenly: those of the zone whose engine died
 // need many repeats at once, the others none. So the budget is not divided
 // for good. Nodes tell each other what they have used; in each interval a
-// node may use a part of what was left at the last news, so small that all
-// of them together cannot pass the limit before the next news.
+// node may use an equal part of what was left at the last news, so that a
+// node in need gets more and more of what the others leave, and all of them
+// together cannot pass the limit however late within an interval they use
+// theirs.
 package citronbudget
 
 import (
@@ -32,13 +34,11 @@
 	// slices a window is divided into; one more is kept, so that any span
 	// of a window's length is covered.
 	slices = 20
-	// margin is the part of the budget that is used at all; the rest
-	// covers news that is under way.
-	margin = 0.65
-	// boost lets a node take more than its equal part of what is left, as
-	// not all nodes need theirs: margin x boost is under 1, so one
-	// interval cannot pass the limit whatever the nodes do.
-	boost = 1.5
+	// margin is the part of the budget that is dealt. What all nodes use
+	// just before an interval ends is not yet known when the next is dealt,
+	// so two intervals' parts can be used before anybody knows of the
+	// first: together they have to stay under the limit.
+	margin = 0.49
 	// interval is the time in which news reaches all nodes.
 	interval = 800 * time.Millisecond
 )
@@ -100,7 +100,7 @@
 	own := r.sum()
 	limit := margin * (b.limits.Ratio*(own.Requests+r.others.Requests) + b.limits.Slack)
 	left := max(0, limit-own.Repeats-r.others.Repeats)
-	return left * min(1, boost/float64(b.nodes))
+	return left / float64(b.nodes)
 }
 
 // Learn takes what the other nodes have used, and how many nodes there are.
--- a/citroncli/cases_test.go
+++ b/citroncli/cases_test.go
@@ -15,7 +15,7 @@
 // that prints, up to an empty line. They stand in testdata/cases.txt and in
 // the console blocks of the operators' page, whose examples thus cannot
 // drift from the program. To take over new output, set UPDATE_CASES=1.
-var caseFiles = []string{"citroncli/testdata/cases.txt", "docs/OPERATORS.md"}
+var caseFiles = []string{"citroncli/testdata/cases.txt", "docs/OPERATORS.md", "docs/OPERATIONS.md"}
 
 var caseText = regexp.MustCompile(`(?m)^\$ citrondeck (.*)\n((?:.+\n)*?)(\n|` + "```" + `\n)`)
 
