Paths avoid engines that report slowness; paths and placement measured by size

Cause: an engine that runs three times slower holds up every stream of its zone; nobody looked at the slowness that its report gives. Tests of paths: exact cover (rapid) and the choice by load pattern; the row of the slow engine fails without the change.

--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -107,6 +107,8 @@
 type Report struct {
 	// Stalled maps request ids to the address of the engine they wait for.
 	Stalled map[string]string
+	// Slowdown is over 1 when the engine is slower than declared.
+	Slowdown float64
 }
 
 // Upstream speaks to engines.
--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -243,7 +243,11 @@
 
 // probe asks an engine for a sign of life and notes if it gives none.
 func (f *Forwarder) probe(ctx context.Context, e *citronpool.Engine, maxAge time.Duration) {
-	if _, err := f.reports.ask(ctx, f.Upstream, e.Addr, maxAge); err != nil && ctx.Err() == nil {
+	r, err := f.reports.ask(ctx, f.Upstream, e.Addr, maxAge)
+	switch {
+	case err == nil:
+		e.Slow(r.Slowdown, f.Clock.Now())
+	case ctx.Err() == nil:
 		f.dead(e, err)
 	}
 }
@@ -268,6 +272,7 @@
 		w.s.f.dead(first, r.err)
 		return w.replace(0, reasonDead)
 	}
+	first.Slow(r.report.Slowdown, now)
 	addr, ok := r.report.Stalled[w.s.ID]
 	if !ok {
 		return goOn
--- a/citronpath/path.go
+++ b/citronpath/path.go
@@ -116,6 +116,12 @@
 		return used
 	}
 	c := ms * (1 + used)
+	if slow := e.Slowdown(q.Now); slow > 1 {
+		// One slow engine is the bottleneck of its zone: requests
+		// gather there, and the whole path gets slower by more than
+		// its own share.
+		c *= slow * slow
+	}
 	if used > fullAt {
 		c += overfull * (used - fullAt) / float64(e.Layers.Len())
 	}
--- /dev/null
+++ b/citronpath/path_test.go
@@ -0,0 +1,169 @@
+package citronpath_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronmodel"
+	"citrondeck.dev/citrondeck/citronpath"
+	"citrondeck.dev/citrondeck/citronpool"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var spec = citronmodel.Spec{
+	Layers: 8, LayerMB: 1000, TokenBytes: 8000, StepMS: 1, PerSeqMS: 0.005, ContextMSPerK: 0.006, ReadPerS: 160_000,
+	Kinds: map[string]citronmodel.Kind{
+		"fast": {Name: "fast", MemoryMB: 20_000, StepFactor: 2, ReadFactor: 3},
+		"slow": {Name: "slow", MemoryMB: 20_000, StepFactor: 16, ReadFactor: 8},
+	},
+}
+
+var now = time.Now()
+
+func engine(id, zone, kind string, from, to int) citronmodel.Engine {
+	return citronmodel.Engine{ID: id, Service: "m", Addr: id, Zone: zone, Kind: kind, Layers: citronmodel.Span{From: from, To: to}}
+}
+
+func view(engines ...citronmodel.Engine) []*citronpool.Engine {
+	return citronpool.Build(engines, nil).ByService["m"]
+}
+
+func query() citronpath.Query { return citronpath.Query{Spec: spec, Zone: "a", Now: now} }
+
+func ids(p citronpath.Path) string {
+	out := ""
+	for _, h := range p {
+		out += fmt.Sprintf("%s[%d,%d) ", h.Engine.ID, h.Span.From, h.Span.To)
+	}
+	return out
+}
+
+// Whatever engines hold, a path runs every layer once and in order, on
+// engines that hold them and are in use, none of them twice; and there is a
+// path whenever the engines in use hold all layers.
+func TestPathIsAnExactCover(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var engines []citronmodel.Engine
+		avoid := map[string]bool{}
+		held := make([]bool, spec.Layers)
+		for i := range rapid.IntRange(0, 9).Draw(t, "engines") {
+			from := rapid.IntRange(0, spec.Layers).Draw(t, "from")
+			e := engine(fmt.Sprint(i), rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone"), rapid.SampledFrom([]string{"fast", "slow"}).Draw(t, "kind"), from, rapid.IntRange(from, spec.Layers).Draw(t, "to"))
+			e.Leaving = rapid.IntRange(0, 4).Draw(t, "leaving") == 0
+			if rapid.IntRange(0, 4).Draw(t, "avoid") == 0 {
+				avoid[e.ID] = true
+			}
+			for l := e.Layers.From; l < e.Layers.To && !e.Leaving && !avoid[e.ID]; l++ {
+				held[l] = true
+			}
+			engines = append(engines, e)
+		}
+		all := true
+		for _, h := range held {
+			all = all && h
+		}
+		q := query()
+		q.Avoid = avoid
+		p, ok := citronpath.Choose(view(engines...), q)
+		if ok != all {
+			t.Fatalf("path %v although all layers are held: %v", ok, all)
+		}
+		at, seen := 0, map[string]bool{}
+		for _, h := range p {
+			if h.Span.From != at || h.Span.Empty() || !h.Engine.Layers.Covers(h.Span) || seen[h.Engine.ID] || h.Engine.Leaving || avoid[h.Engine.ID] {
+				t.Fatalf("bad hop %s in %s", h.Engine.ID, ids(p))
+			}
+			at, seen[h.Engine.ID] = h.Span.To, true
+		}
+		if ok && at != spec.Layers {
+			t.Fatalf("path ends at layer %d: %s", at, ids(p))
+		}
+	})
+}
+
+// Which path wins, by load pattern.
+func TestChoice(t *testing.T) {
+	zoneB := []citronmodel.Engine{engine("b1", "b", "fast", 0, 4), engine("b2", "b", "fast", 4, 8)}
+	for _, c := range []struct {
+		name    string
+		engines []citronmodel.Engine
+		change  func(*citronpath.Query, []*citronpool.Engine)
+		want    string
+	}{
+		{
+			"own zone while it is whole",
+			append(zoneB, engine("a1", "a", "fast", 0, 4), engine("a2", "a", "fast", 4, 8)),
+			nil, "a1[0,4) a2[4,8) ",
+		},
+		{
+			"hole in the own zone: the whole request goes to another, not each token across",
+			append(zoneB, engine("a1", "a", "fast", 0, 4)), nil, "b1[0,4) b2[4,8) ",
+		},
+		{
+			"no zone is whole: engines of two",
+			[]citronmodel.Engine{engine("a1", "a", "fast", 0, 4), engine("b2", "b", "fast", 4, 8)}, nil, "a1[0,4) b2[4,8) ",
+		},
+		{
+			"surge: others have filled the own zone",
+			append(zoneB, engine("a1", "a", "fast", 0, 4), engine("a2", "a", "fast", 4, 8)),
+			func(q *citronpath.Query, _ []*citronpool.Engine) {
+				q.Others = map[string]int64{"a": int64(spec.CacheTokens("fast", 4))}
+			},
+			"b1[0,4) b2[4,8) ",
+		},
+		{
+			"two engines hold the same layers: the one with less of this node's work",
+			[]citronmodel.Engine{engine("a1", "a", "fast", 0, 8), engine("a2", "a", "fast", 0, 8)},
+			func(_ *citronpath.Query, es []*citronpool.Engine) { es[0].Begin(100_000) }, "a2[0,8) ",
+		},
+		{
+			"the fast engine runs what both hold",
+			[]citronmodel.Engine{engine("a1", "a", "slow", 0, 8), engine("a2", "a", "fast", 2, 8)}, nil, "a1[0,2) a2[2,8) ",
+		},
+		{
+			"one engine of the own zone reports that it is slow",
+			append(zoneB, engine("a1", "a", "fast", 0, 4), engine("a2", "a", "fast", 4, 8)),
+			func(_ *citronpath.Query, es []*citronpool.Engine) { es[2].Slow(5, now) }, "b1[0,4) b2[4,8) ",
+		},
+		{
+			"a running request keeps its first engine",
+			[]citronmodel.Engine{engine("a1", "a", "slow", 0, 4), engine("a2", "a", "fast", 0, 4), engine("a3", "a", "fast", 4, 8)},
+			func(q *citronpath.Query, _ []*citronpool.Engine) { q.First = "a1" }, "a1[0,4) a3[4,8) ",
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			es, q := view(c.engines...), query()
+			if c.change != nil {
+				c.change(&q, es)
+			}
+			p, ok := citronpath.Choose(es, q)
+			is.True(ok)
+			is.Equal(ids(p), c.want)
+		})
+	}
+}
+
+// BenchmarkChoose gives the cost of one choice with so many engines of a
+// service in three zones, each zone with as many copies as fit.
+func BenchmarkChoose(b *testing.B) {
+	big := spec
+	big.Layers = 80
+	for _, n := range []int{10, 40, 100, 1000} {
+		var engines []citronmodel.Engine
+		for i := range n {
+			at := (i / 3 % 16) * 5
+			engines = append(engines, engine(fmt.Sprint(i), string(rune('a'+i%3)), "fast", at, at+5))
+		}
+		es := view(engines...)
+		q := query()
+		q.Spec = big
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for range b.N {
+				citronpath.Choose(es, q)
+			}
+		})
+	}
+}
--- a/citronplace/plan_test.go
+++ b/citronplace/plan_test.go
@@ -238,3 +238,21 @@
 	}
 	is.True(least > 70_000) // the even cache of what is left is 129,000
 }
+
+// BenchmarkDecide gives the cost of one decision about so many engines in
+// zones of about 14, all of them placed: what a leader does ten times a
+// second.
+func BenchmarkDecide(b *testing.B) {
+	for _, zones := range []int{1, 3, 8, 70} {
+		var engines []citronplace.Engine
+		for z := range zones {
+			engines = append(engines, fleet(fmt.Sprintf("z%d", z), 1, 7, 6)...)
+		}
+		engines = settle(b, engines)
+		b.Run(fmt.Sprint(len(engines)), func(b *testing.B) {
+			for range b.N {
+				citronplace.Decide(spec, engines, nil)
+			}
+		})
+	}
+}
--- a/citronpool/pool.go
+++ b/citronpool/pool.go
@@ -36,6 +36,9 @@
 	deadSince  atomic.Int64
 	// latency is a running mean of answer times in microseconds.
 	latency atomic.Int64
+	// slowdown is how many hundredths of its declared times the engine
+	// takes, by its own report at slowAt.
+	slowdown, slowAt atomic.Int64
 	// ended: its address refuses connections.
 	ended atomic.Bool
 }
@@ -99,6 +102,24 @@
 	}
 }
 
+// slowMemory is how long a report of slowness counts. Engines are asked only
+// while a path through them is silent.
+const slowMemory = 3 * time.Second
+
+// Slow notes how much slower than declared the engine is.
+func (s *State) Slow(factor float64, now time.Time) {
+	s.slowdown.Store(int64(factor * 100))
+	s.slowAt.Store(since(now))
+}
+
+// Slowdown is the newest report of slowness, 1 if there is none.
+func (s *State) Slowdown(now time.Time) float64 {
+	if f := s.slowdown.Load(); f > 100 && since(now)-s.slowAt.Load() < int64(slowMemory) {
+		return float64(f) / 100
+	}
+	return 1
+}
+
 // End marks an engine whose process is known to have ended.
 func (s *State) End() { s.ended.Store(true) }
 
