--- a/citronnode/leader.go
+++ b/citronnode/leader.go
@@ -19,6 +19,7 @@
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronkv"
 	"citrondeck.dev/citrondeck/citronpeer"
+	"citrondeck.dev/citrondeck/citronplacer"
 	"github.com/cockroachdb/errors"
 )
 
@@ -81,13 +82,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	citronevent.Log(ctx, n.log, citronevent.LeaderStandsIn, "members", len(n.snap.Load().members))
-	n.leads.Store(true)
-	defer n.leads.Store(false)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		n.place(ctx)
-	}()
+	wait := n.startPlacing(ctx)
 	for !n.leaving.Load() && !n.leaderKnown() && ctx.Err() == nil {
 		_, err := n.src.Store.Get(ctx, leaderKey)
 		if err == nil || errors.Is(err, citronkv.ErrNotFound) {
@@ -96,7 +91,7 @@
 		_ = n.clock.Sleep(ctx, campaignWait)
 	}
 	cancel()
-	<-done
+	wait()
 }
 
 // leaderKnown reports whether another node says that it leads. Only when
@@ -140,13 +135,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	citronevent.Log(ctx, n.log, citronevent.LeaderElected, "lease", lease)
-	n.leads.Store(true)
-	defer n.leads.Store(false)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		n.place(ctx)
-	}()
+	wait := n.startPlacing(ctx)
 	renewed := n.clock.Now()
 	among := len(n.snap.Load().members) + 1
 	for !n.leaving.Load() {
@@ -169,8 +158,41 @@
 		}
 	}
 	cancel()
-	<-done
+	wait()
 	end, stop := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 	defer stop()
 	_ = n.src.Store.Revoke(end, lease) // it ends by itself otherwise
 }
+
+// startPlacing places layers until ctx ends; the result waits for that.
+func (n *Node) startPlacing(ctx context.Context) (wait func()) {
+	n.leads.Store(true)
+	p := &citronplacer.Placer{Orders: n.src.Orders, Clock: n.clock, Log: n.log, Current: n.placement}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.Run(ctx)
+	}()
+	return func() {
+		<-done
+		n.leads.Store(false)
+	}
+}
+
+// placement is what layers are placed by, nil before there is any.
+func (n *Node) placement() *citronplacer.State {
+	s := n.snap.Load()
+	if s.traffic == nil {
+		return nil
+	}
+	dead := map[string]int{}
+	for _, id := range s.traffic.View.Dead(n.clock.Now().Add(-deadNews)) {
+		dead[id]++
+	}
+	for _, m := range s.members {
+		for _, id := range m.Dead {
+			dead[id]++
+		}
+	}
+	return &citronplacer.State{Services: s.traffic.Table.Services, Engines: s.engines, View: s.traffic.View, Whole: s.listWhole, Dead: dead}
+}
--- a/citronpath/path_test.go
+++ b/citronpath/path_test.go
@@ -103,7 +103,8 @@
 		},
 		{
 			"no zone is whole: engines of two",
-			[]citronmodel.Engine{engine("a1", "a", "fast", 0, 4), engine("b2", "b", "fast", 4, 8)}, nil, "a1[0,4) b2[4,8) ",
+			[]citronmodel.Engine{engine("a1", "a", "fast", 0, 4), engine("b2", "b", "fast", 4, 8)},
+			nil, "a1[0,4) b2[4,8) ",
 		},
 		{
 			"surge: others have filled the own zone",
@@ -120,7 +121,8 @@
 		},
 		{
 			"the fast engine runs what both hold",
-			[]citronmodel.Engine{engine("a1", "a", "slow", 0, 8), engine("a2", "a", "fast", 2, 8)}, nil, "a1[0,2) a2[2,8) ",
+			[]citronmodel.Engine{engine("a1", "a", "slow", 0, 8), engine("a2", "a", "fast", 2, 8)},
+			nil, "a1[0,2) a2[2,8) ",
 		},
 		{
 			"one engine of the own zone reports that it is slow",
--- a/citronnode/placement.go
+++ b/citronplacer/placer.go
@@ -1,18 +1,21 @@
-package citronnode
-
-// Placement: the leader compares what engines hold with what they should
-// hold and gives orders for the difference. It keeps no plan: each round
-// starts from the engines' own entries, so a new leader goes on where the
-// old one stopped.
+// Package citronplacer carries out placement: it compares what engines hold
+// with what they should hold (citronplace) and gives orders for the
+// difference. It keeps no plan: each round starts from the engines' own
+// entries, so a new leader goes on where the old one stopped.
+package citronplacer
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 
+	"citrondeck.dev/citrondeck/citronclock"
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronplace"
+	"citrondeck.dev/citrondeck/citronpool"
+	"citrondeck.dev/citrondeck/citrontable"
 	"github.com/cockroachdb/errors"
 )
 
@@ -31,14 +34,30 @@
 	orderAgain = 700 * time.Millisecond
 )
 
-// placer is the state of one reign.
-type placer struct {
-	n *Node
-	// pending are the spans that engines were last ordered to hold.
-	mu      sync.Mutex
+// State is what placement is decided by. It is immutable.
+type State struct {
+	Services map[string]citrontable.Service
+	Engines  []citronmodel.Engine
+	View     *citronpool.View
+	// Whole: no entries are missing from Engines that may come back.
+	Whole bool
+	// Dead is how many nodes have just found an engine dead, by its id.
+	Dead map[string]int
+}
+
+// Placer places the layers of all models during one reign of a leader.
+type Placer struct {
+	Orders citronplace.Orders
+	Clock  citronclock.Clock
+	Log    *slog.Logger
+	// Current returns the newest state, nil before the first.
+	Current func() *State
+
+	mu sync.Mutex
+	// pending are the newest orders by engine.
 	pending map[string]pendingOrder
-	// dead are engines that did not answer this node's own question;
-	// checked is when an engine was last asked.
+	// dead are engines that did not answer this node's own question, or
+	// that several nodes found dead; checked is when one was last asked.
 	dead, checked map[string]time.Time
 	// count and since tell how long the list has had its size.
 	count int
@@ -54,32 +73,34 @@
 	failed bool
 }
 
-func (n *Node) place(ctx context.Context) {
-	p := &placer{n: n, pending: map[string]pendingOrder{}, dead: map[string]time.Time{}, checked: map[string]time.Time{}, since: n.clock.Now()}
+// Run places layers until ctx ends.
+func (p *Placer) Run(ctx context.Context) {
+	p.pending, p.dead, p.checked = map[string]pendingOrder{}, map[string]time.Time{}, map[string]time.Time{}
+	p.since = p.Clock.Now()
 	var orders sync.WaitGroup
 	defer orders.Wait()
 	for ctx.Err() == nil {
 		p.round(ctx, &orders)
-		_ = n.clock.Sleep(ctx, placeEvery)
+		_ = p.Clock.Sleep(ctx, placeEvery)
 	}
 }
 
-func (p *placer) round(ctx context.Context, orders *sync.WaitGroup) {
-	s := p.n.snap.Load()
-	if s.traffic == nil {
+func (p *Placer) round(ctx context.Context, orders *sync.WaitGroup) {
+	s := p.Current()
+	if s == nil {
 		return
 	}
-	now := p.n.clock.Now()
-	if len(s.engines) != p.count {
-		p.count, p.since = len(s.engines), now
+	now := p.Clock.Now()
+	if len(s.Engines) != p.count {
+		p.count, p.since = len(s.Engines), now
 	}
 	p.check(ctx, s, now)
-	for _, svc := range s.traffic.Table.Services {
+	for _, svc := range s.Services {
 		if svc.Model == nil {
 			continue
 		}
 		engines, served := p.placeable(s, svc.Name, now)
-		if !s.listWhole || !anyPlaced(engines) && now.Sub(p.since) < listQuiet {
+		if !s.Whole || !anyPlaced(engines) && now.Sub(p.since) < listQuiet {
 			continue
 		}
 		for id, o := range citronplace.Decide(*svc.Model, engines, served) {
@@ -90,12 +111,12 @@
 
 // placeable returns the engines of a service that may hold layers, and the
 // spans that leaving ones still serve, by zone.
-func (p *placer) placeable(s *snapshot, service string, now time.Time) ([]citronplace.Engine, map[string][]citronmodel.Span) {
+func (p *Placer) placeable(s *State, service string, now time.Time) ([]citronplace.Engine, map[string][]citronmodel.Span) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []citronplace.Engine
 	served := map[string][]citronmodel.Span{}
-	for _, e := range s.engines {
+	for _, e := range s.Engines {
 		if e.Service != service || e.Kind == "" {
 			continue
 		}
@@ -112,7 +133,7 @@
 }
 
 // goal is what an engine holds once its newest order is carried out.
-func (p *placer) goal(e citronmodel.Engine, now time.Time) citronmodel.Span {
+func (p *Placer) goal(e citronmodel.Engine, now time.Time) citronmodel.Span {
 	o, ok := p.pending[e.ID]
 	if !ok || o.failed {
 		return e.Layers
@@ -144,18 +165,9 @@
 // given to others only if they do not answer the leader either, or several
 // nodes say so: one node may have lost its path to an engine that is well
 // for all others.
-func (p *placer) check(ctx context.Context, s *snapshot, now time.Time) {
-	reports := map[string]int{}
-	for _, id := range s.traffic.View.Dead(now.Add(-deadNews)) {
-		reports[id]++
-	}
-	for _, m := range s.members {
-		for _, id := range m.Dead {
-			reports[id]++
-		}
-	}
-	for id, count := range reports {
-		e, ok := s.traffic.View.ByID(id)
+func (p *Placer) check(ctx context.Context, s *State, now time.Time) {
+	for id, count := range s.Dead {
+		e, ok := s.View.ByID(id)
 		if !ok || e.Kind == "" {
 			continue
 		}
@@ -170,21 +182,21 @@
 		go func() {
 			ask, cancel := context.WithTimeout(ctx, checkTimeout)
 			defer cancel()
-			if _, err := p.n.src.Orders.State(ask, e.Addr); err != nil && ctx.Err() == nil {
-				p.mark(p.dead, id, p.n.clock.Now())
-				citronevent.Log(ctx, p.n.log, citronevent.EngineDead, "engine", id, "peer", e.Addr, "err", err)
+			if _, err := p.Orders.State(ask, e.Addr); err != nil && ctx.Err() == nil {
+				p.mark(p.dead, id, p.Clock.Now())
+				citronevent.Log(ctx, p.Log, citronevent.EngineDead, "engine", id, "peer", e.Addr, "err", err)
 			}
 		}()
 	}
 }
 
-func (p *placer) checkedAt(id string) time.Time {
+func (p *Placer) checkedAt(id string) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.checked[id]
 }
 
-func (p *placer) mark(times map[string]time.Time, id string, now time.Time) {
+func (p *Placer) mark(times map[string]time.Time, id string, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	times[id] = now
@@ -200,24 +212,24 @@
 }
 
 // order has one engine hold a span, unless an order to it is under way.
-func (p *placer) order(ctx context.Context, orders *sync.WaitGroup, engines []citronplace.Engine, id string, o citronplace.Order, now time.Time) {
+func (p *Placer) order(ctx context.Context, orders *sync.WaitGroup, engines []citronplace.Engine, id string, o citronplace.Order, now time.Time) {
 	for _, e := range engines {
 		if e.ID != id || e.Goal == o.Span || !p.begin(id, o.Span, now) {
 			continue
 		}
-		citronevent.Log(ctx, p.n.log, citronevent.PlacePlanned, "engine", e.ID, "peer", e.Addr, "kind", e.Kind, "zone", e.Zone, "from", o.From, "to", o.To, "cut", o.Cut, "hadFrom", e.Layers.From, "hadTo", e.Layers.To, "goalFrom", e.Goal.From, "goalTo", e.Goal.To)
+		citronevent.Log(ctx, p.Log, citronevent.PlacePlanned, "engine", e.ID, "peer", e.Addr, "kind", e.Kind, "zone", e.Zone, "from", o.From, "to", o.To, "cut", o.Cut, "hadFrom", e.Layers.From, "hadTo", e.Layers.To, "goalFrom", e.Goal.From, "goalTo", e.Goal.To)
 		orders.Go(func() {
 			err := p.carryOut(ctx, e.Engine, o)
 			p.end(id, err)
 			if err != nil {
-				citronevent.Log(ctx, p.n.log, citronevent.PlaceFailed, "engine", e.ID, "peer", e.Addr, "err", err)
+				citronevent.Log(ctx, p.Log, citronevent.PlaceFailed, "engine", e.ID, "peer", e.Addr, "err", err)
 			}
 		})
 	}
 }
 
 // begin notes an order, or returns false if the engine is to be left alone.
-func (p *placer) begin(id string, goal citronmodel.Span, now time.Time) bool {
+func (p *Placer) begin(id string, goal citronmodel.Span, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if o, ok := p.pending[id]; ok && (o.running || o.failed && now.Sub(o.at) < orderAgain) {
@@ -228,11 +240,11 @@
 }
 
 // end notes what became of an order.
-func (p *placer) end(id string, err error) {
+func (p *Placer) end(id string, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	o := p.pending[id]
-	o.running, o.failed, o.at = false, err != nil, p.n.clock.Now()
+	o.running, o.failed, o.at = false, err != nil, p.Clock.Now()
 	p.pending[id] = o
 }
 
@@ -240,8 +252,8 @@
 var errBusy = errors.New("engine carries out another order")
 
 // carryOut asks the engine for its state and gives the order that fits it.
-func (p *placer) carryOut(ctx context.Context, e citronmodel.Engine, o citronplace.Order) error {
-	st, err := p.n.src.Orders.State(ctx, e.Addr)
+func (p *Placer) carryOut(ctx context.Context, e citronmodel.Engine, o citronplace.Order) error {
+	st, err := p.Orders.State(ctx, e.Addr)
 	if err != nil {
 		return err
 	}
@@ -251,9 +263,9 @@
 	if st.Layers == o.Span {
 		return nil
 	}
-	if err := p.n.src.Orders.Place(ctx, e, o, st.Accepted); err != nil {
+	if err := p.Orders.Place(ctx, e, o, st.Accepted); err != nil {
 		return err
 	}
-	citronevent.Log(ctx, p.n.log, citronevent.PlaceOrdered, "engine", e.ID, "peer", e.Addr, "from", o.From, "to", o.To, "accepted", st.Accepted)
+	citronevent.Log(ctx, p.Log, citronevent.PlaceOrdered, "engine", e.ID, "peer", e.Addr, "from", o.From, "to", o.To, "accepted", st.Accepted)
 	return nil
 }
--- /dev/null
+++ b/citronplacer/placer_test.go
@@ -0,0 +1,156 @@
+package citronplacer_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronclock"
+	"citrondeck.dev/citrondeck/citronmodel"
+	"citrondeck.dev/citrondeck/citronplace"
+	"citrondeck.dev/citrondeck/citronplacer"
+	"citrondeck.dev/citrondeck/citronpool"
+	"citrondeck.dev/citrondeck/citrontable"
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+var spec = citronmodel.Spec{
+	Layers: 8, LayerMB: 1000, TokenBytes: 8000, StepMS: 1, ReadPerS: 1000, Slots: 8,
+	Kinds: map[string]citronmodel.Kind{"fast": {Name: "fast", MemoryMB: 9000, StepFactor: 2, ReadFactor: 3}},
+}
+
+type given struct {
+	engine   string
+	span     citronmodel.Span
+	accepted int64
+}
+
+// engines answer questions and orders as the test says.
+type engines struct {
+	mu    sync.Mutex
+	state citronplace.EngineState
+	asked []string
+	given []given
+	place func(n int) error
+}
+
+func (e *engines) State(_ context.Context, addr string) (citronplace.EngineState, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.asked = append(e.asked, addr)
+	return e.state, nil
+}
+
+func (e *engines) Place(_ context.Context, en citronmodel.Engine, o citronplace.Order, accepted int64) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.given = append(e.given, given{en.ID, o.Span, accepted})
+	if e.place == nil {
+		return nil
+	}
+	return e.place(len(e.given))
+}
+
+func (e *engines) orders() []given {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]given(nil), e.given...)
+}
+
+func (e *engines) set(f func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f()
+}
+
+func state(es ...citronmodel.Engine) *citronplacer.State {
+	return &citronplacer.State{
+		Services: map[string]citrontable.Service{"m": {Name: "m", Model: &spec}}, Engines: es,
+		View: citronpool.Build(es, nil), Whole: true, Dead: map[string]int{},
+	}
+}
+
+func engine(id string, from, to int) citronmodel.Engine {
+	return citronmodel.Engine{ID: id, Service: "m", Addr: id, Zone: "z", Kind: "fast", Layers: citronmodel.Span{From: from, To: to}}
+}
+
+func run(t *testing.T, e *engines, s *citronplacer.State) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &citronplacer.Placer{Orders: e, Clock: citronclock.Real{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Current: func() *citronplacer.State { return s }}
+	done := make(chan struct{})
+	go func() { defer close(done); p.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("not within 30 s: %s", what)
+}
+
+// An order is not answered. It may be carried out now, seconds later or
+// never, so it is sent again with the same count of accepted orders: an
+// engine that did carry it out refuses the second, and one that carries out
+// both late holds the same layers.
+func TestUnansweredOrderIsRepeatedForTheSameState(t *testing.T) {
+	is := is.New(t)
+	e := &engines{state: citronplace.EngineState{Accepted: 3}, place: func(n int) error {
+		if n == 1 {
+			return errors.New("no answer")
+		}
+		return nil
+	}}
+	run(t, e, state(engine("e1", 0, 4), engine("e2", 0, 0)))
+	eventually(t, "a second order", func() bool { return len(e.orders()) >= 2 })
+	got := e.orders()
+	is.Equal(got[0], got[1])
+	is.Equal(got[0].accepted, int64(3))
+	time.Sleep(500 * time.Millisecond)
+	is.Equal(len(e.orders()), 2) // accepted: nothing more is ordered while it is carried out
+}
+
+// An engine that carries out an earlier order is not given another; its turn
+// comes when it is done.
+func TestBusyEngineIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	e := &engines{state: citronplace.EngineState{Busy: true}}
+	run(t, e, state(engine("e1", 0, 4), engine("e2", 0, 0)))
+	time.Sleep(500 * time.Millisecond)
+	is.Equal(len(e.orders()), 0)
+	e.set(func() { e.state.Busy = false })
+	eventually(t, "the order", func() bool { return len(e.orders()) == 1 })
+}
+
+// Half of the list is missing because the store was away: a plan for the
+// other half would fill those engines to the brim.
+func TestNothingIsPlacedFromPartOfTheList(t *testing.T) {
+	s := state(engine("e1", 0, 4), engine("e2", 0, 0))
+	s.Whole = false
+	e := &engines{}
+	run(t, e, s)
+	time.Sleep(500 * time.Millisecond)
+	is.New(t).Equal(len(e.orders()), 0)
+}
+
+// Two nodes find an engine dead. Its layers are placed at once; the leader
+// does not first wait for the dead engine's answer.
+func TestEngineThatTwoNodesFindDeadIsReplaced(t *testing.T) {
+	is := is.New(t)
+	s := state(engine("e1", 0, 4), engine("e2", 4, 8), engine("e3", 0, 4))
+	s.Dead["e2"] = 2
+	e := &engines{}
+	run(t, e, s)
+	eventually(t, "an order for the hole", func() bool { return len(e.orders()) > 0 })
+	for _, g := range e.orders() {
+		is.True(g.engine != "e2")
+	}
+}
