--- /dev/null
+++ b/citronpeer/peer_test.go
@@ -0,0 +1,92 @@
+package citronpeer_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronpeer"
+	"github.com/matryer/is"
+)
+
+func member(i int) citronpeer.Member {
+	return citronpeer.Member{
+		Name: fmt.Sprintf("front-hall-%d", i), Zone: fmt.Sprintf("hall-%d", i%3), Front: fmt.Sprintf("10.1.%d.%d:8227", i/250, i%250),
+		Peer: fmt.Sprintf("10.1.%d.%d:8229", i/250, i%250), Started: 1_790_000_000_000_000_000 + int64(i)*7919, Beat: int64(1000 + i*37%900), Ready: true,
+		Load: map[string]int64{"hall-0": int64(i * 991), "hall-1": int64(i * 17)}, Sent: map[string]citronpeer.Sent{"model": {Requests: float64(i), Repeats: 1}},
+	}
+}
+
+// What one node tells is what the other hears, both ways.
+func TestExchange(t *testing.T) {
+	is := is.New(t)
+	mux := http.NewServeMux()
+	var heard citronpeer.Knowledge
+	answer := citronpeer.Knowledge{Members: []citronpeer.Member{member(2)}, Config: citronpeer.Document{Revision: 9, Body: []byte("nine")}}
+	citronpeer.Handle(mux, func(k citronpeer.Knowledge) citronpeer.Knowledge {
+		heard = k
+		return answer
+	})
+	hs := httptest.NewServer(mux)
+	defer hs.Close()
+	c := &citronpeer.Client{HC: hs.Client(), Timeout: 30 * time.Second}
+	told := citronpeer.Knowledge{Members: []citronpeer.Member{member(1)}, Engines: citronpeer.Document{Revision: 4}}
+	got, err := c.Exchange(context.Background(), strings.TrimPrefix(hs.URL, "http://"), told)
+	is.NoErr(err)
+	is.Equal(heard, told)
+	is.Equal(got, answer)
+}
+
+// A node that stands still must not hold up the others' rounds.
+func TestExchangeEndsWithoutAnswer(t *testing.T) {
+	is := is.New(t)
+	block := make(chan struct{})
+	hs := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-block }))
+	defer hs.Close()
+	defer close(block)
+	c := &citronpeer.Client{HC: hs.Client(), Timeout: 50 * time.Millisecond}
+	_, err := c.Exchange(context.Background(), strings.TrimPrefix(hs.URL, "http://"), citronpeer.Knowledge{})
+	is.True(err != nil)
+}
+
+// Which news of a node is later.
+func TestNewer(t *testing.T) {
+	is := is.New(t)
+	a := citronpeer.Member{Started: 5, Beat: 10}
+	is.True(citronpeer.Member{Started: 5, Beat: 11}.Newer(a))
+	is.True(citronpeer.Member{Started: 6, Beat: 1}.Newer(a))
+	is.True(!citronpeer.Member{Started: 4, Beat: 99}.Newer(a))
+	is.True(!a.Newer(a))
+}
+
+// BenchmarkMessage gives the bytes on the wire and the time of one message
+// about so many members.
+func BenchmarkMessage(b *testing.B) {
+	for _, n := range []int{9, 100, 1200} {
+		k := citronpeer.Knowledge{}
+		for i := range n {
+			k.Members = append(k.Members, member(i))
+		}
+		var size int64
+		mux := http.NewServeMux()
+		citronpeer.Handle(mux, func(citronpeer.Knowledge) citronpeer.Knowledge { return citronpeer.Knowledge{} })
+		hs := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			size = r.ContentLength
+			mux.ServeHTTP(w, r)
+		}))
+		c := &citronpeer.Client{HC: hs.Client(), Timeout: 30 * time.Second}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for range b.N {
+				if _, err := c.Exchange(context.Background(), strings.TrimPrefix(hs.URL, "http://"), k); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+		hs.Close()
+	}
+}
