--- a/citronnode/leader.go
+++ b/citronnode/leader.go
@@ -44,7 +44,7 @@
 		lease, err := n.campaign(ctx)
 		switch {
 		case err == nil:
-			n.reign(ctx, lease)
+			n.serveTerm(ctx, lease)
 		case !errors.Is(err, errHeld):
 			n.trouble()
 			if n.first() && n.noLeaderFor() > n.set.LeaseTTL/2 {
@@ -130,8 +130,8 @@
 	return 0, err
 }
 
-// reign places layers while the lease is renewed in time.
-func (n *Node) reign(ctx context.Context, lease citronkv.LeaseID) {
+// serveTerm places layers while the lease is renewed in time.
+func (n *Node) serveTerm(ctx context.Context, lease citronkv.LeaseID) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	citronevent.Log(ctx, n.log, citronevent.LeaderElected, "lease", lease)
--- a/citronnode/node_test.go
+++ b/citronnode/node_test.go
@@ -19,7 +19,7 @@
 	f.config("1")
 	a, b := f.add("a", "z1"), f.add("b", "z1")
 	eventually(t, "both nodes have version 1", func() bool { return a.version() == 1 && b.version() == 1 })
-	b.door.closed.Store(true)
+	b.gate.closed.Store(true)
 	f.config("2")
 	eventually(t, "version 2 at the node turned away", func() bool { return b.version() == 2 })
 }
@@ -32,23 +32,23 @@
 	a := f.add("a", "z1")
 	eventually(t, "first node ready", a.Ready)
 	b := f.add("b", "z1")
-	b.door.closed.Store(true)
+	b.gate.closed.Store(true)
 	eventually(t, "second node has configuration and engines", func() bool {
 		return b.version() == 1 && len(b.Traffic().View.ByService["app"]) == 1
 	})
 }
 
 // Watches hear nothing while the configuration changes, as when the store
-// drops its history. A node whose own watch is deaf learns from one whose
+// drops its history. A node whose own watch is silent learns from one whose
 // watch is not; callers never see the old version for a watch's whole time.
-func TestDeafWatchKeepsNoOldVersion(t *testing.T) {
+func TestSilentWatchKeepsNoOldVersion(t *testing.T) {
 	f := newFleet(t)
 	f.config("1")
 	a, b := f.add("a", "z1"), f.add("b", "z2")
 	eventually(t, "both nodes have version 1", func() bool { return a.version() == 1 && b.version() == 1 })
-	b.door.deaf.Store(true)
+	b.gate.silent.Store(true)
 	f.config("2")
-	eventually(t, "version 2 behind the deaf watch", func() bool { return b.version() == 2 })
+	eventually(t, "version 2 behind the silent watch", func() bool { return b.version() == 2 })
 }
 
 // A configuration that cannot be read, or an older one, changes nothing.
@@ -215,8 +215,8 @@
 	}
 	eventually(t, "all engines hold layers", func() bool { return held() >= spec.Layers })
 	before := f.orders.count()
-	a.door.closed.Store(true)
-	b.door.closed.Store(true)
+	a.gate.closed.Store(true)
+	b.gate.closed.Store(true)
 	time.Sleep(1500 * time.Millisecond) // two lives of the lease
 	for _, e := range a.Traffic().View.ByService["model"] {
 		if e.Layers.To == spec.Layers {
@@ -242,8 +242,8 @@
 	b, c := f.add("b", "z1"), f.add("c", "z1")
 	eventually(t, "all are ready", func() bool { return b.Ready() && c.Ready() })
 	time.Sleep(2500 * time.Millisecond) // their lists count as whole
-	b.door.closed.Store(true)
-	c.door.closed.Store(true)
+	b.gate.closed.Store(true)
+	c.gate.closed.Store(true)
 	a.stop()
 	before := f.orders.count()
 	for _, e := range b.Traffic().View.ByService["model"] {
--- a/citronnode/rig_test.go
+++ b/citronnode/rig_test.go
@@ -24,43 +24,43 @@
 	"github.com/cockroachdb/errors"
 )
 
-// doored is the store as one node reaches it.
-type doored struct {
+// gatedStore is the store as one node reaches it.
+type gatedStore struct {
 	*citronkv.Server
 	// closed: the store turns this node away.
 	closed atomic.Bool
-	// deaf: watches hear nothing until they end.
-	deaf atomic.Bool
+	// silent: watches hear nothing until they end.
+	silent atomic.Bool
 }
 
 var errTurnedAway = errors.Mark(errors.New("turned away"), citronkv.ErrUnavailable)
 
-func (d *doored) Get(ctx context.Context, key string) (citronkv.Item, error) {
+func (d *gatedStore) Get(ctx context.Context, key string) (citronkv.Item, error) {
 	if d.closed.Load() {
 		return citronkv.Item{}, errTurnedAway
 	}
 	return d.Server.Get(ctx, key)
 }
 
-func (d *doored) Range(ctx context.Context, prefix string) ([]citronkv.Item, citronkv.Revision, error) {
+func (d *gatedStore) Range(ctx context.Context, prefix string) ([]citronkv.Item, citronkv.Revision, error) {
 	if d.closed.Load() {
 		return nil, 0, errTurnedAway
 	}
 	return d.Server.Range(ctx, prefix)
 }
 
-func (d *doored) Put(ctx context.Context, key string, value []byte, expect citronkv.Revision, lease citronkv.LeaseID) (citronkv.Revision, error) {
+func (d *gatedStore) Put(ctx context.Context, key string, value []byte, expect citronkv.Revision, lease citronkv.LeaseID) (citronkv.Revision, error) {
 	if d.closed.Load() {
 		return 0, errTurnedAway
 	}
 	return d.Server.Put(ctx, key, value, expect, lease)
 }
 
-func (d *doored) Watch(ctx context.Context, prefix string, after citronkv.Revision) ([]citronkv.Item, citronkv.Revision, error) {
+func (d *gatedStore) Watch(ctx context.Context, prefix string, after citronkv.Revision) ([]citronkv.Item, citronkv.Revision, error) {
 	if d.closed.Load() {
 		return nil, 0, errTurnedAway
 	}
-	if d.deaf.Load() {
+	if d.silent.Load() {
 		<-ctx.Done()
 		return nil, 0, errors.Mark(ctx.Err(), citronkv.ErrUnavailable)
 	}
@@ -76,7 +76,7 @@
 	return items, rev, err
 }
 
-func (d *doored) KeepAlive(ctx context.Context, id citronkv.LeaseID) error {
+func (d *gatedStore) KeepAlive(ctx context.Context, id citronkv.LeaseID) error {
 	if d.closed.Load() {
 		return errTurnedAway
 	}
@@ -159,7 +159,7 @@
 
 type member struct {
 	*citronnode.Node
-	door *doored
+	gate *gatedStore
 	addr string
 	stop context.CancelFunc
 }
@@ -183,11 +183,11 @@
 	for _, m := range f.nodes {
 		seeds = append(seeds, m.addr)
 	}
-	m := &member{door: &doored{Server: f.store}, addr: addr}
+	m := &member{gate: &gatedStore{Server: f.store}, addr: addr}
 	m.Node = citronnode.New(citronnode.Settings{
 		Name: name, Zone: zone, Front: "front-" + name, Peer: addr, Seeds: seeds, LeaseTTL: 600 * time.Millisecond, Grace: time.Second,
 	}, citronnode.Sources{
-		Store: m.door, ConfigKey: "config", EnginePrefix: "engines/",
+		Store: m.gate, ConfigKey: "config", EnginePrefix: "engines/",
 		DecodeConfig: decodeConfig, DecodeEngine: decodeEngine, Orders: f.orders,
 	}, citronclock.Real{}, slog.New(slog.NewTextHandler(io.Discard, nil)), citronbudget.New(citronbudget.Limits{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}), &citronpool.Loads{}, hs.Client())
 	m.Handle(mux)
--- a/citronplace/plan.go
+++ b/citronplace/plan.go
@@ -221,10 +221,10 @@
 	return out
 }
 
-// divide deals all layers anew. Engines keep their order along the model,
+// divide assigns all layers anew. Engines keep their order along the model,
 // so that as many layers as possible stay where they are.
 func divide(spec citronmodel.Spec, engines []Engine, tokens float64, cut bool) Plan {
-	counts, ok := deal(spec, engines, tokens, spec.Layers)
+	counts, ok := allocate(spec, engines, tokens, spec.Layers)
 	if !ok {
 		return Plan{}
 	}
@@ -241,11 +241,11 @@
 		}
 		return a.Goal.From < b.Goal.From
 	})
-	return fillSpares(spec, engines, lay(order, counts, 0, cut))
+	return fillSpares(spec, engines, assign(order, counts, 0, cut))
 }
 
-// lay gives the engines their counts of layers one after the other.
-func lay(order []Engine, counts map[string]int, at int, cut bool) Plan {
+// assign gives the engines their counts of layers one after the other.
+func assign(order []Engine, counts map[string]int, at int, cut bool) Plan {
 	plan := Plan{}
 	for _, e := range order {
 		n := counts[e.ID]
@@ -258,9 +258,9 @@
 	return plan
 }
 
-// deal says how many of the layers each engine gets: the fastest are filled
+// allocate says how many of the layers each engine gets: the fastest are filled
 // first, each up to what leaves it the cache asked for.
-func deal(spec citronmodel.Spec, engines []Engine, tokens float64, layers int) (map[string]int, bool) {
+func allocate(spec citronmodel.Spec, engines []Engine, tokens float64, layers int) (map[string]int, bool) {
 	order := slices.Clone(engines)
 	sort.SliceStable(order, func(i, j int) bool {
 		return spec.Kinds[order[i].Kind].StepFactor < spec.Kinds[order[j].Kind].StepFactor
--- a/citronplace/plan_test.go
+++ b/citronplace/plan_test.go
@@ -140,7 +140,7 @@
 }
 
 // The loss of a zone's one large engine leaves a hole of a quarter of the
-// model. Filling the first spares to the brim would leave a zone that
+// model. Filling the first spares up would leave a zone that
 // caches a third of what it could; the hole is spread instead.
 func TestLossOfLargeEngineIsSpread(t *testing.T) {
 	is := is.New(t)
--- a/citronplace/repair.go
+++ b/citronplace/repair.go
@@ -149,8 +149,8 @@
 		if even < least {
 			continue
 		}
-		if counts, ok := deal(spec, order, even, all.Len()); ok {
-			return lay(order, counts, all.From, cut), true
+		if counts, ok := allocate(spec, order, even, all.Len()); ok {
+			return assign(order, counts, all.From, cut), true
 		}
 	}
 	return nil, false
--- a/citronplacer/placer.go
+++ b/citronplacer/placer.go
@@ -23,7 +23,7 @@
 	placeEvery = 100 * time.Millisecond
 	// listQuiet is how long the list of engines must not have grown before
 	// a model is placed for the first time: engines register one after the
-	// other, and a plan for half of them would fill those to the brim.
+	// other, and a plan for half of them would leave those no cache.
 	listQuiet = 1200 * time.Millisecond
 	// orderLife is how long an order that an engine accepted is trusted to
 	// be under way: it may wait for running requests, which last some
@@ -45,7 +45,7 @@
 	Dead map[string]int
 }
 
-// Placer places the layers of all models during one reign of a leader.
+// Placer places the layers of all models during one term of a leader.
 type Placer struct {
 	Orders citronplace.Orders
 	Clock  citronclock.Clock
--- a/citronplacer/placer_test.go
+++ b/citronplacer/placer_test.go
@@ -131,7 +131,7 @@
 }
 
 // Half of the list is missing because the store was away: a plan for the
-// other half would fill those engines to the brim.
+// other half would leave those engines no cache.
 func TestNothingIsPlacedFromPartOfTheList(t *testing.T) {
 	s := state(engine("e1", 0, 4), engine("e2", 0, 0))
 	s.Whole = false
