Two tests that passed without their safeguard are made to fail without it

TestLeaderGoesOnWhileTheStoreIsAway passed as another node stood in: it now says who gives the order. TestEngineThatTwoNodesFindDeadIsReplaced took any order for the one that fills the hole. Both fail now without the safeguard. Product code is unchanged.

--- a/citronnode/node_test.go
+++ b/citronnode/node_test.go
@@ -204,7 +204,9 @@
 	for i := range 3 {
 		f.engine(citronmodel.Engine{ID: fmt.Sprintf("m%d", i), Service: "model", Addr: fmt.Sprintf("m%d:1", i), Zone: "z1", Kind: "fast"})
 	}
-	a, b := f.add("a", "z1"), f.add("b", "z1")
+	b := f.add("b", "z1")
+	eventually(t, "the first node leads", func() bool { return f.orders.count() > 0 })
+	a := f.add("a", "z1") // would stand in for a leader that resigned
 	held := func() (n int) {
 		if s := a.Traffic(); s != nil {
 			for _, e := range s.View.ByService["model"] {
@@ -228,6 +230,7 @@
 		}
 	}
 	eventually(t, "an order fills the hole", func() bool { return f.orders.count() > before })
+	is.New(t).Equal(f.orders.givers(before)[0], "b")
 }
 
 // The same, and the leader dies as well before it could act.
--- a/citronnode/rig_test.go
+++ b/citronnode/rig_test.go
@@ -88,10 +88,25 @@
 	store *citronkv.Server
 	mu    sync.Mutex
 	given []string
+	// by are the nodes that gave them.
+	by []string
 	// dead is the address of an engine that does not answer.
 	dead string
 }
 
+// nodeOrders are the engines as one node reaches them.
+type nodeOrders struct {
+	*orders
+	node string
+}
+
+func (o nodeOrders) Place(ctx context.Context, e citronmodel.Engine, order citronplace.Order, accepted int64) error {
+	o.mu.Lock()
+	o.by = append(o.by, o.node)
+	o.mu.Unlock()
+	return o.orders.Place(ctx, e, order, accepted)
+}
+
 func (o *orders) State(_ context.Context, addr string) (citronplace.EngineState, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -115,6 +130,13 @@
 	return putEngine(ctx, o.store, e)
 }
 
+// givers are the nodes that gave orders after the first n.
+func (o *orders) givers(n int) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return append([]string(nil), o.by[n:]...)
+}
+
 func (o *orders) count() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -188,7 +210,7 @@
 		Name: name, Zone: zone, Front: "front-" + name, Peer: addr, Seeds: seeds, LeaseTTL: 600 * time.Millisecond, Grace: time.Second,
 	}, citronnode.Sources{
 		Store: m.gate, ConfigKey: "config", EnginePrefix: "engines/",
-		DecodeConfig: decodeConfig, DecodeEngine: decodeEngine, Orders: f.orders,
+		DecodeConfig: decodeConfig, DecodeEngine: decodeEngine, Orders: nodeOrders{f.orders, name},
 	}, citronclock.Real{}, slog.New(slog.NewTextHandler(io.Discard, nil)), citronbudget.New(citronbudget.Limits{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}), &citronpool.Loads{}, hs.Client())
 	m.Handle(mux)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/citronplacer/placer_test.go
+++ b/citronplacer/placer_test.go
@@ -149,8 +149,14 @@
 	s.Dead["e2"] = 2
 	e := &engines{}
 	run(t, e, s)
-	eventually(t, "an order for the hole", func() bool { return len(e.orders()) > 0 })
-	for _, g := range e.orders() {
-		is.True(g.engine != "e2")
-	}
+	hole := citronmodel.Span{From: 4, To: 8}
+	eventually(t, "an order for the hole", func() bool {
+		for _, g := range e.orders() {
+			is.True(g.engine != "e2")
+			if g.span.Covers(hole) {
+				return true
+			}
+		}
+		return false
+	})
 }
