--- a/citronplace/repair.go
+++ b/citronplace/repair.go
@@ -15,8 +15,7 @@
 	// leavingShare is the same for a hole that is still served by an
 	// engine that is leaving. Moving boundaries would give up layers that
 	// running requests use, and has to wait for those. With 0.35 a zone
-	// that lost a large engine was left with a fifth of its cache for good
-	// (credit of such a day 0.47 instead of 0.59).
+	// that lost a large engine was left with a fifth of its cache for good.
 	leavingShare = 0.55
 	// windowShare is the same for moving the boundaries of some engines.
 	windowShare = 0.7
