A refused upstream of the test rig keeps its port: a stranger answered in its place

The rig now holds each port by a bound socket that does not listen.

Ruled out: the entry's judgement of a refused connection.

Before: TestRefusedUpstreamKeepsItsPort fails (the port is free for others). The failure was seen once, so no rate before and after is known.

--- a/citronentry/plain_test.go
+++ b/citronentry/plain_test.go
@@ -2,12 +2,27 @@
 
 import (
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 )
 
+// The rig's own fault: an upstream that refuses connections has closed its
+// port. If another server were given that port meanwhile, it would answer
+// the caller, and a request that ran nowhere would look served.
+func TestRefusedUpstreamKeepsItsPort(t *testing.T) {
+	is := is.New(t)
+	r := newPlainRig(t, 1, 2)
+	for _, b := range r.ups {
+		b.set(refused)
+		_, err := net.Listen("tcp", b.addr())
+		is.True(err != nil) // the port is free for others
+	}
+	is.Equal(r.submit(0, "release", "k", longDeadline).code, "not_run")
+}
+
 const longDeadline = 10 * time.Minute
 
 // The contract between an entry and plain upstreams. Each case sets a
--- a/citronentry/rig_test.go
+++ b/citronentry/rig_test.go
@@ -17,6 +17,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -58,13 +59,29 @@
 	hold     chan struct{}
 	thaw     chan struct{}
 	thawOnce sync.Once
+	// reserved keeps the address after the server has closed.
+	reserved *reservation
 }
 
 func (b *backendHandle) addr() string { return b.srv.Listener.Addr().String() }
 
+// listen starts the server on a reserved address.
+func (b *backendHandle) listen() {
+	var err error
+	if b.reserved, err = reserve(); err != nil {
+		panic(err)
+	}
+	_ = b.srv.Listener.Close() // the one that httptest opened
+	if b.srv.Listener, err = b.reserved.listen(); err != nil {
+		panic(err)
+	}
+	b.srv.Start()
+}
+
 func (b *backendHandle) set(f fault) {
 	if f == refused {
 		b.srv.Close()
+		b.reserved.claim()
 		return
 	}
 	b.fault.Store(int32(f))
@@ -75,8 +92,51 @@
 	b.thawOnce.Do(func() { close(b.thaw) })
 	b.srv.CloseClientConnections()
 	b.srv.Close()
+	b.reserved.release()
+}
+
+// reservation is a socket that is bound to a loopback port but does not
+// listen: nobody else is given the port, and connections to it are refused
+// unless another socket of this process listens there. Without it the port
+// of a server that has closed goes to the next one that starts, in this test
+// binary or another, and a call that should be refused is answered by a
+// stranger.
+type reservation struct {
+	fd   int
+	port int
+	once sync.Once
 }
 
+func reserve() (*reservation, error) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, err
+	}
+	// Both sockets need it for the port to be shared.
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return nil, err
+	}
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		return nil, err
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		return nil, err
+	}
+	return &reservation{fd: fd, port: name.(*syscall.SockaddrInet4).Port}, nil
+}
+
+func (r *reservation) listen() (net.Listener, error) {
+	return net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", r.port))
+}
+
+// claim ends the sharing of the port once the server has closed.
+func (r *reservation) claim() {
+	_ = syscall.SetsockoptInt(r.fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 0)
+}
+
+func (r *reservation) release() { r.once.Do(func() { _ = syscall.Close(r.fd) }) }
+
 func drop(w http.ResponseWriter) {
 	if hj, ok := w.(http.Hijacker); ok {
 		if c, _, err := hj.Hijack(); err == nil {
@@ -89,7 +149,7 @@
 	b := &backendHandle{thaw: make(chan struct{})}
 	b.mux.Store(http.NewServeMux())
 	mount(b.mux.Load())
-	b.srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	b.srv = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		mux := b.mux.Load()
 		work := strings.HasSuffix(r.URL.Path, "/Step") || strings.HasSuffix(r.URL.Path, "/Call")
 		if work {
@@ -124,6 +184,7 @@
 		}
 		mux.ServeHTTP(w, r)
 	}))
+	b.listen()
 	return b
 }
 
