Layers are added before any are given up, and the cache is evened out after

The spare that was to fill it (a leaving engine's gap) had first to give up the layers that it repeats, and an engine that gives up layers waits for the requests that run through them, up to 15 s.

Change: a gap is filled by additions first: empty engines, then those beside it, down to half of the even cache, and to three tenths while an engine that leaves still serves it.

TestLeavingEnginesLeaveNoHole fails without it.

--- a/citronplace/improve.go
+++ b/citronplace/improve.go
@@ -27,9 +27,15 @@
 			return Plan{e.ID: {Span: s}}
 		}
 	}
+	if plan := shed(spec, engines); len(plan) > 0 {
+		return plan
+	}
 	if plan, ok := help(spec, engines, even); ok {
 		return plan
 	}
+	if plan := balance(spec, engines, even); len(plan) > 0 {
+		return plan
+	}
 	return fillSpares(spec, engines, Plan{})
 }
 
@@ -37,24 +43,26 @@
 	return !e.Layers.Empty() && spec.CacheTokens(e.Kind, e.Layers.Len()) < even*weakShare
 }
 
-// trim returns what a weak engine should keep: the layers that it alone
-// holds, if these are some but not all.
+// trim returns what a weak engine should keep: the layers that no helper
+// repeats, if these are some but not all.
 func trim(spec citronmodel.Spec, engines []Engine, e Engine, even float64) (citronmodel.Span, bool) {
 	if !weak(spec, e, even) {
 		return citronmodel.Span{}, false
 	}
 	alone := citronmodel.Span{From: spec.Layers, To: 0}
 	for l := e.Layers.From; l < e.Layers.To; l++ {
-		if !heldByOther(engines, e, l) {
+		if !helped(engines, e, l) {
 			alone.From, alone.To = min(alone.From, l), max(alone.To, l+1)
 		}
 	}
 	return alone, !alone.Empty() && alone != e.Layers
 }
 
-func heldByOther(engines []Engine, e Engine, layer int) bool {
+// helped reports whether a helper, an engine that holds nothing but layers
+// of e, holds a layer.
+func helped(engines []Engine, e Engine, layer int) bool {
 	for _, o := range engines {
-		if o.ID != e.ID && o.Layers.From <= layer && layer < o.Layers.To {
+		if o.ID != e.ID && e.Layers.Covers(o.Layers) && o.Layers.From <= layer && layer < o.Layers.To {
 			return true
 		}
 	}
@@ -87,8 +95,8 @@
 
 // heldTwice reports whether another engine holds a part of e's layers.
 func heldTwice(engines []Engine, e Engine) bool {
-	for l := e.Layers.From; l < e.Layers.To; l++ {
-		if heldByOther(engines, e, l) {
+	for _, o := range engines {
+		if o.ID != e.ID && !overlap(o.Layers, e.Layers).Empty() {
 			return true
 		}
 	}
--- a/citronplace/repair.go
+++ b/citronplace/repair.go
@@ -11,13 +11,14 @@
 const (
 	// extendShare is the part of the zone's even cache that engines must
 	// keep when they only take in layers: less, and the zone carries so
-	// much less that moving boundaries pays.
-	extendShare = 0.7
-	// leavingShare is the same for a hole that is still served by an
-	// engine that is leaving. Moving boundaries would give up layers that
-	// running requests use, and has to wait for those. With 0.35 a zone
-	// that lost a large engine was left with a fifth of its cache for good.
-	leavingShare = 0.55
+	// much less until it is balanced that moving boundaries pays.
+	extendShare = 0.5
+	// servedShare is the same for a gap that an engine which is leaving
+	// still serves: whoever gives up layers for it would have to wait for
+	// running requests, and the zone would have a hole meanwhile.
+	servedShare = 0.3
+	// standInShare is the same for an engine that fills a gap alone.
+	standInShare = 0.7
 	// windowShare is the same for moving the boundaries of some engines.
 	windowShare = 0.7
 	// poorShare is what engines keep when nothing better is to be had: a
@@ -32,7 +33,7 @@
 // repair fills gaps.
 func repair(spec citronmodel.Spec, engines []Engine, gaps, served []citronmodel.Span, even float64) Plan {
 	cut := !covered(gaps, served)
-	plan := standIns(spec, engines, gaps, even*extendShare)
+	plan := standIns(spec, engines, gaps, even*standInShare)
 	engines = carriedOut(engines, plan)
 	if left := Gaps(spec, engines); len(left) > 0 {
 		maps.Copy(plan, move(spec, engines, left, even, cut))
@@ -72,24 +73,51 @@
 }
 
 // move fills gaps by engines that hold layers already, as far as there are
-// no others.
+// no others. Ways that only add layers go first, even if they leave some
+// engines little cache: they are done after a load of a few layers and take
+// nothing from running requests, and balance evens the cache out later. An
+// engine that gives up layers first waits for the requests that run through
+// them, which lasts up to 15 s, or cuts them off.
 func move(spec citronmodel.Spec, engines []Engine, gaps []citronmodel.Span, even float64, cut bool) Plan {
 	share := extendShare
 	if !cut {
-		share = leavingShare
+		share = servedShare
 	}
-	if plan, ok := extend(spec, engines, gaps, even*share, cut); ok {
+	if plan, ok := extend(spec, engines, gaps, even*share, keepAll); ok {
+		return plan
+	}
+	if plan, ok := extend(spec, engines, gaps, even*extendShare, way(cut)); ok {
 		return plan
 	}
 	if plan, ok := windows(spec, engines, gaps, even*windowShare, cut); ok {
 		return plan
 	}
-	if plan, ok := extend(spec, engines, gaps, even*poorShare, cut); ok {
+	if plan, ok := extend(spec, engines, gaps, even*poorShare, way(cut)); ok {
 		return plan
 	}
 	return divide(spec, engines, even*headroom, cut)
 }
 
+// giving says what spares that repeat layers may do to fill a gap.
+type giving int
+
+const (
+	// keepAll: they keep what they have.
+	keepAll giving = iota
+	// giveUp: they give it up once no request runs through it.
+	giveUp
+	// cutOff: they give it up at once. A hole that nobody serves has
+	// stopped all requests of the zone anyway.
+	cutOff
+)
+
+func way(cut bool) giving {
+	if cut {
+		return cutOff
+	}
+	return giveUp
+}
+
 // windows fills gaps one after the other by moving the boundaries around
 // each. Engines die in numbers within seconds of each other; dividing the
 // whole zone anew for that would take it out of use until all of it is
@@ -130,19 +158,14 @@
 	return true
 }
 
-// extend fills gaps without giving up any layer, as evenly as it can: with
-// the largest cache that all engines which take part can keep. It fails if
-// that is less than least.
-//
-// A spare that fills a hole gives up the layers that it repeats. If nobody
-// serves the hole any more, no request of the zone can go on anyway, and to
-// wait for those that run through the spare would only keep the hole open:
-// 4.4 s instead of 1.3 s for seven layers.
-func extend(spec citronmodel.Spec, engines []Engine, gaps []citronmodel.Span, least float64, cut bool) (Plan, bool) {
+// extend fills gaps without giving up any layer that only one engine holds,
+// as evenly as it can: with the largest cache that all engines which take
+// part can keep. It fails if that is less than least.
+func extend(spec citronmodel.Spec, engines []Engine, gaps []citronmodel.Span, least float64, g giving) (Plan, bool) {
 	try := func(tokens float64) (Plan, bool) {
 		plan := Plan{}
-		for _, g := range gaps {
-			if !fillGap(spec, engines, plan, g, tokens, cut) {
+		for _, gap := range gaps {
+			if !fillGap(spec, engines, plan, gap, tokens, g) {
 				return nil, false
 			}
 		}
@@ -165,16 +188,16 @@
 }
 
 // fillGap gives a gap to spares, then to the engines beside it.
-func fillGap(spec citronmodel.Spec, engines []Engine, plan Plan, g citronmodel.Span, tokens float64, cut bool) bool {
+func fillGap(spec citronmodel.Spec, engines []Engine, plan Plan, g citronmodel.Span, tokens float64, give giving) bool {
 	for _, e := range spares(spec, engines, plan) {
 		if g.Empty() {
 			return true
 		}
 		n := min(capacity(spec, e.Kind, tokens), g.Len())
-		if n <= 0 {
+		if n <= 0 || give == keepAll && !e.Layers.Empty() {
 			continue
 		}
-		plan[e.ID] = Order{Span: citronmodel.Span{From: g.From, To: g.From + n}, Cut: cut}
+		plan[e.ID] = Order{Span: citronmodel.Span{From: g.From, To: g.From + n}, Cut: give == cutOff}
 		g.From += n
 	}
 	for _, e := range engines {
--- a/citronplacer/board_test.go
+++ b/citronplacer/board_test.go
@@ -28,7 +28,7 @@
 	loadLayer = 175 * time.Millisecond
 	// streamsEnd is how long the requests take that pass through layers
 	// which an engine gives up, if they are not cut off.
-	streamsEnd = 2500 * time.Millisecond
+	streamsEnd = 8 * time.Second
 	// listLag is how many steps the leader's list is behind.
 	listLag = 4
 )
@@ -239,6 +239,10 @@
 	z.engines = append(z.engines, &simEngine{Engine: citronmodel.Engine{ID: id, Zone: "z", Kind: old.Kind, Addr: id}})
 	z.joined[id] = z.now
 	z.run(time.Second)
+	z.leave(old)
+}
+
+func (z *simZone) leave(old *simEngine) {
 	z.engines = slices.DeleteFunc(z.engines, func(e *simEngine) bool { return e == old })
 	old.done = z.now.Add(2500 * time.Millisecond)
 	z.leaving = append(z.leaving, old)
@@ -280,3 +284,30 @@
 		}
 	}
 }
+
+// Engines are taken away at the peak and nothing comes in their place. Each
+// says so and serves on for two and a half seconds. A spare that repeats the
+// first layers would have to wait for the requests that run through it before
+// it could load those of the leaving engine, and callers of the zone would be
+// refused meanwhile. The engines beside it take its layers in instead.
+func TestLeavingEnginesLeaveNoHole(t *testing.T) {
+	for _, layers := range [][]int{{40}, {8}, {50, 20}, {25, 45}} {
+		t.Run(fmt.Sprint(layers), func(t *testing.T) {
+			is := is.New(t)
+			z := newSimZone(t, 1, 6, 6)
+			for _, layer := range layers {
+				for _, e := range z.engines {
+					if e.Layers.From <= layer && layer < e.Layers.To {
+						z.leave(e)
+						break
+					}
+				}
+				z.run(4 * time.Second)
+			}
+			for range 100 {
+				is.True(z.whole()) // a hole while the engine still served, or after
+				z.step()
+			}
+		})
+	}
+}
