An engine that answers is not dead, even if a stream is stalled there

Nodes told each other as dead what a first engine reported as stalled: an engine that loads other layers by the leader's own order holds up the streams that ran through it. Two such reports are believed without asking.

Change: a stalled part is replaced and left alone, but dead is only what gave no sign of life itself (all engines of a silent path are asked anyway). The leader logs the engines that it takes for dead by others' reports.

Ruled out: probes that time out (the engines answered the leader's orders within 10 ms in the same second).

TestStalledEngineThatAnswersIsNotDead fails without it.

--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -279,7 +279,14 @@
 	}
 	for i, h := range w.s.path {
 		if h.Engine.Addr == addr {
-			h.Engine.Dead(now)
+			// It was asked too (ask). If it answered it is not dead:
+			// it loads other layers, say, or has lost its path to the
+			// engine before it. To call it dead would have all streams
+			// moved and its layers given to others, each of which then
+			// loads in turn: a zone lost seven sound engines in 3 s.
+			if h.Engine.Usable(now) {
+				h.Engine.Failed(now)
+			}
 			return w.replace(i, reasonStalled)
 		}
 	}
--- a/citronforward/stream_test.go
+++ b/citronforward/stream_test.go
@@ -168,7 +168,48 @@
 	is.True(r.engines.repaths[0][1].Engine.Addr != dead)
 }
 
-// The same, but the zone has nobody else for the dead part. Handing all
+// A stream waits for an engine that loads other layers by the leader's order.
+// The first engine reports the stream as stalled there, but the engine itself
+// answers. The stream is moved; the engine must not be told to the other
+// nodes as dead, or the leader would place its layers anew while they load.
+func TestStalledEngineThatAnswersIsNotDead(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, engine("m1", "a", 0, 4), engine("m2", "a", 4, 8), engine("m3", "a", 4, 8))
+	moved := make(chan struct{})
+	var stalled atomic.Pointer[string]
+	r.engines.answer = func(ctx context.Context, _ int, c citronforward.Call) (*citronforward.Reply, error) {
+		stalled.Store(&c.Hops[1].Engine.Addr)
+		body, w := io.Pipe()
+		go func() {
+			_, _ = io.WriteString(w, events(1, 2))
+			select {
+			case <-moved:
+				_, _ = io.WriteString(w, events(3, 4))
+			case <-ctx.Done():
+			}
+			_ = w.Close()
+		}()
+		rep := reply(200, "")
+		rep.Body = body
+		return rep, nil
+	}
+	r.engines.report = func(addr string) (citronforward.Report, error) {
+		if addr == "m1:1" {
+			return citronforward.Report{Stalled: map[string]string{"r1": *stalled.Load()}}, nil
+		}
+		return citronforward.Report{}, nil
+	}
+	r.engines.repath = func(citronpath.Path) error {
+		close(moved)
+		return nil
+	}
+	got := r.ask("stream", 5*time.Second, func(q *citronforward.Request) { q.Wait = 5 * time.Second })
+	is.Equal(got.body, events(1, 4))
+	is.Equal(len(r.engines.repaths), 1)
+	is.Equal(len(r.view.Dead(time.Time{})), 0)
+}
+
+// A dead middle part again, but the zone has nobody else for the dead part. Handing all
 // tokens so far to another zone would take seconds on the pipe, so the
 // stream is resumed on another zone's copy.
 func TestDeadMiddlePartWithoutSpareResumesInOtherZone(t *testing.T) {
--- a/citronplacer/placer.go
+++ b/citronplacer/placer.go
@@ -233,7 +233,9 @@
 			continue
 		}
 		if count >= sureReports {
-			p.mark(p.dead, id, now)
+			if p.mark(p.dead, id, now) > deadFor {
+				citronevent.Log(ctx, p.Log, citronevent.EngineDead, "engine", id, "peer", e.Addr, "reports", count)
+			}
 			continue
 		}
 		if now.Sub(p.checkedAt(id)) < checkAgain {
@@ -257,10 +259,13 @@
 	return p.checked[id]
 }
 
-func (p *Placer) mark(times map[string]time.Time, id string, now time.Time) {
+// mark notes a moment and returns how long ago the one before it was.
+func (p *Placer) mark(times map[string]time.Time, id string, now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	before := now.Sub(times[id])
 	times[id] = now
+	return before
 }
 
 func anyPlaced(engines []citronplace.Engine) bool {
