--- a/citronplace/repair.go
+++ b/citronplace/repair.go
@@ -18,7 +18,7 @@
 	// running requests, and the zone would have a hole meanwhile.
 	servedShare = 0.3
 	// standInShare is the same for an engine that fills a gap alone.
-	standInShare = 0.7
+	standInShare = 0.5
 	// windowShare is the same for moving the boundaries of some engines.
 	windowShare = 0.7
 	// poorShare is what engines keep when nothing better is to be had: a
