Few nodes watch the store, the list of engines is passed on as changes, a strong node leads

A small node that was elected first placed 59 engines at once and was deaf for three seconds: its dials timed out, 49 nodes took it for dead and another was elected.

Change: six nodes watch the store; the others stand by, and step in when fewer than six of those before them by name say that the store answers them. An exchange carries the changes of the list since the other's revision (TestListIsPassedOnAsChanges). Three nodes of a zone ask another zone in each round. A node with under 0.3 of a core lets others campaign first; at most 16 engines are spoken to at once.

Ruled out: the members' part of the message (2.3 KB compressed of 59).

--- a/citroncli/node.go
+++ b/citroncli/node.go
@@ -65,7 +65,7 @@
 	loads := &citronpool.Loads{}
 	engines := platform.NewEngines()
 	node := citronnode.New(citronnode.Settings{
-		Name: set.Name, Zone: set.Zone, Front: set.Front, Peer: set.Peer, Seeds: set.Seeds,
+		Name: set.Name, Zone: set.Zone, Front: set.Front, Peer: set.Peer, Seeds: set.Seeds, Cores: set.Cores,
 		LeaseTTL: max(leaderLease, set.LeaseMin), Grace: set.Grace,
 	}, citronnode.Sources{
 		Store: platform.NewStore(set.Store), ConfigKey: platform.ConfigKey, EnginePrefix: platform.EnginePrefix,
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
 	"slices"
 	"sort"
@@ -64,10 +63,11 @@
 	source   string
 }
 
-// listChanged brings changes of the list up to a revision.
+// listChanged brings the changes of the list after base up to a revision.
 type listChanged struct {
-	items    []citronkv.Item
-	revision int64
+	items          []citronkv.Item
+	base, revision int64
+	source         string
 }
 
 // membersSeen brings news of other nodes.
@@ -99,11 +99,15 @@
 	table   *citrontable.Table
 	list    map[string]listed
 	listRev int64
-	// listDoc is the list as it is passed on; made anew when it changes.
-	listDoc citronpeer.Document
-	members map[string]known
-	self    citronpeer.Member
-	view    *citronpool.View
+	// passed is the list as it is passed on; made anew when it changes.
+	passed passedList
+	// removed are the entries that went lately, and removedSince the
+	// revision after which none is missing from them.
+	removed      []citronkv.Item
+	removedSince int64
+	members      map[string]known
+	self         citronpeer.Member
+	view         *citronpool.View
 	// vanished are the times at which entries went lately; lapse is
 	// whether they are put down to the store.
 	vanished []time.Time
@@ -170,15 +174,18 @@
 	}
 	for key, l := range c.list {
 		if !seen[key] {
-			c.drop(ctx, key, l)
+			c.drop(ctx, key, l, m.revision)
 		}
 	}
+	if c.listRev == 0 {
+		c.removedSince = m.revision
+	}
 	c.listAt(ctx, m.revision, m.source)
 }
 
 func (c *control) takeChanges(ctx context.Context, m listChanged) {
-	if m.revision <= c.listRev {
-		return
+	if m.revision <= c.listRev || m.base > c.listRev || c.listRev == 0 {
+		return // old news, or changes of a list that this node does not have
 	}
 	for _, it := range m.items {
 		if it.Revision <= c.listRev {
@@ -189,11 +196,11 @@
 			continue
 		}
 		if l, ok := c.list[it.Key]; ok {
-			c.drop(ctx, it.Key, l)
+			c.drop(ctx, it.Key, l, it.Revision)
 		}
 	}
 	if len(m.items) > 0 {
-		c.listAt(ctx, m.revision, "store")
+		c.listAt(ctx, m.revision, m.source)
 	}
 }
 
@@ -203,7 +210,7 @@
 		c.listSince = c.n.clock.Now()
 	}
 	c.changed = true
-	c.listDoc = citronpeer.Document{}
+	c.passed = passedList{}
 	c.n.tell()
 	citronevent.Log(ctx, c.n.log, citronevent.EnginesChanged, "revision", revision, "engines", len(c.list), "source", source)
 }
@@ -227,25 +234,53 @@
 // away: it is well, and its entry is back within two seconds. The last is
 // told from the others by the store's trouble, or by many entries going at
 // once; then the engine stays in use for that time.
-func (c *control) drop(ctx context.Context, key string, l listed) {
+func (c *control) drop(ctx context.Context, key string, l listed, revision int64) {
 	if !l.lapsed.IsZero() {
 		return
 	}
+	c.note(citronkv.Item{Key: key, Revision: revision, Deleted: true})
 	l.lapsed = c.n.clock.Now()
 	c.list[key] = l
 	c.vanished = append(c.vanished, l.lapsed)
 	citronevent.Log(ctx, c.n.log, citronevent.EnginesChanged, "engine", l.engine.ID, "peer", l.engine.Addr, "missing", true)
 }
 
+// mostRemoved bounds the removals that are remembered; a node that has not
+// heard of so many gets the whole list.
+const mostRemoved = 200
+
+// note remembers a removal for nodes that have an older list.
+func (c *control) note(it citronkv.Item) {
+	c.removed = append(slices.Clip(c.removed), it) // snapshots share the old one
+	if len(c.removed) > mostRemoved {
+		c.removedSince = c.removed[0].Revision
+		c.removed = c.removed[1:]
+	}
+}
+
 // lapseKept reports whether missing entries are put down to the store.
 func (c *control) lapseKept(now time.Time) bool {
-	if t := c.n.storeTrouble.Load(); t != nil && now.Sub(*t) < troubleMemory {
+	if c.self.Trouble || !c.self.Watching && c.watchersInTrouble() {
 		return true
 	}
 	c.vanished = slices.DeleteFunc(c.vanished, func(t time.Time) bool { return now.Sub(t) > lapseGrace })
 	return len(c.vanished) >= max(lapseFewest, len(c.list)/lapsePart)
 }
 
+// watchersInTrouble reports whether the store failed all nodes that watch it
+// lately. A node that does not watch learns from them what goes, and has to
+// put it down to the same cause.
+func (c *control) watchersInTrouble() bool {
+	trouble := false
+	for _, m := range c.members {
+		if m.alive && m.Watching && !m.Trouble {
+			return false
+		}
+		trouble = trouble || m.alive && m.Trouble
+	}
+	return trouble
+}
+
 func (c *control) takeMembers(ctx context.Context, members []citronpeer.Member) {
 	for _, m := range members {
 		if m.Name == c.self.Name {
@@ -285,6 +320,8 @@
 
 func (c *control) tick(ctx context.Context) {
 	now := c.n.clock.Now()
+	t := c.n.storeTrouble.Load()
+	c.self.Trouble = t != nil && now.Sub(*t) < troubleMemory
 	if lapse := c.lapseKept(now); lapse != c.lapse {
 		c.lapse, c.changed = lapse, true
 	}
@@ -292,7 +329,7 @@
 		if !l.lapsed.IsZero() && now.Sub(l.lapsed) > lapseGrace {
 			delete(c.list, key)
 			c.changed = true
-			c.listDoc = citronpeer.Document{}
+			c.passed = passedList{}
 			citronevent.Log(ctx, c.n.log, citronevent.EnginesChanged, "engine", l.engine.ID, "peer", l.engine.Addr, "gone", true, "lapsed", now.Sub(l.lapsed))
 		}
 	}
@@ -312,6 +349,7 @@
 	c.self.Leaving = c.n.leaving.Load()
 	c.self.Ready = c.n.Ready()
 	c.self.Leads = c.n.leads.Load()
+	c.self.Watching = c.n.answered.Load() == followed
 	c.tellGoals()
 	c.self.Load = c.n.loads.Sums()
 	c.self.Sent = map[string]citronpeer.Sent{}
@@ -403,10 +441,10 @@
 	if c.table != nil {
 		s.traffic = &citronforward.State{Table: c.table, View: c.view, Others: others}
 	}
-	if c.listDoc.Body == nil && c.listRev > 0 {
-		c.listDoc = citronpeer.Document{Revision: c.listRev, Body: c.encodeList()}
+	if c.passed.revision != c.listRev {
+		c.passed = passedList{revision: c.listRev, items: c.items(), removed: c.removed, since: c.removedSince}
 	}
-	s.list = c.listDoc
+	s.list = c.passed
 	c.n.snap.Store(s)
 }
 
@@ -421,16 +459,12 @@
 	return out
 }
 
-func (c *control) encodeList() []byte {
+func (c *control) items() []citronkv.Item {
 	items := make([]citronkv.Item, 0, len(c.list))
 	for _, l := range c.list {
 		if l.lapsed.IsZero() {
 			items = append(items, l.item)
 		}
 	}
-	body, err := json.Marshal(items)
-	if err != nil {
-		return nil // items are plain values; marshalling them cannot fail
-	}
-	return body
+	return items
 }
--- /dev/null
+++ b/citronnode/gossip.go
@@ -0,0 +1,214 @@
+package citronnode
+
+// Gossip: exchanges with other nodes. Each tells what it knows of the nodes,
+// and whoever has the older document gets the newer one: the configuration
+// whole, the list of engines as the changes since the other's revision.
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronevent"
+	"citrondeck.dev/citrondeck/citronkv"
+	"citrondeck.dev/citrondeck/citronpeer"
+)
+
+const (
+	// gossipEvery and fanout set how news spreads: to one node of the own
+	// zone and one of another each round. Bytes between zones are dear.
+	gossipEvery = 400 * time.Millisecond
+	fanout      = 2
+	// farNodes is how many nodes of a zone ask one of another zone in each
+	// round, on average: what comes from there reaches the rest of the zone
+	// within two or three rounds. With all of a zone's nodes asking, 59 nodes
+	// passed 1.6 MB a second between zones.
+	farNodes = 3
+	// newsGap is the least time between two rounds: when many engines come
+	// or go at once, their news goes together.
+	newsGap = 60 * time.Millisecond
+	// exchangeTimeout bounds one exchange; a node that is well answers
+	// within milliseconds.
+	exchangeTimeout = 500 * time.Millisecond
+)
+
+// gossip exchanges knowledge with a few other nodes at a time.
+func (n *Node) gossip(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var last time.Time
+	for {
+		partners := n.partners
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.news:
+			partners = n.newsPartners
+			_ = n.clock.Sleep(ctx, newsGap-n.clock.Now().Sub(last))
+		case <-timer.C:
+		}
+		for _, addr := range partners() {
+			go n.exchange(ctx, addr)
+		}
+		last = n.clock.Now()
+		timer.Reset(gossipEvery/2 + rand.N(gossipEvery))
+	}
+}
+
+// newsPartners are those that news goes to at once: the partners of a round
+// and the leader, which repairs what is found dead.
+func (n *Node) newsPartners() []string {
+	addrs := n.partners()
+	for _, m := range n.snap.Load().members {
+		if m.Leads && !slices.Contains(addrs, m.Peer) {
+			addrs = append(addrs, m.Peer)
+		}
+	}
+	return addrs
+}
+
+// partners draws the nodes to ask: a few that are known, or the seeds while
+// none is.
+func (n *Node) partners() []string {
+	s := n.snap.Load()
+	var near, far []string
+	for _, m := range s.members {
+		if m.Zone == n.set.Zone {
+			near = append(near, m.Peer)
+		} else {
+			far = append(far, m.Peer)
+		}
+	}
+	var addrs []string
+	if len(near) > 0 {
+		addrs = append(addrs, near[rand.IntN(len(near))])
+	}
+	if len(far) > 0 && rand.IntN(len(near)+1) < farNodes {
+		addrs = append(addrs, far[rand.IntN(len(far))])
+	}
+	if len(near)+len(far) < fanout || rand.N(seedChance) == 0 {
+		for _, a := range n.seeds() {
+			if a != n.set.Peer {
+				addrs = append(addrs, a)
+			}
+		}
+	}
+	return addrs
+}
+
+// seeds are the addresses of the settings and one of those in the store.
+func (n *Node) seeds() []string {
+	found := n.registered.Load()
+	if found == nil || len(*found) == 0 {
+		return n.set.Seeds
+	}
+	return append(slices.Clone(n.set.Seeds), (*found)[rand.IntN(len(*found))])
+}
+
+// seedChance: one round in so many also asks the seeds, so that two halves
+// of a fleet that lost each other meet again.
+const seedChance = 10
+
+func (n *Node) exchange(ctx context.Context, addr string) {
+	s := n.snap.Load()
+	theirs, err := n.peers.Exchange(ctx, addr, citronpeer.Knowledge{
+		Members: s.all(), Config: citronpeer.Document{Revision: s.config.Revision}, Engines: citronpeer.Document{Revision: s.list.revision},
+	})
+	if err != nil {
+		citronevent.Log(ctx, n.log, citronevent.GossipFailed, "peer", addr, "err", err)
+		return
+	}
+	n.learn(ctx, theirs)
+}
+
+// passedList is the list of engines as it is passed on. It is immutable.
+type passedList struct {
+	revision int64
+	items    []citronkv.Item
+	// removed are removals, all of those after the revision since.
+	removed []citronkv.Item
+	since   int64
+}
+
+// after is what a node that has the list of another revision lacks. Engines
+// come and go one at a time, and the whole list is a hundred times as long
+// as one change.
+func (l passedList) after(revision int64) (citronpeer.Document, error) {
+	doc := citronpeer.Document{Revision: l.revision}
+	if revision >= l.revision {
+		return doc, nil
+	}
+	items := l.items
+	if revision > 0 && revision >= l.since {
+		doc.Base = revision
+		items = nil
+		for _, it := range slices.Concat(l.items, l.removed) {
+			if it.Revision > revision {
+				items = append(items, it)
+			}
+		}
+		// An entry that lapsed and came back stands in both.
+		slices.SortFunc(items, func(a, b citronkv.Item) int { return cmp.Compare(a.Revision, b.Revision) })
+	}
+	var err error
+	doc.Body, err = json.Marshal(items)
+	return doc, err
+}
+
+// all are the nodes that this one knows, itself first.
+func (s *snapshot) all() []citronpeer.Member {
+	return append([]citronpeer.Member{s.self}, s.members...)
+}
+
+// knowledge is what this node tells one that knows other; bodies that the
+// other has are left out.
+func (s *snapshot) knowledge(other citronpeer.Knowledge) (citronpeer.Knowledge, error) {
+	k := citronpeer.Knowledge{Members: s.all(), Config: s.config}
+	if other.Config.Revision >= k.Config.Revision {
+		k.Config.Body = nil
+	}
+	var err error
+	k.Engines, err = s.list.after(other.Engines.Revision)
+	return k, err
+}
+
+// answer is this node's side of an exchange that another began.
+func (n *Node) answer(theirs citronpeer.Knowledge) citronpeer.Knowledge {
+	ctx := context.Background()
+	n.learn(ctx, theirs)
+	s := n.snap.Load()
+	if theirs.Config.Revision > s.config.Revision || theirs.Engines.Revision > s.list.revision {
+		for _, m := range theirs.Members[:min(1, len(theirs.Members))] {
+			go n.exchange(ctx, m.Peer)
+		}
+	}
+	k, err := s.knowledge(theirs)
+	if err != nil {
+		// Items are plain values; the other node asks again.
+		citronevent.Log(ctx, n.log, citronevent.EngineRejected, "key", "exchange", "err", err)
+	}
+	return k
+}
+
+func (n *Node) learn(ctx context.Context, k citronpeer.Knowledge) {
+	n.send(ctx, membersSeen{k.Members})
+	if len(k.Config.Body) > 0 {
+		n.send(ctx, configSeen{body: k.Config.Body, source: "node"})
+	}
+	if len(k.Engines.Body) == 0 {
+		return
+	}
+	var items []citronkv.Item
+	if err := json.Unmarshal(k.Engines.Body, &items); err != nil {
+		citronevent.Log(ctx, n.log, citronevent.EngineRejected, "key", "exchange", "err", err)
+		return
+	}
+	if k.Engines.Base > 0 {
+		n.send(ctx, listChanged{items: items, base: k.Engines.Base, revision: k.Engines.Revision, source: "node"})
+		return
+	}
+	n.send(ctx, listSeen{items: items, revision: k.Engines.Revision, source: "node"})
+}
--- a/citronnode/leader.go
+++ b/citronnode/leader.go
@@ -30,6 +30,12 @@
 	// campaignWait is how long a node waits before it looks again whether
 	// it should lead. Nodes that wait as long try one after the other.
 	campaignWait = 300 * time.Millisecond
+	// leaderCores is what a leader should have: placing a hundred engines
+	// for the first time costs half a second of a core, in which a node with
+	// a fifth of a core is deaf to the others for three seconds. Nodes with
+	// less let the others try first, for weakWait.
+	leaderCores = 0.3
+	weakWait    = 700 * time.Millisecond
 )
 
 // errHeld means that the key of the leader is held.
@@ -41,6 +47,12 @@
 		if n.leaderKnown() {
 			continue
 		}
+		if n.set.Cores > 0 && n.set.Cores < leaderCores {
+			_ = n.clock.Sleep(ctx, weakWait)
+			if n.leaderKnown() {
+				continue
+			}
+		}
 		lease, err := n.campaign(ctx)
 		switch {
 		case err == nil:
--- /dev/null
+++ b/citronnode/list_test.go
@@ -0,0 +1,51 @@
+package citronnode
+
+import (
+	"encoding/json"
+	"testing"
+
+	"citrondeck.dev/citrondeck/citronkv"
+	"github.com/matryer/is"
+)
+
+// A node asks for the list of engines from the revision that it has. It gets
+// the changes since then, in their order: an entry that lapsed and came back
+// must end as present. Where removals are no longer known it gets the whole
+// list, or it would keep engines that are gone.
+func TestListIsPassedOnAsChanges(t *testing.T) {
+	put := func(key string, revision int64) citronkv.Item { return citronkv.Item{Key: key, Revision: revision} }
+	gone := func(key string, revision int64) citronkv.Item {
+		return citronkv.Item{Key: key, Revision: revision, Deleted: true}
+	}
+	list := passedList{
+		revision: 20, items: []citronkv.Item{put("a", 3), put("b", 18), put("c", 12)},
+		removed: []citronkv.Item{gone("x", 11), gone("b", 16)}, since: 10,
+	}
+	cases := []struct {
+		name  string
+		asked int64
+		base  int64
+		want  []citronkv.Item
+	}{
+		{"the same", 20, 0, nil},
+		{"newer", 25, 0, nil},
+		{"changes", 15, 15, []citronkv.Item{gone("b", 16), put("b", 18)}},
+		{"from the oldest known removal", 10, 10, []citronkv.Item{gone("x", 11), put("c", 12), gone("b", 16), put("b", 18)}},
+		{"too old", 9, 0, list.items},
+		{"none yet", 0, 0, list.items},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			doc, err := list.after(c.asked)
+			is.NoErr(err)
+			is.Equal(doc.Revision, int64(20))
+			is.Equal(doc.Base, c.base)
+			var got []citronkv.Item
+			if doc.Body != nil {
+				is.NoErr(json.Unmarshal(doc.Body, &got))
+			}
+			is.Equal(got, c.want)
+		})
+	}
+}
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -40,6 +40,9 @@
 	Front, Peer string
 	// Seeds are peer addresses of nodes that may be running.
 	Seeds []string
+	// Cores is the processor time that the node has, in cores; zero if it
+	// is not known.
+	Cores float64
 	// LeaseTTL is the life of the leader's lease without renewal.
 	LeaseTTL time.Duration
 	// Grace is the time between the signal to stop and the kill.
@@ -74,6 +77,8 @@
 	leftAt atomic.Pointer[time.Time]
 	// news wakes the gossip loop when a document changed.
 	news chan struct{}
+	// answered is how many of the followed prefixes the store answers.
+	answered atomic.Int64
 	// storeTrouble is when a call to the store last failed.
 	storeTrouble atomic.Pointer[time.Time]
 	leads        atomic.Bool
@@ -92,9 +97,10 @@
 	traffic *citronforward.State
 	engines []citronmodel.Engine
 	members []citronpeer.Member
-	// config and list are the documents passed on to other nodes.
-	config, list citronpeer.Document
-	self         citronpeer.Member
+	// config and list are passed on to other nodes.
+	config citronpeer.Document
+	list   passedList
+	self   citronpeer.Member
 	// goals are what a leader lately wanted engines to hold.
 	goals       map[string]citronmodel.Span
 	listSettled bool
--- a/citronnode/sources.go
+++ b/citronnode/sources.go
@@ -1,18 +1,14 @@
 package citronnode
 
-// Sources of what a node knows: watches on the store, and exchanges with
-// other nodes.
+// Watches on the store, and this node's own entry there.
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronkv"
-	"citrondeck.dev/citrondeck/citronpeer"
 	"github.com/cockroachdb/errors"
 )
 
@@ -25,13 +21,6 @@
 	// gather is how long changes of the list of engines are collected
 	// before the next watch: each watch is a priced call.
 	gather = 150 * time.Millisecond
-	// gossipEvery and fanout set how news spreads: to one node of the own
-	// zone and one of another each round. Bytes between zones are dear.
-	gossipEvery = 400 * time.Millisecond
-	fanout      = 2
-	// exchangeTimeout bounds one exchange; a node that is well answers
-	// within milliseconds.
-	exchangeTimeout = 500 * time.Millisecond
 )
 
 // follow keeps a prefix of the store up to date: it reads all of it and
@@ -39,9 +28,22 @@
 // history since, it reads all again.
 func (n *Node) follow(ctx context.Context, prefix string, config bool) {
 	wait := retryFirst
-	down := false
+	down, well := false, false
+	answered := func(ok bool) {
+		if ok && !well {
+			n.answered.Add(1)
+		}
+		if !ok && well {
+			n.answered.Add(-1)
+		}
+		well = ok
+	}
 	for ctx.Err() == nil {
+		if !n.mayWatch(ctx) {
+			continue
+		}
 		err := n.followOnce(ctx, prefix, config, func() {
+			answered(true)
 			wait = retryFirst
 			if down {
 				down = false
@@ -54,6 +56,10 @@
 		if errors.Is(err, citronkv.ErrCompacted) {
 			continue
 		}
+		answered(false)
+		if errors.Is(err, errStandBy) {
+			continue
+		}
 		n.trouble()
 		if !down {
 			down = true
@@ -82,6 +88,9 @@
 		n.send(ctx, listSeen{items: items, revision: rev, source: "store"})
 	}
 	for ctx.Err() == nil {
+		if n.watchersBefore() >= mostWatchers {
+			return errStandBy
+		}
 		events, next, err := n.watch(ctx, prefix, rev)
 		if err != nil {
 			return err
@@ -92,7 +101,7 @@
 			n.sendConfig(ctx, events)
 			continue
 		}
-		n.send(ctx, listChanged{items: events, revision: rev})
+		n.send(ctx, listChanged{items: events, revision: rev, source: "store"})
 		if len(events) > 0 {
 			_ = n.clock.Sleep(ctx, gather)
 		}
@@ -100,6 +109,59 @@
 	return ctx.Err()
 }
 
+const (
+	// followed is how many prefixes a node follows: the configuration and
+	// the list of engines.
+	followed = 2
+	// mostWatchers is how many nodes watch the store; the others hear of
+	// changes from them within about 0.3 s. Each watch is a priced call and
+	// is answered at every change, so that the calls of a fleet would grow
+	// with its nodes times its changes. Six outlast the loss of a third of
+	// them, and of the store for those.
+	mostWatchers = 6
+	// standBy is how often a node that does not watch looks whether it has
+	// to: a node that the store turns away says so within a second.
+	standBy = 300 * time.Millisecond
+)
+
+// errStandBy ends a watch that enough others hold.
+var errStandBy = errors.New("other nodes watch")
+
+// watchersBefore counts the nodes that watch the store, of those before this
+// one by name.
+func (n *Node) watchersBefore() int {
+	count := 0
+	for _, m := range n.snap.Load().members {
+		if m.Watching && m.Name < n.set.Name {
+			count++
+		}
+	}
+	return count
+}
+
+// mayWatch reports whether this node is to watch the store, or waits and
+// reports false. When the store is away for all, the nodes last by name wait
+// longest before they try too: their calls would help nobody.
+func (n *Node) mayWatch(ctx context.Context) bool {
+	before, rank := n.watchersBefore(), n.rank()
+	if before < mostWatchers && rank < mostWatchers {
+		return true
+	}
+	_ = n.clock.Sleep(ctx, standBy+rand.N(standBy*time.Duration(1+rank/mostWatchers)))
+	return n.watchersBefore() < mostWatchers
+}
+
+// rank is this node's place among those that it hears, by name.
+func (n *Node) rank() int {
+	rank := 0
+	for _, m := range n.snap.Load().members {
+		if m.Name < n.set.Name {
+			rank++
+		}
+	}
+	return rank
+}
+
 const (
 	// lookEvery is how often some node of the fleet reads the store anew.
 	lookEvery = 650 * time.Millisecond
@@ -124,16 +186,16 @@
 }
 
 // untilTurn is the time until this node's next turn, by its place among the
-// nodes that it knows.
+// nodes that watch.
 func (n *Node) untilTurn() time.Duration {
-	s := n.snap.Load()
-	rank := 0
-	for _, m := range s.members {
-		if m.Name < n.set.Name {
-			rank++
+	watchers := 1
+	for _, m := range n.snap.Load().members {
+		if m.Watching {
+			watchers++
 		}
 	}
-	period := min(lookEvery*time.Duration(len(s.members)+1), longestWatch)
+	rank := n.watchersBefore()
+	period := min(lookEvery*time.Duration(watchers), longestWatch)
 	now := time.Duration(n.clock.Now().UnixNano())
 	wait := (time.Duration(rank)*lookEvery - now%period + period) % period
 	if wait < lookEvery/2 {
@@ -157,75 +219,6 @@
 	}
 }
 
-// gossip exchanges knowledge with a few other nodes at a time.
-func (n *Node) gossip(ctx context.Context) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		partners := n.partners
-		select {
-		case <-ctx.Done():
-			return
-		case <-n.news:
-			partners = n.newsPartners
-		case <-timer.C:
-		}
-		for _, addr := range partners() {
-			go n.exchange(ctx, addr)
-		}
-		timer.Reset(gossipEvery/2 + rand.N(gossipEvery))
-	}
-}
-
-// newsPartners are those that news goes to at once: the partners of a round
-// and the leader, which repairs what is found dead.
-func (n *Node) newsPartners() []string {
-	addrs := n.partners()
-	for _, m := range n.snap.Load().members {
-		if m.Leads && !slices.Contains(addrs, m.Peer) {
-			addrs = append(addrs, m.Peer)
-		}
-	}
-	return addrs
-}
-
-// partners draws the nodes to ask: a few that are known, or the seeds while
-// none is.
-func (n *Node) partners() []string {
-	s := n.snap.Load()
-	var near, far []string
-	for _, m := range s.members {
-		if m.Zone == n.set.Zone {
-			near = append(near, m.Peer)
-		} else {
-			far = append(far, m.Peer)
-		}
-	}
-	var addrs []string
-	for _, group := range [][]string{near, far} {
-		if len(group) > 0 {
-			addrs = append(addrs, group[rand.IntN(len(group))])
-		}
-	}
-	if len(addrs) < fanout || rand.N(seedChance) == 0 {
-		for _, a := range n.seeds() {
-			if a != n.set.Peer {
-				addrs = append(addrs, a)
-			}
-		}
-	}
-	return addrs
-}
-
-// seeds are the addresses of the settings and one of those in the store.
-func (n *Node) seeds() []string {
-	found := n.registered.Load()
-	if found == nil || len(*found) == 0 {
-		return n.set.Seeds
-	}
-	return append(slices.Clone(n.set.Seeds), (*found)[rand.IntN(len(*found))])
-}
-
 // nodePrefix is where nodes leave their peer addresses.
 const nodePrefix = "deck/nodes/"
 
@@ -252,59 +245,3 @@
 		_ = n.clock.Sleep(ctx, retryMost+rand.N(retryMost))
 	}
 }
-
-// seedChance: one round in so many also asks the seeds, so that two halves
-// of a fleet that lost each other meet again.
-const seedChance = 10
-
-func (n *Node) exchange(ctx context.Context, addr string) {
-	s := n.snap.Load()
-	theirs, err := n.peers.Exchange(ctx, addr, s.knowledge(citronpeer.Knowledge{Config: s.config, Engines: s.list}))
-	if err != nil {
-		citronevent.Log(ctx, n.log, citronevent.GossipFailed, "peer", addr, "err", err)
-		return
-	}
-	n.learn(ctx, theirs)
-}
-
-// knowledge is what this node tells one that knows other; bodies that the
-// other has are left out.
-func (s *snapshot) knowledge(other citronpeer.Knowledge) citronpeer.Knowledge {
-	k := citronpeer.Knowledge{Members: append([]citronpeer.Member{s.self}, s.members...), Config: s.config, Engines: s.list}
-	if other.Config.Revision >= k.Config.Revision {
-		k.Config.Body = nil
-	}
-	if other.Engines.Revision >= k.Engines.Revision {
-		k.Engines.Body = nil
-	}
-	return k
-}
-
-// answer is this node's side of an exchange that another began.
-func (n *Node) answer(theirs citronpeer.Knowledge) citronpeer.Knowledge {
-	ctx := context.Background()
-	n.learn(ctx, theirs)
-	s := n.snap.Load()
-	if theirs.Config.Revision > s.config.Revision || theirs.Engines.Revision > s.list.Revision {
-		for _, m := range theirs.Members[:min(1, len(theirs.Members))] {
-			go n.exchange(ctx, m.Peer)
-		}
-	}
-	return s.knowledge(theirs)
-}
-
-func (n *Node) learn(ctx context.Context, k citronpeer.Knowledge) {
-	n.send(ctx, membersSeen{k.Members})
-	if len(k.Config.Body) > 0 {
-		n.send(ctx, configSeen{body: k.Config.Body, source: "node"})
-	}
-	if len(k.Engines.Body) == 0 {
-		return
-	}
-	var items []citronkv.Item
-	if err := json.Unmarshal(k.Engines.Body, &items); err != nil {
-		citronevent.Log(ctx, n.log, citronevent.EngineRejected, "key", "exchange", "err", err)
-		return
-	}
-	n.send(ctx, listSeen{items: items, revision: k.Engines.Revision, source: "node"})
-}
--- a/citronpeer/peer.go
+++ b/citronpeer/peer.go
@@ -34,6 +34,10 @@
 	Leaving bool `json:"leaving"`
 	// Leads: the node holds the lease under which layers are placed.
 	Leads bool `json:"leads,omitempty"`
+	// Watching: the node watches the store, and the store answers it.
+	Watching bool `json:"watching,omitempty"`
+	// Trouble: the store has failed the node within the last seconds.
+	Trouble bool `json:"trouble,omitempty"`
 	// Load is the cache, in tokens, that the node's requests take by zone.
 	Load map[string]int64 `json:"load,omitempty"`
 	// Sent is what the node has sent for each service in a window.
@@ -59,10 +63,12 @@
 	return m.Beat > o.Beat
 }
 
-// Document is something that nodes pass on whole; the higher revision wins.
+// Document is something that nodes pass on; the higher revision wins.
 type Document struct {
-	Revision int64  `json:"revision"`
-	Body     []byte `json:"body,omitempty"`
+	Revision int64 `json:"revision"`
+	// Base is the revision whose changes Body holds; zero if Body is whole.
+	Base int64  `json:"base,omitempty"`
+	Body []byte `json:"body,omitempty"`
 }
 
 // Knowledge is what a node tells another. Documents whose body is empty
--- a/citronplacer/board.go
+++ b/citronplacer/board.go
@@ -100,6 +100,17 @@
 	return out
 }
 
+// calls is how many engines are being spoken to.
+func (b board) calls() int {
+	n := 0
+	for _, g := range b {
+		if g.calling {
+			n++
+		}
+	}
+	return n
+}
+
 // ended notes what became of an order, and reports whether the engine is to
 // be left out because it takes none.
 func (b board) ended(id string, o citronplace.Order, err error, now time.Time) bool {
--- a/citronplacer/placer.go
+++ b/citronplacer/placer.go
@@ -139,6 +139,11 @@
 	}
 }
 
+// mostCalls is how many engines are spoken to at once. The first placement of
+// a hundred engines would otherwise open as many connections in one moment,
+// which a small machine does not get through before they time out.
+const mostCalls = 16
+
 // send gives the orders that are due.
 func (p *Placer) send(ctx context.Context, orders *sync.WaitGroup, s *State, now time.Time) {
 	p.mu.Lock()
@@ -149,7 +154,7 @@
 	}
 	due := p.goals.due(now)
 	for _, e := range s.Engines {
-		if !slices.Contains(due, e.ID) {
+		if !slices.Contains(due, e.ID) || p.goals.calls() >= mostCalls {
 			continue
 		}
 		g := p.goals[e.ID]
