--- a/citronnode/node_test.go
+++ b/citronnode/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -38,6 +39,35 @@
 	})
 }
 
+// A fleet of nine nodes: each watch is answered at every change and priced,
+// so only a few nodes watch. All get a new configuration; and when the store
+// turns all of those away that watch, others step in, or the fleet would keep
+// the old one for as long as the store likes.
+func TestFewNodesWatchForAll(t *testing.T) {
+	f := newFleet(t)
+	f.config("1")
+	for i := range 9 {
+		f.add(fmt.Sprintf("n%d", i), "z1")
+	}
+	all := func(version int64) func() bool {
+		return func() bool {
+			return !slices.ContainsFunc(f.nodes, func(m *member) bool { return m.version() != version })
+		}
+	}
+	watching := func() []*member {
+		return slices.DeleteFunc(slices.Clone(f.nodes), func(m *member) bool { return m.gate.watches.Load() == 0 })
+	}
+	eventually(t, "version 1 everywhere", all(1))
+	eventually(t, "six nodes watch", func() bool { return len(watching()) == 6 })
+	f.config("2")
+	eventually(t, "version 2 everywhere", all(2))
+	for _, m := range f.nodes[:6] {
+		m.gate.closed.Store(true)
+	}
+	f.config("3")
+	eventually(t, "version 3 everywhere, from those that did not watch", all(3))
+}
+
 // Watches hear nothing while the configuration changes, as when the store
 // drops its history. A node whose own watch is silent learns from one whose
 // watch is not; callers never see the old version for a watch's whole time.
--- a/citronnode/rig_test.go
+++ b/citronnode/rig_test.go
@@ -31,6 +31,8 @@
 	closed atomic.Bool
 	// silent: watches hear nothing until they end.
 	silent atomic.Bool
+	// watches counts the watches that wait.
+	watches atomic.Int64
 }
 
 var errTurnedAway = errors.Mark(errors.New("turned away"), citronkv.ErrUnavailable)
@@ -60,6 +62,8 @@
 	if d.closed.Load() {
 		return nil, 0, errTurnedAway
 	}
+	d.watches.Add(1)
+	defer d.watches.Add(-1)
 	if d.silent.Load() {
 		<-ctx.Done()
 		return nil, 0, errors.Mark(ctx.Err(), citronkv.ErrUnavailable)
