Large zones hold two copies; a step of improvement has to lower the zone's strain

Change: a zone whose memory allows it holds two or more copies, each divided over its own engines (copies.go); which copy an engine belongs to is told by what it holds, so nothing is kept anywhere. Requests of other nodes are counted at the engines that hold the same layers, each a part. With many spares, improvement moved one from a weak engine to the next for ever: a step must now lower the sum over layers of one over their cache (strain).

TestLargeZoneOutlivesAnyLoss fails without it, TestLargePlacementHoldsAllLayers found the endless steps.

--- a/citronpath/path.go
+++ b/citronpath/path.go
@@ -89,14 +89,14 @@
 )
 
 // Used is the share of an engine's cache that running requests may need.
-// Requests of other nodes are known by zone only; all requests of a zone
-// pass through about the same engines.
+// Requests of other nodes are known by zone only; they are taken to be spread
+// evenly over the engines that hold the same layers.
 func (q Query) Used(e *citronpool.Engine) float64 {
 	cache := q.Spec.CacheTokens(e.Kind, e.Layers.Len())
 	if cache <= 0 {
 		return math.Inf(1)
 	}
-	return (float64(e.Tokens()) + float64(q.Others[e.Zone])) / cache
+	return (float64(e.Tokens()) + float64(q.Others[e.Zone])/max(1, e.Copies)) / cache
 }
 
 // Used is the share of cache taken at the fullest engine of the path.
--- /dev/null
+++ b/citronplace/copies_test.go
@@ -0,0 +1,71 @@
+package citronplace_test
+
+import (
+	"cmp"
+	"slices"
+	"testing"
+
+	"citrondeck.dev/citrondeck/citronplace"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// least is the smallest number of engines that hold a layer.
+func least(engines []citronplace.Engine) int {
+	held := make([]int, spec.Layers)
+	for _, e := range engines {
+		for l := e.Layers.From; l < e.Layers.To; l++ {
+			held[l]++
+		}
+	}
+	n := held[0]
+	for _, h := range held {
+		n = min(n, h)
+	}
+	return n
+}
+
+// A zone of thirty engines at the peak loses one of them. Its callers must not
+// be refused until the hole is filled, so each layer is held twice and the
+// loss of any one engine leaves none unheld. A zone of a dozen has no room
+// for that beside its requests' cache.
+func TestLargeZoneOutlivesAnyLoss(t *testing.T) {
+	for _, size := range [][3]int{{4, 10, 11}, {3, 14, 16}, {2, 24, 9}} {
+		is := is.New(t)
+		engines := settle(t, fleet("z", size[0], size[1], size[2]))
+		is.Equal(least(engines), 2)
+		for _, lost := range engines {
+			left := without(engines, func(e citronplace.Engine) bool { return e.ID == lost.ID })
+			is.True(least(left) >= 1)
+			after := settle(t, left)
+			is.Equal(least(after), 2) // and the second copy is whole again
+			is.True(moved(left, after) <= 16)
+		}
+	}
+	is.New(t).Equal(least(settle(t, fleet("z", 2, 4, 4))), 1)
+	is.New(t).Equal(least(settle(t, fleet("z", 1, 10, 4))), 1)
+}
+
+// Whatever a large zone loses, the placement comes to rest, keeps to each
+// engine's memory, and holds every layer while the engines left can.
+func TestLargePlacementHoldsAllLayers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		engines := fleet("z", rapid.IntRange(0, 5).Draw(t, "large"), rapid.IntRange(6, 24).Draw(t, "small"), rapid.IntRange(4, 16).Draw(t, "slow"))
+		slices.SortFunc(engines, func(a, b citronplace.Engine) int { return cmp.Compare(a.ID, b.ID) })
+		for range rapid.IntRange(1, 6).Draw(t, "losses") {
+			engines = settle(t, engines)
+			room := 0
+			for _, e := range engines {
+				room += spec.MaxLayers(e.Kind)
+				if e.Layers.Len() > spec.MaxLayers(e.Kind) {
+					t.Fatalf("%s holds %d layers", e.ID, e.Layers.Len())
+				}
+			}
+			if room >= spec.Layers && least(engines) < 1 {
+				t.Fatalf("a layer is held by nobody: %v", engines)
+			}
+			lost := rapid.IntRange(0, len(engines)-1).Draw(t, "lost")
+			engines = without(engines, func(e citronplace.Engine) bool { return e.ID == engines[lost].ID })
+		}
+	})
+}
--- a/citronplace/improve.go
+++ b/citronplace/improve.go
@@ -22,21 +22,68 @@
 			return Plan{}
 		}
 	}
+	if plan := give(spec, engines, even); len(plan) > 0 {
+		return plan
+	}
+	if plan, ok := help(spec, engines, even, false); ok && gains(spec, engines, plan, even) {
+		return plan
+	}
+	if plan := balance(spec, engines, even); gains(spec, engines, plan, even) {
+		return plan
+	}
+	return fillSpares(spec, engines, Plan{})
+}
+
+// give has an engine give up layers that another has taken in for it.
+func give(spec citronmodel.Spec, engines []Engine, even float64) Plan {
 	for _, e := range engines {
 		if s, ok := trim(spec, engines, e, even); ok {
 			return Plan{e.ID: {Span: s}}
 		}
 	}
-	if plan := shed(spec, engines); len(plan) > 0 {
-		return plan
+	return shed(spec, engines)
+}
+
+// stepGain is by how much a step must lower a zone's strain.
+const stepGain = 0.99
+
+// gains reports whether a zone's strain is lower once a plan is carried out
+// and what it repeats has been given up. Each step lowers it, so the steps
+// come to an end.
+func gains(spec citronmodel.Spec, engines []Engine, plan Plan, even float64) bool {
+	if len(plan) == 0 {
+		return false
 	}
-	if plan, ok := help(spec, engines, even); ok {
-		return plan
+	after := done(engines, plan)
+	after = done(after, give(spec, after, even))
+	return strain(spec, after) < stepGain*strain(spec, engines)
+}
+
+// done returns the engines as they are once a plan is carried out.
+func done(engines []Engine, plan Plan) []Engine {
+	out := carriedOut(engines, plan)
+	for i := range out {
+		out[i].Layers = out[i].Goal
 	}
-	if plan := balance(spec, engines, even); len(plan) > 0 {
-		return plan
+	return out
+}
+
+// strain sums over all layers what share of the cache, which the engines that
+// hold the layer have together, one token takes. The weakest part counts most,
+// but relieving one of two that are equally weak counts too.
+func strain(spec citronmodel.Spec, engines []Engine) float64 {
+	cache := make([]float64, spec.Layers)
+	for _, e := range engines {
+		tokens := spec.CacheTokens(e.Kind, e.Layers.Len())
+		for l := max(0, e.Layers.From); l < min(e.Layers.To, spec.Layers); l++ {
+			cache[l] += tokens
+		}
 	}
-	return fillSpares(spec, engines, Plan{})
+	sum := 0.0
+	for _, c := range cache {
+		sum += 1 / max(1, c)
+	}
+	return sum
 }
 
 func weak(spec citronmodel.Spec, e Engine, even float64) bool {
@@ -69,8 +116,9 @@
 	return false
 }
 
-// help has a spare repeat layers of the weakest engine.
-func help(spec citronmodel.Spec, engines []Engine, even float64) (Plan, bool) {
+// help has a spare repeat layers of the weakest engine; idle asks for one
+// that holds nothing.
+func help(spec citronmodel.Spec, engines []Engine, even float64, idle bool) (Plan, bool) {
 	var weakest Engine
 	least := even * weakShare
 	for _, e := range engines {
@@ -84,7 +132,9 @@
 	}
 	for _, s := range spares(spec, engines, Plan{}) {
 		n := min(capacity(spec, s.Kind, even*goodShare), spec.Layers)
-		if s.ID == weakest.ID || s.Fresh || n < leastHelp {
+		// One that repeats layers further on helps somebody already: it
+		// would go from one weak engine to the next for ever.
+		if s.ID == weakest.ID || s.Fresh || n < leastHelp || !s.Layers.Empty() && (idle || s.Layers.From > 0) {
 			continue
 		}
 		from := min(weakest.Layers.From, spec.Layers-n)
--- a/citronplace/plan.go
+++ b/citronplace/plan.go
@@ -2,7 +2,8 @@
 //
 // The load it answers: each availability zone carries its share of the
 // callers at the peak, and what layers do not use of an engine's memory
-// caches the running requests. So each zone gets one whole copy, divided so
+// caches the running requests. So each zone gets one whole copy, or two or
+// more where its memory allows that (copies.go), each divided so
 // that fast engines hold as many layers as leave them the cache that the
 // others have too; the rest goes to slow engines. Engines left over are
 // spares: they repeat the first layers, since the first engine of a path
@@ -64,7 +65,7 @@
 func Decide(spec citronmodel.Spec, engines []Engine, served map[string][]citronmodel.Span) Plan {
 	plan := Plan{}
 	for _, zone := range zones(engines) {
-		for id, o := range decideZone(spec, zone, served[zone[0].Zone]) {
+		for id, o := range decideCopies(spec, zone, served[zone[0].Zone]) {
 			plan[id] = o
 		}
 	}
--- a/citronplace/plan_test.go
+++ b/citronplace/plan_test.go
@@ -44,9 +44,11 @@
 	return out
 }
 
-// settle carries plans out until nothing is left to do.
+// settle carries plans out until nothing is left to do. Layers are passed on
+// one pair of engines a time, so a zone of thirty takes more steps than one
+// of a dozen.
 func settle(t interface{ Fatalf(string, ...any) }, engines []citronplace.Engine) []citronplace.Engine {
-	for range 40 {
+	for range max(40, 6*len(engines)) {
 		plan := citronplace.Decide(spec, engines, nil)
 		if len(plan) == 0 {
 			return engines
--- a/citronpool/pool.go
+++ b/citronpool/pool.go
@@ -16,6 +16,9 @@
 type Engine struct {
 	citronmodel.Engine
 	*State
+	// Copies is how many engines of its zone hold its layers, itself
+	// included, on average.
+	Copies float64
 }
 
 // epoch is what moments are counted from. The difference to it is taken on
@@ -182,9 +185,35 @@
 		v.byAddr[e.Addr] = p
 		v.byID[e.ID] = p
 	}
+	for _, service := range v.ByService {
+		countCopies(service)
+	}
 	return v
 }
 
+// countCopies sets how often the layers of each engine are held in its zone.
+func countCopies(engines []*Engine) {
+	held := map[string]map[int]int{}
+	for _, e := range engines {
+		if held[e.Zone] == nil {
+			held[e.Zone] = map[int]int{}
+		}
+		for l := e.Layers.From; l < e.Layers.To && !e.Leaving; l++ {
+			held[e.Zone][l]++
+		}
+	}
+	for _, e := range engines {
+		sum := 0
+		for l := e.Layers.From; l < e.Layers.To; l++ {
+			sum += held[e.Zone][l]
+		}
+		e.Copies = 1
+		if n := e.Layers.Len(); n > 0 {
+			e.Copies = max(1, float64(sum)/float64(n))
+		}
+	}
+}
+
 // Dead returns the ids of engines that were found dead after a moment.
 func (v *View) Dead(after time.Time) []string {
 	var out []string
