--- a/citroncli/node.go
+++ b/citroncli/node.go
@@ -42,12 +42,7 @@
 	// directoryTTL is how long callers keep an answer. Some keep it three
 	// times as long, and a node that is stopping takes streams for 2.5 s.
 	directoryTTL = 700 * time.Millisecond
-	// leaveUse is how long a leaving engine may get new streams where its
-	// zone has no other for its layers: until a replacement has loaded four
-	// to seven layers. News of the leaving may be 0.7 s old, and no request
-	// may go there after the drain bound, so it is half of that at most.
-	leaveUse = 900 * time.Millisecond
-	maxBody  = 64 << 20
+	maxBody      = 64 << 20
 )
 
 func (c *nodeCmd) Run(g *Globals) error {
@@ -80,7 +75,6 @@
 	forwarder := &citronforward.Forwarder{
 		Zone: set.Zone, Clock: clock, Log: log, Upstream: engines, Budget: budget, Loads: loads,
 		Current: node.Traffic, Metrics: citronforward.NewMetrics(registry), Stopping: node.Stopping,
-		LeaveUse: min(leaveUse, set.DrainBound/2),
 	}
 	ingress := &platform.Ingress{Forwarder: forwarder, Leaving: node.Leaving, Track: node.Track, MaxBodyBytes: maxBody}
 
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -167,8 +167,6 @@
 	Metrics *Metrics
 	// Stopping tells whether and how far this node is stopping.
 	Stopping func() Stopping
-	// LeaveUse is how long an engine that leaves may get new streams.
-	LeaveUse time.Duration
 
 	reports reports
 	// answers counts requests that were answered in full.
@@ -207,9 +205,6 @@
 	// used is the share of cache taken at the fullest engine of the best
 	// path, if that is why the request is refused.
 	used float64
-	// settled: the stream has begun or was moved; it is not given to an
-	// engine that leaves.
-	settled bool
 	// retryAfter is when a refusal tells the caller to come back.
 	retryAfter time.Duration
 }
--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -213,10 +213,8 @@
 			continue
 		}
 		if w.leaveAt.IsZero() {
-			// A stream that began at an engine which was leaving
-			// already has no more time than the others.
-			w.leftAt = now.Add(-max(0, h.Engine.LeftFor(now)))
-			w.leaveAt = w.leftAt.Add(leaveWait + rand.N(leaveSpread))
+			w.leftAt = now
+			w.leaveAt = now.Add(leaveWait + rand.N(leaveSpread))
 		}
 		if now.After(w.leaveAt) {
 			return i
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -131,7 +131,6 @@
 		return noPath, "no path runs all layers"
 	}
 	s.bind(p)
-	s.settled = true
 	switch v := s.run(ctx); v {
 	case callerLeft:
 		if errors.Is(ctx.Err(), context.Canceled) {
--- a/citronforward/whole.go
+++ b/citronforward/whole.go
@@ -231,13 +231,9 @@
 }
 
 func (j *job) query(s *State, first string) citronpath.Query {
-	q := citronpath.Query{
+	return citronpath.Query{
 		Spec: *j.service.Model, Zone: j.f.Zone, Now: j.f.Clock.Now(), Avoid: j.avoid, First: first, Others: s.Others, ZoneCost: j.spread,
 	}
-	if !j.settled {
-		q.LeaveUse = j.f.LeaveUse
-	}
-	return q
 }
 
 // zoneSpread is the most that is added to a zone's cost at random: about
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -436,7 +436,6 @@
 		c.changed = false
 		s.engines = c.engines()
 		c.view = citronpool.Build(s.engines, c.view)
-		c.noteLeaving(s.engines)
 	}
 	c.n.budget.Learn(sent, len(s.members)+1, c.n.clock.Now())
 	if c.table != nil {
@@ -460,15 +459,6 @@
 	return out
 }
 
-// noteLeaving has the view know since when engines leave.
-func (c *control) noteLeaving(engines []citronmodel.Engine) {
-	for _, e := range engines {
-		if v, ok := c.view.ByID(e.ID); ok && e.Leaving {
-			v.Leave(c.n.clock.Now())
-		}
-	}
-}
-
 func (c *control) items() []citronkv.Item {
 	items := make([]citronkv.Item, 0, len(c.list))
 	for _, l := range c.list {
--- a/citronpath/path.go
+++ b/citronpath/path.go
@@ -60,9 +60,6 @@
 	// Others is the cache, in tokens, that requests of other nodes take
 	// in each zone.
 	Others map[string]int64
-	// LeaveUse is how long an engine that leaves may still be used where its
-	// zone has no other; zero: not at all.
-	LeaveUse time.Duration
 	// ZoneCost is added for starting in a zone. Nodes that all see the same
 	// best zone send it everything until the next news; a cost drawn at
 	// random for each request spreads them.
@@ -78,10 +75,6 @@
 	// bytes of request and answer. Small, yet more than the difference
 	// that the balance of a few requests makes.
 	otherZone = 6
-	// leavingCost is the price of a hop at an engine that leaves: the
-	// request has to be moved away soon. More than any difference within a
-	// zone, less than a zone that others have filled.
-	leavingCost = 8
 	// crossing is the price of handing a token's activations to another
 	// zone: all traffic of one zone over one pipe would nearly fill it.
 	crossing = 60
@@ -149,7 +142,7 @@
 	usable := make([]*citronpool.Engine, 0, len(engines))
 	cuts := map[int]bool{q.Spec.Layers: true}
 	for _, e := range engines {
-		if e.Layers.Empty() || q.Avoid[e.ID] || !e.Usable(q.Now) && !q.stillUsed(e) {
+		if e.Layers.Empty() || q.Avoid[e.ID] || !e.Usable(q.Now) {
 			continue
 		}
 		usable = append(usable, e)
@@ -164,11 +157,6 @@
 	return search(usable, ends, q)
 }
 
-// stillUsed reports whether an engine that leaves may get one more request.
-func (q Query) stillUsed(e *citronpool.Engine) bool {
-	return e.Leaving && q.LeaveUse > 0 && e.LeftFor(q.Now) < q.LeaveUse && e.Sound(q.Now)
-}
-
 // search walks the cuts in ascending order and keeps, for each cut and
 // zone, the cheapest way to have run all layers before it.
 func search(engines []*citronpool.Engine, ends []int, q Query) (Path, bool) {
@@ -193,9 +181,6 @@
 						continue
 					}
 					c := s.cost + hopCost + costs[i]*float64(to-pos) + q.move(pos, s.zone, e.Zone)
-					if e.Leaving {
-						c += leavingCost
-					}
 					if bi, ok := best[to][e.Zone]; ok && states[bi].cost <= c {
 						continue
 					}
--- a/citronplace/plan.go
+++ b/citronplace/plan.go
@@ -57,10 +57,6 @@
 	// aims for. Less than all of it leaves slow engines fewer layers,
 	// which shortens every token, and some engines free as spares.
 	headroom = 0.8
-	// mostLoading is how many engines may be loading for a zone that is
-	// whole to be improved: with more than six loads at a time each gets
-	// slower, and those that fill holes come first.
-	mostLoading = 3
 )
 
 // Decide returns the orders for all engines of a service. Engines that are
@@ -68,16 +64,7 @@
 // are leaving still serve, by zone.
 func Decide(spec citronmodel.Spec, engines []Engine, served map[string][]citronmodel.Span) Plan {
 	plan := Plan{}
-	loading := 0
-	for _, e := range engines {
-		if e.Goal != e.Layers {
-			loading++
-		}
-	}
 	for _, zone := range zones(engines) {
-		if loading >= mostLoading && len(Gaps(spec, zone)) == 0 {
-			continue
-		}
 		for id, o := range decideCopies(spec, zone, served[zone[0].Zone]) {
 			plan[id] = o
 		}
--- a/citronpool/pool.go
+++ b/citronpool/pool.go
@@ -44,8 +44,6 @@
 	slowdown, slowAt atomic.Int64
 	// ended: its address refuses connections.
 	ended atomic.Bool
-	// leftAt is when this node learnt that the engine leaves (0: not).
-	leftAt atomic.Int64
 }
 
 // Begin counts a request of so many tokens; the result ends it.
@@ -125,19 +123,6 @@
 	return 1
 }
 
-// Leave notes when this node learnt that the engine leaves.
-func (s *State) Leave(now time.Time) { s.leftAt.CompareAndSwap(0, since(now)) }
-
-// LeftFor is how long this node has known that the engine leaves; negative if
-// it does not.
-func (s *State) LeftFor(now time.Time) time.Duration {
-	at := s.leftAt.Load()
-	if at == 0 {
-		return -1
-	}
-	return time.Duration(since(now) - at)
-}
-
 // End marks an engine whose process is known to have ended.
 func (s *State) End() { s.ended.Store(true) }
 
@@ -176,10 +161,9 @@
 }
 
 // Usable reports whether the engine may get new work.
-func (e *Engine) Usable(now time.Time) bool { return !e.Leaving && e.Sound(now) }
-
-// Sound reports whether the engine has not failed lately, leaving or not.
-func (e *Engine) Sound(now time.Time) bool { return e.avoidUntil.Load() <= since(now) }
+func (e *Engine) Usable(now time.Time) bool {
+	return !e.Leaving && e.avoidUntil.Load() <= since(now)
+}
 
 // View is the list of engines at one moment.
 type View struct {
