Tests: the next leader goes on with goals; an engine that takes no order is replaced

Cause: both safeguards of the goals had no test of their own. Before and after: TestNextLeaderGoesOnWithGoals fails without inherit; the other fails without the limit of refused orders (it waits for ever).

Conclusion: tests only.

--- a/citronplacer/placer_test.go
+++ b/citronplacer/placer_test.go
@@ -160,3 +160,40 @@
 		return false
 	})
 }
+
+// The leader dies while engines load what it ordered. The next leader sees
+// those engines hold nothing yet. It goes on with the goals that the first
+// one told of: another engine given the same layers would load them for
+// nothing and be missing where it was.
+func TestNextLeaderGoesOnWithGoals(t *testing.T) {
+	is := is.New(t)
+	s := state(engine("e1", 0, 4), engine("e2", 0, 0), engine("e3", 0, 0))
+	s.Goals = map[string]citronmodel.Span{"e3": {From: 4, To: 8}}
+	e := &engines{state: citronplace.EngineState{Busy: true}}
+	run(t, e, s)
+	time.Sleep(700 * time.Millisecond)
+	is.Equal(len(e.orders()), 0) // e3 loads; nobody else is given its layers
+	e.set(func() { e.state.Busy = false })
+	eventually(t, "the order is given again once the engine is free", func() bool { return len(e.orders()) > 0 })
+	is.Equal(e.orders()[0].engine, "e3")
+	is.Equal(e.orders()[0].span, citronmodel.Span{From: 4, To: 8})
+}
+
+// An engine answers questions but refuses every order. Its layers go to
+// another engine after a few tries: a hole must not wait for it.
+func TestEngineThatTakesNoOrderIsReplaced(t *testing.T) {
+	e := &engines{}
+	e.place = func(int) error {
+		if e.given[len(e.given)-1].engine == e.given[0].engine {
+			return errors.New("refused")
+		}
+		return nil
+	}
+	run(t, e, state(engine("e1", 0, 4), engine("e2", 0, 0), engine("e3", 0, 0)))
+	hole := citronmodel.Span{From: 4, To: 8}
+	eventually(t, "the other empty engine is given the hole", func() bool {
+		given := e.orders()
+		last := given[max(0, len(given)-1):]
+		return len(last) > 0 && last[0].engine != given[0].engine && last[0].span.Covers(hole)
+	})
+}
