--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -17,7 +17,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"math"
 	"math/rand/v2"
@@ -28,107 +27,12 @@
 	"citrondeck.dev/citrondeck/citronbudget"
 	"citrondeck.dev/citrondeck/citronclock"
 	"citrondeck.dev/citrondeck/citronevent"
-	"citrondeck.dev/citrondeck/citronpath"
 	"citrondeck.dev/citrondeck/citronpool"
+	"citrondeck.dev/citrondeck/citronprobe"
 	"citrondeck.dev/citrondeck/citrontable"
-	"github.com/cockroachdb/errors"
+	"citrondeck.dev/citrondeck/citronupstream"
 )
 
-// Request is a caller's request.
-type Request struct {
-	ID           string
-	Method, Host string
-	// Path is the path alone; Target is path and query as they were sent.
-	Path, Target string
-	Header       http.Header
-	Body         []byte
-	// Received is when the request was read, Wait how long the caller
-	// waits from then on; zero is unknown.
-	Received time.Time
-	Wait     time.Duration
-	Key      string
-	// ResumeAfter is the id of the last event that the caller has.
-	ResumeAfter string
-	// PromptTokens and OutputTokens are the request's size, zero if it
-	// declares none; OutputHint is the caller's guess of its output.
-	PromptTokens, OutputTokens, OutputHint int
-}
-
-// tokens is the cache that the request is likely to need.
-func (r *Request) tokens() int {
-	out := r.OutputTokens
-	if r.OutputHint > 0 && r.OutputHint < out {
-		out = r.OutputHint
-	}
-	return r.PromptTokens + out
-}
-
-// Call is a request on its way to one engine, or to the first of a path.
-type Call struct {
-	*Request
-	Engine *citronpool.Engine
-	// Route holds the hops of a model's request; empty for plain services.
-	Hops     citronpath.Path
-	Customer string
-	// Left is the time that the engine may use.
-	Left time.Duration
-	// After is the id of the last event that the caller has.
-	After string
-	// Once: the call must not be repeated by the transport and must not
-	// share a connection with earlier calls.
-	Once bool
-	// Urgent calls go before others at the engine.
-	Urgent bool
-}
-
-// Reply is an engine's answer up to its body.
-type Reply struct {
-	Status int
-	Header http.Header
-	Body   io.ReadCloser
-	// NotRun: the engine says that it did not run the request.
-	NotRun bool
-	// Fault is the address of the engine of the path that is at fault.
-	Fault string
-	// Signed: the answer is an engine's own.
-	Signed bool
-}
-
-// Errors of Upstream.Send. Any other error leaves it open whether the
-// request ran.
-var (
-	// ErrNotSent: no byte of the request left this node.
-	ErrNotSent = errors.New("request was not sent")
-	// ErrForeign: the answer belongs to another request.
-	ErrForeign = errors.New("answer belongs to another request")
-)
-
-// Report is an engine's state as it tells it.
-type Report struct {
-	// Stalled maps request ids to the address of the engine they wait for.
-	Stalled map[string]string
-	// Slowdown is over 1 when the engine is slower than declared.
-	Slowdown float64
-}
-
-// Upstream speaks to engines.
-type Upstream interface {
-	Send(context.Context, Call) (*Reply, error)
-	Report(ctx context.Context, addr string) (Report, error)
-	// Repath moves a running request to another path with the same first
-	// engine. ErrUnknownRequest and *PartError say why it did not.
-	Repath(ctx context.Context, first, id string, path citronpath.Path) error
-}
-
-// ErrUnknownRequest is the answer to an order for a request that the engine
-// does not run.
-var ErrUnknownRequest = errors.New("engine does not run this request")
-
-// PartError names an engine that cannot take its part of a path.
-type PartError struct{ Addr string }
-
-func (e *PartError) Error() string { return "no room or no such part at " + e.Addr }
-
 // Sink takes the answer to the caller.
 type Sink interface {
 	// Answer sends a whole answer with the engine's status and header.
@@ -159,7 +63,7 @@
 	Zone     string
 	Clock    citronclock.Clock
 	Log      *slog.Logger
-	Upstream Upstream
+	Upstream citronupstream.Engines
 	Budget   *citronbudget.Budget
 	Loads    *citronpool.Loads
 	// Current returns the newest state, nil before the first.
@@ -168,7 +72,7 @@
 	// Stopping tells whether and how far this node is stopping.
 	Stopping func() Stopping
 
-	reports reports
+	probes citronprobe.Prober
 	// answers counts requests that were answered in full.
 	answers atomic.Int64
 }
@@ -185,7 +89,7 @@
 
 // job is one request on its way.
 type job struct {
-	*Request
+	*citronupstream.Request
 	f   *Forwarder
 	out Sink
 	// version is that of the configuration which decided route and key.
@@ -230,7 +134,7 @@
 )
 
 // Serve takes a request to its final answer.
-func (f *Forwarder) Serve(ctx context.Context, r *Request, out Sink) {
+func (f *Forwarder) Serve(ctx context.Context, r *citronupstream.Request, out Sink) {
 	s := f.Current()
 	if s == nil || s.Table == nil {
 		f.refuse(r, out, http.StatusServiceUnavailable, retryNoState, "this node has no configuration yet")
@@ -311,7 +215,7 @@
 }
 
 // newJob finds the request's route, customer and service, or refuses it.
-func (f *Forwarder) newJob(s *State, r *Request, out Sink) (*job, bool) {
+func (f *Forwarder) newJob(s *State, r *citronupstream.Request, out Sink) (*job, bool) {
 	route, ok := s.Table.Route(r.Host, r.Path)
 	if !ok {
 		f.refuse(r, out, http.StatusNotFound, -1, "no route for this host and path")
@@ -346,7 +250,7 @@
 	return j, true
 }
 
-func (f *Forwarder) refuse(r *Request, out Sink, status int, after time.Duration, reason string, more ...any) {
+func (f *Forwarder) refuse(r *citronupstream.Request, out Sink, status int, after time.Duration, reason string, more ...any) {
 	f.Metrics.Refusals.WithLabelValues(reason).Inc()
 	args := []any{"request", r.ID, "status", status, "reason", reason, "retryAfter", after, "held", f.Clock.Now().Sub(r.Received), "version", f.version()}
 	citronevent.Log(context.Background(), f.Log, citronevent.ForwardRefused, append(args, more...)...)
--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -24,12 +24,13 @@
 	"context"
 	"math/rand/v2"
 	"sync"
-	"syscall"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronpath"
 	"citrondeck.dev/citrondeck/citronpool"
+	"citrondeck.dev/citrondeck/citronprobe"
+	"citrondeck.dev/citrondeck/citronupstream"
 	"github.com/cockroachdb/errors"
 )
 
@@ -47,10 +48,8 @@
 	firstSilence = 500 * time.Millisecond
 	// askAgain is the time between two questions about one stream.
 	askAgain = 300 * time.Millisecond
-	// reportTimeout is when an engine that does not tell its state counts
-	// as dead: it answers within a few milliseconds.
-	reportTimeout = 250 * time.Millisecond
-	// repathTimeout is the same for an order to move a request.
+	// repathTimeout bounds an order to move a request; it is answered within
+	// a few milliseconds.
 	repathTimeout = 400 * time.Millisecond
 	// A stream that waits for its first event when a part dies may still
 	// be in time, and goes to another zone at once. One that has begun is
@@ -121,7 +120,7 @@
 }
 
 type reportResult struct {
-	report Report
+	report citronupstream.Report
 	err    error
 }
 
@@ -233,9 +232,9 @@
 	go func() {
 		var wait sync.WaitGroup
 		for _, h := range path[1:] {
-			wait.Go(func() { w.s.f.probe(w.ctx, h.Engine, reportFresh) })
+			wait.Go(func() { w.s.f.probe(w.ctx, h.Engine, citronprobe.Fresh) })
 		}
-		r, err := w.s.f.reports.ask(w.ctx, w.s.f.Upstream, path[0].Engine.Addr, reportFresh)
+		r, err := w.s.f.probes.Ask(w.ctx, w.s.f.Upstream, path[0].Engine.Addr, citronprobe.Fresh)
 		wait.Wait()
 		w.reports <- reportResult{r, err}
 	}()
@@ -243,22 +242,7 @@
 
 // probe asks an engine for a sign of life and notes if it gives none.
 func (f *Forwarder) probe(ctx context.Context, e *citronpool.Engine, maxAge time.Duration) {
-	r, err := f.reports.ask(ctx, f.Upstream, e.Addr, maxAge)
-	switch {
-	case err == nil:
-		e.Slow(r.Slowdown, f.Clock.Now())
-	case ctx.Err() == nil:
-		f.dead(e, err)
-	}
-}
-
-// dead notes an engine that gave no sign of life, and whether its process
-// has certainly ended.
-func (f *Forwarder) dead(e *citronpool.Engine, err error) {
-	e.Dead(f.Clock.Now())
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		e.End()
-	}
+	f.probes.Probe(ctx, f.Upstream, f.Clock, e, maxAge)
 }
 
 // heard takes the first engine's answer.
@@ -269,7 +253,7 @@
 		if w.ctx.Err() != nil {
 			return goOn
 		}
-		w.s.f.dead(first, r.err)
+		citronprobe.Dead(first, r.err, now)
 		return w.replace(0, reasonDead)
 	}
 	first.Slow(r.report.Slowdown, now)
@@ -394,7 +378,7 @@
 		return goOn
 	}
 	citronevent.Log(w.ctx, s.f.Log, citronevent.RepathFailed, "request", s.ID, "peer", m.path[0].Engine.Addr, "err", m.err)
-	var part *PartError
+	var part *citronupstream.PartError
 	if errors.As(m.err, &part) {
 		for i, h := range m.path {
 			if h.Engine.Addr == part.Addr && i > 0 {
--- a/citronforward/rig_test.go
+++ b/citronforward/rig_test.go
@@ -17,6 +17,7 @@
 	"citrondeck.dev/citrondeck/citronpath"
 	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citrontable"
+	"citrondeck.dev/citrondeck/citronupstream"
 	"github.com/prometheus/client_golang/prometheus"
 )
 
@@ -33,12 +34,12 @@
 	mu      sync.Mutex
 	calls   []sent
 	repaths []citronpath.Path
-	answer  func(ctx context.Context, n int, c citronforward.Call) (*citronforward.Reply, error)
-	report  func(addr string) (citronforward.Report, error)
+	answer  func(ctx context.Context, n int, c citronupstream.Call) (*citronupstream.Reply, error)
+	report  func(addr string) (citronupstream.Report, error)
 	repath  func(path citronpath.Path) error
 }
 
-func (f *fakeEngines) Send(ctx context.Context, c citronforward.Call) (*citronforward.Reply, error) {
+func (f *fakeEngines) Send(ctx context.Context, c citronupstream.Call) (*citronupstream.Reply, error) {
 	f.mu.Lock()
 	n := len(f.calls)
 	f.calls = append(f.calls, sent{engine: c.Engine.ID, after: c.After, path: c.Hops, once: c.Once})
@@ -46,9 +47,9 @@
 	return f.answer(ctx, n, c)
 }
 
-func (f *fakeEngines) Report(_ context.Context, addr string) (citronforward.Report, error) {
+func (f *fakeEngines) Report(_ context.Context, addr string) (citronupstream.Report, error) {
 	if f.report == nil {
-		return citronforward.Report{}, nil
+		return citronupstream.Report{}, nil
 	}
 	return f.report(addr)
 }
@@ -136,8 +137,8 @@
 }
 
 // ask sends a request of a route and returns what the caller got.
-func (r *rig) ask(route string, wait time.Duration, change ...func(*citronforward.Request)) *caller {
-	req := &citronforward.Request{
+func (r *rig) ask(route string, wait time.Duration, change ...func(*citronupstream.Request)) *caller {
+	req := &citronupstream.Request{
 		ID: "r1", Method: "POST", Host: "h", Path: "/" + route + "/x", Target: "/" + route + "/x", Header: http.Header{},
 		Received: time.Now(), Wait: wait, Key: "k1", PromptTokens: 100, OutputTokens: 20,
 	}
@@ -149,11 +150,11 @@
 	return c
 }
 
-func reply(status int, body string) *citronforward.Reply {
-	return &citronforward.Reply{Status: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body)), Signed: true}
+func reply(status int, body string) *citronupstream.Reply {
+	return &citronupstream.Reply{Status: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body)), Signed: true}
 }
 
-func shed(fault string) *citronforward.Reply {
+func shed(fault string) *citronupstream.Reply {
 	r := reply(http.StatusServiceUnavailable, "")
 	r.NotRun, r.Fault, r.Signed = true, fault, false
 	return r
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -15,6 +15,7 @@
 
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronpath"
+	"citrondeck.dev/citrondeck/citronupstream"
 	"github.com/cockroachdb/errors"
 )
 
@@ -246,11 +247,11 @@
 	ends := make([]func(), 0, 2*len(p))
 	zones := map[string]bool{}
 	for _, h := range p {
-		ends = append(ends, h.Engine.Begin(s.tokens()))
+		ends = append(ends, h.Engine.Begin(s.Tokens()))
 		if zone := h.Engine.Zone; !zones[zone] {
 			zones[zone] = true
-			s.f.Loads.Add(zone, s.tokens())
-			ends = append(ends, func() { s.f.Loads.Add(zone, -s.tokens()) })
+			s.f.Loads.Add(zone, s.Tokens())
+			ends = append(ends, func() { s.f.Loads.Add(zone, -s.Tokens()) })
 		}
 	}
 	s.release = func() {
@@ -273,7 +274,7 @@
 	defer cancel()
 	w := newWatch(ctx, s)
 	replies := make(chan sent, 1)
-	call := Call{Request: s.Request, Engine: s.path[0].Engine, Hops: s.path, Customer: s.customer, Left: s.left(), After: s.last, Once: !s.route.Idempotent(), Urgent: s.begun}
+	call := citronupstream.Call{Request: s.Request, Engine: s.path[0].Engine, Hops: s.path, Customer: s.customer, Left: s.left(), After: s.last, Once: !s.route.Idempotent(), Urgent: s.begun}
 	go func() {
 		reply, err := s.f.Upstream.Send(ctx, call)
 		replies <- sent{reply, err}
@@ -297,7 +298,7 @@
 }
 
 type sent struct {
-	reply *Reply
+	reply *citronupstream.Reply
 	err   error
 }
 
@@ -317,7 +318,7 @@
 }
 
 // receive reads the engine's answer and passes it on.
-func (s *streamJob) receive(ctx context.Context, reply *Reply, w *watch) verdict {
+func (s *streamJob) receive(ctx context.Context, reply *citronupstream.Reply, w *watch) verdict {
 	first := s.path[0].Engine
 	if reply.NotRun {
 		_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, maxAnswerBytes)) // so that the connection can be kept
@@ -377,7 +378,7 @@
 
 // pass sends one event on. An event that the caller has already is left
 // out: a run that was resumed may start earlier than it was asked to.
-func (s *streamJob) pass(reply *Reply, ev event) (verdict, bool) {
+func (s *streamJob) pass(reply *citronupstream.Reply, ev event) (verdict, bool) {
 	if ev.id != "" && s.last != "" && !after(ev.id, s.last) {
 		return 0, false
 	}
@@ -429,7 +430,7 @@
 
 // engineFailure handles an answer that is no stream: the engine ran the
 // request and failed.
-func (s *streamJob) engineFailure(ctx context.Context, reply *Reply) verdict {
+func (s *streamJob) engineFailure(ctx context.Context, reply *citronupstream.Reply) verdict {
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes))
 	if err != nil && ctx.Err() != nil {
 		return callerLeft
--- a/citronforward/stream_test.go
+++ b/citronforward/stream_test.go
@@ -14,6 +14,7 @@
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronpath"
 	"citrondeck.dev/citrondeck/citronpool"
+	"citrondeck.dev/citrondeck/citronupstream"
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 )
@@ -65,7 +66,7 @@
 func TestStreamIsResumedAfterLastWholeEvent(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, engine("m1", "a", 0, 8), engine("m2", "a", 0, 8))
-	r.engines.answer = func(_ context.Context, n int, _ citronforward.Call) (*citronforward.Reply, error) {
+	r.engines.answer = func(_ context.Context, n int, _ citronupstream.Call) (*citronupstream.Reply, error) {
 		if n == 0 {
 			rep := reply(200, "")
 			rep.Body = breaking{strings.NewReader(events(1, 3) + "id: 4\ndata: t"), io.ErrUnexpectedEOF}
@@ -86,7 +87,7 @@
 func TestCutEventIsNoEnd(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, engine("m1", "a", 0, 8), engine("m2", "a", 0, 8))
-	r.engines.answer = func(_ context.Context, n int, _ citronforward.Call) (*citronforward.Reply, error) {
+	r.engines.answer = func(_ context.Context, n int, _ citronupstream.Call) (*citronupstream.Reply, error) {
 		if n == 0 {
 			return reply(200, events(1, 2)+"id: 3\n"), nil
 		}
@@ -100,7 +101,7 @@
 func TestEventsAreNotRepeated(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, engine("m1", "a", 0, 8), engine("m2", "a", 0, 8))
-	r.engines.answer = func(_ context.Context, n int, _ citronforward.Call) (*citronforward.Reply, error) {
+	r.engines.answer = func(_ context.Context, n int, _ citronupstream.Call) (*citronupstream.Reply, error) {
 		if n == 0 {
 			rep := reply(200, "")
 			rep.Body = breaking{strings.NewReader(events(1, 3)), errReset}
@@ -116,7 +117,7 @@
 func TestBrokenStreamDoesNotLookComplete(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, engine("m1", "a", 0, 8), engine("m2", "a", 0, 8), engine("m3", "a", 0, 8))
-	r.engines.answer = func(_ context.Context, n int, _ citronforward.Call) (*citronforward.Reply, error) {
+	r.engines.answer = func(_ context.Context, n int, _ citronupstream.Call) (*citronupstream.Reply, error) {
 		rep := reply(200, "")
 		rep.Body = breaking{strings.NewReader(events(n+1, n+1)), errReset}
 		return rep, nil
@@ -135,7 +136,7 @@
 	r := newRig(t, engine("m1", "a", 0, 4), engine("m2", "a", 4, 8), engine("m3", "a", 4, 8))
 	moved := make(chan struct{})
 	dead := ""
-	r.engines.answer = func(ctx context.Context, _ int, c citronforward.Call) (*citronforward.Reply, error) {
+	r.engines.answer = func(ctx context.Context, _ int, c citronupstream.Call) (*citronupstream.Reply, error) {
 		dead = c.Hops[1].Engine.Addr
 		body, w := io.Pipe()
 		go func() {
@@ -151,17 +152,17 @@
 		rep.Body = body
 		return rep, nil
 	}
-	r.engines.report = func(addr string) (citronforward.Report, error) {
+	r.engines.report = func(addr string) (citronupstream.Report, error) {
 		if addr == dead {
-			return citronforward.Report{}, errReset
+			return citronupstream.Report{}, errReset
 		}
-		return citronforward.Report{}, nil
+		return citronupstream.Report{}, nil
 	}
 	r.engines.repath = func(citronpath.Path) error {
 		close(moved)
 		return nil
 	}
-	got := r.ask("stream", 5*time.Second, func(q *citronforward.Request) { q.Wait = 5 * time.Second })
+	got := r.ask("stream", 5*time.Second, func(q *citronupstream.Request) { q.Wait = 5 * time.Second })
 	is.Equal(got.body, events(1, 4))
 	is.Equal(len(r.engines.seen()), 1) // the run went on
 	is.Equal(len(r.engines.repaths), 1)
@@ -177,7 +178,7 @@
 	r := newRig(t, engine("m1", "a", 0, 4), engine("m2", "a", 4, 8), engine("m3", "a", 4, 8))
 	moved := make(chan struct{})
 	var stalled atomic.Pointer[string]
-	r.engines.answer = func(ctx context.Context, _ int, c citronforward.Call) (*citronforward.Reply, error) {
+	r.engines.answer = func(ctx context.Context, _ int, c citronupstream.Call) (*citronupstream.Reply, error) {
 		stalled.Store(&c.Hops[1].Engine.Addr)
 		body, w := io.Pipe()
 		go func() {
@@ -193,17 +194,17 @@
 		rep.Body = body
 		return rep, nil
 	}
-	r.engines.report = func(addr string) (citronforward.Report, error) {
+	r.engines.report = func(addr string) (citronupstream.Report, error) {
 		if addr == "m1:1" {
-			return citronforward.Report{Stalled: map[string]string{"r1": *stalled.Load()}}, nil
+			return citronupstream.Report{Stalled: map[string]string{"r1": *stalled.Load()}}, nil
 		}
-		return citronforward.Report{}, nil
+		return citronupstream.Report{}, nil
 	}
 	r.engines.repath = func(citronpath.Path) error {
 		close(moved)
 		return nil
 	}
-	got := r.ask("stream", 5*time.Second, func(q *citronforward.Request) { q.Wait = 5 * time.Second })
+	got := r.ask("stream", 5*time.Second, func(q *citronupstream.Request) { q.Wait = 5 * time.Second })
 	is.Equal(got.body, events(1, 4))
 	is.Equal(len(r.engines.repaths), 1)
 	is.Equal(len(r.view.Dead(time.Time{})), 0)
@@ -215,7 +216,7 @@
 func TestDeadMiddlePartWithoutSpareResumesInOtherZone(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, engine("m1", "a", 0, 4), engine("m2", "a", 4, 8), engine("n1", "b", 0, 4), engine("n2", "b", 4, 8))
-	r.engines.answer = func(ctx context.Context, n int, _ citronforward.Call) (*citronforward.Reply, error) {
+	r.engines.answer = func(ctx context.Context, n int, _ citronupstream.Call) (*citronupstream.Reply, error) {
 		if n > 0 {
 			return reply(200, events(3, 4)), nil
 		}
@@ -223,11 +224,11 @@
 		rep.Body = silent{strings.NewReader(events(1, 2)), ctx}
 		return rep, nil
 	}
-	r.engines.report = func(addr string) (citronforward.Report, error) {
+	r.engines.report = func(addr string) (citronupstream.Report, error) {
 		if addr == "m2:1" {
-			return citronforward.Report{}, errReset
+			return citronupstream.Report{}, errReset
 		}
-		return citronforward.Report{}, nil
+		return citronupstream.Report{}, nil
 	}
 	got := r.ask("stream", 5*time.Second)
 	is.Equal(got.body, events(1, 4))
@@ -261,10 +262,10 @@
 	state := *r.Current()
 	state.Others = map[string]int64{"a": int64(2 * spec.CacheTokens("fast", 8))}
 	r.Current = func() *citronforward.State { return &state }
-	r.engines.answer = func(context.Context, int, citronforward.Call) (*citronforward.Reply, error) {
+	r.engines.answer = func(context.Context, int, citronupstream.Call) (*citronupstream.Reply, error) {
 		return reply(200, events(5, 6)), nil
 	}
-	got := r.ask("stream", time.Second, func(q *citronforward.Request) { q.ResumeAfter = "4" })
+	got := r.ask("stream", time.Second, func(q *citronupstream.Request) { q.ResumeAfter = "4" })
 	is.Equal(got.body, events(5, 6))
 }
 
@@ -276,7 +277,7 @@
 		engines = append(engines, engine(fmt.Sprintf("m%d", i), "a", 0, 8))
 	}
 	r := newRig(t, engines...)
-	r.engines.answer = func(context.Context, int, citronforward.Call) (*citronforward.Reply, error) { return shed(""), nil }
+	r.engines.answer = func(context.Context, int, citronupstream.Call) (*citronupstream.Reply, error) { return shed(""), nil }
 	got := r.ask("stream", 10*time.Second)
 	is.Equal(got.status, 503)
 	is.True(got.retryAfter > 0)
@@ -289,7 +290,7 @@
 func TestBegunStreamWaitsForRoom(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, engine("m1", "a", 0, 8), engine("m2", "a", 0, 8), engine("m3", "a", 0, 8))
-	r.engines.answer = func(_ context.Context, n int, _ citronforward.Call) (*citronforward.Reply, error) {
+	r.engines.answer = func(_ context.Context, n int, _ citronupstream.Call) (*citronupstream.Reply, error) {
 		switch {
 		case n == 0:
 			rep := reply(200, "")
@@ -329,14 +330,14 @@
 			r := newRig(t, engine("m1", "a", 0, 8), plain("e1", "a"))
 			c.state.Active = true
 			r.Stopping = func() citronforward.Stopping { return c.state }
-			r.engines.answer = func(context.Context, int, citronforward.Call) (*citronforward.Reply, error) {
+			r.engines.answer = func(context.Context, int, citronupstream.Call) (*citronupstream.Reply, error) {
 				return reply(200, events(1, 2)), nil
 			}
 			wait := time.Second
 			if c.route == "stream" {
 				wait = 9 * time.Second
 			}
-			got := r.ask(c.route, wait, func(q *citronforward.Request) { q.OutputTokens = c.tokens })
+			got := r.ask(c.route, wait, func(q *citronupstream.Request) { q.OutputTokens = c.tokens })
 			is.Equal(got.status, c.status)
 			is.Equal(got.retryAfter, c.after)
 		})
@@ -349,12 +350,12 @@
 func TestSilentFirstEngineIsNotEnded(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, engine("m1", "a", 0, 8), engine("m2", "a", 0, 8), engine("m3", "a", 0, 8))
-	r.engines.answer = func(ctx context.Context, n int, _ citronforward.Call) (*citronforward.Reply, error) {
+	r.engines.answer = func(ctx context.Context, n int, _ citronupstream.Call) (*citronupstream.Reply, error) {
 		rep := reply(200, "")
 		rep.Body = silent{strings.NewReader(events(n+1, n+1)), ctx}
 		return rep, nil
 	}
-	r.engines.report = func(string) (citronforward.Report, error) { return citronforward.Report{}, context.DeadlineExceeded }
+	r.engines.report = func(string) (citronupstream.Report, error) { return citronupstream.Report{}, context.DeadlineExceeded }
 	got := r.ask("stream", 2500*time.Millisecond)
 	is.True(got.aborted)
 	is.Equal(len(r.engines.seen()), 2)
@@ -377,7 +378,7 @@
 	current := state
 	var ended atomic.Bool
 	r.Current = func() *citronforward.State { return current }
-	r.engines.answer = func(_ context.Context, n int, c citronforward.Call) (*citronforward.Reply, error) {
+	r.engines.answer = func(_ context.Context, n int, c citronupstream.Call) (*citronupstream.Reply, error) {
 		switch n {
 		case 0:
 			rep := reply(200, "")
@@ -409,13 +410,13 @@
 		}
 		return reply(200, events(4, 4)), nil
 	}
-	r.engines.report = func(string) (citronforward.Report, error) {
+	r.engines.report = func(string) (citronupstream.Report, error) {
 		if ended.Load() {
-			return citronforward.Report{}, syscall.ECONNREFUSED
+			return citronupstream.Report{}, syscall.ECONNREFUSED
 		}
-		return citronforward.Report{}, nil
+		return citronupstream.Report{}, nil
 	}
-	got := r.ask("stream", 5*time.Second, func(q *citronforward.Request) { q.Received = time.Now().Add(4 * time.Second) })
+	got := r.ask("stream", 5*time.Second, func(q *citronupstream.Request) { q.Received = time.Now().Add(4 * time.Second) })
 	is.Equal(got.body, events(1, 4))
 	calls := r.engines.seen()
 	is.Equal(len(calls), 3)
--- a/citronforward/whole.go
+++ b/citronforward/whole.go
@@ -13,6 +13,8 @@
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronpath"
 	"citrondeck.dev/citrondeck/citronpool"
+	"citrondeck.dev/citrondeck/citronprobe"
+	"citrondeck.dev/citrondeck/citronupstream"
 	"github.com/cockroachdb/errors"
 )
 
@@ -109,9 +111,9 @@
 		ctx, cancel = context.WithTimeout(ctx, patience)
 		defer cancel()
 	}
-	defer e.Begin(j.tokens())()
+	defer e.Begin(j.Tokens())()
 	begin := j.f.Clock.Now()
-	reply, err := j.f.Upstream.Send(ctx, Call{Request: j.Request, Engine: e, Hops: hops, Customer: j.customer, Left: j.left(), Once: !j.route.Idempotent()})
+	reply, err := j.f.Upstream.Send(ctx, citronupstream.Call{Request: j.Request, Engine: e, Hops: hops, Customer: j.customer, Left: j.left(), Once: !j.route.Idempotent()})
 	if err != nil {
 		return j.judge(e, err)
 	}
@@ -141,8 +143,8 @@
 // is known not to have run.
 func (j *job) judge(e *citronpool.Engine, err error) result {
 	switch {
-	case errors.Is(err, ErrNotSent):
-		j.f.dead(e, err)
+	case errors.Is(err, citronupstream.ErrNotSent):
+		citronprobe.Dead(e, err, j.f.Clock.Now())
 		return result{outcome: notRun, err: err}
 	case errors.Is(err, context.Canceled):
 		return result{outcome: unknown, err: err} // the caller left
@@ -159,13 +161,13 @@
 )
 
 // refusedBy notes which engine refused, and why, as far as it says so.
-func (j *job) refusedBy(e *citronpool.Engine, reply *Reply) {
+func (j *job) refusedBy(e *citronpool.Engine, reply *citronupstream.Reply) {
 	now := j.f.Clock.Now()
 	if at, ok := j.f.Current().View.ByAddr(reply.Fault); reply.Fault != "" && ok {
 		j.avoid[at.ID] = true
 		at.Busy(now, busyPause)
 		// It may be full, or dead, which the running streams need to know.
-		go j.f.probe(context.Background(), at, reportFresh)
+		go j.f.probe(context.Background(), at, citronprobe.Fresh)
 		return
 	}
 	if reply.Status == http.StatusMisdirectedRequest {
--- a/citronforward/whole_test.go
+++ b/citronforward/whole_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"citrondeck.dev/citrondeck/citronforward"
+	"citrondeck.dev/citrondeck/citronupstream"
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 )
@@ -20,7 +21,7 @@
 func TestAnswerLostUntilDeadlineIsNeverNotRun(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, plain("e1", "a"), plain("e2", "b"))
-	r.engines.answer = func(ctx context.Context, _ int, _ citronforward.Call) (*citronforward.Reply, error) {
+	r.engines.answer = func(ctx context.Context, _ int, _ citronupstream.Call) (*citronupstream.Reply, error) {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
@@ -35,7 +36,7 @@
 func TestSilentStreamAtDeadlineIsNeverNotRun(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, engine("m1", "a", 0, 8))
-	r.engines.answer = func(ctx context.Context, _ int, _ citronforward.Call) (*citronforward.Reply, error) {
+	r.engines.answer = func(ctx context.Context, _ int, _ citronupstream.Call) (*citronupstream.Reply, error) {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
@@ -46,19 +47,19 @@
 // first call. Each row: the first engine's answer, how many engines see the
 // request, and the status that the caller gets.
 func TestWhatIsSentAgain(t *testing.T) {
-	lost := func() (*citronforward.Reply, error) { return nil, errReset }
-	notSent := func() (*citronforward.Reply, error) { return nil, errors.Mark(errReset, citronforward.ErrNotSent) }
-	foreign := func() (*citronforward.Reply, error) { return nil, errors.Mark(errReset, citronforward.ErrForeign) }
-	fails := func() (*citronforward.Reply, error) { return reply(500, "broken"), nil }
-	full := func() (*citronforward.Reply, error) { return shed(""), nil }
-	unsigned := func() (*citronforward.Reply, error) {
+	lost := func() (*citronupstream.Reply, error) { return nil, errReset }
+	notSent := func() (*citronupstream.Reply, error) { return nil, errors.Mark(errReset, citronupstream.ErrNotSent) }
+	foreign := func() (*citronupstream.Reply, error) { return nil, errors.Mark(errReset, citronupstream.ErrForeign) }
+	fails := func() (*citronupstream.Reply, error) { return reply(500, "broken"), nil }
+	full := func() (*citronupstream.Reply, error) { return shed(""), nil }
+	unsigned := func() (*citronupstream.Reply, error) {
 		rep := reply(200, "x")
 		rep.Signed = false
 		return rep, nil
 	}
 	for _, c := range []struct {
 		name, route string
-		first       func() (*citronforward.Reply, error)
+		first       func() (*citronupstream.Reply, error)
 		calls       int
 		status      int
 	}{
@@ -77,7 +78,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			r := newRig(t, plain("e1", "a"), plain("e2", "a"), plain("e3", "a"))
-			r.engines.answer = func(_ context.Context, n int, _ citronforward.Call) (*citronforward.Reply, error) {
+			r.engines.answer = func(_ context.Context, n int, _ citronupstream.Call) (*citronupstream.Reply, error) {
 				if n == 0 {
 					return c.first()
 				}
@@ -95,7 +96,7 @@
 func TestLastFailureIsPassedOn(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, plain("e1", "a"), plain("e2", "a"))
-	r.engines.answer = func(context.Context, int, citronforward.Call) (*citronforward.Reply, error) {
+	r.engines.answer = func(context.Context, int, citronupstream.Call) (*citronupstream.Reply, error) {
 		return reply(500, "broken"), nil
 	}
 	got := r.ask("safe", 500*time.Millisecond)
@@ -121,7 +122,7 @@
 func TestSafeRequestLeavesHangingEngine(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, plain("e1", "a"), plain("e2", "a"))
-	r.engines.answer = func(ctx context.Context, n int, _ citronforward.Call) (*citronforward.Reply, error) {
+	r.engines.answer = func(ctx context.Context, n int, _ citronupstream.Call) (*citronupstream.Reply, error) {
 		if n == 0 {
 			<-ctx.Done()
 			return nil, ctx.Err()
@@ -135,20 +136,20 @@
 func TestRefusalsByConfiguration(t *testing.T) {
 	for _, c := range []struct {
 		name, route string
-		change      func(*citronforward.Request)
+		change      func(*citronupstream.Request)
 		status      int
 	}{
-		{"unknown path", "nowhere", func(*citronforward.Request) {}, 404},
-		{"unknown host", "safe", func(q *citronforward.Request) { q.Host = "other" }, 404},
-		{"unknown key", "safe", func(q *citronforward.Request) { q.Key = "k2" }, 401},
-		{"no key", "safe", func(q *citronforward.Request) { q.Key = "" }, 401},
-		{"no key, public route", "public", func(q *citronforward.Request) { q.Key = "" }, 200},
-		{"body over the limit", "safe", func(q *citronforward.Request) { q.Body = make([]byte, 101) }, 413},
+		{"unknown path", "nowhere", func(*citronupstream.Request) {}, 404},
+		{"unknown host", "safe", func(q *citronupstream.Request) { q.Host = "other" }, 404},
+		{"unknown key", "safe", func(q *citronupstream.Request) { q.Key = "k2" }, 401},
+		{"no key", "safe", func(q *citronupstream.Request) { q.Key = "" }, 401},
+		{"no key, public route", "public", func(q *citronupstream.Request) { q.Key = "" }, 200},
+		{"body over the limit", "safe", func(q *citronupstream.Request) { q.Body = make([]byte, 101) }, 413},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			r := newRig(t, plain("e1", "a"))
-			r.engines.answer = func(context.Context, int, citronforward.Call) (*citronforward.Reply, error) {
+			r.engines.answer = func(context.Context, int, citronupstream.Call) (*citronupstream.Reply, error) {
 				return reply(200, "done"), nil
 			}
 			is.Equal(r.ask(c.route, time.Second, c.change).status, c.status)
