Clearer names in the placement; comments say what was measured

Cause: read as a newcomer: give, pass and done said little; one comment gave a figure that no run had given (half a second of a core for the first placement).

Before and after: names and comments only.

--- a/citronnode/gossip.go
+++ b/citronnode/gossip.go
@@ -24,8 +24,9 @@
 	fanout      = 2
 	// farNodes is how many nodes of a zone ask one of another zone in each
 	// round, on average: what comes from there reaches the rest of the zone
-	// within two or three rounds. With all of a zone's nodes asking, 59 nodes
-	// passed 1.6 MB a second between zones.
+	// within two or three rounds. With all of a zone's nodes asking, and
+	// lists passed on whole, 59 nodes sent 1.6 MB a second between zones;
+	// with three, and changes, 0.5 MB.
 	farNodes = 3
 	// newsGap is the least time between two rounds: when many engines come
 	// or go at once, their news goes together.
--- a/citronnode/leader.go
+++ b/citronnode/leader.go
@@ -30,10 +30,10 @@
 	// campaignWait is how long a node waits before it looks again whether
 	// it should lead. Nodes that wait as long try one after the other.
 	campaignWait = 300 * time.Millisecond
-	// leaderCores is what a leader should have: placing a hundred engines
-	// for the first time costs half a second of a core, in which a node with
-	// a fifth of a core is deaf to the others for three seconds. Nodes with
-	// less let the others try first, for weakWait.
+	// leaderCores is what a leader should have: a node with a fifth of a
+	// core that placed 93 engines was deaf to the others for three seconds,
+	// and lost its lease. Nodes with less let the others try first, for
+	// weakWait.
 	leaderCores = 0.3
 	weakWait    = 700 * time.Millisecond
 )
--- a/citronplace/balance.go
+++ b/citronplace/balance.go
@@ -28,7 +28,7 @@
 		if weaker >= min(least, even*weakShare) {
 			continue
 		}
-		if id, o, ok := pass(spec, a, b); ok {
+		if id, o, ok := handOver(spec, a, b); ok {
 			plan, least = Plan{id: o}, weaker
 		}
 	}
@@ -39,11 +39,11 @@
 	return spec.CacheTokens(e.Kind, e.Layers.Len())
 }
 
-// pass says what the one of two neighbours that has more cache should hold
+// handOver says what the one of two neighbours that has more cache should hold
 // so that the smaller cache of the two is largest once the other has given
 // up what both hold. Each keeps a layer: one that the other holds whole would
 // count as a spare and be moved elsewhere.
-func pass(spec citronmodel.Spec, a, b Engine) (taker string, o Order, ok bool) {
+func handOver(spec citronmodel.Spec, a, b Engine) (taker string, o Order, ok bool) {
 	if a.Layers.To != b.Layers.From {
 		return "", Order{}, false
 	}
--- a/citronplace/improve.go
+++ b/citronplace/improve.go
@@ -22,7 +22,7 @@
 			return Plan{}
 		}
 	}
-	if plan := give(spec, engines, even); len(plan) > 0 {
+	if plan := dropRepeated(spec, engines, even); len(plan) > 0 {
 		return plan
 	}
 	if plan, ok := help(spec, engines, even, false); ok && gains(spec, engines, plan, even) {
@@ -34,8 +34,8 @@
 	return fillSpares(spec, engines, Plan{})
 }
 
-// give has an engine give up layers that another has taken in for it.
-func give(spec citronmodel.Spec, engines []Engine, even float64) Plan {
+// dropRepeated has an engine give up layers that another has taken in for it.
+func dropRepeated(spec citronmodel.Spec, engines []Engine, even float64) Plan {
 	for _, e := range engines {
 		if s, ok := trim(spec, engines, e, even); ok {
 			return Plan{e.ID: {Span: s}}
@@ -54,13 +54,13 @@
 	if len(plan) == 0 {
 		return false
 	}
-	after := done(engines, plan)
-	after = done(after, give(spec, after, even))
+	after := afterPlan(engines, plan)
+	after = afterPlan(after, dropRepeated(spec, after, even))
 	return strain(spec, after) < stepGain*strain(spec, engines)
 }
 
-// done returns the engines as they are once a plan is carried out.
-func done(engines []Engine, plan Plan) []Engine {
+// afterPlan returns the engines as they are once a plan is carried out.
+func afterPlan(engines []Engine, plan Plan) []Engine {
 	out := carriedOut(engines, plan)
 	for i := range out {
 		out[i].Layers = out[i].Goal
--- a/citronplacer/placer.go
+++ b/citronplacer/placer.go
@@ -100,7 +100,7 @@
 const decideEvery = time.Second
 
 // toDecide reports whether there is a reason to decide. A decision about 4,100
-// engines takes 12 ms, which ten times a second would be an eighth of a core.
+// engines takes 16 ms, which ten times a second would be a sixth of a core.
 func (p *Placer) toDecide(s *State, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
