A randomized soak of real node processes

It checks own whole answers, at most once, a true 'not run', streams without gap or repeat, versions that never revert at a process, and that every node serves again.

--- /dev/null
+++ b/citronsoak/engine_test.go
@@ -0,0 +1,175 @@
+package citronsoak_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronkv"
+)
+
+const (
+	// streamEvents is how many events a stream has, eventEvery the time
+	// between two.
+	streamEvents = 8
+	eventEvery   = 40 * time.Millisecond
+	// workTime is how long a plain call takes.
+	workTime = 15 * time.Millisecond
+)
+
+// runs counts, over all engines, how often each request ran.
+type runs struct {
+	mu sync.Mutex
+	by map[string]int
+}
+
+func (r *runs) add(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.by[id]++
+}
+
+func (r *runs) of(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.by[id]
+}
+
+// engine is one incarnation of an engine: a model's if it has a kind, else of
+// a plain service.
+type engine struct {
+	id, addr, service, kind string
+	store                   citronkv.Store
+	runs                    *runs
+	hs                      *http.Server
+	mu                      sync.Mutex
+	from, to                int
+	accepted                int64
+	leaving                 bool
+}
+
+func startEngine(t *testing.T, store citronkv.Store, r *runs, id, service, kind string) *engine {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &engine{id: id, addr: ln.Addr().String(), service: service, kind: kind, store: store, runs: r}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/report", e.report)
+	mux.HandleFunc("/order", e.order)
+	mux.HandleFunc("/", e.serve)
+	e.hs = &http.Server{Handler: mux}
+	go func() { _ = e.hs.Serve(ln) }()
+	e.register()
+	return e
+}
+
+// register writes the engine's entry; a store that is away gets it later.
+func (e *engine) register() {
+	e.mu.Lock()
+	state := "ready"
+	if e.leaving {
+		state = "draining"
+	}
+	entry := map[string]any{"service": e.service, "address": e.addr, "zone": "z", "state": state, "slotCount": 64}
+	if e.kind != "" {
+		entry["kind"] = e.kind
+		entry["layers"] = map[string]int{"from": e.from, "target": e.to}
+	}
+	e.mu.Unlock()
+	text, err := json.Marshal(entry)
+	if err != nil {
+		panic(err) // plain values
+	}
+	_, _ = e.store.Put(context.Background(), "servers/"+e.id, text, citronkv.AnyRevision, 0)
+}
+
+// crash ends the engine; its entry goes a second later.
+func (e *engine) crash() {
+	_ = e.hs.Close()
+	time.AfterFunc(time.Second, func() {
+		_ = e.store.Delete(context.Background(), "servers/"+e.id, citronkv.AnyRevision)
+	})
+}
+
+// leave has the engine say that it leaves, serve on for a while, and end.
+func (e *engine) leave() {
+	e.mu.Lock()
+	e.leaving = true
+	e.mu.Unlock()
+	e.register()
+	time.AfterFunc(2500*time.Millisecond, e.crash)
+}
+
+func (e *engine) report(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(map[string]any{"sequence": e.accepted, "pace": 1.0, "layers": map[string]int{"from": e.from, "target": e.to}})
+}
+
+func (e *engine) order(w http.ResponseWriter, r *http.Request) {
+	var o struct {
+		Operation    string
+		From, Target int
+		Expected     *int64
+	}
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Operation != "place" {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	e.mu.Lock()
+	fits := o.Expected == nil || *o.Expected == e.accepted
+	if fits {
+		e.from, e.to = o.From, o.Target
+		e.accepted++
+	}
+	e.mu.Unlock()
+	if !fits {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	go e.register()
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Attempt-Id")
+	h := w.Header()
+	h.Set("X-Attempt-Id", id)
+	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != e.id {
+		h.Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	h.Set("X-Server-Stamp", e.id)
+	e.runs.add(id)
+	if e.kind == "" {
+		time.Sleep(workTime)
+		_, _ = fmt.Fprint(w, answerTo(id))
+		return
+	}
+	h.Set("Content-Type", "text/event-stream")
+	begin, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // none: from the first
+	for i := begin + 1; i <= streamEvents; i++ {
+		if _, err := fmt.Fprint(w, eventOf(id, i)); err != nil || http.NewResponseController(w).Flush() != nil {
+			return
+		}
+		select {
+		case <-time.After(eventEvery):
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// answerTo and eventOf are what a request with an id is answered.
+func answerTo(id string) string { return "answer to " + id }
+
+func eventOf(id string, i int) string { return fmt.Sprintf("id: %d\ndata: %s-%d\n\n", i, id, i) }
--- /dev/null
+++ b/citronsoak/nodes_test.go
@@ -0,0 +1,146 @@
+package citronsoak_test
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// node is a machine on which one node process after the other runs.
+type node struct {
+	name, dir, binary string
+	front, ready      string
+	proxy             *proxy
+	mu                sync.Mutex
+	cmd               *exec.Cmd
+	// life counts the processes.
+	life int
+	// away: a fault is at work here.
+	away bool
+	log  *os.File
+}
+
+// grace is the time between SIGTERM and SIGKILL that the settings tell.
+const grace = 3 * time.Second
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().(*net.TCPAddr).Port
+}
+
+// newNodes writes the settings of some nodes and starts them.
+func newNodes(t *testing.T, binary, store string, count int) []*node {
+	t.Helper()
+	nodes := make([]*node, count)
+	peers := make([]string, count)
+	for i := range nodes {
+		peers[i] = fmt.Sprintf("127.0.0.1:%d", freePort(t))
+	}
+	for i := range nodes {
+		n := &node{name: fmt.Sprintf("n%d", i), dir: t.TempDir(), binary: binary, proxy: newProxy(t, store)}
+		n.front, n.ready = fmt.Sprintf("127.0.0.1:%d", freePort(t)), fmt.Sprintf("127.0.0.1:%d", freePort(t))
+		text := fmt.Sprintf(`nodeName = %q
+zone = "z"
+seedAddrs = ["%s"]
+[listen]
+front = %q
+readyAddr = %q
+control = %q
+directory = "127.0.0.1:%d"
+[limits]
+cpuShare = 1.0
+cpuCores = 1
+[bounds]
+drainMs = 2000
+graceS = %d
+budgetRatio = 0.2
+budgetWindowS = 10
+budgetSlack = 200
+ttl_max_s = 5
+[platform]
+address = %q
+ttlMinMs = 1000
+`, n.name, strings.Join(peers, `","`), n.front, n.ready, peers[i], freePort(t), int(grace.Seconds()), n.proxy.addr())
+		if err := os.WriteFile(filepath.Join(n.dir, "local.toml"), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var err error
+		if n.log, err = os.Create(filepath.Join(n.dir, "log")); err != nil {
+			t.Fatal(err)
+		}
+		nodes[i] = n
+		n.start(t)
+		t.Cleanup(n.end)
+	}
+	return nodes
+}
+
+func (n *node) start(t *testing.T) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cmd = exec.Command(n.binary, "node")
+	n.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "CITRONDECK_SETTINGS=" + filepath.Join(n.dir, "local.toml")}
+	n.cmd.Stdout, n.cmd.Stderr = n.log, n.log
+	n.life++
+	if err := n.cmd.Start(); err != nil {
+		t.Errorf("start %s: %v", n.name, err)
+	}
+}
+
+// signal sends a signal to the process that this soak has started.
+func (n *node) signal(s syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_ = n.cmd.Process.Signal(s)
+}
+
+func (n *node) wait() {
+	n.mu.Lock()
+	cmd := n.cmd
+	n.mu.Unlock()
+	_ = cmd.Wait() // it was killed, or told to stop
+}
+
+func (n *node) end() {
+	n.signal(syscall.SIGKILL)
+	n.wait()
+}
+
+// kill ends the process, at once or after its grace, and starts another.
+func (n *node) kill(t *testing.T, polite bool, pause time.Duration) {
+	if polite {
+		n.signal(syscall.SIGTERM)
+		hard := time.AfterFunc(grace, func() { n.signal(syscall.SIGKILL) })
+		n.wait()
+		hard.Stop()
+	} else {
+		n.end()
+	}
+	time.Sleep(pause)
+	n.start(t)
+}
+
+func (n *node) setAway(away bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.away = away
+}
+
+// state is the process that runs and whether a fault is at work.
+func (n *node) state() (life int, away bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.life, n.away
+}
--- /dev/null
+++ b/citronsoak/soak_test.go
@@ -0,0 +1,366 @@
+package citronsoak_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronkv"
+)
+
+var (
+	soakSeeds   = flag.Int("soak.seeds", 1, "how many seeds to run, one after the other")
+	soakSeed    = flag.Uint64("soak.seed", 1, "the first seed")
+	soakSeconds = flag.Int("soak.seconds", 6, "how long faults are injected for each seed")
+)
+
+const (
+	nodeCount = 3
+	callers   = 8
+	// startTime is how long nodes and the first placement may take, and
+	// recoverTime how long a fleet may need after the last fault; a slow
+	// machine must not fail the soak.
+	startTime   = 60 * time.Second
+	recoverTime = 60 * time.Second
+	// callTime is how long callers wait.
+	callTime = 4 * time.Second
+)
+
+// world is one run of the soak.
+type world struct {
+	t       *testing.T
+	store   *citronkv.Server
+	nodes   []*node
+	runs    *runs
+	mu      sync.Mutex
+	engines map[string][]*engine
+	made    int
+	version atomic.Int64
+	// served are, for each life of a node, the newest version whose effect
+	// a caller saw there.
+	served map[string]int64
+	// notRun are the requests of which a caller was told so.
+	notRun []string
+	counts map[string]int
+}
+
+// Nodes are killed, stopped, paused and restarted, engines die and leave, and
+// the store is slow, silent, cut one way or resets connections, for one node
+// or for all, in series and overlapping. Callers must see meanwhile: only
+// whole answers of their own; a non-idempotent request that ran once at most,
+// and not at all if they were told so; streams without a gap or a repeat; no
+// configuration that reverts at a process; and after the last fault every
+// node must serve every kind of request again.
+func TestSoak(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "citrondeck")
+	if out, err := exec.Command("go", "build", "-o", binary, "citrondeck.dev/citrondeck").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	for i := range *soakSeeds {
+		seed := *soakSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { newWorld(t, binary).soak(seed) })
+	}
+}
+
+func newWorld(t *testing.T, binary string) *world {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	store := newStore(ctx)
+	hs := httptest.NewServer(store)
+	t.Cleanup(hs.CloseClientConnections)
+	w := &world{t: t, store: store.kv, runs: &runs{by: map[string]int{}}, engines: map[string][]*engine{}, served: map[string]int64{}, counts: map[string]int{}}
+	w.configure()
+	for range 3 {
+		w.addEngine("model", "card")
+	}
+	w.addEngine("app", "")
+	w.addEngine("app", "")
+	w.nodes = newNodes(t, binary, strings.TrimPrefix(hs.URL, "http://"), nodeCount)
+	return w
+}
+
+func (w *world) addEngine(service, kind string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.made++
+	e := startEngine(w.t, w.store, w.runs, fmt.Sprintf("i-%d", w.made), service, kind)
+	w.t.Cleanup(func() { _ = e.hs.Close() })
+	w.engines[service] = append(w.engines[service], e)
+}
+
+// takeEngine removes one engine of a service, oldest first, if others stay.
+func (w *world) takeEngine(service string) *engine {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	es := w.engines[service]
+	if len(es) < 2 {
+		return nil
+	}
+	w.engines[service] = es[1:]
+	return es[0]
+}
+
+// configure writes the next version; it has a route of its own.
+func (w *world) configure() {
+	v := w.version.Load() + 1
+	route := func(prefix, kind, service string, attempts int) map[string]any {
+		return map[string]any{
+			"name": prefix, "host": "h", "prefix": prefix, "kind": kind, "service": service, "maxAttempts": attempts,
+			"timeoutMs": callTime.Milliseconds(), "targetLatencyMs": 500, "gapTargetMs": 250, "resumable": kind == "streaming",
+		}
+	}
+	routes := []any{route("/safe/", "safe", "app", 2), route("/once/", "unsafe", "app", 1), route("/stream/", "streaming", "model", 2)}
+	for i := int64(1); i <= v; i++ {
+		routes = append(routes, route(fmt.Sprintf("/v%d/", i), "safe", "app", 2))
+	}
+	text, err := json.Marshal(map[string]any{
+		"version": v, "routes": routes, "limits": map[string]any{},
+		"services": []any{map[string]any{"name": "app"}, map[string]any{"name": "model", "engine": map[string]any{
+			"slotCount": 64, "kvTokenBytes": 1000, "step_ms": 1, "layers": 4, "layerMb": 100, "models": []any{map[string]any{"loadS": 0.1}},
+			"kinds": []any{map[string]any{"name": "card", "mb": 1000, "pace": 1, "readX": 1}},
+		}}},
+	})
+	if err != nil {
+		panic(err) // plain values
+	}
+	if _, err := w.store.Put(context.Background(), "op/config", text, citronkv.AnyRevision, 0); err != nil {
+		w.t.Errorf("configure: %v", err)
+	}
+	w.version.Store(v)
+}
+
+func (w *world) soak(seed uint64) {
+	w.untilServing(startTime, "at the start")
+	ctx, cancel := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	for i := range callers {
+		all.Go(func() { w.call(ctx, rand.New(rand.NewPCG(seed, uint64(i))), i) })
+	}
+	r := rand.New(rand.NewPCG(seed, 1000))
+	var faults sync.WaitGroup
+	for end := time.Now().Add(time.Duration(*soakSeconds) * time.Second); time.Now().Before(end); {
+		f := w.fault(r)
+		faults.Go(f)
+		time.Sleep(time.Duration(100+r.IntN(700)) * time.Millisecond)
+	}
+	faults.Wait()
+	w.untilServing(recoverTime, "after the last fault")
+	cancel()
+	all.Wait()
+	w.checkNotRun()
+	w.t.Logf("seed %d: %v", seed, w.counts)
+}
+
+// fault draws a fault; the result brings it about and ends it.
+func (w *world) fault(r *rand.Rand) func() {
+	n := w.nodes[r.IntN(len(w.nodes))]
+	d := time.Duration(200+r.IntN(1500)) * time.Millisecond
+	link := []trouble{slow, silent, oneWay, broken}[r.IntN(4)]
+	service := []string{"model", "app"}[r.IntN(2)]
+	kind := map[string]string{"model": "card"}[service]
+	switch r.IntN(8) {
+	case 0:
+		return func() { w.on(n, func() { n.kill(w.t, false, d/2) }) }
+	case 1:
+		return func() { w.on(n, func() { n.kill(w.t, true, d/2) }) }
+	case 2:
+		return func() {
+			w.on(n, func() {
+				n.signal(syscall.SIGSTOP)
+				time.Sleep(d)
+				n.signal(syscall.SIGCONT)
+			})
+		}
+	case 3:
+		return func() { w.link([]*node{n}, link, d) }
+	case 4:
+		return func() { w.link(w.nodes, link, d) }
+	case 5:
+		return func() { w.replace(service, kind, (*engine).crash) }
+	case 6:
+		return func() { w.replace(service, kind, (*engine).leave) }
+	}
+	return w.configure
+}
+
+// on brings a fault about at a node that has none.
+func (w *world) on(n *node, fault func()) {
+	if _, away := n.state(); away {
+		return
+	}
+	n.setAway(true)
+	defer n.setAway(false)
+	fault()
+}
+
+func (w *world) link(nodes []*node, s trouble, d time.Duration) {
+	for _, n := range nodes {
+		n.proxy.set(s)
+	}
+	time.Sleep(d)
+	for _, n := range nodes {
+		n.proxy.set(well)
+	}
+}
+
+// replace takes an engine away in some manner and brings another.
+func (w *world) replace(service, kind string, end func(*engine)) {
+	e := w.takeEngine(service)
+	w.addEngine(service, kind)
+	if e != nil {
+		end(e)
+	}
+}
+
+// untilServing waits until every node serves every kind of request.
+func (w *world) untilServing(patience time.Duration, when string) {
+	for i, n := range w.nodes {
+		for _, path := range []string{"/safe/", "/once/", "/stream/", fmt.Sprintf("/v%d/", w.version.Load())} {
+			end := time.Now().Add(patience)
+			for k := 0; ; k++ {
+				a := w.ask(&http.Client{Timeout: callTime}, n, path, fmt.Sprintf("%s-%d-%d-%s", when, i, k, path))
+				if a.status == http.StatusOK && a.whole {
+					break
+				}
+				if time.Now().After(end) {
+					w.t.Fatalf("%s: %s not served by %s within %v (last status %d); log %s", when, path, n.name, patience, a.status, n.log.Name())
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+	}
+}
+
+type answer struct {
+	status int
+	// whole: the body is the request's own and complete.
+	whole bool
+	body  string
+	// cut: the answer broke off.
+	cut bool
+}
+
+// call sends requests of all kinds to nodes drawn at random and checks the
+// answers.
+func (w *world) call(ctx context.Context, r *rand.Rand, caller int) {
+	hc := &http.Client{Timeout: callTime, Transport: &http.Transport{}}
+	for i := 0; ctx.Err() == nil; i++ {
+		n := w.nodes[r.IntN(len(w.nodes))]
+		version := w.version.Load()
+		path := []string{"/safe/", "/once/", "/stream/", fmt.Sprintf("/v%d/", 1+r.Int64N(version))}[r.IntN(4)]
+		id := fmt.Sprintf("c%d-%d", caller, i)
+		life, _ := n.state()
+		seen := w.newest(n, life)
+		a := w.ask(hc, n, path, id)
+		if now, _ := n.state(); now == life {
+			w.checkVersion(n, life, path, seen, a)
+		}
+		w.check(n, path, id, a)
+		time.Sleep(time.Duration(r.IntN(30)) * time.Millisecond)
+	}
+}
+
+func (w *world) ask(hc *http.Client, n *node, path, id string) answer {
+	req, err := http.NewRequest(http.MethodPost, "http://"+n.front+path+"x", bytes.NewReader([]byte("body")))
+	if err != nil {
+		return answer{}
+	}
+	req.Host = "h"
+	req.Header.Set("X-Attempt-Id", id)
+	req.Header.Set("X-Deadline-Ms", fmt.Sprint(callTime.Milliseconds()))
+	req.Header.Set("X-Token-Counts", "10,32")
+	req.GetBody = nil // the caller's own client must not send it twice
+	res, err := hc.Do(req)
+	if err != nil {
+		return answer{}
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	a := answer{status: res.StatusCode, body: string(body), cut: err != nil}
+	want := answerTo(id)
+	if strings.HasPrefix(path, "/stream/") {
+		want = ""
+		for i := 1; i <= streamEvents; i++ {
+			want += eventOf(id, i)
+		}
+	}
+	a.whole = !a.cut && a.body == want
+	return a
+}
+
+func (w *world) check(n *node, path, id string, a answer) {
+	w.mu.Lock()
+	w.counts[fmt.Sprintf("%.5s %d cut=%t", path, a.status, a.cut)]++
+	if strings.HasPrefix(path, "/once/") && a.status == http.StatusServiceUnavailable {
+		w.notRun = append(w.notRun, id)
+	}
+	w.mu.Unlock()
+	if a.status == http.StatusOK && !a.cut && !a.whole {
+		w.t.Errorf("%s: %s %s: a success that is not the request's own whole answer: %q", n.name, path, id, a.body)
+	}
+	if a.cut && a.status == http.StatusOK && strings.HasPrefix(path, "/stream/") && !isPart(id, a.body) {
+		w.t.Errorf("%s: stream %s has a gap or a repeat: %q", n.name, id, a.body)
+	}
+	if k := w.runs.of(id); strings.HasPrefix(path, "/once/") && k > 1 {
+		w.t.Errorf("%s: %s ran %d times", n.name, id, k)
+	}
+}
+
+// isPart reports whether a stream that broke off has the first events in
+// order, the last perhaps in part.
+func isPart(id, body string) bool {
+	want := ""
+	for i := 1; i <= streamEvents; i++ {
+		want += eventOf(id, i)
+	}
+	return strings.HasPrefix(want, body)
+}
+
+func (w *world) newest(n *node, life int) int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.served[fmt.Sprint(n.name, life)]
+}
+
+// checkVersion fails if a process handles a request as only an older version
+// allows than one whose effect it has shown before the request was sent.
+func (w *world) checkVersion(n *node, life int, path string, seen int64, a answer) {
+	var v int64
+	if _, err := fmt.Sscanf(path, "/v%d/", &v); err != nil {
+		return
+	}
+	key := fmt.Sprint(n.name, life)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if a.status == http.StatusOK {
+		w.served[key] = max(w.served[key], v)
+	}
+	if a.status == http.StatusNotFound && v <= seen {
+		w.t.Errorf("%s: version %d was in force, and its route is unknown again", n.name, seen)
+	}
+}
+
+// checkNotRun fails for each request that ran although its caller was told
+// that it did not, also if it ran later.
+func (w *world) checkNotRun() {
+	time.Sleep(500 * time.Millisecond)
+	for _, id := range w.notRun {
+		if w.runs.of(id) > 0 {
+			w.t.Errorf("%s: the caller was told that it did not run, but it did", id)
+		}
+	}
+}
--- /dev/null
+++ b/citronsoak/store_test.go
@@ -0,0 +1,145 @@
+package citronsoak_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronclock"
+	"citrondeck.dev/citrondeck/citronkv"
+	"github.com/cockroachdb/errors"
+)
+
+// storeServer speaks the platform's store protocol before the product's own
+// stand-in of a store.
+type storeServer struct{ kv *citronkv.Server }
+
+func newStore(ctx context.Context) *storeServer {
+	kv := citronkv.NewServer(citronclock.Real{}, 0)
+	go kv.Run(ctx)
+	return &storeServer{kv: kv}
+}
+
+type wireItem struct {
+	Key      string `json:"key"`
+	Payload  []byte `json:"payload"`
+	Revision int64  `json:"revision"`
+	Lease    int64  `json:"lease"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+func wire(items []citronkv.Item) []wireItem {
+	out := make([]wireItem, len(items))
+	for i, it := range items {
+		out[i] = wireItem{it.Key, it.Value, it.Revision, int64(it.Lease), it.Deleted}
+	}
+	return out
+}
+
+type txn struct {
+	Expected []struct {
+		Key      string `json:"key"`
+		Revision int64  `json:"revision"`
+	} `json:"expected"`
+	Writes []struct {
+		Key     string `json:"key"`
+		Payload []byte `json:"payload"`
+		Lease   int64  `json:"lease"`
+	} `json:"writes"`
+	Remove []string `json:"remove"`
+}
+
+func (s *storeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	v, err := s.call(r)
+	switch {
+	case err == nil:
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(v)
+	case errors.Is(err, citronkv.ErrNotFound), errors.Is(err, citronkv.ErrLeaseExpired):
+		w.WriteHeader(http.StatusNotFound)
+	case errors.Is(err, citronkv.ErrConflict):
+		w.WriteHeader(http.StatusPreconditionFailed)
+	case errors.Is(err, citronkv.ErrCompacted):
+		w.WriteHeader(http.StatusGone)
+	default:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (s *storeServer) call(r *http.Request) (any, error) {
+	q, ctx := r.URL.Query(), r.Context()
+	id, hasID := strings.CutPrefix(r.URL.Path, "/kv-keep/")
+	ended, ends := strings.CutPrefix(r.URL.Path, "/kv-lease-end/")
+	switch {
+	case r.URL.Path == "/kv-key":
+		it, err := s.kv.Get(ctx, q.Get("key"))
+		return wire([]citronkv.Item{it})[0], err
+	case r.URL.Path == "/kv-range":
+		items, rev, err := s.kv.Range(ctx, q.Get("prefix"))
+		return map[string]any{"items": wire(items), "storeRevision": rev}, err
+	case r.URL.Path == "/kv-watch":
+		return s.watch(ctx, q.Get("prefix"), number(q.Get("after")), number(q.Get("waitMs")))
+	case r.URL.Path == "/kv-txn":
+		return s.commit(ctx, r)
+	case r.URL.Path == "/kv-lease":
+		lease, err := s.kv.Grant(ctx, 2500*time.Millisecond)
+		return map[string]any{"lease": lease, "ttlMs": 2500}, err
+	case hasID:
+		return struct{}{}, s.kv.KeepAlive(ctx, citronkv.LeaseID(number(id)))
+	case ends:
+		return struct{}{}, s.kv.Revoke(ctx, citronkv.LeaseID(number(ended)))
+	}
+	return nil, citronkv.ErrNotFound
+}
+
+func number(text string) int64 {
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0 // the callers here send numbers
+	}
+	return n
+}
+
+func (s *storeServer) watch(ctx context.Context, prefix string, after, waitMS int64) (any, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(waitMS)*time.Millisecond)
+	defer cancel()
+	items, rev, err := s.kv.Watch(ctx, prefix, after)
+	if err != nil && ctx.Err() != nil {
+		items, rev, err = nil, after, nil // the wait ended without events
+	}
+	return map[string]any{"events": wire(items), "storeRevision": rev}, err
+}
+
+func (s *storeServer) commit(ctx context.Context, r *http.Request) (any, error) {
+	var t txn
+	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+		return nil, err
+	}
+	expect := map[string]int64{}
+	for _, e := range t.Expected {
+		expect[e.Key] = e.Revision
+	}
+	revision := func(key string) int64 {
+		if rev, ok := expect[key]; ok {
+			return rev
+		}
+		return citronkv.AnyRevision
+	}
+	var last int64
+	for _, p := range t.Writes {
+		rev, err := s.kv.Put(ctx, p.Key, p.Payload, revision(p.Key), citronkv.LeaseID(p.Lease))
+		if err != nil {
+			return nil, err
+		}
+		last = rev
+	}
+	for _, key := range t.Remove {
+		if err := s.kv.Delete(ctx, key, revision(key)); err != nil {
+			return nil, err
+		}
+	}
+	return map[string]any{"revision": last}, nil
+}
