A moved stream keeps its sound parts

Change: an engine that is not on the present path costs 3 ms more.

TestRepathKeepsSoundParts fails without it.

--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -294,7 +294,10 @@
 // that is cheaper.
 func (w *watch) reroute() action {
 	s := w.s
-	p, ok := s.job.path(s.f.Current(), s.path[0].Engine.ID)
+	state := s.f.Current()
+	q := s.query(state, s.path[0].Engine.ID)
+	q.Keep = s.path
+	p, ok := citronpath.Choose(state.View.ByService[s.service.Name], q)
 	if !ok || w.repaths >= maxRepaths {
 		return w.resume()
 	}
--- a/citronforward/stream_test.go
+++ b/citronforward/stream_test.go
@@ -210,6 +210,49 @@
 	is.Equal(len(r.view.Dead(time.Time{})), 0)
 }
 
+// One part of a path dies. A part behind it is sound, but the other copy of
+// the zone has a less loaded engine for the same layers. The new path keeps
+// the sound part: another would have to read all tokens of the stream again,
+// and with a hundred streams moved at once all of them would be late.
+func TestRepathKeepsSoundParts(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, engine("m1", "a", 0, 3), engine("m2", "a", 3, 6), engine("m3", "a", 6, 8), engine("n2", "a", 3, 6), engine("n3", "a", 6, 8))
+	moved := make(chan struct{})
+	var dead, last string
+	r.engines.answer = func(ctx context.Context, _ int, c citronupstream.Call) (*citronupstream.Reply, error) {
+		dead, last = c.Hops[1].Engine.Addr, c.Hops[2].Engine.ID
+		c.Hops[2].Engine.Begin(100_000) // others have come since the path was chosen
+		body, w := io.Pipe()
+		go func() {
+			_, _ = io.WriteString(w, events(1, 2))
+			select {
+			case <-moved:
+				_, _ = io.WriteString(w, events(3, 4))
+			case <-ctx.Done():
+			}
+			_ = w.Close()
+		}()
+		rep := reply(200, "")
+		rep.Body = body
+		return rep, nil
+	}
+	r.engines.report = func(addr string) (citronupstream.Report, error) {
+		if addr == dead {
+			return citronupstream.Report{}, errReset
+		}
+		return citronupstream.Report{}, nil
+	}
+	r.engines.repath = func(citronpath.Path) error {
+		close(moved)
+		return nil
+	}
+	got := r.ask("stream", 5*time.Second, func(q *citronupstream.Request) { q.Wait = 5 * time.Second })
+	is.Equal(got.body, events(1, 4))
+	is.Equal(len(r.engines.repaths), 1)
+	is.True(r.engines.repaths[0][1].Engine.Addr != dead)
+	is.Equal(r.engines.repaths[0][2].Engine.ID, last)
+}
+
 // A dead middle part again, but the zone has nobody else for the dead part. Handing all
 // tokens so far to another zone would take seconds on the pipe, so the
 // stream is resumed on another zone's copy.
--- a/citronpath/path.go
+++ b/citronpath/path.go
@@ -57,6 +57,9 @@
 	Avoid map[string]bool
 	// First, if set, must be the first engine of the path.
 	First string
+	// Keep is the path that a request runs on; other engines than its own
+	// would have to read all of the request's tokens so far.
+	Keep Path
 	// Others is the cache, in tokens, that requests of other nodes take
 	// in each zone, Own what those of this node take.
 	Others, Own map[string]int64
@@ -75,6 +78,10 @@
 	// bytes of request and answer. Small, yet more than the difference
 	// that the balance of a few requests makes.
 	otherZone = 6
+	// newPart is the price of a hop that is not on the request's present
+	// path. A token step costs 1 to 4 ms a hop and differs by less between
+	// engines that hold the same layers, so sound parts are kept.
+	newPart = 3
 	// crossing is the price of handing a token's activations to another
 	// zone: all traffic of one zone over one pipe would nearly fill it.
 	crossing = 60
@@ -192,7 +199,7 @@
 					if to <= pos || to > e.Layers.To {
 						continue
 					}
-					c := s.cost + hopCost + costs[i]*float64(to-pos) + q.move(pos, s.zone, e.Zone)
+					c := s.cost + hopCost + costs[i]*float64(to-pos) + q.move(pos, s.zone, e.Zone) + q.read(e, citronmodel.Span{From: pos, To: to})
 					if bi, ok := best[to][e.Zone]; ok && states[bi].cost <= c {
 						continue
 					}
@@ -228,6 +235,20 @@
 	}
 }
 
+// read is the price of having an engine read a running request's tokens for a
+// span, unless it has them.
+func (q Query) read(e *citronpool.Engine, span citronmodel.Span) float64 {
+	if len(q.Keep) == 0 {
+		return 0
+	}
+	for _, h := range q.Keep {
+		if h.Engine.ID == e.ID && h.Span.Covers(span) {
+			return 0
+		}
+	}
+	return newPart
+}
+
 // trace reads the path back. An engine that would appear twice gets all
 // layers between its two parts: it holds them, as its span has no holes,
 // and engines refuse a path that names one of them twice.
