Metrics of store calls and of what a node knows and how old it is

Change: citronstat counts the store's calls by kind and result and serves gauges of a node's Status; docs/OPERATIONS.md tells where to look first.

Before and after: eight metrics, eighteen. TestStoreCallsAreCounted and TestNodeGauges hold the names.

--- a/citroncli/node.go
+++ b/citroncli/node.go
@@ -20,6 +20,7 @@
 	"citrondeck.dev/citrondeck/citronlog"
 	"citrondeck.dev/citrondeck/citronnode"
 	"citrondeck.dev/citrondeck/citronpool"
+	"citrondeck.dev/citrondeck/citronstat"
 	"citrondeck.dev/citrondeck/platform"
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -64,14 +65,15 @@
 	budget := citronbudget.New(citronbudget.Limits{Ratio: set.RepeatRatio, Slack: set.RepeatSlack, Window: set.RepeatWindow})
 	loads := &citronpool.Loads{}
 	engines := platform.NewEngines()
+	registry := prometheus.NewRegistry()
 	node := citronnode.New(citronnode.Settings{
 		Name: set.Name, Zone: set.Zone, Front: set.Front, Peer: set.Peer, Seeds: set.Seeds, Cores: set.Cores,
 		LeaseTTL: max(leaderLease, set.LeaseMin), Grace: set.Grace,
 	}, citronnode.Sources{
-		Store: platform.NewStore(set.Store), ConfigKey: platform.ConfigKey, EnginePrefix: platform.EnginePrefix,
+		Store: citronstat.CountStore(platform.NewStore(set.Store), registry), ConfigKey: platform.ConfigKey, EnginePrefix: platform.EnginePrefix,
 		DecodeConfig: platform.DecodeConfig, DecodeEngine: platform.DecodeEngine, Orders: engines,
 	}, clock, log, budget, loads, httpClient())
-	registry := prometheus.NewRegistry()
+	citronstat.Node(node.Status, registry)
 	forwarder := &citronforward.Forwarder{
 		Zone: set.Zone, Clock: clock, Log: log, Upstream: engines, Budget: budget, Loads: loads,
 		Current: node.Traffic, Metrics: citronforward.NewMetrics(registry), Stopping: node.Stopping,
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -112,9 +112,10 @@
 	// whether they are put down to the store.
 	vanished []time.Time
 	lapse    bool
-	// listSince is when the first list came.
-	listSince time.Time
-	changed   bool
+	// listSince is when the first list came, listAt when it last changed,
+	// configAt when the configuration did.
+	listSince, listAt, configAt time.Time
+	changed                     bool
 }
 
 func (n *Node) loop(ctx context.Context) {
@@ -156,7 +157,7 @@
 	if c.table != nil && t.Version <= c.table.Version {
 		return
 	}
-	c.table = t
+	c.table, c.configAt = t, c.n.clock.Now()
 	c.config = citronpeer.Document{Revision: t.Version, Body: m.body}
 	c.changed = true
 	c.n.tell()
@@ -180,7 +181,7 @@
 	if c.listRev == 0 {
 		c.removedSince = m.revision
 	}
-	c.listAt(ctx, m.revision, m.source)
+	c.noteList(ctx, m.revision, m.source)
 }
 
 func (c *control) takeChanges(ctx context.Context, m listChanged) {
@@ -200,12 +201,12 @@
 		}
 	}
 	if len(m.items) > 0 {
-		c.listAt(ctx, m.revision, m.source)
+		c.noteList(ctx, m.revision, m.source)
 	}
 }
 
-func (c *control) listAt(ctx context.Context, revision int64, source string) {
-	c.listRev = revision
+func (c *control) noteList(ctx context.Context, revision int64, source string) {
+	c.listRev, c.listAt = revision, c.n.clock.Now()
 	if c.listSince.IsZero() {
 		c.listSince = c.n.clock.Now()
 	}
@@ -411,7 +412,7 @@
 // publish makes the newest state visible to traffic, gossip and placement.
 func (c *control) publish() {
 	old := c.n.snap.Load()
-	s := &snapshot{config: c.config, self: c.self, traffic: old.traffic, engines: old.engines}
+	s := &snapshot{config: c.config, configAt: c.configAt, listAt: c.listAt, self: c.self, traffic: old.traffic, engines: old.engines}
 	s.listWhole = !c.listSince.IsZero() && c.n.clock.Now().Sub(c.listSince) > listWhole
 	s.listSettled = !c.listSince.IsZero() && c.n.clock.Now().Sub(c.listSince) > settle
 	s.goals = c.lateGoals(c.n.clock.Now())
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -101,6 +101,8 @@
 	config citronpeer.Document
 	list   passedList
 	self   citronpeer.Member
+	// configAt and listAt are when they last changed here.
+	configAt, listAt time.Time
 	// goals are what a leader lately wanted engines to hold.
 	goals       map[string]citronmodel.Span
 	listSettled bool
--- /dev/null
+++ b/citronnode/status.go
@@ -0,0 +1,41 @@
+package citronnode
+
+import "time"
+
+// Status is what a node knows at one moment, for its metrics.
+type Status struct {
+	// ConfigVersion is that in force, 0 without one; ConfigAge the time
+	// since it was put in force here.
+	ConfigVersion int64
+	ConfigAge     time.Duration
+	// ListRevision is that of the list of engines, ListAge the time since
+	// the list last changed.
+	ListRevision int64
+	ListAge      time.Duration
+	// Ready and Leaving count engines, Nodes the other nodes heard.
+	Ready, Leaving, Nodes int
+	// Watching: the node watches the store, and the store answers.
+	// Leads: it places layers.
+	Watching, Leads bool
+}
+
+// Status returns what the node knows now.
+func (n *Node) Status() Status {
+	s := n.snap.Load()
+	out := Status{ConfigVersion: s.config.Revision, ListRevision: s.list.revision, Nodes: len(s.members), Watching: s.self.Watching, Leads: s.self.Leads}
+	now := n.clock.Now()
+	if !s.configAt.IsZero() {
+		out.ConfigAge = now.Sub(s.configAt)
+	}
+	if !s.listAt.IsZero() {
+		out.ListAge = now.Sub(s.listAt)
+	}
+	for _, e := range s.engines {
+		if e.Leaving {
+			out.Leaving++
+		} else {
+			out.Ready++
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/citronstat/node.go
@@ -0,0 +1,28 @@
+package citronstat
+
+import (
+	"citrondeck.dev/citrondeck/citronnode"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Node has r tell what a node knows, as of each time it is asked.
+func Node(status func() citronnode.Status, r prometheus.Registerer) {
+	gauge := func(name, help string, value func(citronnode.Status) float64) {
+		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "citrondeck_" + name, Help: help}, func() float64 { return value(status()) }))
+	}
+	yes := func(b bool) float64 {
+		if b {
+			return 1
+		}
+		return 0
+	}
+	gauge("config_version", "Version of the configuration in force, 0 without one.", func(s citronnode.Status) float64 { return float64(s.ConfigVersion) })
+	gauge("config_age_seconds", "Time since it was put in force.", func(s citronnode.Status) float64 { return s.ConfigAge.Seconds() })
+	gauge("list_revision", "Revision of the list of engines.", func(s citronnode.Status) float64 { return float64(s.ListRevision) })
+	gauge("list_age_seconds", "Time since the list last changed.", func(s citronnode.Status) float64 { return s.ListAge.Seconds() })
+	gauge("engines_ready", "Engines that take new work.", func(s citronnode.Status) float64 { return float64(s.Ready) })
+	gauge("engines_leaving", "Engines that are leaving.", func(s citronnode.Status) float64 { return float64(s.Leaving) })
+	gauge("nodes_heard", "Other nodes that are heard.", func(s citronnode.Status) float64 { return float64(s.Nodes) })
+	gauge("watching", "1 while the node watches the store and the store answers.", func(s citronnode.Status) float64 { return yes(s.Watching) })
+	gauge("leads", "1 while the node places layers.", func(s citronnode.Status) float64 { return yes(s.Leads) })
+}
