--- a/citronforward/stream_test.go
+++ b/citronforward/stream_test.go
@@ -60,6 +60,24 @@
 
 func (silent) Close() error { return nil }
 
+// stuckUntil is a stream of four events that stops after two until it has
+// been moved.
+func stuckUntil(ctx context.Context, moved <-chan struct{}) *citronupstream.Reply {
+	body, w := io.Pipe()
+	go func() {
+		_, _ = io.WriteString(w, events(1, 2))
+		select {
+		case <-moved:
+			_, _ = io.WriteString(w, events(3, 4))
+		case <-ctx.Done():
+		}
+		_ = w.Close()
+	}()
+	rep := reply(200, "")
+	rep.Body = body
+	return rep
+}
+
 // The engine dies in the middle of an event. The caller must see each event
 // once and whole, so the cut one is dropped and the stream goes on at
 // another engine after the last event that went out.
@@ -138,19 +156,7 @@
 	dead := ""
 	r.engines.answer = func(ctx context.Context, _ int, c citronupstream.Call) (*citronupstream.Reply, error) {
 		dead = c.Hops[1].Engine.Addr
-		body, w := io.Pipe()
-		go func() {
-			_, _ = io.WriteString(w, events(1, 2))
-			select {
-			case <-moved:
-				_, _ = io.WriteString(w, events(3, 4))
-			case <-ctx.Done():
-			}
-			_ = w.Close()
-		}()
-		rep := reply(200, "")
-		rep.Body = body
-		return rep, nil
+		return stuckUntil(ctx, moved), nil
 	}
 	r.engines.report = func(addr string) (citronupstream.Report, error) {
 		if addr == dead {
@@ -180,19 +186,7 @@
 	var stalled atomic.Pointer[string]
 	r.engines.answer = func(ctx context.Context, _ int, c citronupstream.Call) (*citronupstream.Reply, error) {
 		stalled.Store(&c.Hops[1].Engine.Addr)
-		body, w := io.Pipe()
-		go func() {
-			_, _ = io.WriteString(w, events(1, 2))
-			select {
-			case <-moved:
-				_, _ = io.WriteString(w, events(3, 4))
-			case <-ctx.Done():
-			}
-			_ = w.Close()
-		}()
-		rep := reply(200, "")
-		rep.Body = body
-		return rep, nil
+		return stuckUntil(ctx, moved), nil
 	}
 	r.engines.report = func(addr string) (citronupstream.Report, error) {
 		if addr == "m1:1" {
@@ -222,19 +216,7 @@
 	r.engines.answer = func(ctx context.Context, _ int, c citronupstream.Call) (*citronupstream.Reply, error) {
 		dead, last = c.Hops[1].Engine.Addr, c.Hops[2].Engine.ID
 		c.Hops[2].Engine.Begin(100_000) // others have come since the path was chosen
-		body, w := io.Pipe()
-		go func() {
-			_, _ = io.WriteString(w, events(1, 2))
-			select {
-			case <-moved:
-				_, _ = io.WriteString(w, events(3, 4))
-			case <-ctx.Done():
-			}
-			_ = w.Close()
-		}()
-		rep := reply(200, "")
-		rep.Body = body
-		return rep, nil
+		return stuckUntil(ctx, moved), nil
 	}
 	r.engines.report = func(addr string) (citronupstream.Report, error) {
 		if addr == dead {
