The leader asks before it gives an engine's layers away

At 16 s, in a storm of configurations, two nodes missed the answers of three sound engines and called them dead; two reports were believed without asking, so that two zones were divided anew and all their streams cut off.

Change: the leader's own question decides, however many nodes say so. With two reports it waits 150 ms for the answer, with one 350 ms as before; if it took much longer than that it was itself that stood still, and it asks again. TestEngineThatTwoNodesFindDeadIsReplaced expected an engine to be replaced that would have answered, which is the fault; its engine does not answer now, and TestEngineThatAnswersTheLeaderIsNotReplaced says the other half; that test fails without the change.

Ruled out: reports of stalled streams (mended before).

--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -146,7 +146,7 @@
 	GossipFailed:   {slog.LevelDebug, "gossip.failed", "another node did not answer an exchange"},
 	LogDropped:     {slog.LevelWarn, "log.dropped", "log lines were dropped because the reader of the log was too slow or an event came too often"},
 	LeaderStandsIn: {slog.LevelWarn, "leader.stands_in", "no node leads and the store does not answer; this node places layers until one of the two changes"},
-	EngineDead:     {slog.LevelWarn, "engine.dead", "an engine did not answer the leader, or several nodes found it dead (reports); its layers are placed elsewhere"},
+	EngineDead:     {slog.LevelWarn, "engine.dead", "an engine that so many nodes (reports) found dead did not answer the leader either; its layers are placed elsewhere"},
 	SettingsReload: {slog.LevelInfo, "settings.reload", "a reload was asked for; what the settings say of bounds is in force"},
 
 	LedgerRetry: {slog.LevelWarn, "ledger.retry", "recording an answer in the ledger, or taking a claim back, failed; it is tried again"},
--- a/citronplacer/placer.go
+++ b/citronplacer/placer.go
@@ -259,40 +259,54 @@
 	checkTimeout = 350 * time.Millisecond
 )
 
-// sureReports is how many nodes must have found an engine dead for the
-// leader to believe it without asking: a question to an engine that has gone
-// dark takes 350 ms, in which its zone refuses callers.
-const sureReports = 2
+const (
+	// sureReports is how many nodes must have found an engine dead for the
+	// leader to wait only sureTimeout for its answer: an engine that has gone
+	// dark does not refuse the question, and while it is waited for its zone
+	// refuses callers. A sound engine answers within a few milliseconds.
+	sureReports = 2
+	sureTimeout = 150 * time.Millisecond
+	// ownStall is how much longer than its time limit a question may take:
+	// if more, this node itself stood still, and the silence proves nothing.
+	ownStall = 50 * time.Millisecond
+)
 
 // check asks the engines that some node has found dead. Their layers are
-// given to others only if they do not answer the leader either, or several
-// nodes say so: one node may have lost its path to an engine that is well
-// for all others.
+// given to others only if they do not answer the leader either, however many
+// nodes say so: nodes that are short of processor time miss answers together.
+// A storm of configurations had two nodes call three sound engines dead, and
+// two zones were divided anew for them.
 func (p *Placer) check(ctx context.Context, s *State, now time.Time) {
 	for id, count := range s.Dead {
 		e, ok := s.View.ByID(id)
-		if !ok || e.Kind == "" {
+		if !ok || e.Kind == "" || now.Sub(p.checkedAt(id)) < checkAgain {
 			continue
 		}
+		p.mark(p.checked, id, now)
+		limit := checkTimeout
 		if count >= sureReports {
-			if p.mark(p.dead, id, now) > deadFor {
-				citronevent.Log(ctx, p.Log, citronevent.EngineDead, "engine", id, "peer", e.Addr, "reports", count)
-			}
-			continue
-		}
-		if now.Sub(p.checkedAt(id)) < checkAgain {
-			continue
+			limit = sureTimeout
 		}
-		p.mark(p.checked, id, now)
-		go func() {
-			ask, cancel := context.WithTimeout(ctx, checkTimeout)
-			defer cancel()
-			if _, err := p.Orders.State(ask, e.Addr); err != nil && ctx.Err() == nil {
-				p.mark(p.dead, id, p.Clock.Now())
-				citronevent.Log(ctx, p.Log, citronevent.EngineDead, "engine", id, "peer", e.Addr, "err", err)
-			}
-		}()
+		go p.ask(ctx, e.Engine, limit, count)
+	}
+}
+
+// ask has an engine taken for dead if it does not answer in time.
+func (p *Placer) ask(ctx context.Context, e citronmodel.Engine, limit time.Duration, reports int) {
+	asked := p.Clock.Now()
+	within, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	_, err := p.Orders.State(within, e.Addr)
+	now := p.Clock.Now()
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	if now.Sub(asked) > limit+ownStall {
+		p.mark(p.checked, e.ID, time.Time{}) // asked again at once
+		return
 	}
+	p.mark(p.dead, e.ID, now)
+	citronevent.Log(ctx, p.Log, citronevent.EngineDead, "engine", e.ID, "peer", e.Addr, "reports", reports, "err", err)
 }
 
 func (p *Placer) checkedAt(id string) time.Time {
@@ -301,14 +315,11 @@
 	return p.checked[id]
 }
 
-// mark notes a moment and returns how long ago the one before it was.
-func (p *Placer) mark(times map[string]time.Time, id string, now time.Time) time.Duration {
+func (p *Placer) mark(times map[string]time.Time, id string, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	before := now.Sub(times[id])
 	times[id] = now
 	p.touched = true
-	return before
 }
 
 func anyPlaced(engines []citronplace.Engine) bool {
--- a/citronplacer/placer_test.go
+++ b/citronplacer/placer_test.go
@@ -35,6 +35,8 @@
 	state citronplace.EngineState
 	asked []string
 	given []given
+	// dead is the address of an engine that does not answer.
+	dead  string
 	place func(n int) error
 }
 
@@ -42,6 +44,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.asked = append(e.asked, addr)
+	if addr == e.dead {
+		return citronplace.EngineState{}, errors.New("no answer")
+	}
 	return e.state, nil
 }
 
@@ -141,13 +146,13 @@
 	is.New(t).Equal(len(e.orders()), 0)
 }
 
-// Two nodes find an engine dead. Its layers are placed at once; the leader
-// does not first wait for the dead engine's answer.
+// Two nodes find an engine dead, and it does not answer the leader either.
+// Its layers are placed at once.
 func TestEngineThatTwoNodesFindDeadIsReplaced(t *testing.T) {
 	is := is.New(t)
 	s := state(engine("e1", 0, 4), engine("e2", 4, 8), engine("e3", 0, 4))
 	s.Dead["e2"] = 2
-	e := &engines{}
+	e := &engines{dead: "e2"}
 	run(t, e, s)
 	hole := citronmodel.Span{From: 4, To: 8}
 	eventually(t, "an order for the hole", func() bool {
@@ -161,6 +166,19 @@
 	})
 }
 
+// Several nodes are short of processor time in the same moment, as when
+// configurations come in quick succession, and miss an engine's answers. They
+// call it dead; it answers the leader. Nothing may be moved: a zone of sound
+// engines would be divided anew, and its callers refused for seconds.
+func TestEngineThatAnswersTheLeaderIsNotReplaced(t *testing.T) {
+	s := state(engine("e1", 0, 4), engine("e2", 4, 8))
+	s.Dead["e2"] = 3
+	e := &engines{}
+	run(t, e, s)
+	time.Sleep(1200 * time.Millisecond)
+	is.New(t).Equal(len(e.orders()), 0)
+}
+
 // The leader dies while engines load what it ordered. The next leader sees
 // those engines hold nothing yet. It goes on with the goals that the first
 // one told of: another engine given the same layers would load them for
