--- a/citronentry/lifecycle_test.go
+++ b/citronentry/lifecycle_test.go
@@ -37,6 +37,9 @@
 	is := is.New(t)
 	r := newModelRig(t, 4, 1, oneStage, nil)
 	r.instances.Store(&[]citronkv.Instance{{Name: "a1", State: citronkv.Leaving}})
+	for len(r.polled) > 0 { // polls that may have read the list before
+		<-r.polled
+	}
 	for range 2 { // the second poll starts after the first one was published
 		<-r.polled
 	}
--- a/citronentry/rig_test.go
+++ b/citronentry/rig_test.go
@@ -17,7 +17,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -27,6 +26,7 @@
 	"citrondeck.dev/citrondeck/citronentry"
 	"citrondeck.dev/citrondeck/citronkv"
 	"citrondeck.dev/citrondeck/citronplain"
+	"citrondeck.dev/citrondeck/citronport"
 	"github.com/matryer/is"
 )
 
@@ -60,7 +60,7 @@
 	thaw     chan struct{}
 	thawOnce sync.Once
 	// reserved keeps the address after the server has closed.
-	reserved *reservation
+	reserved *citronport.Reservation
 }
 
 func (b *backendHandle) addr() string { return b.srv.Listener.Addr().String() }
@@ -68,11 +68,11 @@
 // listen starts the server on a reserved address.
 func (b *backendHandle) listen() {
 	var err error
-	if b.reserved, err = reserve(); err != nil {
+	if b.reserved, err = citronport.Reserve(); err != nil {
 		panic(err)
 	}
 	_ = b.srv.Listener.Close() // the one that httptest opened
-	if b.srv.Listener, err = b.reserved.listen(); err != nil {
+	if b.srv.Listener, err = b.reserved.Listen(); err != nil {
 		panic(err)
 	}
 	b.srv.Start()
@@ -81,7 +81,7 @@
 func (b *backendHandle) set(f fault) {
 	if f == refused {
 		b.srv.Close()
-		b.reserved.claim()
+		b.reserved.Claim()
 		return
 	}
 	b.fault.Store(int32(f))
@@ -92,51 +92,9 @@
 	b.thawOnce.Do(func() { close(b.thaw) })
 	b.srv.CloseClientConnections()
 	b.srv.Close()
-	b.reserved.release()
+	b.reserved.Release()
 }
 
-// reservation is a socket that is bound to a loopback port but does not
-// listen: nobody else is given the port, and connections to it are refused
-// unless another socket of this process listens there. Without it the port
-// of a server that has closed goes to the next one that starts, in this test
-// binary or another, and a call that should be refused is answered by a
-// stranger.
-type reservation struct {
-	fd   int
-	port int
-	once sync.Once
-}
-
-func reserve() (*reservation, error) {
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return nil, err
-	}
-	// Both sockets need it for the port to be shared.
-	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
-		return nil, err
-	}
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
-		return nil, err
-	}
-	name, err := syscall.Getsockname(fd)
-	if err != nil {
-		return nil, err
-	}
-	return &reservation{fd: fd, port: name.(*syscall.SockaddrInet4).Port}, nil
-}
-
-func (r *reservation) listen() (net.Listener, error) {
-	return net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", r.port))
-}
-
-// claim ends the sharing of the port once the server has closed.
-func (r *reservation) claim() {
-	_ = syscall.SetsockoptInt(r.fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 0)
-}
-
-func (r *reservation) release() { r.once.Do(func() { _ = syscall.Close(r.fd) }) }
-
 func drop(w http.ResponseWriter) {
 	if hj, ok := w.(http.Hijacker); ok {
 		if c, _, err := hj.Hijack(); err == nil {
--- a/citronsoak/nodes_test.go
+++ b/citronsoak/nodes_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -11,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"citrondeck.dev/citrondeck/citronport"
 )
 
 // node is a machine on which one node process after the other runs.
@@ -30,14 +31,15 @@
 // grace is the time between SIGTERM and SIGKILL that the settings tell.
 const grace = 3 * time.Second
 
-func freePort(t *testing.T) int {
+// freeAddr is a loopback address that is held for a node to listen on.
+func freeAddr(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	r, err := citronport.Reserve()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().(*net.TCPAddr).Port
+	t.Cleanup(r.Release)
+	return r.Addr()
 }
 
 // newNodes writes the settings of some nodes and starts them.
@@ -46,11 +48,11 @@
 	nodes := make([]*node, count)
 	peers := make([]string, count)
 	for i := range nodes {
-		peers[i] = fmt.Sprintf("127.0.0.1:%d", freePort(t))
+		peers[i] = freeAddr(t)
 	}
 	for i := range nodes {
 		n := &node{name: fmt.Sprintf("n%d", i), dir: t.TempDir(), binary: binary, proxy: newProxy(t, store)}
-		n.front, n.ready = fmt.Sprintf("127.0.0.1:%d", freePort(t)), fmt.Sprintf("127.0.0.1:%d", freePort(t))
+		n.front, n.ready = freeAddr(t), freeAddr(t)
 		text := fmt.Sprintf(`nodeName = %q
 zone = "z"
 seedAddrs = ["%s"]
@@ -58,7 +60,7 @@
 front = %q
 readyAddr = %q
 control = %q
-directory = "127.0.0.1:%d"
+directory = %q
 [limits]
 cpuShare = 1.0
 cpuCores = 1
@@ -72,7 +74,7 @@
 [platform]
 address = %q
 ttlMinMs = 1000
-`, n.name, strings.Join(peers, `","`), n.front, n.ready, peers[i], freePort(t), int(grace.Seconds()), n.proxy.addr())
+`, n.name, strings.Join(peers, `","`), n.front, n.ready, peers[i], freeAddr(t), int(grace.Seconds()), n.proxy.addr())
 		if err := os.WriteFile(filepath.Join(n.dir, "local.toml"), []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
