--- a/citronupstream/upstream.go
+++ b/citronupstream/upstream.go
@@ -47,7 +47,7 @@
 type Call struct {
 	*Request
 	Engine *citronpool.Engine
-	// Route holds the hops of a model's request; empty for plain services.
+	// Hops are the path of a model's request; empty for plain services.
 	Hops     citronpath.Path
 	Customer string
 	// Left is the time that the engine may use.
