An engine that starts anew is another one; a spoiled entry names no engine

Cause: nothing read when an engine started. An engine that starts again under its id, or under another id at its address, was taken for the one before: what the list said it held was believed until its next entry, streams on it were not known to have ended, and its reports counted as signs of life of the old process. Entries were decoded leniently: a missing zone, an unknown state or a service that is not configured still named an engine.

Now the identity of an engine inside the product is of one start. A later start in an entry, in a report, or another id at the same address ends the earlier one; nodes tell each other of starts that the list lacks. A report that does not cover what the list says has the engine left alone until the list is right. An entry that no engine would write is left out, logged once a revision, and the engine it replaced gets no new work until it writes again.

Ruled out: refusing entries without a start.

Tests fail with each safeguard taken out: the later start of an entry, the address of another entry, the spoiled mark.

--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -80,6 +80,7 @@
 	SettingsReload Event = 615
 	EngineDead     Event = 616
 	LeaderStandsIn Event = 617
+	EngineReborn   Event = 618
 
 	// 400 to 403 were announced for the stand-ins and never logged.
 )
@@ -147,6 +148,7 @@
 	LogDropped:     {slog.LevelWarn, "log.dropped", "log lines were dropped because the reader of the log was too slow or an event came too often"},
 	LeaderStandsIn: {slog.LevelWarn, "leader.stands_in", "no node leads and the store does not answer; this node places layers until one of the two changes"},
 	EngineDead:     {slog.LevelWarn, "engine.dead", "an engine that so many nodes (reports) found dead did not answer the leader either; its layers are placed elsewhere"},
+	EngineReborn:   {slog.LevelWarn, "engine.reborn", "an engine started anew at its address; the incarnation before it, and what ran there, has ended"},
 	SettingsReload: {slog.LevelInfo, "settings.reload", "a reload was asked for; what the settings say of bounds is in force"},
 
 	LedgerRetry: {slog.LevelWarn, "ledger.retry", "recording an answer in the ledger, or taking a claim back, failed; it is tried again"},
--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -256,7 +256,10 @@
 		citronprobe.Dead(first, r.err, now)
 		return w.replace(0, reasonDead)
 	}
-	first.Slow(r.report.Slowdown, now)
+	citronprobe.Heard(first, r.report, now)
+	if first.Ended() {
+		return w.replace(0, reasonDead)
+	}
 	addr, ok := r.report.Stalled[w.s.ID]
 	if !ok {
 		return goOn
--- a/citronforward/stream_test.go
+++ b/citronforward/stream_test.go
@@ -447,3 +447,33 @@
 	is.Equal(len(calls), 3)
 	is.Equal(calls[2].after, "3") // not moved before the engine ended
 }
+
+// The first engine of a stream crashes and starts anew at its address, while
+// the connection to the one before stays silent. Its report says that it
+// started later: the run has ended, so the stream goes on elsewhere at once,
+// and that run does not count against the two that the route allows.
+func TestRunOnEarlierStartHasEnded(t *testing.T) {
+	is := is.New(t)
+	first := engine("m1", "a", 0, 8)
+	first.Born = 100
+	r := newRig(t, first, engine("m2", "b", 0, 8), engine("m3", "b", 0, 8))
+	r.engines.answer = func(ctx context.Context, n int, _ citronupstream.Call) (*citronupstream.Reply, error) {
+		rep := reply(200, events(3, 4))
+		switch n {
+		case 0:
+			rep.Body = silent{strings.NewReader(events(1, 1)), ctx}
+		case 1:
+			rep.Body = breaking{strings.NewReader(events(2, 2)), errReset}
+		}
+		return rep, nil
+	}
+	r.engines.report = func(addr string) (citronupstream.Report, error) {
+		if addr == "m1:1" {
+			return citronupstream.Report{Born: 200, Holds: &citronmodel.Span{}}, nil
+		}
+		return citronupstream.Report{}, nil
+	}
+	got := r.ask("stream", 5*time.Second)
+	is.Equal(got.body, events(1, 4))
+	is.Equal(len(r.engines.seen()), 3)
+}
--- a/citronmodel/model.go
+++ b/citronmodel/model.go
@@ -4,7 +4,10 @@
 // each kind of engine. Placement and path choice rank their options with it.
 package citronmodel
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Span is a half-open range of layers.
 type Span struct{ From, To int }
@@ -85,13 +88,36 @@
 // Engine is one back end as the list of engines shows it. An engine of a
 // plain service has no kind and no layers.
 type Engine struct {
-	ID      string
-	Service string
-	Addr    string
-	Zone    string
-	Kind    string
-	Layers  Span
+	// ID is of one start of the engine (IncarnationID): what is known of it,
+	// sent to it or wanted of it ends when it starts again.
+	ID string
+	// Instance is the engine's name in the list and on the wire, the same
+	// after a restart; Born is when it started, in milliseconds since 1970.
+	Instance string
+	Born     int64
+	Service  string
+	Addr     string
+	Zone     string
+	Kind     string
+	Layers   Span
 	// Leaving: it finishes what it has and gets no new work.
 	Leaving bool
 	Slots   int
 }
+
+// IncarnationID returns the ID of one start of an engine; born is zero if the
+// engine does not tell when it started.
+func IncarnationID(instance string, born int64) string {
+	if born == 0 {
+		return instance
+	}
+	return instance + "@" + strconv.FormatInt(born, 10)
+}
+
+// Reborn returns what is known of the engine's next start from the moment of
+// that start alone: it holds nothing and is not leaving.
+func (e Engine) Reborn(born int64) Engine {
+	e.ID, e.Born = IncarnationID(e.Instance, born), born
+	e.Layers, e.Leaving = Span{}, false
+	return e
+}
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -7,8 +7,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
-	"sort"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronbudget"
@@ -26,17 +24,6 @@
 	inboxSize = 256
 	// tickEvery is how often the loop looks at what time changes.
 	tickEvery = 100 * time.Millisecond
-	// lapseGrace is how long an engine whose entry lapsed during an outage
-	// of the store stays in use: entries of live engines are back within
-	// two seconds.
-	lapseGrace = 2500 * time.Millisecond
-	// lapseFewest and lapsePart say how many entries that go within
-	// lapseGrace are too many for a coincidence.
-	lapseFewest = 4
-	lapsePart   = 6
-	// troubleMemory is how long after a failed call to the store a lapsed
-	// entry is put down to the outage.
-	troubleMemory = 4 * time.Second
 	// memberTimeout is when a node that was not heard of is taken for
 	// dead: several rounds of gossip.
 	memberTimeout = 2 * time.Second
@@ -78,14 +65,6 @@
 func (listChanged) isMessage() {}
 func (membersSeen) isMessage() {}
 
-// listed is an entry of the list of engines.
-type listed struct {
-	engine citronmodel.Engine
-	item   citronkv.Item
-	// lapsed is when the entry was found missing; zero while it is there.
-	lapsed time.Time
-}
-
 type known struct {
 	citronpeer.Member
 	heard time.Time
@@ -105,9 +84,14 @@
 	// revision after which none is missing from them.
 	removed      []citronkv.Item
 	removedSince int64
-	members      map[string]known
-	self         citronpeer.Member
-	view         *citronpool.View
+	// byAddr are the keys of the entries that name an address.
+	byAddr map[string]string
+	// rejected is the revision of each entry that could not be read, so that
+	// it is logged once.
+	rejected map[string]int64
+	members  map[string]known
+	self     citronpeer.Member
+	view     *citronpool.View
 	// vanished are the times at which entries went lately; lapse is
 	// whether they are put down to the store.
 	vanished []time.Time
@@ -119,7 +103,10 @@
 }
 
 func (n *Node) loop(ctx context.Context) {
-	c := &control{n: n, list: map[string]listed{}, members: map[string]known{}, self: n.snap.Load().self}
+	c := &control{
+		n: n, list: map[string]listed{}, byAddr: map[string]string{}, rejected: map[string]int64{},
+		members: map[string]known{}, self: n.snap.Load().self,
+	}
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	for {
@@ -164,124 +151,6 @@
 	citronevent.Log(ctx, c.n.log, citronevent.TableApplied, "version", t.Version, "source", m.source)
 }
 
-func (c *control) takeList(ctx context.Context, m listSeen) {
-	if m.revision <= c.listRev && c.listRev > 0 {
-		return
-	}
-	seen := map[string]bool{}
-	for _, it := range m.items {
-		seen[it.Key] = true
-		c.put(ctx, it)
-	}
-	for key, l := range c.list {
-		if !seen[key] {
-			c.drop(ctx, key, l, m.revision)
-		}
-	}
-	if c.listRev == 0 {
-		c.removedSince = m.revision
-	}
-	c.noteList(ctx, m.revision, m.source)
-}
-
-func (c *control) takeChanges(ctx context.Context, m listChanged) {
-	if m.revision <= c.listRev || m.base > c.listRev || c.listRev == 0 {
-		return // old news, or changes of a list that this node does not have
-	}
-	for _, it := range m.items {
-		if it.Revision <= c.listRev {
-			continue
-		}
-		if !it.Deleted {
-			c.put(ctx, it)
-			continue
-		}
-		if l, ok := c.list[it.Key]; ok {
-			c.drop(ctx, it.Key, l, it.Revision)
-		}
-	}
-	if len(m.items) > 0 {
-		c.noteList(ctx, m.revision, m.source)
-	}
-}
-
-func (c *control) noteList(ctx context.Context, revision int64, source string) {
-	c.listRev, c.listAt = revision, c.n.clock.Now()
-	if c.listSince.IsZero() {
-		c.listSince = c.n.clock.Now()
-	}
-	c.changed = true
-	c.passed = passedList{}
-	c.n.tell()
-	citronevent.Log(ctx, c.n.log, citronevent.EnginesChanged, "revision", revision, "engines", len(c.list), "source", source)
-}
-
-func (c *control) put(ctx context.Context, it citronkv.Item) {
-	e, err := c.n.src.DecodeEngine(it.Key, it.Value)
-	if err != nil {
-		citronevent.Log(ctx, c.n.log, citronevent.EngineRejected, "key", it.Key, "err", err)
-		return
-	}
-	if old, ok := c.list[it.Key]; !ok || old.engine != e || !old.lapsed.IsZero() {
-		citronevent.Log(ctx, c.n.log, citronevent.EnginesChanged, "engine", e.ID, "peer", e.Addr, "service", e.Service, "zone", e.Zone, "kind", e.Kind, "from", e.Layers.From, "to", e.Layers.To, "leaving", e.Leaving)
-	}
-	c.list[it.Key] = listed{engine: e, item: it}
-}
-
-// drop notes that an engine's entry is gone. There are three causes. The
-// engine died: it is found dead by those who use it. It leaves without
-// having said so: it serves on for a short while, and must get no new work.
-// Or its entry lapsed because it could not renew it while the store was
-// away: it is well, and its entry is back within two seconds. The last is
-// told from the others by the store's trouble, or by many entries going at
-// once; then the engine stays in use for that time.
-func (c *control) drop(ctx context.Context, key string, l listed, revision int64) {
-	if !l.lapsed.IsZero() {
-		return
-	}
-	c.note(citronkv.Item{Key: key, Revision: revision, Deleted: true})
-	l.lapsed = c.n.clock.Now()
-	c.list[key] = l
-	c.vanished = append(c.vanished, l.lapsed)
-	citronevent.Log(ctx, c.n.log, citronevent.EnginesChanged, "engine", l.engine.ID, "peer", l.engine.Addr, "missing", true)
-}
-
-// mostRemoved bounds the removals that are remembered; a node that has not
-// heard of so many gets the whole list.
-const mostRemoved = 200
-
-// note remembers a removal for nodes that have an older list.
-func (c *control) note(it citronkv.Item) {
-	c.removed = append(slices.Clip(c.removed), it) // snapshots share the old one
-	if len(c.removed) > mostRemoved {
-		c.removedSince = c.removed[0].Revision
-		c.removed = c.removed[1:]
-	}
-}
-
-// lapseKept reports whether missing entries are put down to the store.
-func (c *control) lapseKept(now time.Time) bool {
-	if c.self.Trouble || !c.self.Watching && c.watchersInTrouble() {
-		return true
-	}
-	c.vanished = slices.DeleteFunc(c.vanished, func(t time.Time) bool { return now.Sub(t) > lapseGrace })
-	return len(c.vanished) >= max(lapseFewest, len(c.list)/lapsePart)
-}
-
-// watchersInTrouble reports whether the store failed all nodes that watch it
-// lately. A node that does not watch learns from them what goes, and has to
-// put it down to the same cause.
-func (c *control) watchersInTrouble() bool {
-	trouble := false
-	for _, m := range c.members {
-		if m.alive && m.Watching && !m.Trouble {
-			return false
-		}
-		trouble = trouble || m.alive && m.Trouble
-	}
-	return trouble
-}
-
 func (c *control) takeMembers(ctx context.Context, members []citronpeer.Member) {
 	for _, m := range members {
 		if m.Name == c.self.Name {
@@ -297,6 +166,9 @@
 		k := known{Member: m, heard: c.n.clock.Now(), alive: true}
 		c.members[m.Name] = k
 		c.suspect(m.Dead)
+		for instance, born := range m.Starts {
+			c.startedAnew(ctx, instance, born)
+		}
 		if !ok || !old.alive || old.Leaving != m.Leaving || old.Ready != m.Ready {
 			c.changed = true
 			if m.Leaving {
@@ -329,6 +201,9 @@
 	for key, l := range c.list {
 		if !l.lapsed.IsZero() && now.Sub(l.lapsed) > lapseGrace {
 			delete(c.list, key)
+			if c.byAddr[l.engine.Addr] == key {
+				delete(c.byAddr, l.engine.Addr)
+			}
 			c.changed = true
 			c.passed = passedList{}
 			citronevent.Log(ctx, c.n.log, citronevent.EnginesChanged, "engine", l.engine.ID, "peer", l.engine.Addr, "gone", true, "lapsed", now.Sub(l.lapsed))
@@ -351,6 +226,7 @@
 	c.self.Ready = c.n.Ready()
 	c.self.Leads = c.n.leads.Load()
 	c.self.Watching = c.n.answered.Load() == followed
+	c.noteStarts(ctx)
 	c.tellGoals()
 	c.self.Load = c.n.loads.Sums()
 	c.self.Sent = map[string]citronpeer.Sent{}
@@ -448,24 +324,3 @@
 	s.list = c.passed
 	c.n.snap.Store(s)
 }
-
-func (c *control) engines() []citronmodel.Engine {
-	out := make([]citronmodel.Engine, 0, len(c.list))
-	for _, l := range c.list {
-		e := l.engine
-		e.Leaving = e.Leaving || !l.lapsed.IsZero() && !c.lapse
-		out = append(out, e)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
-	return out
-}
-
-func (c *control) items() []citronkv.Item {
-	items := make([]citronkv.Item, 0, len(c.list))
-	for _, l := range c.list {
-		if l.lapsed.IsZero() {
-			items = append(items, l.item)
-		}
-	}
-	return items
-}
--- a/citronnode/rig_test.go
+++ b/citronnode/rig_test.go
@@ -166,7 +166,7 @@
 	if err := json.Unmarshal(text, &version); err != nil {
 		return nil, err
 	}
-	return citrontable.New(version, nil, []citrontable.Service{{Name: "model", Model: &spec}}, nil, citrontable.Limits{}), nil
+	return citrontable.New(version, nil, []citrontable.Service{{Name: "model", Model: &spec}, {Name: "app"}}, nil, citrontable.Limits{}), nil
 }
 
 func decodeEngine(_ string, text []byte) (citronmodel.Engine, error) {
--- a/citronpeer/peer.go
+++ b/citronpeer/peer.go
@@ -47,6 +47,9 @@
 	Goals map[string][2]int `json:"goals,omitempty"`
 	// Dead are ids of engines that the node has just found not to answer.
 	Dead []string `json:"dead,omitempty"`
+	// Starts are engines, by their name in the list, that told the node that
+	// they started at a later moment than the list says.
+	Starts map[string]int64 `json:"starts,omitempty"`
 }
 
 // Sent counts requests and repeats.
--- a/citronplace/orders.go
+++ b/citronplace/orders.go
@@ -16,6 +16,9 @@
 	Accepted int64
 	// Slowdown is over 1 when the engine is slower than declared.
 	Slowdown float64
+	// Born is when the engine started, in milliseconds since 1970; zero if
+	// it does not tell.
+	Born int64
 }
 
 // ErrRefused means that the engine did not accept an order.
--- a/citronplacer/placer.go
+++ b/citronplacer/placer.go
@@ -296,9 +296,13 @@
 	asked := p.Clock.Now()
 	within, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	_, err := p.Orders.State(within, e.Addr)
+	st, err := p.Orders.State(within, e.Addr)
 	now := p.Clock.Now()
-	if err == nil || ctx.Err() != nil {
+	if ctx.Err() != nil {
+		return
+	}
+	if err == nil {
+		p.startedAnew(e, st, now)
 		return
 	}
 	if now.Sub(asked) > limit+ownStall {
@@ -309,6 +313,19 @@
 	citronevent.Log(ctx, p.Log, citronevent.EngineDead, "engine", e.ID, "peer", e.Addr, "reports", reports, "err", err)
 }
 
+// startedAnew reports whether an engine's answer is of a later start than the
+// one that the list tells of, and has this node learn of it: what the list says
+// it holds is gone, and its layers are a hole from now on.
+func (p *Placer) startedAnew(e citronmodel.Engine, st citronplace.EngineState, now time.Time) bool {
+	if e.Born == 0 || st.Born <= e.Born {
+		return false
+	}
+	if seen, ok := p.Current().View.ByID(e.ID); ok {
+		seen.StartedAnew(st.Born, now)
+	}
+	return true
+}
+
 func (p *Placer) checkedAt(id string) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -334,12 +351,19 @@
 // errBusy means that the engine carries out an earlier order.
 var errBusy = errors.New("engine carries out another order")
 
+// errReborn means that the engine has started anew since its entry was
+// written: the order was meant for what it held before.
+var errReborn = errors.New("engine has started anew")
+
 // carryOut asks the engine for its state and gives the order that fits it.
 func (p *Placer) carryOut(ctx context.Context, e citronmodel.Engine, o citronplace.Order) error {
 	st, err := p.Orders.State(ctx, e.Addr)
 	if err != nil {
 		return err
 	}
+	if p.startedAnew(e, st, p.Clock.Now()) {
+		return errReborn
+	}
 	if st.Busy {
 		return errBusy
 	}
--- a/citronplacer/placer_test.go
+++ b/citronplacer/placer_test.go
@@ -215,3 +215,18 @@
 		return len(last) > 0 && last[0].engine != given[0].engine && last[0].span.Covers(hole)
 	})
 }
+
+// An engine starts anew behind a cut from the store: the list still tells the
+// layers that it held. Asked by the leader, it says that it started later. It
+// gets no order that was meant for what it held before, and this node learns
+// that those layers are a hole.
+func TestOrderIsNotForAnEarlierStart(t *testing.T) {
+	is := is.New(t)
+	e := &engines{state: citronplace.EngineState{Born: 200}}
+	listed := engine("e1", 0, 0)
+	listed.Born = 100
+	s := state(listed)
+	run(t, e, s)
+	eventually(t, "the later start is noted", func() bool { return len(s.View.StartedAnew()) == 1 })
+	is.Equal(len(e.orders()), 0)
+}
--- a/citronpool/pool.go
+++ b/citronpool/pool.go
@@ -42,8 +42,13 @@
 	// slowdown is how many hundredths of its declared times the engine
 	// takes, by its own report at slowAt.
 	slowdown, slowAt atomic.Int64
-	// ended: its address refuses connections.
+	// ended: its address refuses connections, or is another's by now.
 	ended atomic.Bool
+	// laterStart is when the engine started anew, by its own report.
+	laterStart atomic.Int64
+	// misplacedUntil is how long it is left alone because it said that it
+	// does not hold what the list says, in nanoseconds since epoch.
+	misplacedUntil atomic.Int64
 }
 
 // Begin counts a request of so many tokens; the result ends it.
@@ -126,6 +131,33 @@
 // End marks an engine whose process is known to have ended.
 func (s *State) End() { s.ended.Store(true) }
 
+// StartedAnew marks an engine that has ended and started again: what it ran
+// and held is gone.
+func (s *State) StartedAnew(born int64, now time.Time) {
+	s.laterStart.Store(born)
+	s.Dead(now)
+	s.End()
+}
+
+// LaterStart is when the engine started anew, zero if it did not.
+func (s *State) LaterStart() int64 { return s.laterStart.Load() }
+
+// misplacedFor is how long an engine is left alone that does not hold what
+// the list says. Its entry is written at once when its layers change, and
+// reaches all nodes within half a second; its report is a fifth of a second
+// old, so that the list may be right.
+const misplacedFor = time.Second
+
+// Misplaced leaves alone an engine that does not hold what the list says.
+// Each request that runs through it would be refused, by all nodes, until the
+// list is right.
+func (s *State) Misplaced(now time.Time) {
+	s.misplacedUntil.Store(since(now.Add(misplacedFor)))
+}
+
+// Placed takes Misplaced back.
+func (s *State) Placed() { s.misplacedUntil.Store(0) }
+
 // Ended reports whether the engine's process is known to have ended. An
 // engine that only does not answer may still run what it was sent.
 func (s *State) Ended() bool { return s.ended.Load() }
@@ -162,7 +194,8 @@
 
 // Usable reports whether the engine may get new work.
 func (e *Engine) Usable(now time.Time) bool {
-	return !e.Leaving && e.avoidUntil.Load() <= since(now)
+	at := since(now)
+	return !e.Leaving && e.avoidUntil.Load() <= at && e.misplacedUntil.Load() <= at
 }
 
 // View is the list of engines at one moment.
@@ -179,7 +212,11 @@
 	for _, e := range engines {
 		p := &Engine{Engine: e, State: &State{}}
 		if prev != nil && prev.byID[e.ID] != nil {
-			p.State = prev.byID[e.ID].State
+			old := prev.byID[e.ID]
+			p.State = old.State
+			if old.Layers != e.Layers {
+				p.Placed()
+			}
 		}
 		v.ByService[e.Service] = append(v.ByService[e.Service], p)
 		v.byAddr[e.Addr] = p
@@ -225,6 +262,17 @@
 	return out
 }
 
+// StartedAnew returns the engines that are known to have started anew.
+func (v *View) StartedAnew() []*Engine {
+	var out []*Engine
+	for _, e := range v.byID {
+		if e.LaterStart() > 0 {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 // ByAddr returns the engine at an address.
 func (v *View) ByAddr(addr string) (*Engine, bool) {
 	e, ok := v.byAddr[addr]
--- a/citronprobe/probe.go
+++ b/citronprobe/probe.go
@@ -79,12 +79,35 @@
 	r, err := p.Ask(ctx, up, e.Addr, maxAge)
 	switch {
 	case err == nil:
-		e.Slow(r.Slowdown, clock.Now())
+		Heard(e, r, clock.Now())
 	case ctx.Err() == nil:
 		Dead(e, err, clock.Now())
 	}
 }
 
+// Heard notes what an engine's report says of it. An engine may have started
+// anew at the same address: the report is then of another incarnation, which
+// holds nothing and runs none of the requests that the one before it ran. The
+// report may also be of an earlier one and says nothing then.
+func Heard(e *citronpool.Engine, r citronupstream.Report, now time.Time) {
+	told := r.Born != 0 && e.Born != 0
+	switch {
+	case told && r.Born > e.Born:
+		e.StartedAnew(r.Born, now)
+		return
+	case told && r.Born < e.Born:
+		return
+	}
+	e.Slow(r.Slowdown, now)
+	switch {
+	case r.Holds == nil || e.Layers.Empty():
+	case r.Holds.Covers(e.Layers):
+		e.Placed()
+	default:
+		e.Misplaced(now)
+	}
+}
+
 // Dead notes an engine that gave no sign of life, and whether its process
 // has certainly ended.
 func Dead(e *citronpool.Engine, err error, now time.Time) {
--- a/citronupstream/upstream.go
+++ b/citronupstream/upstream.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronpath"
 	"citrondeck.dev/citrondeck/citronpool"
 	"github.com/cockroachdb/errors"
@@ -89,6 +90,11 @@
 	Stalled map[string]string
 	// Slowdown is over 1 when the engine is slower than declared.
 	Slowdown float64
+	// Born is when the engine started, in milliseconds since 1970; zero if
+	// it does not tell.
+	Born int64
+	// Holds are its layers; nil if it does not tell.
+	Holds *citronmodel.Span
 }
 
 // Engines speaks to engines.
