News is small, a storm of it no longer starves the leader

Cause: every node that learned anything new sent all that it knows of the whole fleet to two partners and to the leader, and each that learned it from that did the same. With eighty nodes and dying engines the leader spent its processor on these exchanges, missed the answers of engines, and called thirty sound engines dead within three seconds (its log: engine.dead with one report, ten at the same instant, 'context deadline exceeded'); each had its zone divided anew. The same flood delayed configurations (decoded in the loop, once for each copy) and held up to 487 MB.

Now news is of one node and the revisions of its documents; who lacks one fetches it, one fetch at a time. Only news of dead or reborn engines goes to the leader. A node serves eight exchanges at once and turns others away unread. A version is decoded once, outside the loop, which takes it before anything else. The runtime knows the node's memory limit. The leader asks a second time before it believes one silent engine that nobody else misses. Logs tell of other nodes and of engines heard of second hand in one line.

Ruled out: the leader's own orders (16 at a time, tens a second) and a weak leader (it was a strong node, 0.26 of a core on average).

--- a/citroncli/node.go
+++ b/citroncli/node.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sync"
 	"syscall"
 	"time"
@@ -44,6 +45,10 @@
 	// times as long, and a node that is stopping takes streams for 2.5 s.
 	directoryTTL = 700 * time.Millisecond
 	maxBody      = 64 << 20
+	// memoryLimitBytes is the part of each megabyte of the node's memory that
+	// the runtime may fill before it collects more often: a process over its
+	// limit is killed, and what the runtime does not count needs the rest.
+	memoryLimitBytes = 600 << 10
 )
 
 func (c *nodeCmd) Run(g *Globals) error {
@@ -56,6 +61,9 @@
 	handler, written := citronlog.New(logging, g.Out, citronclock.Real{}, g.Level())
 	defer written()
 	defer stopLogging()
+	if set.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(set.MemoryMB) * memoryLimitBytes)
+	}
 	log := slog.New(handler).With("node", set.Name)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -137,7 +137,7 @@
 	EngineRejected: {slog.LevelError, "engine.rejected", "an entry of the list of engines could not be read; it is left out"},
 	StoreLost:      {slog.LevelWarn, "store.lost", "the store does not answer this node; what is known stays in force"},
 	StoreBack:      {slog.LevelInfo, "store.back", "the store answers again"},
-	MemberJoined:   {slog.LevelInfo, "member.joined", "another node was heard of for the first time or came back"},
+	MemberJoined:   {slog.LevelInfo, "member.joined", "nodes were heard of, or heard differently of, since the last tick; names a few, and counts who takes callers and who leaves"},
 	MemberLost:     {slog.LevelWarn, "member.lost", "another node was not heard of for too long, or said that it leaves"},
 	LeaderElected:  {slog.LevelInfo, "leader.elected", "this node holds the lease under which layers are placed"},
 	LeaderResigned: {slog.LevelWarn, "leader.resigned", "this node lost the lease, or could not renew it in time; it gives no more orders"},
--- /dev/null
+++ b/citronnode/config_test.go
@@ -0,0 +1,63 @@
+package citronnode
+
+import (
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"citrondeck.dev/citrondeck/citrontable"
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+// A storm of versions: each comes from the store and from several nodes at
+// once, large enough to take a while to decode. Callers must see the newest
+// soon, so none is decoded twice, and whoever reads the inbox late finds the
+// newest, not a queue of old ones.
+func TestStormOfVersionsIsDecodedOnce(t *testing.T) {
+	is := is.New(t)
+	const versions, bringers = 30, 8
+	var decoded atomic.Int64
+	b := newConfigInbox(func(text []byte) (*citrontable.Table, error) {
+		decoded.Add(1)
+		time.Sleep(time.Millisecond)
+		v, err := strconv.ParseInt(string(text), 10, 64)
+		return citrontable.New(v, nil, nil, nil, citrontable.Limits{}), err
+	})
+	var all sync.WaitGroup
+	for range bringers {
+		all.Go(func() {
+			for v := int64(1); v <= versions; v++ {
+				if err := b.offer(v, []byte(strconv.FormatInt(v, 10)), sourceNode); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	all.Wait()
+	is.Equal(b.newest.Load().table.Version, int64(versions))
+	is.True(decoded.Load() <= versions)
+	<-b.ready
+	select {
+	case <-b.ready:
+		t.Fatal("a second wake-up for what has been taken")
+	default:
+	}
+}
+
+// A version that cannot be read is told; it does not hold up the next.
+func TestUnreadableVersionIsNotOffered(t *testing.T) {
+	is := is.New(t)
+	b := newConfigInbox(func(text []byte) (*citrontable.Table, error) {
+		if len(text) == 0 {
+			return nil, errors.New("unreadable")
+		}
+		return citrontable.New(int64(text[0]), nil, nil, nil, citrontable.Limits{}), nil
+	})
+	is.True(b.offer(9, nil, sourceNode) != nil)
+	is.NoErr(b.offer(0, []byte{5}, sourceStore))
+	is.NoErr(b.offer(0, []byte{4}, sourceStore)) // older
+	is.Equal(b.newest.Load().table.Version, int64(5))
+}
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -34,15 +34,15 @@
 	memberForget = 20 * time.Second
 )
 
+// Where a document came from, for the log.
+const (
+	sourceStore = "store"
+	sourceNode  = "node"
+)
+
 // message is an input of the control loop.
 type message interface{ isMessage() }
 
-// configSeen brings a configuration.
-type configSeen struct {
-	body   []byte
-	source string
-}
-
 // listSeen brings the whole list of engines as of a revision.
 type listSeen struct {
 	items    []citronkv.Item
@@ -60,7 +60,6 @@
 // membersSeen brings news of other nodes.
 type membersSeen struct{ members []citronpeer.Member }
 
-func (configSeen) isMessage()  {}
 func (listSeen) isMessage()    {}
 func (listChanged) isMessage() {}
 func (membersSeen) isMessage() {}
@@ -89,9 +88,12 @@
 	// rejected is the revision of each entry that could not be read, so that
 	// it is logged once.
 	rejected map[string]int64
-	members  map[string]known
-	self     citronpeer.Member
-	view     *citronpool.View
+	// firsthand: the list that is being taken is from the store. Only then is
+	// each engine logged; the other nodes would log the same again.
+	firsthand bool
+	members   map[string]known
+	self      citronpeer.Member
+	view      *citronpool.View
 	// vanished are the times at which entries went lately; lapse is
 	// whether they are put down to the store.
 	vanished []time.Time
@@ -100,6 +102,9 @@
 	// configAt when the configuration did.
 	listSince, listAt, configAt time.Time
 	changed                     bool
+	// joined are the nodes heard of, or heard differently of, since the last
+	// tick.
+	joined []string
 }
 
 func (n *Node) loop(ctx context.Context) {
@@ -110,9 +115,18 @@
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	for {
+		// A new configuration goes before all other news: callers are served
+		// by the old one until it is in force.
+		select {
+		case <-n.configs.ready:
+			c.takeNewest(ctx)
+		default:
+		}
 		select {
 		case <-ctx.Done():
 			return
+		case <-n.configs.ready:
+			c.takeNewest(ctx)
 		case m := <-n.control:
 			c.take(ctx, m)
 		case <-tick.C:
@@ -124,8 +138,6 @@
 
 func (c *control) take(ctx context.Context, m message) {
 	switch m := m.(type) {
-	case configSeen:
-		c.takeConfig(ctx, m)
 	case listSeen:
 		c.takeList(ctx, m)
 	case listChanged:
@@ -135,20 +147,16 @@
 	}
 }
 
-func (c *control) takeConfig(ctx context.Context, m configSeen) {
-	t, err := c.n.src.DecodeConfig(m.body)
-	if err != nil {
-		citronevent.Log(ctx, c.n.log, citronevent.TableRejected, "source", m.source, "err", err)
-		return
-	}
-	if c.table != nil && t.Version <= c.table.Version {
+// takeConfig puts a decoded configuration in force.
+func (c *control) takeConfig(ctx context.Context, d decodedConfig) {
+	if c.table != nil && d.table.Version <= c.table.Version {
 		return
 	}
-	c.table, c.configAt = t, c.n.clock.Now()
-	c.config = citronpeer.Document{Revision: t.Version, Body: m.body}
+	c.table, c.configAt = d.table, c.n.clock.Now()
+	c.config = citronpeer.Document{Revision: d.table.Version, Body: d.body}
 	c.changed = true
 	c.n.tell()
-	citronevent.Log(ctx, c.n.log, citronevent.TableApplied, "version", t.Version, "source", m.source)
+	citronevent.Log(ctx, c.n.log, citronevent.TableApplied, "version", d.table.Version, "source", d.source)
 }
 
 func (c *control) takeMembers(ctx context.Context, members []citronpeer.Member) {
@@ -174,7 +182,7 @@
 			if m.Leaving {
 				c.n.tell()
 			}
-			citronevent.Log(ctx, c.n.log, citronevent.MemberJoined, "member", m.Name, "peer", m.Peer, "ready", m.Ready, "leaving", m.Leaving)
+			c.joined = append(c.joined, m.Name)
 		}
 	}
 }
@@ -221,6 +229,7 @@
 			delete(c.members, name)
 		}
 	}
+	c.logJoined(ctx)
 	c.self.Beat++
 	c.self.Leaving = c.n.leaving.Load()
 	c.self.Ready = c.n.Ready()
@@ -236,12 +245,35 @@
 	if c.view != nil {
 		dead := c.view.Dead(now.Add(-deadNews))
 		if len(dead) > len(c.self.Dead) {
-			c.n.tell()
+			c.n.alarm()
 		}
 		c.self.Dead = dead
 	}
 }
 
+// mostNames bounds the names in a log line.
+const mostNames = 5
+
+// logJoined logs in one line which nodes were heard of. With a line for each,
+// eighty nodes that restart in turn logged 29,156 lines about each other in a
+// minute.
+func (c *control) logJoined(ctx context.Context) {
+	if len(c.joined) == 0 {
+		return
+	}
+	ready, leaving := 0, 0
+	for _, m := range c.members {
+		if takesCallers(m.Member) {
+			ready++
+		}
+		if m.Leaving {
+			leaving++
+		}
+	}
+	citronevent.Log(ctx, c.n.log, citronevent.MemberJoined, "changed", len(c.joined), "members", c.joined[:min(mostNames, len(c.joined))], "ready", ready, "leaving", leaving)
+	c.joined = nil
+}
+
 // tellGoals has the others know what this node as the leader wants engines
 // to hold: if it dies, the next leader goes on with that.
 func (c *control) tellGoals() {
--- a/citronnode/gossip.go
+++ b/citronnode/gossip.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronevent"
@@ -28,8 +29,8 @@
 	// lists passed on whole, 59 nodes sent 1.6 MB a second between zones;
 	// with three, and changes, 0.5 MB.
 	farNodes = 3
-	// newsGap is the least time between two rounds: when many engines come
-	// or go at once, their news goes together.
+	// newsGap is the least time between two sendings of news: when many
+	// engines come or go at once, their news goes together.
 	newsGap = 60 * time.Millisecond
 	// exchangeTimeout bounds one exchange; a node that is well answers
 	// within milliseconds.
@@ -42,29 +43,60 @@
 	defer timer.Stop()
 	var last time.Time
 	for {
-		partners := n.partners
 		select {
 		case <-ctx.Done():
 			return
 		case <-n.news:
-			partners = n.newsPartners
 			_ = n.clock.Sleep(ctx, newsGap-n.clock.Now().Sub(last))
+			n.sendNews(ctx, n.partners())
+			last = n.clock.Now()
+		case <-n.alarms:
+			n.sendNews(ctx, append(n.leaders(), n.partners()...))
+			last = n.clock.Now()
 		case <-timer.C:
+			for _, addr := range n.partners() {
+				go n.exchange(ctx, addr)
+			}
+			timer.Reset(gossipEvery/2 + rand.N(gossipEvery))
 		}
-		for _, addr := range partners() {
-			go n.exchange(ctx, addr)
-		}
-		last = n.clock.Now()
-		timer.Reset(gossipEvery/2 + rand.N(gossipEvery))
 	}
 }
 
-// newsPartners are those that news goes to at once: the partners of a round
-// and the leader, which repairs what is found dead.
-func (n *Node) newsPartners() []string {
-	addrs := n.partners()
+// sendNews tells a few nodes which documents this one has, and of itself. Those
+// that lack one fetch it (puller) and tell others in turn, so that news goes
+// through the fleet in steps of newsGap without the members of the whole fleet
+// in each message: with those, eighty nodes that all heard of dying engines
+// took a leader's whole processor, and it called sound engines dead.
+func (n *Node) sendNews(ctx context.Context, addrs []string) {
+	for _, addr := range addrs {
+		go n.fetch(ctx, addr)
+	}
+}
+
+// fetch sends this node's news to another, and takes the documents that the
+// other has newer.
+func (n *Node) fetch(ctx context.Context, addr string) {
+	s := n.snap.Load()
+	theirs, err := n.peers.News(ctx, addr, s.news())
+	if err != nil {
+		citronevent.Log(ctx, n.log, citronevent.GossipFailed, "peer", addr, "err", err)
+		return
+	}
+	n.learn(ctx, theirs)
+}
+
+// news is what this node tells of itself.
+func (s *snapshot) news() citronpeer.Knowledge {
+	return citronpeer.Knowledge{
+		Members: []citronpeer.Member{s.self}, Config: citronpeer.Document{Revision: s.config.Revision}, Engines: citronpeer.Document{Revision: s.list.revision},
+	}
+}
+
+// leaders are the nodes that place layers, which repair what is found dead.
+func (n *Node) leaders() []string {
+	var addrs []string
 	for _, m := range n.snap.Load().members {
-		if m.Leads && !slices.Contains(addrs, m.Peer) {
+		if m.Leads {
 			addrs = append(addrs, m.Peer)
 		}
 	}
@@ -166,8 +198,8 @@
 
 // knowledge is what this node tells one that knows other; bodies that the
 // other has are left out.
-func (s *snapshot) knowledge(other citronpeer.Knowledge) (citronpeer.Knowledge, error) {
-	k := citronpeer.Knowledge{Members: s.all(), Config: s.config}
+func (s *snapshot) knowledge(members []citronpeer.Member, other citronpeer.Knowledge) (citronpeer.Knowledge, error) {
+	k := citronpeer.Knowledge{Members: members, Config: s.config}
 	if other.Config.Revision >= k.Config.Revision {
 		k.Config.Body = nil
 	}
@@ -176,17 +208,30 @@
 	return k, err
 }
 
-// answer is this node's side of an exchange that another began.
-func (n *Node) answer(theirs citronpeer.Knowledge) citronpeer.Knowledge {
+// answerer is this node's side of what others begin.
+type answerer struct{ n *Node }
+
+// Exchange implements citronpeer.Answerer.
+func (a answerer) Exchange(theirs citronpeer.Knowledge) citronpeer.Knowledge {
+	s := a.n.snap.Load()
+	return a.n.answer(s, s.all(), theirs)
+}
+
+// News implements citronpeer.Answerer.
+func (a answerer) News(theirs citronpeer.Knowledge) citronpeer.Knowledge {
+	s := a.n.snap.Load()
+	return a.n.answer(s, []citronpeer.Member{s.self}, theirs)
+}
+
+// answer takes what another node tells and returns these members and the
+// documents that the other lacks.
+func (n *Node) answer(s *snapshot, members []citronpeer.Member, theirs citronpeer.Knowledge) citronpeer.Knowledge {
 	ctx := context.Background()
 	n.learn(ctx, theirs)
-	s := n.snap.Load()
-	if theirs.Config.Revision > s.config.Revision || theirs.Engines.Revision > s.list.revision {
-		for _, m := range theirs.Members[:min(1, len(theirs.Members))] {
-			go n.exchange(ctx, m.Peer)
-		}
+	if len(theirs.Members) > 0 && s.lacks(theirs) {
+		n.pull.from(ctx, n, theirs.Members[0].Peer, theirs)
 	}
-	k, err := s.knowledge(theirs)
+	k, err := s.knowledge(members, theirs)
 	if err != nil {
 		// Items are plain values; the other node asks again.
 		citronevent.Log(ctx, n.log, citronevent.EngineRejected, "key", "exchange", "err", err)
@@ -194,10 +239,55 @@
 	return k
 }
 
+// lacks reports whether another node has a newer document.
+func (s *snapshot) lacks(theirs citronpeer.Knowledge) bool {
+	return theirs.Config.Revision > s.config.Revision || theirs.Engines.Revision > s.list.revision
+}
+
+// puller fetches documents one after the other. Many nodes tell of the same
+// version at once; one of them is asked, and while it is, only the newest
+// offer is remembered.
+type puller struct {
+	mu   sync.Mutex
+	busy bool
+	addr string
+	has  citronpeer.Knowledge
+}
+
+// from has the documents fetched that the node at addr has.
+func (p *puller) from(ctx context.Context, n *Node, addr string, has citronpeer.Knowledge) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.busy && has.Config.Revision <= p.has.Config.Revision && has.Engines.Revision <= p.has.Engines.Revision {
+		return
+	}
+	p.addr, p.has = addr, has
+	if !p.busy {
+		p.busy = true
+		go p.run(ctx, n)
+	}
+}
+
+// run fetches until this node has what was offered, or the offers are used up.
+func (p *puller) run(ctx context.Context, n *Node) {
+	for {
+		p.mu.Lock()
+		addr, has := p.addr, p.has
+		p.addr = ""
+		if addr == "" || !n.snap.Load().lacks(has) {
+			p.busy = false
+			p.mu.Unlock()
+			return
+		}
+		p.mu.Unlock()
+		n.fetch(ctx, addr)
+	}
+}
+
 func (n *Node) learn(ctx context.Context, k citronpeer.Knowledge) {
 	n.send(ctx, membersSeen{k.Members})
 	if len(k.Config.Body) > 0 {
-		n.send(ctx, configSeen{body: k.Config.Body, source: "node"})
+		n.offerConfig(ctx, k.Config.Revision, k.Config.Body, sourceNode)
 	}
 	if len(k.Engines.Body) == 0 {
 		return
@@ -208,8 +298,8 @@
 		return
 	}
 	if k.Engines.Base > 0 {
-		n.send(ctx, listChanged{items: items, base: k.Engines.Base, revision: k.Engines.Revision, source: "node"})
+		n.send(ctx, listChanged{items: items, base: k.Engines.Base, revision: k.Engines.Revision, source: sourceNode})
 		return
 	}
-	n.send(ctx, listSeen{items: items, revision: k.Engines.Revision, source: "node"})
+	n.send(ctx, listSeen{items: items, revision: k.Engines.Revision, source: sourceNode})
 }
--- a/citronnode/list.go
+++ b/citronnode/list.go
@@ -46,6 +46,7 @@
 	if m.revision <= c.listRev && c.listRev > 0 {
 		return
 	}
+	c.firsthand = m.source == sourceStore
 	seen := map[string]bool{}
 	for _, it := range m.items {
 		seen[it.Key] = true
@@ -66,6 +67,7 @@
 	if m.revision <= c.listRev || m.base > c.listRev || c.listRev == 0 {
 		return // old news, or changes of a list that this node does not have
 	}
+	c.firsthand = m.source == sourceStore
 	for _, it := range m.items {
 		if it.Revision <= c.listRev {
 			continue
@@ -112,7 +114,7 @@
 	if had && old.engine.ID != l.engine.ID {
 		c.end(ctx, old.engine, l.engine.ID)
 	}
-	if !had || old.engine != l.engine || !old.lapsed.IsZero() {
+	if c.firsthand && (!had || old.engine != l.engine || !old.lapsed.IsZero()) {
 		citronevent.Log(ctx, c.n.log, citronevent.EnginesChanged, "engine", e.ID, "peer", e.Addr, "service", e.Service, "zone", e.Zone, "kind", e.Kind, "from", e.Layers.From, "to", e.Layers.To, "leaving", e.Leaving)
 	}
 	delete(c.rejected, it.Key)
@@ -186,7 +188,7 @@
 		}
 	}
 	if len(starts) > len(c.self.Starts) {
-		c.n.tell()
+		c.n.alarm()
 	}
 	c.self.Starts = starts
 }
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -75,8 +75,13 @@
 	leaving atomic.Bool
 	// leftAt is when the node began to stop.
 	leftAt atomic.Pointer[time.Time]
-	// news wakes the gossip loop when a document changed.
-	news chan struct{}
+	// news wakes the gossip loop when a document changed here, alarms when
+	// the leader has to hear of it too.
+	news, alarms chan struct{}
+	// configs is where decoded configurations wait for the control loop.
+	configs configInbox
+	// pull fetches documents that other nodes told of.
+	pull puller
 	// answered is how many of the followed prefixes the store answers.
 	answered atomic.Int64
 	// storeTrouble is when a call to the store last failed.
@@ -117,6 +122,8 @@
 		peers:   &citronpeer.Client{HC: hc, Timeout: exchangeTimeout},
 		control: make(chan message, inboxSize),
 		news:    make(chan struct{}, 1),
+		alarms:  make(chan struct{}, 1),
+		configs: newConfigInbox(src.DecodeConfig),
 	}
 	n.snap.Store(&snapshot{self: citronpeer.Member{Name: set.Name, Zone: set.Zone, Front: set.Front, Peer: set.Peer, Started: clock.Now().UnixNano()}})
 	return n
@@ -144,7 +151,7 @@
 }
 
 // Handle mounts what other nodes call.
-func (n *Node) Handle(mux *http.ServeMux) { citronpeer.Handle(mux, n.answer) }
+func (n *Node) Handle(mux *http.ServeMux) { citronpeer.Handle(mux, answerer{n}) }
 
 // Run keeps the node up to date until ctx ends.
 func (n *Node) Run(ctx context.Context) {
@@ -212,9 +219,15 @@
 
 const drainPoll = 50 * time.Millisecond
 
-func (n *Node) tell() {
+// tell has other nodes hear soon that a document changed here.
+func (n *Node) tell() { wake(n.news) }
+
+// alarm has the leader hear of it too.
+func (n *Node) alarm() { wake(n.alarms) }
+
+func wake(c chan<- struct{}) {
 	select {
-	case n.news <- struct{}{}:
+	case c <- struct{}{}:
 	default: // a wake-up is pending already
 	}
 }
--- a/citronnode/sources.go
+++ b/citronnode/sources.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronevent"
@@ -85,7 +86,7 @@
 	if config {
 		n.sendConfig(ctx, items)
 	} else {
-		n.send(ctx, listSeen{items: items, revision: rev, source: "store"})
+		n.send(ctx, listSeen{items: items, revision: rev, source: sourceStore})
 	}
 	for ctx.Err() == nil {
 		if n.watchersBefore() >= mostWatchers {
@@ -101,7 +102,7 @@
 			n.sendConfig(ctx, events)
 			continue
 		}
-		n.send(ctx, listChanged{items: events, revision: rev, source: "store"})
+		n.send(ctx, listChanged{items: events, revision: rev, source: sourceStore})
 		if len(events) > 0 {
 			_ = n.clock.Sleep(ctx, gather)
 		}
@@ -204,10 +205,13 @@
 	return wait
 }
 
+// sendConfig takes the last of the configurations that a read brought; those
+// before it are overtaken.
 func (n *Node) sendConfig(ctx context.Context, items []citronkv.Item) {
-	for _, it := range items {
+	for _, it := range slices.Backward(items) {
 		if it.Key == n.src.ConfigKey && !it.Deleted {
-			n.send(ctx, configSeen{body: it.Value, source: "store"})
+			n.offerConfig(ctx, 0, it.Value, sourceStore)
+			return
 		}
 	}
 }
--- a/citronpeer/peer.go
+++ b/citronpeer/peer.go
@@ -88,15 +88,57 @@
 	Engines Document `json:"engines"`
 }
 
-const procedure = "/citron.peer/Exchange"
+const (
+	procedureExchange = "/citron.peer/Exchange"
+	procedureNews     = "/citron.peer/News"
+	// mostExchanges is how many exchanges a node serves at once. Each holds
+	// the decoded members of the whole fleet; a node that stood still for a
+	// moment is met by all that waited, and held 180 MB then. Who is turned
+	// away asks another node in its next round.
+	mostExchanges = 8
+	// mostNews is the same for news, which is of one node and small.
+	mostNews = 64
+	// smallMessage is below what compressing a message gains.
+	smallMessage = 1 << 10
+)
+
+// Answerer is a node's side of what others begin.
+type Answerer interface {
+	// Exchange gets what another node knows and returns what this one knows,
+	// with the bodies that the other lacks.
+	Exchange(Knowledge) Knowledge
+	// News is Exchange where both tell of no members but themselves.
+	News(Knowledge) Knowledge
+}
 
-// Handle mounts the exchange on mux. answer gets what the other node knows
-// and returns what this one knows, with the bodies that the other lacks.
-func Handle(mux *http.ServeMux, answer func(Knowledge) Knowledge) {
-	citronwire.Handle(mux, procedure, func(_ context.Context, m *exchangeMessage) (*exchangeMessage, error) {
+// Handle mounts the procedures of a node on mux.
+func Handle(mux *http.ServeMux, a Answerer) {
+	handle(mux, procedureExchange, mostExchanges, a.Exchange)
+	handle(mux, procedureNews, mostNews, a.News)
+}
+
+func handle(mux *http.ServeMux, procedure string, most int, answer func(Knowledge) Knowledge) {
+	inner := http.NewServeMux()
+	citronwire.Handle(inner, procedure, func(_ context.Context, m *exchangeMessage) (*exchangeMessage, error) {
 		a := exchangeMessage(answer(Knowledge(*m)))
 		return &a, nil
-	}, citronwire.FastGzipHandler)
+	}, citronwire.FastGzipHandler, connect.WithCompressMinBytes(smallMessage))
+	mux.Handle(procedure, limited(inner, most))
+}
+
+// limited turns away what comes while so many requests are being served,
+// before anything of it is read.
+func limited(h http.Handler, most int) http.Handler {
+	places := make(chan struct{}, most)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case places <- struct{}{}:
+			defer func() { <-places }()
+			h.ServeHTTP(w, r)
+		default:
+			w.WriteHeader(http.StatusTooManyRequests)
+		}
+	})
 }
 
 // Client asks other nodes.
@@ -108,12 +150,22 @@
 // Exchange tells the node at addr what this one knows and returns what that
 // one knows.
 func (c *Client) Exchange(ctx context.Context, addr string, k Knowledge) (Knowledge, error) {
+	return c.call(ctx, addr, procedureExchange, k)
+}
+
+// News tells the node at addr of this one and which documents it has, and
+// returns those that this one lacks.
+func (c *Client) News(ctx context.Context, addr string, k Knowledge) (Knowledge, error) {
+	return c.call(ctx, addr, procedureNews, k)
+}
+
+func (c *Client) call(ctx context.Context, addr, procedure string, k Knowledge) (Knowledge, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
 	m := exchangeMessage(k)
 	// Members repeat the same names; compressed, a message of nine is a
 	// quarter as long, and bytes between zones are dear.
-	res, err := citronwire.NewUnary[exchangeMessage, exchangeMessage](c.HC, "http://"+addr, procedure, citronwire.FastGzipClient, connect.WithSendGzip()).Call(ctx, &m)
+	res, err := citronwire.NewUnary[exchangeMessage, exchangeMessage](c.HC, "http://"+addr, procedure, citronwire.FastGzipClient, connect.WithSendGzip(), connect.WithCompressMinBytes(smallMessage)).Call(ctx, &m)
 	if err != nil {
 		return Knowledge{}, err
 	}
--- a/citronpeer/peer_test.go
+++ b/citronpeer/peer_test.go
@@ -21,16 +21,22 @@
 	}
 }
 
+// answering answers exchanges and news alike.
+type answering func(citronpeer.Knowledge) citronpeer.Knowledge
+
+func (a answering) Exchange(k citronpeer.Knowledge) citronpeer.Knowledge { return a(k) }
+func (a answering) News(k citronpeer.Knowledge) citronpeer.Knowledge     { return a(k) }
+
 // What one node tells is what the other hears, both ways.
 func TestExchange(t *testing.T) {
 	is := is.New(t)
 	mux := http.NewServeMux()
 	var heard citronpeer.Knowledge
 	answer := citronpeer.Knowledge{Members: []citronpeer.Member{member(2)}, Config: citronpeer.Document{Revision: 9, Body: []byte("nine")}}
-	citronpeer.Handle(mux, func(k citronpeer.Knowledge) citronpeer.Knowledge {
+	citronpeer.Handle(mux, answering(func(k citronpeer.Knowledge) citronpeer.Knowledge {
 		heard = k
 		return answer
-	})
+	}))
 	hs := httptest.NewServer(mux)
 	defer hs.Close()
 	c := &citronpeer.Client{HC: hs.Client(), Timeout: 30 * time.Second}
@@ -73,7 +79,7 @@
 		}
 		var size int64
 		mux := http.NewServeMux()
-		citronpeer.Handle(mux, func(citronpeer.Knowledge) citronpeer.Knowledge { return citronpeer.Knowledge{} })
+		citronpeer.Handle(mux, answering(func(citronpeer.Knowledge) citronpeer.Knowledge { return citronpeer.Knowledge{} }))
 		hs := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			size = r.ContentLength
 			mux.ServeHTTP(w, r)
--- a/citronplacer/placer.go
+++ b/citronplacer/placer.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronclock"
@@ -55,6 +56,8 @@
 	// dead are engines that did not answer this node's own question, or
 	// that several nodes found dead; checked is when one was last asked.
 	dead, checked map[string]time.Time
+	// doubts is when an engine that only one node misses did not answer.
+	doubts map[string]time.Time
 	// joined is when an engine was first listed.
 	joined map[string]time.Time
 	// touched: something that placement depends on has changed since the
@@ -69,7 +72,8 @@
 
 // Run places layers until ctx ends.
 func (p *Placer) Run(ctx context.Context) {
-	p.goals, p.dead, p.checked, p.joined = p.inherit(), map[string]time.Time{}, map[string]time.Time{}, map[string]time.Time{}
+	p.goals = p.inherit()
+	p.dead, p.checked, p.doubts, p.joined = map[string]time.Time{}, map[string]time.Time{}, map[string]time.Time{}, map[string]time.Time{}
 	p.since = p.Clock.Now()
 	var orders sync.WaitGroup
 	defer orders.Wait()
@@ -259,6 +263,13 @@
 	checkTimeout = 350 * time.Millisecond
 )
 
+const (
+	// doubtPause is the time between the two questions that a leader asks an
+	// engine that only one node misses; doubtFor is how long the first counts.
+	doubtPause = 200 * time.Millisecond
+	doubtFor   = 2 * time.Second
+)
+
 const (
 	// sureReports is how many nodes must have found an engine dead for the
 	// leader to wait only sureTimeout for its answer: an engine that has gone
@@ -309,6 +320,10 @@
 		p.mark(p.checked, e.ID, time.Time{}) // asked again at once
 		return
 	}
+	if reports < sureReports && !errors.Is(err, syscall.ECONNREFUSED) && !p.doubted(e.ID, now) {
+		p.mark(p.checked, e.ID, now.Add(doubtPause-checkAgain)) // asked again soon
+		return
+	}
 	p.mark(p.dead, e.ID, now)
 	citronevent.Log(ctx, p.Log, citronevent.EngineDead, "engine", e.ID, "peer", e.Addr, "reports", reports, "err", err)
 }
@@ -326,6 +341,22 @@
 	return true
 }
 
+// doubted notes that an engine did not answer, and reports whether it did not
+// the last time either.
+//
+// One silence proves nothing where nobody else complains: a leader short of
+// processor time misses answers, and then those of many engines at once. In a
+// burst after twelve crashes one called thirty sound engines dead within three
+// seconds, each of which had its zone divided anew. An engine that refuses
+// connections, or that several nodes miss, is believed dead at once.
+func (p *Placer) doubted(id string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	last, ok := p.doubts[id]
+	p.doubts[id] = now
+	return ok && now.Sub(last) < doubtFor
+}
+
 func (p *Placer) checkedAt(id string) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/citronplacer/placer_test.go
+++ b/citronplacer/placer_test.go
@@ -35,15 +35,21 @@
 	state citronplace.EngineState
 	asked []string
 	given []given
-	// dead is the address of an engine that does not answer.
-	dead  string
-	place func(n int) error
+	// dead is the address of an engine that does not answer, misses how often
+	// one does not before it answers again.
+	dead   string
+	misses map[string]int
+	place  func(n int) error
 }
 
 func (e *engines) State(_ context.Context, addr string) (citronplace.EngineState, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.asked = append(e.asked, addr)
+	if e.misses[addr] > 0 {
+		e.misses[addr]--
+		return citronplace.EngineState{}, errors.New("no answer")
+	}
 	if addr == e.dead {
 		return citronplace.EngineState{}, errors.New("no answer")
 	}
@@ -230,3 +236,27 @@
 	eventually(t, "the later start is noted", func() bool { return len(s.View.StartedAnew()) == 1 })
 	is.Equal(len(e.orders()), 0)
 }
+
+// At the peak of a burst the leader is short of processor time. It misses the
+// answer of an engine, its own traffic calls that engine dead, and it misses
+// the answer to its question too; no other node complains. The engine is
+// asked once more before anything is moved: called dead at once, thirty sound
+// engines were replaced within three seconds, and their zones with them.
+func TestOneSilenceIsNoDeath(t *testing.T) {
+	s := state(engine("e1", 0, 4), engine("e2", 4, 8))
+	s.Dead["e2"] = 1
+	e := &engines{misses: map[string]int{"e2": 1}}
+	run(t, e, s)
+	time.Sleep(1200 * time.Millisecond)
+	is.New(t).Equal(len(e.orders()), 0)
+}
+
+// The same engine does not answer the second question either: it is dead,
+// though only one node has streams there, and its layers are placed.
+func TestTwoSilencesAreADeath(t *testing.T) {
+	s := state(engine("e1", 0, 4), engine("e2", 4, 8), engine("e3", 0, 4))
+	s.Dead["e2"] = 1
+	e := &engines{dead: "e2"}
+	run(t, e, s)
+	eventually(t, "an order for the hole", func() bool { return len(e.orders()) > 0 })
+}
