Spare memory of a zone covers layers, instead of caching for nobody

A zone of the new site held 80 layers with cache for 347,000 tokens an engine, where its streams take about 70,000 at the peak. Engines that are not needed for the copy repeat what is held once, up to the cache that the requests of one first engine can fill (places x usual tokens, as the service declares).

Change: usefulCache bounds the even cache; cover takes the place of repeating the first layers only; a neighbour gives up shared layers only where one of the two is weak, or it would take covered layers away again.

Ruled out: more copies for small zones (no memory: 295, 259 and 209 GB against 140 a copy); covering first layers only (as before: helps no crash behind them).

--- a/citronplace/balance.go
+++ b/citronplace/balance.go
@@ -69,12 +69,12 @@
 
 // shed has one of two neighbours that hold the same layers give them up: the
 // one after which the smaller cache of the two is larger.
-func shed(spec citronmodel.Spec, engines []Engine) Plan {
+func shed(spec citronmodel.Spec, engines []Engine, even float64) Plan {
 	order := chain(engines, spares(spec, engines, nil))
 	for i := 0; i+1 < len(order); i++ {
 		a, b := order[i], order[i+1]
 		both := overlap(a.Layers, b.Layers)
-		if both.Empty() || both == a.Layers || both == b.Layers {
+		if both.Empty() || both == a.Layers || both == b.Layers || !weak(spec, a, even) && !weak(spec, b, even) {
 			continue
 		}
 		left, right := a.Layers.Len()-both.Len(), b.Layers.Len()-both.Len()
--- a/citronplace/copies.go
+++ b/citronplace/copies.go
@@ -109,7 +109,7 @@
 func decideCopies(spec citronmodel.Spec, engines []Engine, served []citronmodel.Span) Plan {
 	n := copies(spec, engines)
 	if n == 1 {
-		return decideZone(spec, engines, served)
+		return decideZone(spec, engines, served, anywhere)
 	}
 	groups, free := split(engines, n)
 	if !slices.ContainsFunc(engines, func(e Engine) bool { return !e.Goal.Empty() }) {
@@ -128,13 +128,13 @@
 		part := improveCopy(spec, g.engines, free)
 		if missing(spec, all) > 0 {
 			whole = false
-			part = decideZone(spec, all, slices.Concat(served, spans(groups, i)))
+			part = decideZone(spec, all, slices.Concat(served, spans(groups, i)), withinOne)
 		}
 		maps.Copy(plan, part)
 		free = slices.DeleteFunc(free, func(e Engine) bool { _, used := plan[e.ID]; return used })
 	}
 	if whole && len(plan) == 0 {
-		return fillSpares(spec, engines, plan)
+		return cover(spec, engines, plan, withinOne)
 	}
 	return plan
 }
@@ -144,7 +144,7 @@
 // one copy (balance): which copy an engine belongs to is told by where it
 // begins, and that would change on the way.
 func improveCopy(spec citronmodel.Spec, engines, free []Engine) Plan {
-	even := evenCache(spec, engines)
+	even := usefulCache(spec, engines)
 	all := slices.Concat(engines, free)
 	for _, e := range all {
 		if e.Goal != e.Layers {
@@ -197,7 +197,7 @@
 	}
 	plan := Plan{}
 	for _, part := range parts {
-		maps.Copy(plan, decideZone(spec, part, nil))
+		maps.Copy(plan, decideZone(spec, part, nil, withinOne))
 	}
 	return plan
 }
--- a/citronplace/improve.go
+++ b/citronplace/improve.go
@@ -16,7 +16,7 @@
 // a repair in haste one engine may hold so much that it limits all others.
 // A spare repeats some of its layers, and once it has them the weak engine
 // gives up those. One step is taken at a time, when no order is under way.
-func improve(spec citronmodel.Spec, engines []Engine, even float64) Plan {
+func improve(spec citronmodel.Spec, engines []Engine, even float64, within reach) Plan {
 	for _, e := range engines {
 		if e.Goal != e.Layers {
 			return Plan{}
@@ -31,7 +31,7 @@
 	if plan := balance(spec, engines, even); gains(spec, engines, plan, even) {
 		return plan
 	}
-	return fillSpares(spec, engines, Plan{})
+	return cover(spec, engines, Plan{}, within)
 }
 
 // dropRepeated has an engine give up layers that another has taken in for it.
@@ -41,7 +41,7 @@
 			return Plan{e.ID: {Span: s}}
 		}
 	}
-	return shed(spec, engines)
+	return shed(spec, engines, even)
 }
 
 // stepGain is by how much a step must lower a zone's strain.
--- a/citronplace/plan.go
+++ b/citronplace/plan.go
@@ -92,16 +92,16 @@
 	return out
 }
 
-func decideZone(spec citronmodel.Spec, engines []Engine, served []citronmodel.Span) Plan {
-	even := evenCache(spec, engines)
+func decideZone(spec citronmodel.Spec, engines []Engine, served []citronmodel.Span, within reach) Plan {
+	even := usefulCache(spec, engines)
 	gaps := Gaps(spec, engines)
 	switch {
 	case len(gaps) == 0:
-		return improve(spec, engines, even)
+		return improve(spec, engines, even, within)
 	case gaps[0].Len() == spec.Layers:
-		return divide(spec, engines, even*headroom, false)
+		return divide(spec, engines, even*headroom, false, within)
 	}
-	return repair(spec, engines, gaps, served, even)
+	return repair(spec, engines, gaps, served, even, within)
 }
 
 // Gaps returns the layers that no engine holds or was ordered to hold.
@@ -171,6 +171,22 @@
 	return low
 }
 
+// usefulCache is the even cache of a zone, as far as its requests can fill it.
+// Memory beyond that serves nobody as cache, and holds layers a second time
+// instead (cover).
+func usefulCache(spec citronmodel.Spec, engines []Engine) float64 {
+	return min(evenCache(spec, engines), fullCache(spec)/headroom)
+}
+
+// fullCache is the cache that the requests of one first engine take when all
+// its places are taken by usual requests, in tokens.
+func fullCache(spec citronmodel.Spec) float64 {
+	if spec.Slots <= 0 || spec.MeanTokens <= 0 {
+		return mostTokens
+	}
+	return float64(spec.Slots * spec.MeanTokens)
+}
+
 // current is what an engine holds once plan is carried out.
 func current(plan Plan, e Engine) citronmodel.Span {
 	if o, ok := plan[e.ID]; ok {
@@ -227,7 +243,7 @@
 
 // divide assigns all layers anew. Engines keep their order along the model,
 // so that as many layers as possible stay where they are.
-func divide(spec citronmodel.Spec, engines []Engine, tokens float64, cut bool) Plan {
+func divide(spec citronmodel.Spec, engines []Engine, tokens float64, cut bool, within reach) Plan {
 	counts, ok := allocate(spec, engines, tokens, spec.Layers)
 	if !ok {
 		return Plan{}
@@ -245,7 +261,7 @@
 		}
 		return a.Goal.From < b.Goal.From
 	})
-	return fillSpares(spec, engines, assign(order, counts, 0, cut))
+	return cover(spec, engines, assign(order, counts, 0, cut), within)
 }
 
 // assign gives the engines their counts of layers one after the other.
@@ -280,23 +296,3 @@
 	}
 	return counts, left == 0
 }
-
-// fillSpares has engines that hold nothing repeat the first layers.
-func fillSpares(spec citronmodel.Spec, engines []Engine, plan Plan) Plan {
-	var first citronmodel.Span
-	var kind string
-	for _, e := range engines {
-		if s := current(plan, e); s.From == 0 && !s.Empty() && (first.Empty() || s.Len() < first.Len()) {
-			first, kind = s, e.Kind
-		}
-	}
-	for _, e := range engines {
-		if !current(plan, e).Empty() || first.Empty() || e.Fresh {
-			continue
-		}
-		if capacity(spec, e.Kind, spec.CacheTokens(kind, first.Len())*headroom) >= first.Len() {
-			plan[e.ID] = Order{Span: first}
-		}
-	}
-	return plan
-}
--- a/citronplace/repair.go
+++ b/citronplace/repair.go
@@ -31,12 +31,12 @@
 )
 
 // repair fills gaps.
-func repair(spec citronmodel.Spec, engines []Engine, gaps, served []citronmodel.Span, even float64) Plan {
+func repair(spec citronmodel.Spec, engines []Engine, gaps, served []citronmodel.Span, even float64, within reach) Plan {
 	cut := !covered(gaps, served)
 	plan := standIns(spec, engines, gaps, even*standInShare)
 	engines = carriedOut(engines, plan)
 	if left := Gaps(spec, engines); len(left) > 0 {
-		maps.Copy(plan, move(spec, engines, left, even, cut))
+		maps.Copy(plan, move(spec, engines, left, even, cut, within))
 	}
 	return plan
 }
@@ -78,7 +78,7 @@
 // nothing from running requests, and balance evens the cache out later. An
 // engine that gives up layers first waits for the requests that run through
 // them, which lasts up to 15 s, or cuts them off.
-func move(spec citronmodel.Spec, engines []Engine, gaps []citronmodel.Span, even float64, cut bool) Plan {
+func move(spec citronmodel.Spec, engines []Engine, gaps []citronmodel.Span, even float64, cut bool, within reach) Plan {
 	share := extendShare
 	if !cut {
 		share = servedShare
@@ -95,7 +95,7 @@
 	if plan, ok := extend(spec, engines, gaps, even*poorShare, way(cut)); ok {
 		return plan
 	}
-	return divide(spec, engines, even*headroom, cut)
+	return divide(spec, engines, even*headroom, cut, within)
 }
 
 // giving says what spares that repeat layers may do to fill a gap.
