--- a/citronplace/plan.go
+++ b/citronplace/plan.go
@@ -52,6 +52,9 @@
 // has.
 type Plan map[string]Order
 
+// bytesPerMB converts the sizes that a model declares.
+const bytesPerMB = 1e6
+
 const (
 	// headroom is the part of the largest even cache that a new division
 	// aims for. Less than all of it leaves slow engines fewer layers,
@@ -133,7 +136,7 @@
 	if !ok || spec.Layers == 0 {
 		return 0
 	}
-	perLayer := spec.LayerMB + tokens*spec.TokenBytes/float64(spec.Layers)/1e6
+	perLayer := spec.LayerMB + tokens*spec.TokenBytes/float64(spec.Layers)/bytesPerMB
 	return min(int(math.Floor(k.MemoryMB/perLayer)), spec.MaxLayers(kind))
 }
 
