A refusal that names an engine is evidence for all, and silent streams leave it

Hypothesis: a stream whose engine died was silent for 490 to 780 ms (median) before its part was replaced, against an aim of 200, while the next request through that engine is refused within milliseconds and the refusal names it.

Change: the engine that is named is accused: the node leaves it alone, tells the nodes of its own and of the engine's zone in one message each, and a stream that is silent for 70 ms through an accused engine asks that one and is moved if it does not answer within 60 ms. Streams look when they are silent, not every 50 ms.

The pause is most often still over the aim, by the time in which a hundred streams' tokens are read again.

--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -69,6 +69,9 @@
 	// Current returns the newest state, nil before the first.
 	Current func() *State
 	Metrics *Metrics
+	// Accuse, if set, has other nodes hear of an engine that was named in a
+	// refusal.
+	Accuse func(*citronpool.Engine)
 	// Stopping tells whether and how far this node is stopping.
 	Stopping func() Stopping
 
--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -37,6 +37,14 @@
 const (
 	// checkEvery is how often a running stream looks at its path.
 	checkEvery = 50 * time.Millisecond
+	// quietAfter is the pause after which a stream that is silent looks again,
+	// every lookAgain: events are about 50 ms apart, a pause of 200 ms is late.
+	quietAfter = 70 * time.Millisecond
+	lookAgain  = 20 * time.Millisecond
+	// accusedSilence is how long an engine may take to answer that was named
+	// in a refusal and through which a stream is silent. It answers within a
+	// few milliseconds; both signs together are enough to move the stream.
+	accusedSilence = 60 * time.Millisecond
 	// ownPause between two looks means that this node stood still.
 	ownPause = 6 * checkEvery
 	// silentAfter is the pause after which the engines are asked. Events
@@ -82,6 +90,7 @@
 	reasonDead    = "dead"
 	reasonStalled = "stalled"
 	reasonLeaving = "leaving"
+	reasonAccused = "accused"
 )
 
 // action is what a check of a running stream calls for.
@@ -96,7 +105,7 @@
 type watch struct {
 	s       *streamJob
 	ctx     context.Context
-	ticker  *time.Ticker
+	timer   *time.Timer
 	reports chan reportResult
 	moves   chan moveResult
 	asking  bool
@@ -111,6 +120,11 @@
 	// bad is the part to be replaced, and reason why.
 	bad    citronpath.Hop
 	reason string
+	// accused is the answer of the engine that was named in a refusal, asked
+	// at accusedAt.
+	accused   chan error
+	accusedAt time.Time
+	accusedIs string
 	// crossAt is when the stream goes to another zone.
 	crossAt time.Time
 	// leftAt is when a leaving engine was first seen on the path.
@@ -130,12 +144,28 @@
 }
 
 func newWatch(ctx context.Context, s *streamJob) *watch {
-	w := &watch{s: s, ctx: ctx, ticker: time.NewTicker(checkEvery), reports: make(chan reportResult, 1), moves: make(chan moveResult, 1)}
-	context.AfterFunc(ctx, w.ticker.Stop)
+	w := &watch{s: s, ctx: ctx, timer: time.NewTimer(checkEvery), reports: make(chan reportResult, 1), moves: make(chan moveResult, 1)}
+	context.AfterFunc(ctx, func() { w.timer.Stop() })
 	return w
 }
 
-func (w *watch) tick() <-chan time.Time { return w.ticker.C }
+// tick is when a silent stream is to be checked.
+func (w *watch) tick() <-chan time.Time { return w.timer.C }
+
+// quiet is called when tick has fired.
+func (w *watch) quiet() action {
+	w.timer.Reset(lookAgain)
+	return w.check()
+}
+
+// progress is called when an event has been passed on.
+func (w *watch) progress() action {
+	w.timer.Reset(quietAfter)
+	if w.s.lastAt.Sub(w.checkedAt) < checkEvery {
+		return goOn
+	}
+	return w.check()
+}
 
 // check looks at the path and says whether the run has to be replaced.
 func (w *watch) check() action {
@@ -168,6 +198,9 @@
 		since = w.s.pathSince
 	}
 	silence := now.Sub(since)
+	if bad := w.accusedPart(now, silence); bad >= 0 {
+		return w.replace(bad, reasonAccused)
+	}
 	if silence > checkEvery*3 {
 		if bad := w.deadPart(since); bad >= 0 {
 			return w.replace(bad, reasonDead)
@@ -202,6 +235,54 @@
 	return -1
 }
 
+// accusedPart returns the first hop of a silent stream whose engine was named in
+// a refusal and gives no sign of life either, or -1.
+func (w *watch) accusedPart(now time.Time, silence time.Duration) int {
+	if silence < quietAfter {
+		w.accused = nil
+		return -1
+	}
+	for i, h := range w.s.path {
+		if !h.Engine.Accused(now) && w.accusedIs != h.Engine.ID {
+			continue
+		}
+		if w.accused == nil {
+			w.askAccused(h.Engine, now)
+			return -1
+		}
+		if w.accusedIs != h.Engine.ID {
+			continue
+		}
+		select {
+		case err := <-w.accused:
+			if err != nil {
+				return i
+			}
+			w.accusedIs = "" // it answers: full, or giving up layers
+			return -1
+		default:
+			if now.Sub(w.accusedAt) > accusedSilence {
+				return i
+			}
+		}
+	}
+	return -1
+}
+
+func (w *watch) askAccused(e *citronpool.Engine, now time.Time) {
+	answer := make(chan error, 1)
+	w.accused, w.accusedAt, w.accusedIs = answer, now, e.ID
+	go func() {
+		r, err := w.s.f.probes.Ask(w.ctx, w.s.f.Upstream, e.Addr, accusedSilence)
+		if err == nil {
+			citronprobe.Heard(e, r, w.s.f.Clock.Now())
+		} else if w.ctx.Err() == nil {
+			citronprobe.Dead(e, err, w.s.f.Clock.Now())
+		}
+		answer <- err
+	}()
+}
+
 // leavingPart returns the first hop whose engine is leaving, once this
 // stream's turn to move has come, or -1.
 func (w *watch) leavingPart(now time.Time) int {
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -290,7 +290,7 @@
 		case <-ctx.Done():
 			return callerLeft
 		case <-w.tick():
-			if w.check() == replaceRun {
+			if w.quiet() == replaceRun {
 				return brokenRun
 			}
 		}
@@ -346,10 +346,13 @@
 			if v, done := s.pass(reply, e.event); done {
 				return v
 			}
+			if w.progress() == replaceRun {
+				return brokenRun
+			}
 		case <-ctx.Done():
 			return callerLeft
 		case <-w.tick():
-			if w.check() == replaceRun {
+			if w.quiet() == replaceRun {
 				return brokenRun
 			}
 		}
--- a/citronforward/stream_test.go
+++ b/citronforward/stream_test.go
@@ -477,3 +477,80 @@
 	is.Equal(got.body, events(1, 4))
 	is.Equal(len(r.engines.seen()), 3)
 }
+
+// An engine in the middle of a path goes dark at the peak: it neither refuses
+// connections nor answers. The next request that is sent through it is refused
+// and the refusal names it, while the streams through it only fall silent. The
+// two signs together have to move a stream within some 150 ms: waiting until
+// the engine has not answered in time had streams pause for 0.6 to 0.9 s.
+func TestSilentStreamLeavesAccusedEngine(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, engine("m1", "a", 0, 4), engine("m2", "a", 4, 8), engine("m3", "a", 4, 8))
+	moved := make(chan struct{})
+	var dark atomic.Pointer[citronpool.Engine]
+	r.engines.answer = func(ctx context.Context, _ int, c citronupstream.Call) (*citronupstream.Reply, error) {
+		dark.Store(c.Hops[1].Engine)
+		return stuckUntil(ctx, moved), nil
+	}
+	never := make(chan struct{})
+	t.Cleanup(func() { close(never) })
+	r.engines.report = func(addr string) (citronupstream.Report, error) {
+		if e := dark.Load(); e != nil && addr == e.Addr {
+			<-never
+		}
+		return citronupstream.Report{}, nil
+	}
+	r.engines.repath = func(citronpath.Path) error {
+		close(moved)
+		return nil
+	}
+	go func() {
+		for dark.Load() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		dark.Load().Accuse(time.Now(), 0) // by a refusal of another request
+	}()
+	got := r.ask("stream", 5*time.Second)
+	is.Equal(got.body, events(1, 4)) // the engine's own silence is never over here
+	is.Equal(len(r.engines.repaths), 1)
+}
+
+// The engine that was named is only full, or gives up layers: it answers. A
+// stream that happens to pause must not be moved for it, or all streams of a
+// full engine would have their tokens read again.
+func TestAccusedEngineThatAnswersKeepsItsStreams(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, engine("m1", "a", 0, 4), engine("m2", "a", 4, 8), engine("m3", "a", 4, 8))
+	resumed := make(chan struct{})
+	r.engines.answer = func(ctx context.Context, _ int, c citronupstream.Call) (*citronupstream.Reply, error) {
+		c.Hops[1].Engine.Accuse(time.Now(), 0)
+		time.AfterFunc(220*time.Millisecond, func() { close(resumed) })
+		return stuckUntil(ctx, resumed), nil
+	}
+	is.Equal(r.ask("stream", 5*time.Second).body, events(1, 4))
+	is.Equal(len(r.engines.repaths), 0)
+	is.Equal(len(r.engines.seen()), 1)
+}
+
+// A request is refused because of an engine of its path. Other nodes are told
+// once, not for each request that meets the same engine.
+func TestRefusalIsToldOnce(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, engine("m1", "a", 0, 4), engine("m2", "a", 4, 8), engine("n1", "b", 0, 8))
+	var told atomic.Int64
+	r.Accuse = func(e *citronpool.Engine) {
+		if e.ID == "m2" {
+			told.Add(1)
+		}
+	}
+	r.engines.answer = func(_ context.Context, _ int, c citronupstream.Call) (*citronupstream.Reply, error) {
+		if c.Engine.ID == "m1" {
+			return shed("m2:1"), nil
+		}
+		return reply(200, events(1, 2)), nil
+	}
+	for range 5 {
+		is.Equal(r.ask("stream", time.Second).body, events(1, 2))
+	}
+	is.Equal(told.Load(), int64(1))
+}
--- a/citronforward/whole.go
+++ b/citronforward/whole.go
@@ -165,7 +165,9 @@
 	now := j.f.Clock.Now()
 	if at, ok := j.f.Current().View.ByAddr(reply.Fault); reply.Fault != "" && ok {
 		j.avoid[at.ID] = true
-		at.Busy(now, busyPause)
+		if at.Accuse(now, busyPause) && j.f.Accuse != nil {
+			j.f.Accuse(at)
+		}
 		// It may be full, or dead, which the running streams need to know.
 		go j.f.probe(context.Background(), at, citronprobe.Fresh)
 		return
--- a/citronnode/gossip.go
+++ b/citronnode/gossip.go
@@ -227,6 +227,7 @@
 // documents that the other lacks.
 func (n *Node) answer(s *snapshot, members []citronpeer.Member, theirs citronpeer.Knowledge) citronpeer.Knowledge {
 	ctx := context.Background()
+	n.hearAccused(theirs.Accused)
 	n.learn(ctx, theirs)
 	if len(theirs.Members) > 0 && s.lacks(theirs) {
 		n.pull.from(ctx, n, theirs.Members[0].Peer, theirs)
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -78,6 +78,8 @@
 	// news wakes the gossip loop when a document changed here, alarms when
 	// the leader has to hear of it too.
 	news, alarms chan struct{}
+	// accused is when this node last told others of an accused engine.
+	accused atomic.Pointer[time.Time]
 	// configs is where decoded configurations wait for the control loop.
 	configs configInbox
 	// pull fetches documents that other nodes told of.
--- a/citronnode/node_test.go
+++ b/citronnode/node_test.go
@@ -298,3 +298,28 @@
 	}
 	eventually(t, "an order fills the hole", func() bool { return f.orders.count() > before })
 }
+
+// One node is refused because of an engine. The others of its zone hear of it
+// in one message and leave the engine alone for a moment, instead of each
+// having a request of its own refused.
+func TestAccusationReachesTheZone(t *testing.T) {
+	f := newFleet(t)
+	f.config("1")
+	for _, e := range engines(2) {
+		e.Zone = "z1"
+		f.engine(e)
+	}
+	a, b := f.add("a", "z1"), f.add("b", "z1")
+	eventually(t, "both nodes know the engines and each other", func() bool {
+		return a.usable() == 2 && b.usable() == 2 && len(a.Addresses("z1")) == 2
+	})
+	eventually(t, "the other node avoids the accused engine", func() bool {
+		at, _ := a.Traffic().View.ByID("e1")
+		at.Accuse(time.Now(), 0)
+		a.Accuse(at)
+		time.Sleep(20 * time.Millisecond)
+		there, _ := b.Traffic().View.ByID("e1")
+		other, _ := b.Traffic().View.ByID("e0")
+		return there.Accused(time.Now()) && !there.Usable(time.Now()) && other.Usable(time.Now())
+	})
+}
--- a/citronpeer/peer.go
+++ b/citronpeer/peer.go
@@ -80,12 +80,15 @@
 	Members []Member
 	Config  Document
 	Engines Document
+	// Accused are ids of engines that have just been named in a refusal.
+	Accused []string
 }
 
 type exchangeMessage struct {
 	Members []Member `json:"members"`
 	Config  Document `json:"config"`
 	Engines Document `json:"engines"`
+	Accused []string `json:"accused,omitempty"`
 }
 
 const (
--- a/citronpool/pool.go
+++ b/citronpool/pool.go
@@ -44,6 +44,9 @@
 	slowdown, slowAt atomic.Int64
 	// ended: its address refuses connections, or is another's by now.
 	ended atomic.Bool
+	// accusedAt is when an engine that was to hand a request on to it last
+	// refused the request and named it, in nanoseconds since epoch.
+	accusedAt atomic.Int64
 	// laterStart is when the engine started anew, by its own report.
 	laterStart atomic.Int64
 	// misplacedUntil is how long it is left alone because it said that it
@@ -102,6 +105,28 @@
 	s.deadSince.Store(since(now))
 }
 
+// accusedFor is how long an accusation counts: until the engine's death is
+// certain, or news of what it holds has come.
+const accusedFor = 500 * time.Millisecond
+
+// Accuse notes that an engine refused a request and named this one. It is dead,
+// leaving, giving up layers or short of memory; all of these are over or known
+// in other ways within a moment. It reports whether that is news.
+func (s *State) Accuse(now time.Time, wait time.Duration) bool {
+	news := !s.Accused(now)
+	s.accusedAt.Store(since(now))
+	if until := since(now.Add(wait)); s.avoidUntil.Load() < until {
+		s.avoidUntil.Store(until)
+	}
+	return news
+}
+
+// Accused reports whether the engine was named in a refusal just now.
+func (s *State) Accused(now time.Time) bool {
+	at := s.accusedAt.Load()
+	return at != 0 && since(now)-at < int64(accusedFor)
+}
+
 // Suspect leaves alone for a moment an engine that another node has found
 // dead.
 func (s *State) Suspect(now time.Time) {
