An engine that holds nothing and never had an order has started anew

They answer questions, so they are not dead, while the list goes on telling the layers of the start before for three heartbeats; every request through them is refused, and the leader sees no hole. One that holds layers has accepted an order; one that has accepted none cannot hold what the list says.

Change: such a report ends the earlier start for the node that asked and for the leader, as a later start or another id at the address does; the engine gets no work until its new entry comes.

--- a/citronnode/list.go
+++ b/citronnode/list.go
@@ -168,8 +168,7 @@
 		return
 	}
 	if seen, ok := c.view.ByID(e.ID); ok {
-		seen.Dead(c.n.clock.Now())
-		seen.End()
+		seen.Replace(c.n.clock.Now())
 	}
 }
 
--- a/citronplacer/placer.go
+++ b/citronplacer/placer.go
@@ -230,6 +230,10 @@
 			delete(p.goals, e.ID)
 			continue
 		}
+		if seen, ok := s.View.ByID(e.ID); ok && seen.Replaced() {
+			delete(p.goals, e.ID) // what it held is a hole; what is in its place has an entry of its own
+			continue
+		}
 		if e.Leaving {
 			delete(p.goals, e.ID)
 			served[e.Zone] = append(served[e.Zone], e.Layers)
@@ -332,12 +336,20 @@
 // one that the list tells of, and has this node learn of it: what the list says
 // it holds is gone, and its layers are a hole from now on.
 func (p *Placer) startedAnew(e citronmodel.Engine, st citronplace.EngineState, now time.Time) bool {
-	if e.Born == 0 || st.Born <= e.Born {
+	later := e.Born != 0 && st.Born > e.Born
+	forgot := !e.Layers.Empty() && st.Layers.Empty() && st.Accepted == 0 && !st.Busy
+	if !later && !forgot {
 		return false
 	}
-	if seen, ok := p.Current().View.ByID(e.ID); ok {
+	seen, ok := p.Current().View.ByID(e.ID)
+	switch {
+	case !ok:
+	case later:
 		seen.StartedAnew(st.Born, now)
+	default:
+		seen.Replace(now)
 	}
+	p.touch()
 	return true
 }
 
--- a/citronpool/pool.go
+++ b/citronpool/pool.go
@@ -49,6 +49,9 @@
 	accusedAt atomic.Int64
 	// laterStart is when the engine started anew, by its own report.
 	laterStart atomic.Int64
+	// replaced: another start of the engine, or another engine, is at its
+	// address.
+	replaced atomic.Bool
 	// misplacedUntil is how long it is left alone because it said that it
 	// does not hold what the list says, in nanoseconds since epoch.
 	misplacedUntil atomic.Int64
@@ -160,10 +163,21 @@
 // and held is gone.
 func (s *State) StartedAnew(born int64, now time.Time) {
 	s.laterStart.Store(born)
+	s.Replace(now)
+}
+
+// Replace marks an engine in whose place something else is. Unlike one that
+// does not answer it never gets work again; its next start has a State of its
+// own.
+func (s *State) Replace(now time.Time) {
+	s.replaced.Store(true)
 	s.Dead(now)
 	s.End()
 }
 
+// Replaced reports whether something else is in the engine's place.
+func (s *State) Replaced() bool { return s.replaced.Load() }
+
 // LaterStart is when the engine started anew, zero if it did not.
 func (s *State) LaterStart() int64 { return s.laterStart.Load() }
 
@@ -220,7 +234,7 @@
 // Usable reports whether the engine may get new work.
 func (e *Engine) Usable(now time.Time) bool {
 	at := since(now)
-	return !e.Leaving && e.avoidUntil.Load() <= at && e.misplacedUntil.Load() <= at
+	return !e.Leaving && !e.Replaced() && e.avoidUntil.Load() <= at && e.misplacedUntil.Load() <= at
 }
 
 // View is the list of engines at one moment.
@@ -238,10 +252,13 @@
 		p := &Engine{Engine: e, State: &State{}}
 		if prev != nil && prev.byID[e.ID] != nil {
 			old := prev.byID[e.ID]
-			p.State = old.State
-			if old.Layers != e.Layers {
+			switch {
+			case old.Layers == e.Layers:
+				p.State = old.State
+			case !old.Replaced():
+				p.State = old.State
 				p.Placed()
-			}
+			} // else its entry is of its next start, which does not tell when it was
 		}
 		v.ByService[e.Service] = append(v.ByService[e.Service], p)
 		v.byAddr[e.Addr] = p
--- a/citronprobe/probe.go
+++ b/citronprobe/probe.go
@@ -97,6 +97,13 @@
 		return
 	case told && r.Born < e.Born:
 		return
+	case !e.Layers.Empty() && r.Holds != nil && r.Holds.Empty() && r.Accepted == 0:
+		// The list says that it holds layers, so it had accepted an order for
+		// them: one that never accepted any has started anew and does not tell
+		// when. Requests through it are refused until its old entry lapses,
+		// three heartbeats later.
+		e.Replace(now)
+		return
 	}
 	e.Slow(r.Slowdown, now)
 	switch {
--- a/citronupstream/upstream.go
+++ b/citronupstream/upstream.go
@@ -95,6 +95,8 @@
 	Born int64
 	// Holds are its layers; nil if it does not tell.
 	Holds *citronmodel.Span
+	// Accepted is how many orders it has accepted since it started.
+	Accepted int64
 }
 
 // Engines speaks to engines.
