Entries of another writer are counted in the metrics

citrondeck_entries_unreadable: how many entries of the list name no engine now. Each was logged once a revision already; the memory of those that are gone is given up with the next whole reading.

--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -324,6 +324,7 @@
 	s.listWhole = !c.listSince.IsZero() && c.n.clock.Now().Sub(c.listSince) > listWhole
 	s.listSettled = !c.listSince.IsZero() && c.n.clock.Now().Sub(c.listSince) > settle
 	s.goals = c.lateGoals(c.n.clock.Now())
+	s.unreadable = len(c.rejected)
 	others := map[string]int64{}
 	sent := map[string]citronbudget.Usage{}
 	for _, m := range c.members {
--- a/citronnode/list.go
+++ b/citronnode/list.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -57,6 +58,7 @@
 			c.drop(ctx, key, l, m.revision)
 		}
 	}
+	maps.DeleteFunc(c.rejected, func(key string, _ int64) bool { return !seen[key] })
 	if c.listRev == 0 {
 		c.removedSince = m.revision
 	}
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -113,6 +113,8 @@
 	// goals are what a leader lately wanted engines to hold.
 	goals       map[string]citronmodel.Span
 	listSettled bool
+	// unreadable is how many entries of the list name no engine.
+	unreadable int
 	// listWhole: no entries are missing that may come back.
 	listWhole bool
 }
--- a/citronnode/reborn_test.go
+++ b/citronnode/reborn_test.go
@@ -224,4 +224,5 @@
 	r.tick(context.Background())
 	r.publish()
 	is.Equal(len(r.inUse()), 6)
+	is.Equal(r.n.Status().Unreadable, 6) // told in the metrics
 }
