--- a/citronsoak/engine_test.go
+++ b/citronsoak/engine_test.go
@@ -50,7 +50,7 @@
 	hs                      *http.Server
 	mu                      sync.Mutex
 	from, to                int
-	accepted                int64
+	accepted, beats, born   int64
 	leaving                 bool
 }
 
@@ -60,7 +60,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	e := &engine{id: id, addr: ln.Addr().String(), service: service, kind: kind, store: store, runs: r}
+	e := &engine{id: id, addr: ln.Addr().String(), service: service, kind: kind, store: store, runs: r, born: time.Now().UnixMilli()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/report", e.report)
 	mux.HandleFunc("/order", e.order)
@@ -78,7 +78,11 @@
 	if e.leaving {
 		state = "draining"
 	}
-	entry := map[string]any{"service": e.service, "address": e.addr, "zone": "z", "state": state, "slotCount": 64}
+	e.beats++
+	entry := map[string]any{
+		"service": e.service, "address": e.addr, "zone": "z", "state": state, "slotCount": 64,
+		"version": "v1", "coldLeftMs": 0, "sequence": e.beats, "born": e.born,
+	}
 	if e.kind != "" {
 		entry["kind"] = e.kind
 		entry["layers"] = map[string]int{"from": e.from, "target": e.to}
@@ -111,7 +115,7 @@
 func (e *engine) report(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(map[string]any{"sequence": e.accepted, "pace": 1.0, "layers": map[string]int{"from": e.from, "target": e.to}})
+	_ = json.NewEncoder(w).Encode(map[string]any{"born": e.born, "kind": e.kind, "sequence": e.accepted, "pace": 1.0, "layers": map[string]int{"from": e.from, "target": e.to}})
 }
 
 func (e *engine) order(w http.ResponseWriter, r *http.Request) {
