--- a/citronpeer/peer_test.go
+++ b/citronpeer/peer_test.go
@@ -69,6 +69,28 @@
 	is.True(!a.Newer(a))
 }
 
+// BenchmarkNews gives the bytes on the wire of one piece of news: a node and the
+// revisions of its documents, with no member of the fleet but itself. The whole
+// knowledge of a hundred nodes, which was sent before, is 3.8 KB.
+func BenchmarkNews(b *testing.B) {
+	k := citronpeer.Knowledge{Members: []citronpeer.Member{member(1)}, Config: citronpeer.Document{Revision: 9}, Engines: citronpeer.Document{Revision: 4}}
+	var size int64
+	mux := http.NewServeMux()
+	citronpeer.Handle(mux, answering(func(citronpeer.Knowledge) citronpeer.Knowledge { return citronpeer.Knowledge{} }))
+	hs := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		size = r.ContentLength
+		mux.ServeHTTP(w, r)
+	}))
+	defer hs.Close()
+	c := &citronpeer.Client{HC: hs.Client(), Timeout: 30 * time.Second}
+	for range b.N {
+		if _, err := c.News(context.Background(), strings.TrimPrefix(hs.URL, "http://"), k); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(size), "bytes")
+}
+
 // BenchmarkMessage gives the bytes on the wire and the time of one message
 // about so many members.
 func BenchmarkMessage(b *testing.B) {
