What becomes of streams through an accused engine stands in a file of its own

The question is now one type, asked through the prober, which returns why an engine gave no sign of life.

--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -41,10 +41,6 @@
 	// every lookAgain: events are about 50 ms apart, a pause of 200 ms is late.
 	quietAfter = 70 * time.Millisecond
 	lookAgain  = 20 * time.Millisecond
-	// accusedSilence is how long an engine may take to answer that was named
-	// in a refusal and through which a stream is silent. It answers within a
-	// few milliseconds; both signs together are enough to move the stream.
-	accusedSilence = 60 * time.Millisecond
 	// ownPause between two looks means that this node stood still.
 	ownPause = 6 * checkEvery
 	// silentAfter is the pause after which the engines are asked. Events
@@ -120,11 +116,8 @@
 	// bad is the part to be replaced, and reason why.
 	bad    citronpath.Hop
 	reason string
-	// accused is the answer of the engine that was named in a refusal, asked
-	// at accusedAt.
-	accused   chan error
-	accusedAt time.Time
-	accusedIs string
+	// accused is the question to an engine that was named in a refusal.
+	accused *accusation
 	// crossAt is when the stream goes to another zone.
 	crossAt time.Time
 	// leftAt is when a leaving engine was first seen on the path.
@@ -235,54 +228,6 @@
 	return -1
 }
 
-// accusedPart returns the first hop of a silent stream whose engine was named in
-// a refusal and gives no sign of life either, or -1.
-func (w *watch) accusedPart(now time.Time, silence time.Duration) int {
-	if silence < quietAfter {
-		w.accused = nil
-		return -1
-	}
-	for i, h := range w.s.path {
-		if !h.Engine.Accused(now) && w.accusedIs != h.Engine.ID {
-			continue
-		}
-		if w.accused == nil {
-			w.askAccused(h.Engine, now)
-			return -1
-		}
-		if w.accusedIs != h.Engine.ID {
-			continue
-		}
-		select {
-		case err := <-w.accused:
-			if err != nil {
-				return i
-			}
-			w.accusedIs = "" // it answers: full, or giving up layers
-			return -1
-		default:
-			if now.Sub(w.accusedAt) > accusedSilence {
-				return i
-			}
-		}
-	}
-	return -1
-}
-
-func (w *watch) askAccused(e *citronpool.Engine, now time.Time) {
-	answer := make(chan error, 1)
-	w.accused, w.accusedAt, w.accusedIs = answer, now, e.ID
-	go func() {
-		r, err := w.s.f.probes.Ask(w.ctx, w.s.f.Upstream, e.Addr, accusedSilence)
-		if err == nil {
-			citronprobe.Heard(e, r, w.s.f.Clock.Now())
-		} else if w.ctx.Err() == nil {
-			citronprobe.Dead(e, err, w.s.f.Clock.Now())
-		}
-		answer <- err
-	}()
-}
-
 // leavingPart returns the first hop whose engine is leaving, once this
 // stream's turn to move has come, or -1.
 func (w *watch) leavingPart(now time.Time) int {
@@ -313,7 +258,7 @@
 	go func() {
 		var wait sync.WaitGroup
 		for _, h := range path[1:] {
-			wait.Go(func() { w.s.f.probe(w.ctx, h.Engine, citronprobe.Fresh) })
+			wait.Go(func() { _ = w.s.f.probe(w.ctx, h.Engine, citronprobe.Fresh) }) // noted with the engine
 		}
 		r, err := w.s.f.probes.Ask(w.ctx, w.s.f.Upstream, path[0].Engine.Addr, citronprobe.Fresh)
 		wait.Wait()
@@ -322,8 +267,8 @@
 }
 
 // probe asks an engine for a sign of life and notes if it gives none.
-func (f *Forwarder) probe(ctx context.Context, e *citronpool.Engine, maxAge time.Duration) {
-	f.probes.Probe(ctx, f.Upstream, f.Clock, e, maxAge)
+func (f *Forwarder) probe(ctx context.Context, e *citronpool.Engine, maxAge time.Duration) error {
+	return f.probes.Probe(ctx, f.Upstream, f.Clock, e, maxAge)
 }
 
 // heard takes the first engine's answer.
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -232,7 +232,7 @@
 		return true
 	}
 	if !s.canResume() {
-		s.f.probe(context.Background(), s.path[0].Engine, 0) // an older report may be from before the end
+		_ = s.f.probe(context.Background(), s.path[0].Engine, 0) // an older report may be from before the end
 	}
 	return s.canResume() && s.takeBudget()
 }
--- a/citronforward/whole.go
+++ b/citronforward/whole.go
@@ -169,7 +169,7 @@
 			j.f.Accuse(at)
 		}
 		// It may be full, or dead, which the running streams need to know.
-		go j.f.probe(context.Background(), at, citronprobe.Fresh)
+		go func() { _ = j.f.probe(context.Background(), at, citronprobe.Fresh) }()
 		return
 	}
 	if reply.Status == http.StatusMisdirectedRequest {
--- a/citronprobe/probe.go
+++ b/citronprobe/probe.go
@@ -74,8 +74,9 @@
 	}
 }
 
-// Probe asks an engine for a sign of life and notes if it gives none.
-func (p *Prober) Probe(ctx context.Context, up citronupstream.Engines, clock citronclock.Clock, e *citronpool.Engine, maxAge time.Duration) {
+// Probe asks an engine for a sign of life, and notes what it says or that it
+// gives none. The error says why it gave none.
+func (p *Prober) Probe(ctx context.Context, up citronupstream.Engines, clock citronclock.Clock, e *citronpool.Engine, maxAge time.Duration) error {
 	r, err := p.Ask(ctx, up, e.Addr, maxAge)
 	switch {
 	case err == nil:
@@ -83,6 +84,7 @@
 	case ctx.Err() == nil:
 		Dead(e, err, clock.Now())
 	}
+	return err
 }
 
 // Heard notes what an engine's report says of it. An engine may have started
