Logs and a metric tell why an engine stays in use though its entry is gone

Cause: a node that puts a missing entry down to an outage of the store said so nowhere. In the incident the line 'missing=true' was the same on the node that went on sending as on the eight that did not, so its cause could not be told from two entries too many or from an old view of the list.

No change of what is decided.

Checked: go test ./citronnode ./citronstat ./citronevent.

--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -81,6 +81,7 @@
 	EngineDead     Event = 616
 	LeaderStandsIn Event = 617
 	EngineReborn   Event = 618
+	EntriesKept    Event = 619
 
 	// 400 to 403 were announced for the stand-ins and never logged.
 )
@@ -149,6 +150,7 @@
 	LeaderStandsIn: {slog.LevelWarn, "leader.stands_in", "no node leads and the store does not answer; this node places layers until one of the two changes"},
 	EngineDead:     {slog.LevelWarn, "engine.dead", "an engine that so many nodes (reports) found dead did not answer the leader either; its layers are placed elsewhere"},
 	EngineReborn:   {slog.LevelWarn, "engine.reborn", "an engine started anew at its address; the incarnation before it, and what ran there, has ended"},
+	EntriesKept:    {slog.LevelInfo, "entries.kept", "engines whose entries are missing stay in use from now on (kept=true), or no longer: that is put down to an outage of the store; gives why, and the failed call on which it rests"},
 	SettingsReload: {slog.LevelInfo, "settings.reload", "a reload was asked for; what the settings say of bounds is in force"},
 
 	LedgerRetry: {slog.LevelWarn, "ledger.retry", "recording an answer in the ledger, or taking a claim back, failed; it is tried again"},
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -94,10 +94,10 @@
 	members   map[string]known
 	self      citronpeer.Member
 	view      *citronpool.View
-	// vanished are the times at which entries went lately; lapse is
-	// whether they are put down to the store.
+	// vanished are the times at which entries went lately; lapse is why they
+	// are put down to the store, empty if they are not.
 	vanished []time.Time
-	lapse    bool
+	lapse    lapseCause
 	// listSince is when the first list came, listAt when it last changed,
 	// configAt when the configuration did.
 	listSince, listAt, configAt time.Time
@@ -202,9 +202,10 @@
 func (c *control) tick(ctx context.Context) {
 	now := c.n.clock.Now()
 	t := c.n.storeTrouble.Load()
-	c.self.Trouble = t != nil && now.Sub(*t) < troubleMemory
+	c.self.Trouble = t != nil && now.Sub(t.at) < troubleMemory
 	if lapse := c.lapseKept(now); lapse != c.lapse {
 		c.lapse, c.changed = lapse, true
+		c.logLapse(ctx, now)
 	}
 	for key, l := range c.list {
 		if !l.lapsed.IsZero() && now.Sub(l.lapsed) > lapseGrace {
@@ -325,6 +326,7 @@
 	s.listSettled = !c.listSince.IsZero() && c.n.clock.Now().Sub(c.listSince) > settle
 	s.goals = c.lateGoals(c.n.clock.Now())
 	s.unreadable = len(c.rejected)
+	s.kept = c.keptEngines()
 	others := map[string]int64{}
 	sent := map[string]citronbudget.Usage{}
 	for _, m := range c.members {
--- a/citronnode/list.go
+++ b/citronnode/list.go
@@ -30,6 +30,16 @@
 	troubleMemory = 4 * time.Second
 )
 
+// lapseCause says why missing entries are put down to an outage of the store.
+type lapseCause string
+
+const (
+	lapseNot      lapseCause = ""
+	lapseOwnCall  lapseCause = "a call of this node failed"
+	lapseWatchers lapseCause = "calls of all nodes that watch failed"
+	lapseMany     lapseCause = "many entries went at once"
+)
+
 // listed is an entry of the list of engines.
 type listed struct {
 	engine citronmodel.Engine
@@ -224,7 +234,7 @@
 	l.lapsed = c.n.clock.Now()
 	c.list[key] = l
 	c.vanished = append(c.vanished, l.lapsed)
-	citronevent.Log(ctx, c.n.log, citronevent.EnginesChanged, "engine", l.engine.ID, "peer", l.engine.Addr, "missing", true)
+	citronevent.Log(ctx, c.n.log, citronevent.EnginesChanged, "engine", l.engine.ID, "peer", l.engine.Addr, "missing", true, "kept", c.lapse != lapseNot)
 }
 
 // mostRemoved bounds the removals that are remembered; a node that has not
@@ -240,13 +250,44 @@
 	}
 }
 
-// lapseKept reports whether missing entries are put down to the store.
-func (c *control) lapseKept(now time.Time) bool {
-	if c.self.Trouble || !c.self.Watching && c.watchersInTrouble() {
-		return true
+// lapseKept returns why missing entries are put down to the store, if they are.
+func (c *control) lapseKept(now time.Time) lapseCause {
+	if c.self.Trouble {
+		return lapseOwnCall
+	}
+	if !c.self.Watching && c.watchersInTrouble() {
+		return lapseWatchers
 	}
 	c.vanished = slices.DeleteFunc(c.vanished, func(t time.Time) bool { return now.Sub(t) > lapseGrace })
-	return len(c.vanished) >= max(lapseFewest, len(c.list)/lapsePart)
+	if len(c.vanished) >= max(lapseFewest, len(c.list)/lapsePart) {
+		return lapseMany
+	}
+	return lapseNot
+}
+
+// logLapse logs that missing entries are from now on, or no longer, put down to
+// the store, and on what that rests: an engine that stays in use by mistake gets
+// work that it no longer takes.
+func (c *control) logLapse(ctx context.Context, now time.Time) {
+	args := []any{"kept", c.lapse != lapseNot, "reason", string(c.lapse), "engines", c.keptEngines(), "vanished", len(c.vanished)}
+	if t := c.n.storeTrouble.Load(); t != nil && c.lapse == lapseOwnCall {
+		args = append(args, "step", t.step, "age", now.Sub(t.at), "err", t.err)
+	}
+	citronevent.Log(ctx, c.n.log, citronevent.EntriesKept, args...)
+}
+
+// keptEngines counts the engines in use whose entries are missing.
+func (c *control) keptEngines() int {
+	if c.lapse == lapseNot {
+		return 0
+	}
+	kept := 0
+	for _, l := range c.list {
+		if !l.lapsed.IsZero() && !l.spoiled {
+			kept++
+		}
+	}
+	return kept
 }
 
 // watchersInTrouble reports whether the store failed all nodes that watch it
@@ -274,7 +315,7 @@
 		if _, known := services[e.Service]; services != nil && !known {
 			continue // of another writer, or not yet configured
 		}
-		e.Leaving = e.Leaving || l.spoiled || !l.lapsed.IsZero() && !c.lapse
+		e.Leaving = e.Leaving || l.spoiled || !l.lapsed.IsZero() && c.lapse == lapseNot
 		out = append(out, e)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -86,8 +86,8 @@
 	pull puller
 	// answered is how many of the followed prefixes the store answers.
 	answered atomic.Int64
-	// storeTrouble is when a call to the store last failed.
-	storeTrouble atomic.Pointer[time.Time]
+	// storeTrouble is the last failed call to the store.
+	storeTrouble atomic.Pointer[failedCall]
 	leads        atomic.Bool
 	// goals are what this node as the leader wants engines to hold.
 	goals atomic.Pointer[func() map[string]citronmodel.Span]
@@ -115,6 +115,8 @@
 	listSettled bool
 	// unreadable is how many entries of the list name no engine.
 	unreadable int
+	// kept is how many engines are in use although their entries went.
+	kept int
 	// listWhole: no entries are missing that may come back.
 	listWhole bool
 }
--- a/citronnode/status.go
+++ b/citronnode/status.go
@@ -16,6 +16,9 @@
 	Ready, Leaving, Nodes int
 	// Unreadable are entries of the list that name no engine, of another writer.
 	Unreadable int
+	// Kept are engines in use whose entries are missing: that is put down to
+	// an outage of the store.
+	Kept int
 	// Watching: the node watches the store, and the store answers.
 	// Leads: it places layers.
 	Watching, Leads bool
@@ -24,7 +27,7 @@
 // Status returns what the node knows now.
 func (n *Node) Status() Status {
 	s := n.snap.Load()
-	out := Status{ConfigVersion: s.config.Revision, ListRevision: s.list.revision, Nodes: len(s.members), Unreadable: s.unreadable, Watching: s.self.Watching, Leads: s.self.Leads}
+	out := Status{ConfigVersion: s.config.Revision, ListRevision: s.list.revision, Nodes: len(s.members), Unreadable: s.unreadable, Kept: s.kept, Watching: s.self.Watching, Leads: s.self.Leads}
 	now := n.clock.Now()
 	if !s.configAt.IsZero() {
 		out.ConfigAge = now.Sub(s.configAt)
