The failing tests start from a fleet that has run for three seconds

A node that has just started cannot vouch for what the store did before, and no promise binds it yet. The tests run side by side.

--- a/citronnode/leaving_test.go
+++ b/citronnode/leaving_test.go
@@ -13,7 +13,12 @@
 // new work from any node.
 const drainPromise = 2 * time.Second
 
-// twelve starts nodes of these names before twelve engines.
+// settled is how long a fleet has run before something goes wrong: a node that
+// has just started cannot know how the store did before.
+const settled = 3 * time.Second
+
+// twelve starts nodes of these names before twelve engines and returns when they
+// are settled.
 func twelve(t *testing.T, names ...string) *fleet {
 	t.Helper()
 	f := newFleet(t)
@@ -37,6 +42,7 @@
 		}
 		return watching >= min(len(names), 4)
 	})
+	time.Sleep(settled)
 	return f
 }
 
@@ -90,6 +96,7 @@
 //	14.81 engines.changed peer=10.3.64.42:8145 missing=true
 //	17.32 engines.changed peer=10.3.64.42:8145 gone=true lapsed=2.508s
 func TestAnswerOfTheStoreIsNoOutage(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := twelve(t, "a", "b", "c", "d", "e", "f")
 	eventually(t, "a node leads", func() bool { return f.leader() != nil })
@@ -158,6 +165,7 @@
 // that live are back after a second. Meanwhile callers are served by all of
 // them. What is not back two seconds later has ended.
 func TestEnginesThatLapseInAnOutageStayInUse(t *testing.T) {
+	t.Parallel()
 	f := twelve(t, "a", "b", "c")
 	for _, m := range f.nodes {
 		m.gate.closed.Store(true)
