--- /dev/null
+++ b/citronkv/observe_test.go
@@ -0,0 +1,72 @@
+package citronkv_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronclock"
+	"citrondeck.dev/citrondeck/citronkv"
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+// An answer that says no comes from a store that is well; silence, a refusal
+// to serve and a lost connection do not; a call that its caller gave up proves
+// neither.
+func TestWhatACallProves(t *testing.T) {
+	cases := []struct {
+		name              string
+		err               error
+		answered, givenUp bool
+	}{
+		{"answer", nil, true, false},
+		{"no such key", errors.Wrap(citronkv.ErrNotFound, "get"), true, false},
+		{"another revision", citronkv.ErrConflict, true, false},
+		{"lease has run out", errors.Mark(errors.New("status 404"), citronkv.ErrLeaseExpired), true, false},
+		{"history dropped", citronkv.ErrCompacted, true, false},
+		{"not served", citronkv.ErrUnavailable, false, false},
+		{"no answer in time", errors.Mark(context.DeadlineExceeded, citronkv.ErrUnavailable), false, false},
+		{"given up", errors.Mark(errors.Wrap(context.Canceled, "watch"), citronkv.ErrUnavailable), false, true},
+		{"unknown", errors.New("?"), false, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			call := citronkv.Call{Err: c.err}
+			is.Equal(call.Answered(), c.answered)
+			is.Equal(call.GivenUp(), c.givenUp)
+		})
+	}
+}
+
+// Every call is told of once, with its key and its times.
+func TestObserve(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	clock := citronclock.NewManual(time.Unix(100, 0))
+	var calls []citronkv.Call
+	s := citronkv.Observe(citronkv.NewServer(clock, 0), clock, func(c citronkv.Call) { calls = append(calls, c) })
+	lease, err := s.Grant(ctx, time.Minute)
+	is.NoErr(err)
+	_, err = s.Put(ctx, "a/1", []byte("x"), citronkv.Absent, lease)
+	is.NoErr(err)
+	is.NoErr(s.KeepAlive(ctx, lease))
+	_, err = s.Get(ctx, "a/2")
+	is.True(errors.Is(err, citronkv.ErrNotFound))
+	_, _, err = s.Range(ctx, "a/")
+	is.NoErr(err)
+	_, _, err = s.Watch(ctx, "a/", 0)
+	is.NoErr(err)
+	is.NoErr(s.Delete(ctx, "a/1", citronkv.AnyRevision))
+	is.NoErr(s.Revoke(ctx, lease))
+	var names, keys []string
+	for _, c := range calls {
+		names, keys = append(names, c.Name), append(keys, c.Key)
+		is.True(c.Answered())
+		is.Equal(c.Begun, clock.Now())
+		is.Equal(c.Ended, clock.Now())
+	}
+	is.Equal(names, []string{"grant", "put", "keepAlive", "get", "range", "watch", "delete", "revoke"})
+	is.Equal(keys, []string{"", "a/1", "", "a/2", "a/", "a/", "a/1", ""})
+}
