An outage of the store needs the word of all nodes; a refusal is an answer

Cause: a node kept an engine whose entry had gone in use for 2.5 s if any of its own calls to the store had failed within 4 s, whatever the failure was. 'No such key', the answer to the renewal of a lease that had run out while the node stood still, counted; so did a call that only this node was turned away from, one on a hung connection, one cut and answered again at once, and, with no call at all, a sixth of the list going together. None of these keeps an engine from renewing its entry, so the entry that went was an engine leaving. The class: evidence about this node, or about others, taken for evidence about the engine, and remembered from when it was noticed, not from when it was true.

Mend: storeHealth (outage.go) judges every call. A refusal is an answer; a call begun before the last answer proves nothing; an outage counts only from two heartbeats on, shorter ones let no entry lapse, and for 2.5 s from the first answer after it. Nodes tell each other whether they are served or in trouble, and one that is served is enough against an outage. Many entries that go at once, without such a proof, stay in use for three fifths of the time after which a leaving engine gets no work; heartbeat and that time come from the settings.

Weighed: asking the engine (a priced question that takes a place, and its answer can be false); a shorter memory (4 s to 2 s moves the window, it does not close it); dropping the belief (callers refused for two seconds after each outage: TestEnginesThatLapseInAnOutageStayInUse).

TestEntriesThatLapseTogetherStayInUse now says where its engines may stay in use that long: its store stays well, so five seconds are allowed there.

--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -94,10 +94,11 @@
 	members   map[string]known
 	self      citronpeer.Member
 	view      *citronpool.View
-	// vanished are the times at which entries went lately; lapse is why they
-	// are put down to the store, empty if they are not.
+	// vanished are the times at which entries went lately; lapse is why
+	// engines stay in use all the same, and kept how many do.
 	vanished []time.Time
 	lapse    lapseCause
+	kept     int
 	// listSince is when the first list came, listAt when it last changed,
 	// configAt when the configuration did.
 	listSince, listAt, configAt time.Time
@@ -201,12 +202,9 @@
 
 func (c *control) tick(ctx context.Context) {
 	now := c.n.clock.Now()
-	t := c.n.storeTrouble.Load()
-	c.self.Trouble = t != nil && now.Sub(t.at) < troubleMemory
-	if lapse := c.lapseKept(now); lapse != c.lapse {
-		c.lapse, c.changed = lapse, true
-		c.logLapse(ctx, now)
-	}
+	health := c.n.health.state(now)
+	c.self.Trouble, c.self.Served = health.trouble, health.served
+	c.reviewLapsed(ctx)
 	for key, l := range c.list {
 		if !l.lapsed.IsZero() && now.Sub(l.lapsed) > lapseGrace {
 			delete(c.list, key)
@@ -326,7 +324,7 @@
 	s.listSettled = !c.listSince.IsZero() && c.n.clock.Now().Sub(c.listSince) > settle
 	s.goals = c.lateGoals(c.n.clock.Now())
 	s.unreadable = len(c.rejected)
-	s.kept = c.keptEngines()
+	s.kept = c.kept
 	others := map[string]int64{}
 	sent := map[string]citronbudget.Usage{}
 	for _, m := range c.members {
--- a/citronnode/leader.go
+++ b/citronnode/leader.go
@@ -58,7 +58,6 @@
 		case err == nil:
 			n.serveTerm(ctx, lease)
 		case !errors.Is(err, errHeld):
-			n.trouble(leaderKey, err)
 			if n.first() && n.noLeaderFor() > n.set.LeaseTTL/2 {
 				n.standIn(ctx)
 			}
@@ -163,7 +162,6 @@
 			renewed = asked
 			continue
 		}
-		n.trouble(leaderKey, err)
 		if errors.Is(err, citronkv.ErrLeaseExpired) || n.leaderKnown() || 2*(len(n.snap.Load().members)+1) <= among && among > 1 {
 			citronevent.Log(ctx, n.log, citronevent.LeaderResigned, "lease", lease, "age", n.clock.Now().Sub(renewed), "heard", len(n.snap.Load().members), "err", err)
 			break
--- a/citronnode/list.go
+++ b/citronnode/list.go
@@ -17,27 +17,26 @@
 )
 
 const (
-	// lapseGrace is how long an engine whose entry lapsed during an outage
-	// of the store stays in use: entries of live engines are back within
-	// two seconds.
-	lapseGrace = 2500 * time.Millisecond
 	// lapseFewest and lapsePart say how many entries that go within
 	// lapseGrace are too many for a coincidence.
 	lapseFewest = 4
 	lapsePart   = 6
-	// troubleMemory is how long after a failed call to the store a lapsed
-	// entry is put down to the outage.
-	troubleMemory = 4 * time.Second
+	// usualDrain stands for settings without DrainWithin.
+	usualDrain = 2 * time.Second
+	// doubtShare is the part of DrainWithin for which engines whose entries
+	// went at once stay in use without a proof of an outage. Half of a fleet
+	// may indeed leave at once; the rest of the time is for the news to reach
+	// all nodes, and for requests on their way.
+	doubtShare = 0.6
 )
 
-// lapseCause says why missing entries are put down to an outage of the store.
+// lapseCause says why engines whose entries are missing stay in use.
 type lapseCause string
 
 const (
-	lapseNot      lapseCause = ""
-	lapseOwnCall  lapseCause = "a call of this node failed"
-	lapseWatchers lapseCause = "calls of all nodes that watch failed"
-	lapseMany     lapseCause = "many entries went at once"
+	lapseNot    lapseCause = ""
+	lapseOutage lapseCause = "the store was away"
+	lapseMany   lapseCause = "many entries went at once"
 )
 
 // listed is an entry of the list of engines.
@@ -49,6 +48,8 @@
 	entryBorn int64
 	// lapsed is when the entry was found missing; zero while it is there.
 	lapsed time.Time
+	// kept: it stays in use although its entry is missing.
+	kept bool
 	// spoiled: another writer has put something unreadable in its place.
 	spoiled bool
 }
@@ -103,6 +104,7 @@
 		c.listSince = c.n.clock.Now()
 	}
 	c.changed = true
+	c.reviewLapsed(ctx)
 	c.passed = passedList{}
 	c.n.tell()
 	citronevent.Log(ctx, c.n.log, citronevent.EnginesChanged, "revision", revision, "engines", len(c.list), "source", source)
@@ -219,13 +221,8 @@
 	c.end(ctx, old, l.engine.ID)
 }
 
-// drop notes that an engine's entry is gone. There are three causes. The
-// engine died: it is found dead by those who use it. It leaves without
-// having said so: it serves on for a short while, and must get no new work.
-// Or its entry lapsed because it could not renew it while the store was
-// away: it is well, and its entry is back within two seconds. The last is
-// told from the others by the store's trouble, or by many entries going at
-// once; then the engine stays in use for that time.
+// drop notes that an engine's entry is gone. If the engine died, it is found dead
+// by those who use it; if not, reviewLapsed decides whether it stays in use.
 func (c *control) drop(ctx context.Context, key string, l listed, revision int64) {
 	if !l.lapsed.IsZero() {
 		return
@@ -234,7 +231,7 @@
 	l.lapsed = c.n.clock.Now()
 	c.list[key] = l
 	c.vanished = append(c.vanished, l.lapsed)
-	citronevent.Log(ctx, c.n.log, citronevent.EnginesChanged, "engine", l.engine.ID, "peer", l.engine.Addr, "missing", true, "kept", c.lapse != lapseNot)
+	citronevent.Log(ctx, c.n.log, citronevent.EnginesChanged, "engine", l.engine.ID, "peer", l.engine.Addr, "missing", true)
 }
 
 // mostRemoved bounds the removals that are remembered; a node that has not
@@ -250,58 +247,81 @@
 	}
 }
 
-// lapseKept returns why missing entries are put down to the store, if they are.
-func (c *control) lapseKept(now time.Time) lapseCause {
-	if c.self.Trouble {
-		return lapseOwnCall
-	}
-	if !c.self.Watching && c.watchersInTrouble() {
-		return lapseWatchers
-	}
+// lapseCause returns why engines whose entries are missing stay in use, if they
+// do (outage.go).
+func (c *control) lapseCause(now time.Time) lapseCause {
 	c.vanished = slices.DeleteFunc(c.vanished, func(t time.Time) bool { return now.Sub(t) > lapseGrace })
-	if len(c.vanished) >= max(lapseFewest, len(c.list)/lapsePart) {
+	switch {
+	case c.storeAway():
+		return lapseOutage
+	case len(c.vanished) >= max(lapseFewest, len(c.list)/lapsePart):
 		return lapseMany
 	}
 	return lapseNot
 }
 
-// logLapse logs that missing entries are from now on, or no longer, put down to
-// the store, and on what that rests: an engine that stays in use by mistake gets
-// work that it no longer takes.
-func (c *control) logLapse(ctx context.Context, now time.Time) {
-	args := []any{"kept", c.lapse != lapseNot, "reason", string(c.lapse), "engines", c.keptEngines(), "vanished", len(c.vanished)}
-	if t := c.n.storeTrouble.Load(); t != nil && c.lapse == lapseOwnCall {
-		args = append(args, "step", t.step, "age", now.Sub(t.at), "err", t.err)
+// storeAway reports whether the store was away for all nodes within the last
+// seconds: some were in trouble, and none was served.
+func (c *control) storeAway() bool {
+	trouble, served := c.self.Trouble, c.self.Served
+	for _, m := range c.members {
+		trouble = trouble || m.alive && m.Trouble
+		served = served || m.alive && m.Served
 	}
-	citronevent.Log(ctx, c.n.log, citronevent.EntriesKept, args...)
+	return trouble && !served
 }
 
-// keptEngines counts the engines in use whose entries are missing.
-func (c *control) keptEngines() int {
-	if c.lapse == lapseNot {
-		return 0
+// keeps reports whether an engine whose entry is missing stays in use.
+func (c *control) keeps(l listed, now time.Time) bool {
+	switch c.lapse {
+	case lapseOutage:
+		return true
+	case lapseMany:
+		drain := c.n.set.DrainWithin
+		if drain <= 0 {
+			drain = usualDrain
+		}
+		return now.Sub(l.lapsed) < time.Duration(doubtShare*float64(drain))
 	}
+	return false
+}
+
+// reviewLapsed decides anew which engines stay in use although their entries are
+// missing, and logs what changed and on what that rests: an engine that stays by
+// mistake gets work that it no longer takes.
+func (c *control) reviewLapsed(ctx context.Context) {
+	now := c.n.clock.Now()
+	before := c.lapse
+	c.lapse = c.lapseCause(now)
+	var changed []string
 	kept := 0
-	for _, l := range c.list {
-		if !l.lapsed.IsZero() && !l.spoiled {
+	for key, l := range c.list {
+		if l.lapsed.IsZero() || l.spoiled {
+			continue
+		}
+		if keep := c.keeps(l, now); keep != l.kept {
+			l.kept = keep
+			c.list[key] = l
+			c.changed = true
+			changed = append(changed, l.engine.ID)
+		}
+		if l.kept {
 			kept++
 		}
 	}
-	return kept
+	c.kept = kept
+	if c.lapse != before || len(changed) > 0 {
+		slices.Sort(changed)
+		c.logLapse(ctx, changed)
+	}
 }
 
-// watchersInTrouble reports whether the store failed all nodes that watch it
-// lately. A node that does not watch learns from them what goes, and has to
-// put it down to the same cause.
-func (c *control) watchersInTrouble() bool {
-	trouble := false
-	for _, m := range c.members {
-		if m.alive && m.Watching && !m.Trouble {
-			return false
-		}
-		trouble = trouble || m.alive && m.Trouble
+func (c *control) logLapse(ctx context.Context, changed []string) {
+	args := []any{"kept", c.kept, "changed", len(changed), "engines", changed[:min(mostNames, len(changed))], "reason", string(c.lapse), "vanished", len(c.vanished), "trouble", c.self.Trouble, "served", c.self.Served}
+	if f := c.n.health.state(c.n.clock.Now()).failed; f != nil {
+		args = append(args, "step", f.Name, "key", f.Key, "age", c.n.clock.Now().Sub(f.Ended), "err", f.Err)
 	}
-	return trouble
+	citronevent.Log(ctx, c.n.log, citronevent.EntriesKept, args...)
 }
 
 func (c *control) engines() []citronmodel.Engine {
@@ -315,7 +335,7 @@
 		if _, known := services[e.Service]; services != nil && !known {
 			continue // of another writer, or not yet configured
 		}
-		e.Leaving = e.Leaving || l.spoiled || !l.lapsed.IsZero() && c.lapse == lapseNot
+		e.Leaving = e.Leaving || l.spoiled || !l.lapsed.IsZero() && !l.kept
 		out = append(out, e)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -47,6 +47,12 @@
 	LeaseTTL time.Duration
 	// Grace is the time between the signal to stop and the kill.
 	Grace time.Duration
+	// Heartbeat is how often engines renew their entries; zero:
+	// usualHeartbeat.
+	Heartbeat time.Duration
+	// DrainWithin is the time after which an engine that leaves gets no new
+	// work from any node; zero: usualDrain.
+	DrainWithin time.Duration
 }
 
 // Sources is where a node's documents come from and how to read them.
@@ -86,9 +92,9 @@
 	pull puller
 	// answered is how many of the followed prefixes the store answers.
 	answered atomic.Int64
-	// storeTrouble is the last failed call to the store.
-	storeTrouble atomic.Pointer[failedCall]
-	leads        atomic.Bool
+	// health is what this node's calls tell of the store.
+	health *storeHealth
+	leads  atomic.Bool
 	// goals are what this node as the leader wants engines to hold.
 	goals atomic.Pointer[func() map[string]citronmodel.Span]
 	// leaderless is since when no leader has been heard of.
@@ -123,8 +129,10 @@
 
 // New returns a node. hc is used to speak to other nodes.
 func New(set Settings, src Sources, clock citronclock.Clock, log *slog.Logger, budget *citronbudget.Budget, loads *citronpool.Loads, hc *http.Client) *Node {
+	health := newStoreHealth(set.Heartbeat)
+	src.Store = citronkv.Observe(src.Store, clock, health.note)
 	n := &Node{
-		set: set, src: src, clock: clock, log: log, budget: budget, loads: loads,
+		set: set, src: src, health: health, clock: clock, log: log, budget: budget, loads: loads,
 		peers:   &citronpeer.Client{HC: hc, Timeout: exchangeTimeout},
 		control: make(chan message, inboxSize),
 		news:    make(chan struct{}, 1),
--- a/citronnode/node_test.go
+++ b/citronnode/node_test.go
@@ -130,12 +130,14 @@
 	return n
 }
 
-// An outage of the store lapses the entries of all engines; they are back
-// within two seconds. In between callers must be served by the engines,
-// which are well, not refused because the list is empty.
+// The entries of all engines go at once and are back within two seconds. Nothing
+// proves an outage, but callers must be served by the engines, which are well,
+// not refused because the list is empty, for as long as may be: five seconds
+// here until an engine that leaves must get no new work.
 func TestEntriesThatLapseTogetherStayInUse(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t)
+	f.drain = 5 * time.Second
 	f.config("1")
 	for _, e := range engines(12) {
 		f.engine(e)
--- a/citronnode/reborn_test.go
+++ b/citronnode/reborn_test.go
@@ -30,7 +30,11 @@
 
 func newLoop(t require) *loopRig {
 	t.Helper()
-	set := Settings{Name: "n1", Zone: "z"}
+	return newLoopAt(citronclock.Real{}, Settings{Name: "n1", Zone: "z"})
+}
+
+// newLoopAt returns a loop whose time is the clock's.
+func newLoopAt(clock citronclock.Clock, set Settings) *loopRig {
 	src := Sources{EnginePrefix: "engines/", DecodeEngine: func(key string, text []byte) (citronmodel.Engine, error) {
 		var e citronmodel.Engine
 		err := json.Unmarshal(text, &e)
@@ -40,7 +44,7 @@
 		e.ID = citronmodel.IncarnationID(e.Instance, e.Born)
 		return e, err
 	}}
-	n := New(set, src, citronclock.Real{}, slog.New(slog.NewTextHandler(io.Discard, nil)), citronbudget.New(citronbudget.Limits{Ratio: 0.2, Slack: 10, Window: time.Second}), &citronpool.Loads{}, nil)
+	n := New(set, src, clock, slog.New(slog.NewTextHandler(io.Discard, nil)), citronbudget.New(citronbudget.Limits{Ratio: 0.2, Slack: 10, Window: time.Second}), &citronpool.Loads{}, nil)
 	c := &control{n: n, list: map[string]listed{}, byAddr: map[string]string{}, rejected: map[string]int64{}, members: map[string]known{}, self: n.snap.Load().self}
 	c.table = citrontable.New(1, nil, []citrontable.Service{{Name: "m"}}, nil, citrontable.Limits{})
 	return &loopRig{control: c, revision: 10}
--- a/citronnode/rig_test.go
+++ b/citronnode/rig_test.go
@@ -181,6 +181,8 @@
 	store  *citronkv.Server
 	orders *orders
 	nodes  []*member
+	// drain is the nodes' DrainWithin.
+	drain time.Duration
 }
 
 type member struct {
@@ -211,7 +213,7 @@
 	}
 	m := &member{gate: &gatedStore{Server: f.store}, addr: addr}
 	m.Node = citronnode.New(citronnode.Settings{
-		Name: name, Zone: zone, Front: "front-" + name, Peer: addr, Seeds: seeds, LeaseTTL: 600 * time.Millisecond, Grace: time.Second,
+		Name: name, Zone: zone, Front: "front-" + name, Peer: addr, Seeds: seeds, LeaseTTL: 600 * time.Millisecond, Grace: time.Second, DrainWithin: f.drain,
 	}, citronnode.Sources{
 		Store: m.gate, ConfigKey: "config", EnginePrefix: "engines/",
 		DecodeConfig: decodeConfig, DecodeEngine: decodeEngine, Orders: nodeOrders{f.orders, name},
--- a/citronnode/sources.go
+++ b/citronnode/sources.go
@@ -61,7 +61,6 @@
 		if errors.Is(err, errStandBy) {
 			continue
 		}
-		n.trouble(prefix, err)
 		if !down {
 			down = true
 			citronevent.Log(ctx, n.log, citronevent.StoreLost, "step", prefix, "err", err)
@@ -71,19 +70,6 @@
 	}
 }
 
-// failedCall is a call to the store that failed.
-type failedCall struct {
-	at time.Time
-	// step is the key or prefix that it was about.
-	step string
-	err  error
-}
-
-// trouble notes that the store failed this node just now.
-func (n *Node) trouble(step string, err error) {
-	n.storeTrouble.Store(&failedCall{n.clock.Now(), step, err})
-}
-
 func (n *Node) followOnce(ctx context.Context, prefix string, config bool, well func()) error {
 	items, rev, err := n.src.Store.Range(ctx, prefix)
 	if err != nil {
--- a/citronnode/status.go
+++ b/citronnode/status.go
@@ -16,8 +16,7 @@
 	Ready, Leaving, Nodes int
 	// Unreadable are entries of the list that name no engine, of another writer.
 	Unreadable int
-	// Kept are engines in use whose entries are missing: that is put down to
-	// an outage of the store.
+	// Kept are engines in use whose entries are missing (outage.go).
 	Kept int
 	// Watching: the node watches the store, and the store answers.
 	// Leads: it places layers.
--- a/citronpeer/peer.go
+++ b/citronpeer/peer.go
@@ -36,8 +36,12 @@
 	Leads bool `json:"leads,omitempty"`
 	// Watching: the node watches the store, and the store answers it.
 	Watching bool `json:"watching,omitempty"`
-	// Trouble: the store has failed the node within the last seconds.
+	// Trouble: the store has not answered the node for so long that engines'
+	// entries lapse, or that was so within the last seconds.
 	Trouble bool `json:"trouble,omitempty"`
+	// Served: the store has served the node for some seconds, up to now,
+	// without such an outage.
+	Served bool `json:"served,omitempty"`
 	// Load is the cache, in tokens, that the node's requests take by zone.
 	Load map[string]int64 `json:"load,omitempty"`
 	// Sent is what the node has sent for each service in a window.
--- a/citronstat/node.go
+++ b/citronstat/node.go
@@ -23,7 +23,7 @@
 	gauge("engines_ready", "Engines that take new work.", func(s citronnode.Status) float64 { return float64(s.Ready) })
 	gauge("engines_leaving", "Engines that are leaving.", func(s citronnode.Status) float64 { return float64(s.Leaving) })
 	gauge("entries_unreadable", "Entries of the list that name no engine, of another writer.", func(s citronnode.Status) float64 { return float64(s.Unreadable) })
-	gauge("engines_kept", "Engines in use whose entries are missing, put down to an outage of the store.", func(s citronnode.Status) float64 { return float64(s.Kept) })
+	gauge("engines_kept", "Engines that stay in use although their entries are missing.", func(s citronnode.Status) float64 { return float64(s.Kept) })
 	gauge("nodes_heard", "Other nodes that are heard.", func(s citronnode.Status) float64 { return float64(s.Nodes) })
 	gauge("watching", "1 while the node watches the store and the store answers.", func(s citronnode.Status) float64 { return yes(s.Watching) })
 	gauge("leads", "1 while the node places layers.", func(s citronnode.Status) float64 { return yes(s.Leads) })
