A node that asks the store no more is in trouble no more

Cause: a failed call was remembered until the next answer. While no node is known to be served for a moment, that word alone would have had a leaving engine stay in use.

Now a failed call counts for three seconds, longer than the longest wait between two tries.

--- a/citronnode/list.go
+++ b/citronnode/list.go
@@ -293,7 +293,7 @@
 	now := c.n.clock.Now()
 	before := c.lapse
 	c.lapse = c.lapseCause(now)
-	var changed []string
+	changed := []string{}
 	kept := 0
 	for key, l := range c.list {
 		if l.lapsed.IsZero() || l.spoiled {
--- a/citronnode/outage.go
+++ b/citronnode/outage.go
@@ -35,6 +35,11 @@
 	// swallow before entries lapse: they last for three, the first of which
 	// is partly over when the outage begins.
 	lapseHeartbeats = 2
+	// failedMemory is how long a failed call tells of trouble: a node that
+	// the store does not answer tries again within 2.7 s (storeTimeout of the
+	// platform's client and 1.5 x retryMost). One that leaves the asking to
+	// others knows no more than they do, and would else be in trouble for ever.
+	failedMemory = 3 * time.Second
 	// usualHeartbeat stands for settings without a heartbeat.
 	usualHeartbeat = 1200 * time.Millisecond
 )
@@ -106,7 +111,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	silent := now.Sub(h.answered) >= h.lapseAfter
-	away := h.failed != nil && silent
+	away := silent && h.failed != nil && now.Sub(h.failed.Ended) < failedMemory
 	settled := now.Sub(h.since) >= lapseGrace
 	return storeState{
 		trouble: away || h.back && !settled,
--- a/citronnode/outage_test.go
+++ b/citronnode/outage_test.go
@@ -51,6 +51,7 @@
 		{"answered since the start", answeredCalls(2.4), []seen{{2.4, false, false}, {2.6, false, true}}},
 		{"the node stood still and its lease has run out", append(well, call(6.6, 12.1, citronkv.ErrLeaseExpired)), []seen{{12.2, false, true}}},
 		{"a call is turned away", append(well, call(6.6, 6.6, citronkv.ErrUnavailable)), []seen{{6.7, false, true}, {8.3, false, true}, {8.5, true, false}}},
+		{"turned away, and not asked again", append(well, call(6.6, 6.6, citronkv.ErrUnavailable), call(8.6, 8.6, citronkv.ErrUnavailable)), []seen{{8.7, true, false}, {11.5, true, false}, {11.7, false, false}}},
 		{"cut, and answered again at once", append(well, call(6.6, 8.1, citronkv.ErrUnavailable), call(8.2, 8.2, nil)), []seen{{8.1, false, true}, {8.3, false, true}}},
 		{"long silence", append(well, call(6.6, 8.1, citronkv.ErrUnavailable), call(8.2, 9.7, citronkv.ErrUnavailable), call(10, 10, nil), call(11, 11, nil), call(12, 12, nil)), []seen{{8.3, false, true}, {8.5, true, false}, {10.1, true, false}, {12.4, true, false}, {12.6, false, true}}},
 		{"hung while others are answered", append(well, call(4, 9, citronkv.ErrUnavailable)), []seen{{9, false, false}}},
