--- a/citronexplain/explain.go
+++ b/citronexplain/explain.go
@@ -13,6 +13,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -128,9 +129,11 @@
 	}
 	engines := map[string]bool{}
 	mine := map[int]bool{}
+	nodes := map[string]bool{}
 	for _, l := range own {
 		mine[l.order] = true
-		if e := str(l.fields["engine"]); e != "" {
+		nodes[l.node] = true
+		for _, e := range l.engines() {
 			engines[e] = true
 		}
 	}
@@ -138,9 +141,14 @@
 	seen := map[string]bool{}
 	var story []line
 	for _, l := range all {
-		context := l.fields["request"] == nil && engines[str(l.fields["engine"])] && l.at.After(first) && l.at.Before(last)
+		context := l.fields["request"] == nil && l.namesAny(engines) && l.at.After(first) && l.at.Before(last)
+		if l.name == keptLine {
+			// What a node believes of a missing engine decides only its own
+			// requests.
+			context = context && nodes[l.node]
+		}
 		// All nodes log a change of an engine; one line tells it.
-		key := l.name + str(l.fields["engine"]) + str(l.fields["from"]) + str(l.fields["to"]) + str(l.fields["leaving"]) + str(l.fields["gone"])
+		key := l.name + str(l.fields["engine"]) + str(l.fields["from"]) + str(l.fields["to"]) + str(l.fields["leaving"]) + str(l.fields["gone"]) + str(l.fields["kept"])
 		if mine[l.order] || context && !seen[key] {
 			story = append(story, l)
 		}
@@ -151,12 +159,33 @@
 	return story
 }
 
+// keptLine tells which engines a node goes on using though their entries are
+// missing.
+const keptLine = "entries.kept"
+
+// engines are the engines that the line names.
+func (l line) engines() []string {
+	if e := str(l.fields["engine"]); e != "" {
+		return []string{e}
+	}
+	list, _ := l.fields["engines"].([]any) // in other lines a count
+	out := make([]string, len(list))
+	for i, e := range list {
+		out[i] = str(e)
+	}
+	return out
+}
+
+func (l line) namesAny(engines map[string]bool) bool {
+	return slices.ContainsFunc(l.engines(), func(e string) bool { return engines[e] })
+}
+
 func (l line) about(s Subject) bool {
 	switch {
 	case s.Request != "":
 		return str(l.fields["request"]) == s.Request
 	case s.Engine != "":
-		return str(l.fields["engine"]) == s.Engine
+		return slices.Contains(l.engines(), s.Engine)
 	}
 	return l.name == "table.applied" && str(l.fields["version"]) == strconv.FormatInt(s.Version, 10)
 }
--- /dev/null
+++ b/citronexplain/kept_test.go
@@ -0,0 +1,33 @@
+package citronexplain_test
+
+import (
+	"strings"
+	"testing"
+
+	"citrondeck.dev/citrondeck/citronexplain"
+	"github.com/matryer/is"
+)
+
+// A request went to an engine whose entry was gone. Its node used the engine on,
+// and the story says why; what another node believed did not decide it.
+func TestStoryTellsWhyAMissingEngineStayedInUse(t *testing.T) {
+	is := is.New(t)
+	log := `{"time":"2026-01-01T00:00:14.810Z","level":"INFO","msg":"engines.changed","node":"n1","event":602,"engine":"e3","missing":true}
+{"time":"2026-01-01T00:00:14.811Z","level":"INFO","msg":"entries.kept","node":"n1","event":619,"kept":1,"changed":1,"engines":["e3"],"reason":"the store was away"}
+{"time":"2026-01-01T00:00:14.812Z","level":"INFO","msg":"entries.kept","node":"n2","event":619,"kept":1,"changed":1,"engines":["e3"],"reason":"the store was away"}
+{"time":"2026-01-01T00:00:16.000Z","level":"INFO","msg":"entries.kept","node":"n1","event":619,"kept":1,"changed":1,"engines":["e4"],"reason":"the store was away"}
+{"time":"2026-01-01T00:00:16.900Z","level":"WARN","msg":"attempt.failed","node":"n1","event":501,"request":"r1","engine":"e3","outcome":"unknown"}
+{"time":"2026-01-01T00:00:17.320Z","level":"INFO","msg":"entries.kept","node":"n1","event":619,"kept":0,"changed":1,"engines":["e3"],"reason":""}
+{"time":"2026-01-01T00:00:17.330Z","level":"INFO","msg":"engines.changed","node":"n1","event":602,"revision":8,"engines":41}
+`
+	var out strings.Builder
+	is.NoErr(citronexplain.Explain(&out, citronexplain.Subject{Request: "r1"}, strings.NewReader(log)))
+	is.Equal(out.String(), `   0.000 s  n1                     engines.changed  engine=e3 missing=true
+   0.001 s  n1                     entries.kept     changed=1 engines=[e3] kept=1 reason=the store was away
+   2.090 s  n1                     attempt.failed   engine=e3 outcome=unknown request=r1
+   2.510 s  n1                     entries.kept     changed=1 engines=[e3] kept=0 reason=
+`)
+	out.Reset()
+	is.NoErr(citronexplain.Explain(&out, citronexplain.Subject{Engine: "e4"}, strings.NewReader(log)))
+	is.Equal(strings.Count(out.String(), "\n"), 1)
+}
