--- a/citronsoak/engine_test.go
+++ b/citronsoak/engine_test.go
@@ -23,10 +23,26 @@
 	workTime = 15 * time.Millisecond
 )
 
+// drainPromise is the time after which an engine whose entry has gone gets no
+// new work.
+const drainPromise = 2 * time.Second
+
 // runs counts, over all engines, how often each request ran.
 type runs struct {
 	mu sync.Mutex
 	by map[string]int
+	// late are requests that reached an engine after drainPromise.
+	late []string
+}
+
+// arrived notes when a request reached an engine whose entry had gone.
+func (r *runs) arrived(id, engine string, since time.Duration) {
+	if since < drainPromise {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.late = append(r.late, fmt.Sprintf("%s at %s after %v", id, engine, since))
 }
 
 func (r *runs) add(id string) {
@@ -52,6 +68,8 @@
 	from, to                int
 	accepted, beats, born   int64
 	leaving                 bool
+	// gone is when its entry went without a word; zero while it is there.
+	gone time.Time
 }
 
 func startEngine(t *testing.T, store citronkv.Store, r *runs, id, service, kind string) *engine {
@@ -112,6 +130,25 @@
 	time.AfterFunc(2500*time.Millisecond, e.crash)
 }
 
+// vanish has the engine's entry go without a word. It serves on, well beyond
+// drainPromise.
+func (e *engine) vanish() {
+	_ = e.store.Delete(context.Background(), "servers/"+e.id, citronkv.AnyRevision)
+	e.mu.Lock()
+	e.gone = time.Now()
+	e.mu.Unlock()
+}
+
+// sinceGone is how long the engine's entry has been missing, zero if it is there.
+func (e *engine) sinceGone() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.gone.IsZero() {
+		return 0
+	}
+	return time.Since(e.gone)
+}
+
 func (e *engine) report(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -154,6 +191,7 @@
 	}
 	h.Set("X-Server-Stamp", e.id)
 	e.runs.add(id)
+	e.runs.arrived(id, e.id, e.sinceGone())
 	if e.kind == "" {
 		time.Sleep(workTime)
 		_, _ = fmt.Fprint(w, answerTo(id))
--- a/citronsoak/soak_test.go
+++ b/citronsoak/soak_test.go
@@ -159,12 +159,71 @@
 	}
 	faults.Wait()
 	w.untilServing(recoverTime, "after the last fault")
+	w.leaveAfterStandstill()
 	cancel()
 	all.Wait()
 	w.checkNotRun()
 	w.t.Logf("seed %d: %v", seed, w.counts)
 }
 
+const (
+	// standstill is longer than the leader's lease lives.
+	standstill = 3 * time.Second
+	// afterStandstill is when the engine leaves: the node that stood still is
+	// bound by the promise again when the time of the promise is over.
+	afterStandstill = time.Second
+)
+
+// leaveAfterStandstill has the node that leads stand still until its lease has
+// run out, and an engine leave without a word soon after. However the node takes
+// what it finds when it goes on, callers must not be sent to that engine.
+func (w *world) leaveAfterStandstill() {
+	n := w.leader()
+	n.signal(syscall.SIGSTOP)
+	time.Sleep(standstill)
+	n.signal(syscall.SIGCONT)
+	time.Sleep(afterStandstill)
+	w.replace("app", "", (*engine).vanish)
+	time.Sleep(drainPromise)
+	w.press()
+	w.runs.mu.Lock()
+	defer w.runs.mu.Unlock()
+	for _, late := range w.runs.late {
+		w.t.Errorf("a request reached an engine after its entry had gone: %s; %s had led and stood still", late, n.name)
+	}
+}
+
+// press asks every node a hundred times, a few requests at once so that each of
+// its engines gets some.
+func (w *world) press() {
+	var all sync.WaitGroup
+	for _, n := range w.nodes {
+		for k := range 5 {
+			all.Go(func() {
+				hc := &http.Client{Timeout: callTime}
+				for i := range 20 {
+					w.ask(hc, n, "/safe/", fmt.Sprintf("press-%s-%d-%d", n.name, k, i))
+				}
+			})
+		}
+	}
+	all.Wait()
+}
+
+// leader is the node that places layers.
+func (w *world) leader() *node {
+	for end := time.Now().Add(recoverTime); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		it, err := w.store.Get(context.Background(), "deck/leader")
+		for _, n := range w.nodes {
+			if err == nil && string(it.Value) == n.name {
+				return n
+			}
+		}
+	}
+	w.t.Fatalf("no node leads within %v", recoverTime)
+	return nil
+}
+
 // fault draws a fault; the result brings it about and ends it.
 func (w *world) fault(r *rand.Rand) func() {
 	n := w.nodes[r.IntN(len(w.nodes))]
