The list of engines and the judgement of the store stand in packages of their own

What calls prove is logged where it is decided: store.away (620) when the store counts as away for all or no longer, with how many nodes are in trouble or served and the newest call without an answer; entries.kept (619) keeps the engines and the reason. Nodes that are lost no longer count in the same tick (TestWordOfALostNodeDoesNotCount failed by one tick before).

Checked: go test ./..., vet, revive.

--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -82,6 +82,7 @@
 	LeaderStandsIn Event = 617
 	EngineReborn   Event = 618
 	EntriesKept    Event = 619
+	StoreAway      Event = 620
 
 	// 400 to 403 were announced for the stand-ins and never logged.
 )
@@ -150,7 +151,8 @@
 	LeaderStandsIn: {slog.LevelWarn, "leader.stands_in", "no node leads and the store does not answer; this node places layers until one of the two changes"},
 	EngineDead:     {slog.LevelWarn, "engine.dead", "an engine that so many nodes (reports) found dead did not answer the leader either; its layers are placed elsewhere"},
 	EngineReborn:   {slog.LevelWarn, "engine.reborn", "an engine started anew at its address; the incarnation before it, and what ran there, has ended"},
-	EntriesKept:    {slog.LevelInfo, "entries.kept", "other engines than before stay in use although their entries are missing; gives how many (kept), why, and what this node knows of the store: an outage or served, and the newest call without an answer"},
+	EntriesKept:    {slog.LevelInfo, "entries.kept", "other engines than before stay in use although their entries are missing; gives how many (kept), some of those that changed, and why"},
+	StoreAway:      {slog.LevelWarn, "store.away", "the store was away (away=true) for all nodes that this one hears, long enough for entries to lapse, or is so no longer; gives how many nodes are in trouble or served, and this node's newest call without an answer"},
 	SettingsReload: {slog.LevelInfo, "settings.reload", "a reload was asked for; what the settings say of bounds is in force"},
 
 	LedgerRetry: {slog.LevelWarn, "ledger.retry", "recording an answer in the ledger, or taking a claim back, failed; it is tried again"},
--- /dev/null
+++ b/citronhealth/health_test.go
@@ -0,0 +1,98 @@
+package citronhealth
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronkv"
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+// start is when the tests' clocks start.
+var start = time.Unix(1000, 0)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// answeredCalls are calls answered at once, one each 0.6 s, up to a moment.
+func answeredCalls(until float64) []Call {
+	var calls []Call
+	for s := 0.0; s <= until; s += 0.6 {
+		calls = append(calls, Call{Begun: at(s), Ended: at(s)})
+	}
+	return calls
+}
+
+// What calls prove of the store. An outage counts only if it was long enough for
+// entries to lapse, 2.4 s, and it counts for 2.5 s after its end: entries that
+// are missing then have gone for good.
+func TestWhatCallsProveOfTheStore(t *testing.T) {
+	call := func(begun, ended float64, err error) Call {
+		return Call{Begun: at(begun), Ended: at(ended), Err: err}
+	}
+	well := slices.Clip(answeredCalls(6)) // the last answer is at 6.0
+	type seen struct {
+		at              float64
+		trouble, served bool
+	}
+	cases := []struct {
+		name  string
+		calls []Call
+		want  []seen
+	}{
+		{"nothing asked yet", nil, []seen{{1, false, false}}},
+		{"answered since the start", answeredCalls(2.4), []seen{{2.4, false, false}, {2.6, false, true}}},
+		{"the node stood still and its lease has run out", append(well, call(6.6, 12.1, citronkv.ErrLeaseExpired)), []seen{{12.2, false, true}}},
+		{"a call is turned away", append(well, call(6.6, 6.6, citronkv.ErrUnavailable)), []seen{{6.7, false, true}, {8.3, false, true}, {8.5, true, false}}},
+		{"turned away, and not asked again", append(well, call(6.6, 6.6, citronkv.ErrUnavailable), call(8.6, 8.6, citronkv.ErrUnavailable)), []seen{{8.7, true, false}, {11.5, true, false}, {11.7, false, false}}},
+		{"cut, and answered again at once", append(well, call(6.6, 8.1, citronkv.ErrUnavailable), call(8.2, 8.2, nil)), []seen{{8.1, false, true}, {8.3, false, true}}},
+		{"long silence", append(well, call(6.6, 8.1, citronkv.ErrUnavailable), call(8.2, 9.7, citronkv.ErrUnavailable), call(10, 10, nil), call(11, 11, nil), call(12, 12, nil)), []seen{{8.3, false, true}, {8.5, true, false}, {10.1, true, false}, {12.4, true, false}, {12.6, false, true}}},
+		{"hung while others are answered", append(well, call(4, 9, citronkv.ErrUnavailable)), []seen{{9, false, false}}},
+		{"not asked for long", append(well, call(20, 20, nil), call(22, 22, nil)), []seen{{20.1, false, false}, {22.4, false, false}, {22.6, false, true}}},
+		{"given up by the node", append(well, call(6.6, 9, errors.Wrap(context.Canceled, "stop"))), []seen{{9, false, false}}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			for _, w := range c.want {
+				h := NewRecord(1200 * time.Millisecond)
+				for _, k := range c.calls {
+					if !k.Ended.After(at(w.at)) {
+						h.Note(k)
+					}
+				}
+				got := h.State(at(w.at))
+				if got.Trouble != w.trouble || got.Served != w.served {
+					t.Errorf("at %v s: trouble %v, served %v", w.at, got.Trouble, got.Served)
+				}
+			}
+		})
+	}
+}
+
+// One node that was served is enough against an outage; nodes that do not ask
+// the store say nothing either way.
+func TestOutageNeedsAllNodes(t *testing.T) {
+	trouble, served, quiet := State{Trouble: true}, State{Served: true}, State{}
+	cases := []struct {
+		name  string
+		nodes []State
+		want  bool
+	}{
+		{"alone and well", []State{served}, false},
+		{"alone in trouble", []State{trouble}, true},
+		{"one node turned away", []State{trouble, served, quiet}, false},
+		{"another node turned away", []State{served, trouble, quiet}, false},
+		{"all in trouble", []State{trouble, trouble, trouble}, true},
+		{"the others do not ask", []State{trouble, quiet, quiet}, true},
+		{"does not ask, hears of trouble only", []State{quiet, trouble, quiet}, true},
+		{"does not ask, hears of both", []State{quiet, trouble, served}, false},
+		{"just started, nobody knows", []State{quiet, quiet}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { is.New(t).Equal(Away(c.nodes...), c.want) })
+	}
+}
--- a/citronkv/observe.go
+++ b/citronhealth/observe.go
@@ -1,10 +1,11 @@
-package citronkv
+package citronhealth
 
 import (
 	"context"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronclock"
+	"citrondeck.dev/citrondeck/citronkv"
 	"github.com/cockroachdb/errors"
 )
 
@@ -23,7 +24,7 @@
 // key that is not there or a lease that has run out is news from a store that
 // is well.
 func (c Call) Answered() bool {
-	return c.Err == nil || errors.IsAny(c.Err, ErrNotFound, ErrConflict, ErrLeaseExpired, ErrCompacted)
+	return c.Err == nil || errors.IsAny(c.Err, citronkv.ErrNotFound, citronkv.ErrConflict, citronkv.ErrLeaseExpired, citronkv.ErrCompacted)
 }
 
 // GivenUp reports whether the caller ended the call, which proves nothing of
@@ -31,12 +32,12 @@
 func (c Call) GivenUp() bool { return !c.Answered() && errors.Is(c.Err, context.Canceled) }
 
 // Observe returns a store that tells of each of its calls when it has ended.
-func Observe(s Store, clock citronclock.Clock, tell func(Call)) Store {
+func Observe(s citronkv.Store, clock citronclock.Clock, tell func(Call)) citronkv.Store {
 	return observedStore{Store: s, clock: clock, tell: tell}
 }
 
 type observedStore struct {
-	Store
+	citronkv.Store
 	clock citronclock.Clock
 	tell  func(Call)
 }
@@ -49,56 +50,56 @@
 	}
 }
 
-func (o observedStore) Get(ctx context.Context, key string) (Item, error) {
+func (o observedStore) Get(ctx context.Context, key string) (citronkv.Item, error) {
 	end := o.begin("get", key)
 	it, err := o.Store.Get(ctx, key)
 	end(err)
 	return it, err
 }
 
-func (o observedStore) Range(ctx context.Context, prefix string) ([]Item, Revision, error) {
+func (o observedStore) Range(ctx context.Context, prefix string) ([]citronkv.Item, citronkv.Revision, error) {
 	end := o.begin("range", prefix)
 	items, rev, err := o.Store.Range(ctx, prefix)
 	end(err)
 	return items, rev, err
 }
 
-func (o observedStore) Put(ctx context.Context, key string, value []byte, expect Revision, lease LeaseID) (Revision, error) {
+func (o observedStore) Put(ctx context.Context, key string, value []byte, expect citronkv.Revision, lease citronkv.LeaseID) (citronkv.Revision, error) {
 	end := o.begin("put", key)
 	rev, err := o.Store.Put(ctx, key, value, expect, lease)
 	end(err)
 	return rev, err
 }
 
-func (o observedStore) Delete(ctx context.Context, key string, expect Revision) error {
+func (o observedStore) Delete(ctx context.Context, key string, expect citronkv.Revision) error {
 	end := o.begin("delete", key)
 	err := o.Store.Delete(ctx, key, expect)
 	end(err)
 	return err
 }
 
-func (o observedStore) Watch(ctx context.Context, prefix string, after Revision) ([]Item, Revision, error) {
+func (o observedStore) Watch(ctx context.Context, prefix string, after citronkv.Revision) ([]citronkv.Item, citronkv.Revision, error) {
 	end := o.begin("watch", prefix)
 	items, rev, err := o.Store.Watch(ctx, prefix, after)
 	end(err)
 	return items, rev, err
 }
 
-func (o observedStore) Grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+func (o observedStore) Grant(ctx context.Context, ttl time.Duration) (citronkv.LeaseID, error) {
 	end := o.begin("grant", "")
 	id, err := o.Store.Grant(ctx, ttl)
 	end(err)
 	return id, err
 }
 
-func (o observedStore) KeepAlive(ctx context.Context, id LeaseID) error {
+func (o observedStore) KeepAlive(ctx context.Context, id citronkv.LeaseID) error {
 	end := o.begin("keepAlive", "")
 	err := o.Store.KeepAlive(ctx, id)
 	end(err)
 	return err
 }
 
-func (o observedStore) Revoke(ctx context.Context, id LeaseID) error {
+func (o observedStore) Revoke(ctx context.Context, id citronkv.LeaseID) error {
 	end := o.begin("revoke", "")
 	err := o.Store.Revoke(ctx, id)
 	end(err)
--- a/citronkv/observe_test.go
+++ b/citronhealth/observe_test.go
@@ -1,4 +1,4 @@
-package citronkv_test
+package citronhealth_test
 
 import (
 	"context"
@@ -6,6 +6,7 @@
 	"time"
 
 	"citrondeck.dev/citrondeck/citronclock"
+	"citrondeck.dev/citrondeck/citronhealth"
 	"citrondeck.dev/citrondeck/citronkv"
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
@@ -33,7 +34,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			call := citronkv.Call{Err: c.err}
+			call := citronhealth.Call{Err: c.err}
 			is.Equal(call.Answered(), c.answered)
 			is.Equal(call.GivenUp(), c.givenUp)
 		})
@@ -45,8 +46,8 @@
 	is := is.New(t)
 	ctx := context.Background()
 	clock := citronclock.NewManual(time.Unix(100, 0))
-	var calls []citronkv.Call
-	s := citronkv.Observe(citronkv.NewServer(clock, 0), clock, func(c citronkv.Call) { calls = append(calls, c) })
+	var calls []citronhealth.Call
+	s := citronhealth.Observe(citronkv.NewServer(clock, 0), clock, func(c citronhealth.Call) { calls = append(calls, c) })
 	lease, err := s.Grant(ctx, time.Minute)
 	is.NoErr(err)
 	_, err = s.Put(ctx, "a/1", []byte("x"), citronkv.Absent, lease)
--- a/citronnode/list_test.go
+++ b/citronlist/passed_test.go
@@ -1,4 +1,4 @@
-package citronnode
+package citronlist
 
 import (
 	"encoding/json"
@@ -17,8 +17,8 @@
 	gone := func(key string, revision int64) citronkv.Item {
 		return citronkv.Item{Key: key, Revision: revision, Deleted: true}
 	}
-	list := passedList{
-		revision: 20, items: []citronkv.Item{put("a", 3), put("b", 18), put("c", 12)},
+	list := Passed{
+		Revision: 20, items: []citronkv.Item{put("a", 3), put("b", 18), put("c", 12)},
 		removed: []citronkv.Item{gone("x", 11), gone("b", 16)}, since: 10,
 	}
 	cases := []struct {
@@ -37,7 +37,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			doc, err := list.after(c.asked)
+			doc, err := list.After(c.asked)
 			is.NoErr(err)
 			is.Equal(doc.Revision, int64(20))
 			is.Equal(doc.Base, c.base)
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -12,7 +12,9 @@
 	"citrondeck.dev/citrondeck/citronbudget"
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronforward"
+	"citrondeck.dev/citrondeck/citronhealth"
 	"citrondeck.dev/citrondeck/citronkv"
+	"citrondeck.dev/citrondeck/citronlist"
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronpeer"
 	"citrondeck.dev/citrondeck/citronpool"
@@ -72,47 +74,37 @@
 
 // control is the state of the loop.
 type control struct {
-	n       *Node
-	config  citronpeer.Document
-	table   *citrontable.Table
-	list    map[string]listed
-	listRev int64
-	// passed is the list as it is passed on; made anew when it changes.
-	passed passedList
-	// removed are the entries that went lately, and removedSince the
-	// revision after which none is missing from them.
-	removed      []citronkv.Item
-	removedSince int64
-	// byAddr are the keys of the entries that name an address.
-	byAddr map[string]string
-	// rejected is the revision of each entry that could not be read, so that
-	// it is logged once.
-	rejected map[string]int64
-	// firsthand: the list that is being taken is from the store. Only then is
-	// each engine logged; the other nodes would log the same again.
-	firsthand bool
-	members   map[string]known
-	self      citronpeer.Member
-	view      *citronpool.View
-	// vanished are the times at which entries went lately; lapse is why
-	// engines stay in use all the same, and kept how many do.
-	vanished []time.Time
-	lapse    lapseCause
-	kept     int
+	n      *Node
+	config citronpeer.Document
+	table  *citrontable.Table
+	// list is what is believed of the engines; listVersion is that of the
+	// view.
+	list        *citronlist.List
+	listVersion int
+	members     map[string]known
+	self        citronpeer.Member
+	view        *citronpool.View
 	// listSince is when the first list came, listAt when it last changed,
 	// configAt when the configuration did.
 	listSince, listAt, configAt time.Time
-	changed                     bool
+	// storeAway: the store was away for all nodes within the last seconds.
+	storeAway bool
+	changed   bool
 	// joined are the nodes heard of, or heard differently of, since the last
 	// tick.
 	joined []string
 }
 
+func newControl(n *Node) *control {
+	c := &control{n: n, members: map[string]known{}, self: n.snap.Load().self}
+	c.list = citronlist.New(citronlist.Settings{
+		Prefix: n.src.EnginePrefix, Decode: n.src.DecodeEngine, DrainWithin: n.set.DrainWithin, Clock: n.clock, Log: n.log, Ended: c.ended,
+	})
+	return c
+}
+
 func (n *Node) loop(ctx context.Context) {
-	c := &control{
-		n: n, list: map[string]listed{}, byAddr: map[string]string{}, rejected: map[string]int64{},
-		members: map[string]known{}, self: n.snap.Load().self,
-	}
+	c := newControl(n)
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	for {
@@ -140,14 +132,53 @@
 func (c *control) take(ctx context.Context, m message) {
 	switch m := m.(type) {
 	case listSeen:
-		c.takeList(ctx, m)
+		if c.list.TakeWhole(ctx, m.items, m.revision, m.source == sourceStore) {
+			c.listTaken(ctx, m.source)
+		}
 	case listChanged:
-		c.takeChanges(ctx, m)
+		if c.list.TakeChanges(ctx, m.items, m.base, m.revision, m.source == sourceStore) {
+			c.listTaken(ctx, m.source)
+		}
 	case membersSeen:
 		c.takeMembers(ctx, m.members)
 	}
 }
 
+// listTaken is called when news of the list was taken.
+func (c *control) listTaken(ctx context.Context, source string) {
+	c.listAt = c.n.clock.Now()
+	if c.listSince.IsZero() {
+		c.listSince = c.listAt
+	}
+	c.n.tell()
+	citronevent.Log(ctx, c.n.log, citronevent.EnginesChanged, "revision", c.list.Revision(), "engines", c.list.Len(), "source", source)
+}
+
+// ended has the requests moved that run on an engine that has ended.
+func (c *control) ended(e citronmodel.Engine) {
+	if c.view == nil {
+		return
+	}
+	if seen, ok := c.view.ByID(e.ID); ok {
+		seen.Replace(c.n.clock.Now())
+	}
+}
+
+// noteStarts takes from traffic which engines told that they had started anew,
+// and has the other nodes hear of it.
+func (c *control) noteStarts(ctx context.Context) {
+	if c.view != nil {
+		for _, e := range c.view.StartedAnew() {
+			c.list.StartedAnew(ctx, e.Instance, e.LaterStart())
+		}
+	}
+	starts := c.list.Starts()
+	if len(starts) > len(c.self.Starts) {
+		c.n.alarm()
+	}
+	c.self.Starts = starts
+}
+
 // takeConfig puts a decoded configuration in force.
 func (c *control) takeConfig(ctx context.Context, d decodedConfig) {
 	if c.table != nil && d.table.Version <= c.table.Version {
@@ -176,7 +207,7 @@
 		c.members[m.Name] = k
 		c.suspect(m.Dead)
 		for instance, born := range m.Starts {
-			c.startedAnew(ctx, instance, born)
+			c.list.StartedAnew(ctx, instance, born)
 		}
 		if !ok || !old.alive || old.Leaving != m.Leaving || old.Ready != m.Ready {
 			c.changed = true
@@ -202,20 +233,6 @@
 
 func (c *control) tick(ctx context.Context) {
 	now := c.n.clock.Now()
-	health := c.n.health.state(now)
-	c.self.Trouble, c.self.Served = health.trouble, health.served
-	c.reviewLapsed(ctx)
-	for key, l := range c.list {
-		if !l.lapsed.IsZero() && now.Sub(l.lapsed) > lapseGrace {
-			delete(c.list, key)
-			if c.byAddr[l.engine.Addr] == key {
-				delete(c.byAddr, l.engine.Addr)
-			}
-			c.changed = true
-			c.passed = passedList{}
-			citronevent.Log(ctx, c.n.log, citronevent.EnginesChanged, "engine", l.engine.ID, "peer", l.engine.Addr, "gone", true, "lapsed", now.Sub(l.lapsed))
-		}
-	}
 	for name, m := range c.members {
 		age := now.Sub(m.heard)
 		if m.alive && age > memberTimeout {
@@ -228,6 +245,7 @@
 			delete(c.members, name)
 		}
 	}
+	c.watchStore(ctx, now) // after those who are lost are known
 	c.logJoined(ctx)
 	c.self.Beat++
 	c.self.Leaving = c.n.leaving.Load()
@@ -250,6 +268,43 @@
 	}
 }
 
+// watchStore tells others how the store serves this node, and the list whether
+// it was away for all.
+func (c *control) watchStore(ctx context.Context, now time.Time) {
+	own := c.n.health.State(now)
+	c.self.Trouble, c.self.Served = own.Trouble, own.Served
+	states := []citronhealth.State{own}
+	for _, m := range c.members {
+		if m.alive {
+			states = append(states, citronhealth.State{Trouble: m.Trouble, Served: m.Served})
+		}
+	}
+	if away := citronhealth.Away(states...); away != c.storeAway {
+		c.storeAway = away
+		c.logStore(ctx, now, states)
+	}
+	c.list.Tick(ctx, c.storeAway)
+}
+
+// logStore logs what is believed of the store and on what that rests; this
+// node's own state is the first.
+func (c *control) logStore(ctx context.Context, now time.Time, states []citronhealth.State) {
+	trouble, served := 0, 0
+	for _, s := range states {
+		if s.Trouble {
+			trouble++
+		}
+		if s.Served {
+			served++
+		}
+	}
+	args := []any{"away", c.storeAway, "nodes", len(states), "trouble", trouble, "served", served}
+	if f := states[0].Failed; f != nil {
+		args = append(args, "step", f.Name, "key", f.Key, "age", now.Sub(f.Ended), "err", f.Err)
+	}
+	citronevent.Log(ctx, c.n.log, citronevent.StoreAway, args...)
+}
+
 // mostNames bounds the names in a log line.
 const mostNames = 5
 
@@ -323,8 +378,8 @@
 	s.listWhole = !c.listSince.IsZero() && c.n.clock.Now().Sub(c.listSince) > listWhole
 	s.listSettled = !c.listSince.IsZero() && c.n.clock.Now().Sub(c.listSince) > settle
 	s.goals = c.lateGoals(c.n.clock.Now())
-	s.unreadable = len(c.rejected)
-	s.kept = c.kept
+	s.unreadable = c.list.Unreadable()
+	s.kept = c.list.Kept()
 	others := map[string]int64{}
 	sent := map[string]citronbudget.Usage{}
 	for _, m := range c.members {
@@ -342,18 +397,23 @@
 			sent[service] = sum
 		}
 	}
-	if c.changed {
-		c.changed = false
-		s.engines = c.engines()
+	if c.changed || c.listVersion != c.list.Version() {
+		c.changed, c.listVersion = false, c.list.Version()
+		s.engines = c.list.Engines(c.services())
 		c.view = citronpool.Build(s.engines, c.view)
 	}
 	c.n.budget.Learn(sent, len(s.members)+1, c.n.clock.Now())
 	if c.table != nil {
 		s.traffic = &citronforward.State{Table: c.table, View: c.view, Others: others}
 	}
-	if c.passed.revision != c.listRev {
-		c.passed = passedList{revision: c.listRev, items: c.items(), removed: c.removed, since: c.removedSince}
-	}
-	s.list = c.passed
+	s.list = c.list.Passed()
 	c.n.snap.Store(s)
 }
+
+// services are those of the configuration, nil without one.
+func (c *control) services() map[string]citrontable.Service {
+	if c.table == nil {
+		return nil
+	}
+	return c.table.Services
+}
--- a/citronnode/gossip.go
+++ b/citronnode/gossip.go
@@ -5,7 +5,6 @@
 // whole, the list of engines as the changes since the other's revision.
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -88,7 +87,7 @@
 // news is what this node tells of itself.
 func (s *snapshot) news() citronpeer.Knowledge {
 	return citronpeer.Knowledge{
-		Members: []citronpeer.Member{s.self}, Config: citronpeer.Document{Revision: s.config.Revision}, Engines: citronpeer.Document{Revision: s.list.revision},
+		Members: []citronpeer.Member{s.self}, Config: citronpeer.Document{Revision: s.config.Revision}, Engines: citronpeer.Document{Revision: s.list.Revision},
 	}
 }
 
@@ -148,7 +147,7 @@
 func (n *Node) exchange(ctx context.Context, addr string) {
 	s := n.snap.Load()
 	theirs, err := n.peers.Exchange(ctx, addr, citronpeer.Knowledge{
-		Members: s.all(), Config: citronpeer.Document{Revision: s.config.Revision}, Engines: citronpeer.Document{Revision: s.list.revision},
+		Members: s.all(), Config: citronpeer.Document{Revision: s.config.Revision}, Engines: citronpeer.Document{Revision: s.list.Revision},
 	})
 	if err != nil {
 		citronevent.Log(ctx, n.log, citronevent.GossipFailed, "peer", addr, "err", err)
@@ -157,40 +156,6 @@
 	n.learn(ctx, theirs)
 }
 
-// passedList is the list of engines as it is passed on. It is immutable.
-type passedList struct {
-	revision int64
-	items    []citronkv.Item
-	// removed are removals, all of those after the revision since.
-	removed []citronkv.Item
-	since   int64
-}
-
-// after is what a node that has the list of another revision lacks. Engines
-// come and go one at a time, and the whole list is a hundred times as long
-// as one change.
-func (l passedList) after(revision int64) (citronpeer.Document, error) {
-	doc := citronpeer.Document{Revision: l.revision}
-	if revision >= l.revision {
-		return doc, nil
-	}
-	items := l.items
-	if revision > 0 && revision >= l.since {
-		doc.Base = revision
-		items = nil
-		for _, it := range slices.Concat(l.items, l.removed) {
-			if it.Revision > revision {
-				items = append(items, it)
-			}
-		}
-		// An entry that lapsed and came back stands in both.
-		slices.SortFunc(items, func(a, b citronkv.Item) int { return cmp.Compare(a.Revision, b.Revision) })
-	}
-	var err error
-	doc.Body, err = json.Marshal(items)
-	return doc, err
-}
-
 // all are the nodes that this one knows, itself first.
 func (s *snapshot) all() []citronpeer.Member {
 	return append([]citronpeer.Member{s.self}, s.members...)
@@ -204,7 +169,7 @@
 		k.Config.Body = nil
 	}
 	var err error
-	k.Engines, err = s.list.after(other.Engines.Revision)
+	k.Engines, err = s.list.After(other.Engines.Revision)
 	return k, err
 }
 
@@ -242,7 +207,7 @@
 
 // lacks reports whether another node has a newer document.
 func (s *snapshot) lacks(theirs citronpeer.Knowledge) bool {
-	return theirs.Config.Revision > s.config.Revision || theirs.Engines.Revision > s.list.revision
+	return theirs.Config.Revision > s.config.Revision || theirs.Engines.Revision > s.list.Revision
 }
 
 // puller fetches documents one after the other. Many nodes tell of the same
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -25,7 +25,9 @@
 	"citrondeck.dev/citrondeck/citronclock"
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronforward"
+	"citrondeck.dev/citrondeck/citronhealth"
 	"citrondeck.dev/citrondeck/citronkv"
+	"citrondeck.dev/citrondeck/citronlist"
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronpeer"
 	"citrondeck.dev/citrondeck/citronplace"
@@ -47,11 +49,11 @@
 	LeaseTTL time.Duration
 	// Grace is the time between the signal to stop and the kill.
 	Grace time.Duration
-	// Heartbeat is how often engines renew their entries; zero:
-	// usualHeartbeat.
+	// Heartbeat is how often engines renew their entries; zero: it is not
+	// known.
 	Heartbeat time.Duration
 	// DrainWithin is the time after which an engine that leaves gets no new
-	// work from any node; zero: usualDrain.
+	// work from any node; zero: it is not known.
 	DrainWithin time.Duration
 }
 
@@ -93,7 +95,7 @@
 	// answered is how many of the followed prefixes the store answers.
 	answered atomic.Int64
 	// health is what this node's calls tell of the store.
-	health *storeHealth
+	health *citronhealth.Record
 	leads  atomic.Bool
 	// goals are what this node as the leader wants engines to hold.
 	goals atomic.Pointer[func() map[string]citronmodel.Span]
@@ -112,7 +114,7 @@
 	members []citronpeer.Member
 	// config and list are passed on to other nodes.
 	config citronpeer.Document
-	list   passedList
+	list   citronlist.Passed
 	self   citronpeer.Member
 	// configAt and listAt are when they last changed here.
 	configAt, listAt time.Time
@@ -129,8 +131,8 @@
 
 // New returns a node. hc is used to speak to other nodes.
 func New(set Settings, src Sources, clock citronclock.Clock, log *slog.Logger, budget *citronbudget.Budget, loads *citronpool.Loads, hc *http.Client) *Node {
-	health := newStoreHealth(set.Heartbeat)
-	src.Store = citronkv.Observe(src.Store, clock, health.note)
+	health := citronhealth.NewRecord(set.Heartbeat)
+	src.Store = citronhealth.Observe(src.Store, clock, health.Note)
 	n := &Node{
 		set: set, src: src, health: health, clock: clock, log: log, budget: budget, loads: loads,
 		peers:   &citronpeer.Client{HC: hc, Timeout: exchangeTimeout},
--- a/citronnode/reborn_test.go
+++ b/citronnode/reborn_test.go
@@ -30,11 +30,7 @@
 
 func newLoop(t require) *loopRig {
 	t.Helper()
-	return newLoopAt(citronclock.Real{}, Settings{Name: "n1", Zone: "z"})
-}
-
-// newLoopAt returns a loop whose time is the clock's.
-func newLoopAt(clock citronclock.Clock, set Settings) *loopRig {
+	set := Settings{Name: "n1", Zone: "z"}
 	src := Sources{EnginePrefix: "engines/", DecodeEngine: func(key string, text []byte) (citronmodel.Engine, error) {
 		var e citronmodel.Engine
 		err := json.Unmarshal(text, &e)
@@ -44,8 +40,8 @@
 		e.ID = citronmodel.IncarnationID(e.Instance, e.Born)
 		return e, err
 	}}
-	n := New(set, src, clock, slog.New(slog.NewTextHandler(io.Discard, nil)), citronbudget.New(citronbudget.Limits{Ratio: 0.2, Slack: 10, Window: time.Second}), &citronpool.Loads{}, nil)
-	c := &control{n: n, list: map[string]listed{}, byAddr: map[string]string{}, rejected: map[string]int64{}, members: map[string]known{}, self: n.snap.Load().self}
+	n := New(set, src, citronclock.Real{}, slog.New(slog.NewTextHandler(io.Discard, nil)), citronbudget.New(citronbudget.Limits{Ratio: 0.2, Slack: 10, Window: time.Second}), &citronpool.Loads{}, nil)
+	c := newControl(n)
 	c.table = citrontable.New(1, nil, []citrontable.Service{{Name: "m"}}, nil, citrontable.Limits{})
 	return &loopRig{control: c, revision: 10}
 }
@@ -68,10 +64,10 @@
 		r.revision++
 		items = append(items, citronkv.Item{Key: "engines/" + key, Value: text, Revision: r.revision})
 	}
-	if r.listRev == 0 {
+	if r.list.Revision() == 0 {
 		r.take(context.Background(), listSeen{items: items, revision: r.revision})
 	} else {
-		r.take(context.Background(), listChanged{items: items, base: r.listRev, revision: r.revision})
+		r.take(context.Background(), listChanged{items: items, base: r.list.Revision(), revision: r.revision})
 	}
 	r.publish()
 }
--- a/citronnode/status.go
+++ b/citronnode/status.go
@@ -26,7 +26,7 @@
 // Status returns what the node knows now.
 func (n *Node) Status() Status {
 	s := n.snap.Load()
-	out := Status{ConfigVersion: s.config.Revision, ListRevision: s.list.revision, Nodes: len(s.members), Unreadable: s.unreadable, Kept: s.kept, Watching: s.self.Watching, Leads: s.self.Leads}
+	out := Status{ConfigVersion: s.config.Revision, ListRevision: s.list.Revision, Nodes: len(s.members), Unreadable: s.unreadable, Kept: s.kept, Watching: s.self.Watching, Leads: s.self.Leads}
 	now := n.clock.Now()
 	if !s.configAt.IsZero() {
 		out.ConfigAge = now.Sub(s.configAt)
--- a/citronstat/store.go
+++ b/citronstat/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"citrondeck.dev/citrondeck/citronclock"
+	"citrondeck.dev/citrondeck/citronhealth"
 	"citrondeck.dev/citrondeck/citronkv"
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -13,7 +14,7 @@
 func CountStore(s citronkv.Store, r prometheus.Registerer) citronkv.Store {
 	calls := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citrondeck_store_calls_total", Help: "Calls to the store by kind and result."}, []string{"call", "result"})
 	r.MustRegister(calls)
-	return citronkv.Observe(s, citronclock.Real{}, func(c citronkv.Call) {
+	return citronhealth.Observe(s, citronclock.Real{}, func(c citronhealth.Call) {
 		calls.WithLabelValues(c.Name, result(c.Err)).Inc()
 	})
 }
