--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -53,6 +53,8 @@
 type State struct {
 	Table *citrontable.Table
 	View  *citronpool.View
+	// ListRevision is that of the list which View was made of.
+	ListRevision int64
 	// Others is the cache, in tokens, that requests of other nodes take in
 	// each zone.
 	Others map[string]int64
@@ -86,7 +88,7 @@
 // answered logs one in many of the requests that went well.
 func (j *job) answered(args ...any) {
 	if j.f.answers.Add(1)%sampleEvery == 1 {
-		citronevent.Log(context.Background(), j.f.Log, citronevent.AnswerSampled, append([]any{"request", j.ID, "route", j.route.Name, "version", j.version, "took", j.f.Clock.Now().Sub(j.Received)}, args...)...)
+		citronevent.Log(context.Background(), j.f.Log, citronevent.AnswerSampled, append([]any{"request", j.ID, "route", j.route.Name, "version", j.version, "list", j.list, "took", j.f.Clock.Now().Sub(j.Received)}, args...)...)
 	}
 }
 
@@ -96,7 +98,10 @@
 	f   *Forwarder
 	out Sink
 	// version is that of the configuration which decided route and key.
-	version  int64
+	version int64
+	// list is the revision of the list of engines from which one was chosen
+	// last.
+	list     int64
 	route    citrontable.Route
 	service  citrontable.Service
 	customer string
--- /dev/null
+++ b/citronforward/list_test.go
@@ -0,0 +1,54 @@
+package citronforward_test
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronforward"
+	"citrondeck.dev/citrondeck/citronmodel"
+	"citrondeck.dev/citrondeck/citronpool"
+	"citrondeck.dev/citrondeck/citronupstream"
+	"github.com/matryer/is"
+)
+
+// A request fails at its first engine, and while it ran there the list changed:
+// of the two engines left, the one that the request would go to next is leaving.
+// The caller is served by the other, and the log tells from which list each
+// engine was chosen.
+func TestRepeatIsSentByTheListInForce(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, plain("e1", "a"), plain("e2", "a"), plain("e3", "b"))
+	var log bytes.Buffer
+	r.Log = slog.New(slog.NewTextHandler(&log, nil))
+	before := *r.Current()
+	before.ListRevision = 41
+	leaving := plain("e2", "a")
+	leaving.Leaving = true
+	after := before
+	after.ListRevision = 42
+	after.View = citronpool.Build([]citronmodel.Engine{plain("e1", "a"), leaving, plain("e3", "b")}, before.View)
+	var inForce atomic.Pointer[citronforward.State]
+	inForce.Store(&before)
+	r.Current = inForce.Load
+	r.engines.answer = func(_ context.Context, n int, _ citronupstream.Call) (*citronupstream.Reply, error) {
+		if n == 0 {
+			inForce.Store(&after)
+			return reply(500, "broken"), nil
+		}
+		return reply(200, "done"), nil
+	}
+	is.Equal(r.ask("safe", time.Second).status, http.StatusOK)
+	calls := r.engines.seen()
+	is.Equal(len(calls), 2)
+	is.Equal(calls[0].engine, "e1")
+	is.Equal(calls[1].engine, "e3") // e2 is as near as e1 was
+	lines := strings.Split(log.String(), "\n")
+	is.True(strings.Contains(lines[0], "msg=attempt.failed") && strings.Contains(lines[0], "list=41"))
+	is.True(strings.Contains(lines[1], "msg=answer.sampled") && strings.Contains(lines[1], "list=42"))
+}
--- a/citronforward/whole.go
+++ b/citronforward/whole.go
@@ -97,7 +97,7 @@
 }
 
 func (j *job) logAttempt(e *citronpool.Engine, res result) {
-	args := []any{"request", j.ID, "service", j.service.Name, "engine", e.ID, "peer", e.Addr, "outcome", res.outcome.String(), "status", res.status, "runs", j.runs, "left", j.left()}
+	args := []any{"request", j.ID, "service", j.service.Name, "engine", e.ID, "peer", e.Addr, "outcome", res.outcome.String(), "status", res.status, "runs", j.runs, "list", j.list, "left", j.left()}
 	if res.err != nil {
 		args = append(args, "err", res.err)
 	}
@@ -197,6 +197,7 @@
 		}
 		return p[0].Engine, p, true
 	}
+	j.list = s.ListRevision
 	now := j.f.Clock.Now()
 	var best *citronpool.Engine
 	var bestCost time.Duration
@@ -235,6 +236,7 @@
 }
 
 func (j *job) query(s *State, first string) citronpath.Query {
+	j.list = s.ListRevision
 	return citronpath.Query{
 		Spec: *j.service.Model, Zone: j.f.Zone, Now: j.f.Clock.Now(), Avoid: j.avoid, First: first, Others: s.Others, Own: j.f.Loads.Sums(), ZoneCost: j.spread,
 	}
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -404,7 +404,7 @@
 	}
 	c.n.budget.Learn(sent, len(s.members)+1, c.n.clock.Now())
 	if c.table != nil {
-		s.traffic = &citronforward.State{Table: c.table, View: c.view, Others: others}
+		s.traffic = &citronforward.State{Table: c.table, View: c.view, ListRevision: c.list.Revision(), Others: others}
 	}
 	s.list = c.list.Passed()
 	c.n.snap.Store(s)
