A node that the store turns away proves nothing while others are answered

Cause: an outage was believed if some node was in trouble and none was known to have been served for 2.5 s. After restarts nobody is known to, so one node that the store turned away counted for all: an engine that left was used for 2 s and more.

What nodes tell each other is one value now (citronhealth.Word): not answered for so long that entries lapse, back after that, answered lately, served all the while. While the store is away for some, one that it answers is proof against; once it is back for some, only one that was served all the while.

Checked: go test ./..., the outage case as before.

--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -152,7 +152,7 @@
 	EngineDead:     {slog.LevelWarn, "engine.dead", "an engine that so many nodes (reports) found dead did not answer the leader either; its layers are placed elsewhere"},
 	EngineReborn:   {slog.LevelWarn, "engine.reborn", "an engine started anew at its address; the incarnation before it, and what ran there, has ended"},
 	EntriesKept:    {slog.LevelInfo, "entries.kept", "other engines than before stay in use although their entries are missing; gives how many (kept), some of those that changed, and why"},
-	StoreAway:      {slog.LevelWarn, "store.away", "the store was away (away=true) for all nodes that this one hears, long enough for entries to lapse, or is so no longer; gives how many nodes are in trouble or served, and this node's newest call without an answer"},
+	StoreAway:      {slog.LevelWarn, "store.away", "the store was away (away=true) for all nodes that this one hears, long enough for entries to lapse, or is so no longer; gives how many nodes are unanswered, have it back, are answered or served, and this node's newest call without an answer"},
 	SettingsReload: {slog.LevelInfo, "settings.reload", "a reload was asked for; what the settings say of bounds is in force"},
 
 	LedgerRetry: {slog.LevelWarn, "ledger.retry", "recording an answer in the ledger, or taking a claim back, failed; it is tried again"},
--- a/citronhealth/health.go
+++ b/citronhealth/health.go
@@ -8,9 +8,9 @@
 // engine. The entry looks the same in both, so the outage needs a proof of its
 // own, and without one the engine is taken to leave:
 //
-//	calls of this node -> Record -> served or in trouble --+
-//	                                                       +-> Away
-//	other nodes' word, by gossip -> served or in trouble --+
+//	calls of this node -> Record -> Word --+
+//	                                       +-> Away
+//	other nodes, by gossip -------> Words -+
 //
 // A node's own failed call is no proof. The store may turn just this node away,
 // a connection may have hung, the node itself may have stood still; meanwhile
@@ -33,10 +33,10 @@
 	// swallow before entries lapse: they last for three, the first of which
 	// is partly over when the outage begins.
 	lapseHeartbeats = 2
-	// failedMemory is how long a failed call tells of trouble: a node that
+	// failedMemory is how long a failed call tells of an outage: a node that
 	// the store does not answer tries again within 2.7 s (storeTimeout of the
 	// platform's client and 1.5 x retryMost). One that leaves the asking to
-	// others knows no more than they do, and would else be in trouble for ever.
+	// others knows no more than they do, and would else tell of one for ever.
 	failedMemory = 3 * time.Second
 	// usualHeartbeat stands for settings without a heartbeat.
 	usualHeartbeat = 1200 * time.Millisecond
@@ -96,41 +96,51 @@
 	h.failed = nil
 }
 
-// State is what a node tells others of the store.
-type State struct {
-	// Trouble: the store has not answered for so long that entries lapse,
-	// or that was so within LapseGrace.
-	Trouble bool
-	// Served: the store has served the node without such an outage for
-	// LapseGrace and more, up to now.
-	Served bool
-	// Failed is the newest call without an answer, nil if there is none.
-	Failed *Call
+// Word is what a node tells others of the store.
+type Word struct {
+	// Away: the store has not answered for so long that entries lapse.
+	Away bool `json:"away,omitempty"`
+	// Back: such an outage ended within LapseGrace.
+	Back bool `json:"back,omitempty"`
+	// Answered: the store answered lately.
+	Answered bool `json:"answered,omitempty"`
+	// Served: it has done so without such an outage for LapseGrace and more.
+	Served bool `json:"served,omitempty"`
 }
 
-// State returns what the calls up to now tell.
-func (h *Record) State(now time.Time) State {
+// Word returns what the calls up to now tell.
+func (h *Record) Word(now time.Time) Word {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	silent := now.Sub(h.answered) >= h.lapseAfter
-	away := silent && h.failed != nil && now.Sub(h.failed.Ended) < failedMemory
 	settled := now.Sub(h.since) >= LapseGrace
-	return State{
-		Trouble: away || h.back && !settled,
-		Served:  !silent && settled,
-		Failed:  h.failed,
+	return Word{
+		Away:     silent && h.failed != nil && now.Sub(h.failed.Ended) < failedMemory,
+		Back:     h.back && !settled,
+		Answered: !silent,
+		Served:   !silent && settled,
 	}
 }
 
-// Away reports whether the store was away for all nodes within the last seconds:
-// some were in trouble, and none was served.
-func Away(nodes ...State) bool {
-	trouble := false
-	for _, s := range nodes {
-		if s.Served {
-			return false
-		}
-		trouble = trouble || s.Trouble
+// Failed is the newest call without an answer since the last answer, nil if there
+// is none.
+func (h *Record) Failed() *Call {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.failed
+}
+
+// Away reports, from the words of all nodes that are heard, whether the store
+// was away for all of them within the last seconds. One that was served all the
+// while is proof against it. While it is away for some, one that it answers
+// shows that it turns just those away.
+func Away(words ...Word) bool {
+	var all Word
+	for _, w := range words {
+		all.Away = all.Away || w.Away
+		all.Back = all.Back || w.Back
+		all.Answered = all.Answered || w.Answered
+		all.Served = all.Served || w.Served
 	}
-	return trouble
+	return !all.Served && (all.Back || all.Away && !all.Answered)
 }
--- a/citronhealth/health_test.go
+++ b/citronhealth/health_test.go
@@ -36,8 +36,8 @@
 	}
 	well := slices.Clip(answeredCalls(6)) // the last answer is at 6.0
 	type seen struct {
-		at              float64
-		trouble, served bool
+		at             float64
+		outage, served bool
 	}
 	cases := []struct {
 		name  string
@@ -64,33 +64,38 @@
 						h.Note(k)
 					}
 				}
-				got := h.State(at(w.at))
-				if got.Trouble != w.trouble || got.Served != w.served {
-					t.Errorf("at %v s: trouble %v, served %v", w.at, got.Trouble, got.Served)
+				got := h.Word(at(w.at))
+				if (got.Away || got.Back) != w.outage || got.Served != w.served {
+					t.Errorf("at %v s: %+v", w.at, got)
 				}
 			}
 		})
 	}
 }
 
-// One node that was served is enough against an outage; nodes that do not ask
-// the store say nothing either way.
+// One node that was served is enough against an outage, and one that is answered
+// is enough while the others are not; nodes that do not ask say nothing.
 func TestOutageNeedsAllNodes(t *testing.T) {
-	trouble, served, quiet := State{Trouble: true}, State{Served: true}, State{}
+	away, back := Word{Away: true}, Word{Back: true, Answered: true}
+	served, fresh, quiet := Word{Answered: true, Served: true}, Word{Answered: true}, Word{}
 	cases := []struct {
 		name  string
-		nodes []State
+		nodes []Word
 		want  bool
 	}{
-		{"alone and well", []State{served}, false},
-		{"alone in trouble", []State{trouble}, true},
-		{"one node turned away", []State{trouble, served, quiet}, false},
-		{"another node turned away", []State{served, trouble, quiet}, false},
-		{"all in trouble", []State{trouble, trouble, trouble}, true},
-		{"the others do not ask", []State{trouble, quiet, quiet}, true},
-		{"does not ask, hears of trouble only", []State{quiet, trouble, quiet}, true},
-		{"does not ask, hears of both", []State{quiet, trouble, served}, false},
-		{"just started, nobody knows", []State{quiet, quiet}, false},
+		{"alone and well", []Word{served}, false},
+		{"alone, and the store does not answer", []Word{away}, true},
+		{"one node turned away", []Word{away, served, quiet}, false},
+		{"another node turned away", []Word{served, away, quiet}, false},
+		{"one node turned away, the others have just started", []Word{away, fresh, quiet}, false},
+		{"all turned away", []Word{away, away, away}, true},
+		{"the others do not ask", []Word{away, quiet, quiet}, true},
+		{"does not ask, hears of an outage only", []Word{quiet, away, quiet}, true},
+		{"does not ask, hears of both", []Word{quiet, away, served}, false},
+		{"the store is back for one", []Word{away, back, away}, true},
+		{"the store is back for one, and another has just started", []Word{back, fresh}, true},
+		{"back for one that was turned away alone", []Word{back, served}, false},
+		{"just started, nobody knows", []Word{quiet, quiet}, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) { is.New(t).Equal(Away(c.nodes...), c.want) })
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -271,35 +271,37 @@
 // watchStore tells others how the store serves this node, and the list whether
 // it was away for all.
 func (c *control) watchStore(ctx context.Context, now time.Time) {
-	own := c.n.health.State(now)
-	c.self.Trouble, c.self.Served = own.Trouble, own.Served
-	states := []citronhealth.State{own}
+	c.self.Store = c.n.health.Word(now)
+	words := []citronhealth.Word{c.self.Store}
 	for _, m := range c.members {
 		if m.alive {
-			states = append(states, citronhealth.State{Trouble: m.Trouble, Served: m.Served})
+			words = append(words, m.Store)
 		}
 	}
-	if away := citronhealth.Away(states...); away != c.storeAway {
+	if away := citronhealth.Away(words...); away != c.storeAway {
 		c.storeAway = away
-		c.logStore(ctx, now, states)
+		c.logStore(ctx, now, words)
 	}
 	c.list.Tick(ctx, c.storeAway)
 }
 
-// logStore logs what is believed of the store and on what that rests; this
-// node's own state is the first.
-func (c *control) logStore(ctx context.Context, now time.Time, states []citronhealth.State) {
-	trouble, served := 0, 0
-	for _, s := range states {
-		if s.Trouble {
-			trouble++
-		}
-		if s.Served {
-			served++
+// logStore logs what is believed of the store and on what that rests.
+func (c *control) logStore(ctx context.Context, now time.Time, words []citronhealth.Word) {
+	count := func(says func(citronhealth.Word) bool) int {
+		n := 0
+		for _, w := range words {
+			if says(w) {
+				n++
+			}
 		}
+		return n
+	}
+	args := []any{
+		"away", c.storeAway, "nodes", len(words),
+		"unanswered", count(func(w citronhealth.Word) bool { return w.Away }), "back", count(func(w citronhealth.Word) bool { return w.Back }),
+		"answered", count(func(w citronhealth.Word) bool { return w.Answered }), "served", count(func(w citronhealth.Word) bool { return w.Served }),
 	}
-	args := []any{"away", c.storeAway, "nodes", len(states), "trouble", trouble, "served", served}
-	if f := states[0].Failed; f != nil {
+	if f := c.n.health.Failed(); f != nil {
 		args = append(args, "step", f.Name, "key", f.Key, "age", now.Sub(f.Ended), "err", f.Err)
 	}
 	citronevent.Log(ctx, c.n.log, citronevent.StoreAway, args...)
--- a/citronnode/leaving_test.go
+++ b/citronnode/leaving_test.go
@@ -146,6 +146,24 @@
 			})
 			turnAway(f.nodes, false)
 		}, []string{"e3"}},
+		{"the store turns one node away, and the others have just started", func(t *testing.T, f *fleet) {
+			turnAway(f.nodes[:1], true)
+			time.Sleep(2600 * time.Millisecond) // over two heartbeats of 1.2 s
+			for _, m := range f.nodes[1:] {
+				m.stop()
+			}
+			f.nodes = f.nodes[:1]
+			f.add("d", "z1")
+			f.add("e", "z1")
+			eventually(t, "the new nodes use all engines and hear the old one", func() bool {
+				for _, m := range f.nodes {
+					if m.usable() != 12 || m.Status().Nodes < 2 {
+						return false
+					}
+				}
+				return true
+			})
+		}, []string{"e3"}},
 		{"half of the engines leave at the same moment", func(*testing.T, *fleet) {}, []string{"e0", "e1", "e2", "e3", "e4", "e5"}},
 	}
 	for _, c := range cases {
--- a/citronnode/outage_test.go
+++ b/citronnode/outage_test.go
@@ -19,9 +19,9 @@
 	r := newLoop(t)
 	now := time.Now()
 	r.n.health.Note(citronhealth.Call{Begun: now, Ended: now, Err: citronkv.ErrUnavailable})
-	r.take(context.Background(), membersSeen{[]citronpeer.Member{{Name: "n2", Beat: 1, Served: true}}})
+	r.take(context.Background(), membersSeen{[]citronpeer.Member{{Name: "n2", Beat: 1, Store: citronhealth.Word{Answered: true, Served: true}}}})
 	r.tick(context.Background())
-	is.True(r.self.Trouble)
+	is.True(r.self.Store.Away)
 	is.True(!r.storeAway)
 	m := r.members["n2"]
 	m.heard = now.Add(-memberTimeout - time.Millisecond)
--- a/citronpeer/peer.go
+++ b/citronpeer/peer.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"time"
 
+	"citrondeck.dev/citrondeck/citronhealth"
 	"citrondeck.dev/citrondeck/citronwire"
 	"connectrpc.com/connect"
 )
@@ -36,12 +37,8 @@
 	Leads bool `json:"leads,omitempty"`
 	// Watching: the node watches the store, and the store answers it.
 	Watching bool `json:"watching,omitempty"`
-	// Trouble: the store has not answered the node for so long that engines'
-	// entries lapse, or that was so within the last seconds.
-	Trouble bool `json:"trouble,omitempty"`
-	// Served: the store has served the node for some seconds, up to now,
-	// without such an outage.
-	Served bool `json:"served,omitempty"`
+	// Store is what the node knows of the store.
+	Store citronhealth.Word `json:"store"`
 	// Load is the cache, in tokens, that the node's requests take by zone.
 	Load map[string]int64 `json:"load,omitempty"`
 	// Sent is what the node has sent for each service in a window.
