--- a/citronlist/lapse.go
+++ b/citronlist/lapse.go
@@ -82,7 +82,6 @@
 // mistake gets work that it no longer takes.
 func (l *List) reviewLapsed(ctx context.Context) {
 	now := l.set.Clock.Now()
-	before := l.cause
 	l.cause = l.whyKept(now)
 	turned := []string{}
 	l.kept = 0
@@ -100,7 +99,7 @@
 			l.kept++
 		}
 	}
-	if l.cause != before || len(turned) > 0 {
+	if len(turned) > 0 {
 		citronevent.Log(ctx, l.set.Log, citronevent.EntriesKept, "kept", l.kept, "changed", len(turned), "engines", names(turned), "reason", string(l.cause), "vanished", len(l.vanished))
 	}
 }
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -287,26 +287,27 @@
 
 // logStore logs what is believed of the store and on what that rests.
 func (c *control) logStore(ctx context.Context, now time.Time, words []citronhealth.Word) {
-	count := func(says func(citronhealth.Word) bool) int {
-		n := 0
-		for _, w := range words {
-			if says(w) {
-				n++
-			}
-		}
-		return n
-	}
-	args := []any{
-		"away", c.storeAway, "nodes", len(words),
-		"unanswered", count(func(w citronhealth.Word) bool { return w.Away }), "back", count(func(w citronhealth.Word) bool { return w.Back }),
-		"answered", count(func(w citronhealth.Word) bool { return w.Answered }), "served", count(func(w citronhealth.Word) bool { return w.Served }),
+	unanswered, back, answered, served := 0, 0, 0, 0
+	for _, w := range words {
+		unanswered += one(w.Away)
+		back += one(w.Back)
+		answered += one(w.Answered)
+		served += one(w.Served)
 	}
+	args := []any{"away", c.storeAway, "nodes", len(words), "unanswered", unanswered, "back", back, "answered", answered, "served", served}
 	if f := c.n.health.Failed(); f != nil {
 		args = append(args, "step", f.Name, "key", f.Key, "age", now.Sub(f.Ended), "err", f.Err)
 	}
 	citronevent.Log(ctx, c.n.log, citronevent.StoreAway, args...)
 }
 
+func one(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // mostNames bounds the names in a log line.
 const mostNames = 5
 
