What a node tells of the store is its Status; a node that does not ask tells none

Cause: 'Word' says little to a newcomer, and its empty value cost each node ten bytes in every piece of news; at 1,200 nodes all members go in one exchange.

--- a/citronhealth/health.go
+++ b/citronhealth/health.go
@@ -1,5 +1,5 @@
 // Package citronhealth judges from a node's own calls to the store, and from
-// other nodes' word, whether the store was away.
+// what other nodes tell of theirs, whether the store was away.
 //
 // An engine's entry goes in two cases. The engine leaves without having said
 // so: it serves on for a short while and must get no new work. Or an outage of
@@ -8,14 +8,14 @@
 // engine. The entry looks the same in both, so the outage needs a proof of its
 // own, and without one the engine is taken to leave:
 //
-//	calls of this node -> Record -> Word --+
-//	                                       +-> Away
-//	other nodes, by gossip -------> Words -+
+//	calls of this node -> Record -> Status --+
+//	                                         +-> Away
+//	other nodes, by gossip --------> Status -+
 //
 // A node's own failed call is no proof. The store may turn just this node away,
 // a connection may have hung, the node itself may have stood still; meanwhile
-// engines renew their entries, and one whose entry goes has left. So the word
-// of one node that was served is enough against an outage.
+// engines renew their entries, and one whose entry goes has left. So one node
+// that was served is enough against an outage.
 package citronhealth
 
 import (
@@ -26,8 +26,8 @@
 const (
 	// LapseGrace is how long after an outage of the store its missing
 	// entries may still come back: those of live engines are back within two
-	// seconds. It is also how long a node has to have been served before its
-	// word counts.
+	// seconds. It is also how long a node has to have been served for that to
+	// count against an outage.
 	LapseGrace = 2500 * time.Millisecond
 	// lapseHeartbeats is how many heartbeats of an engine an outage has to
 	// swallow before entries lapse: they last for three, the first of which
@@ -96,8 +96,8 @@
 	h.failed = nil
 }
 
-// Word is what a node tells others of the store.
-type Word struct {
+// Status is what a node tells others of the store.
+type Status struct {
 	// Away: the store has not answered for so long that entries lapse.
 	Away bool `json:"away,omitempty"`
 	// Back: such an outage ended within LapseGrace.
@@ -108,13 +108,13 @@
 	Served bool `json:"served,omitempty"`
 }
 
-// Word returns what the calls up to now tell.
-func (h *Record) Word(now time.Time) Word {
+// Status returns what the calls up to now tell.
+func (h *Record) Status(now time.Time) Status {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	silent := now.Sub(h.answered) >= h.lapseAfter
 	settled := now.Sub(h.since) >= LapseGrace
-	return Word{
+	return Status{
 		Away:     silent && h.failed != nil && now.Sub(h.failed.Ended) < failedMemory,
 		Back:     h.back && !settled,
 		Answered: !silent,
@@ -130,17 +130,17 @@
 	return h.failed
 }
 
-// Away reports, from the words of all nodes that are heard, whether the store
+// Away reports, from the status of all nodes that are heard, whether the store
 // was away for all of them within the last seconds. One that was served all the
 // while is proof against it. While it is away for some, one that it answers
 // shows that it turns just those away.
-func Away(words ...Word) bool {
-	var all Word
-	for _, w := range words {
-		all.Away = all.Away || w.Away
-		all.Back = all.Back || w.Back
-		all.Answered = all.Answered || w.Answered
-		all.Served = all.Served || w.Served
+func Away(statuses ...Status) bool {
+	var all Status
+	for _, s := range statuses {
+		all.Away = all.Away || s.Away
+		all.Back = all.Back || s.Back
+		all.Answered = all.Answered || s.Answered
+		all.Served = all.Served || s.Served
 	}
 	return !all.Served && (all.Back || all.Away && !all.Answered)
 }
--- a/citronhealth/health_test.go
+++ b/citronhealth/health_test.go
@@ -64,7 +64,7 @@
 						h.Note(k)
 					}
 				}
-				got := h.Word(at(w.at))
+				got := h.Status(at(w.at))
 				if (got.Away || got.Back) != w.outage || got.Served != w.served {
 					t.Errorf("at %v s: %+v", w.at, got)
 				}
@@ -76,26 +76,26 @@
 // One node that was served is enough against an outage, and one that is answered
 // is enough while the others are not; nodes that do not ask say nothing.
 func TestOutageNeedsAllNodes(t *testing.T) {
-	away, back := Word{Away: true}, Word{Back: true, Answered: true}
-	served, fresh, quiet := Word{Answered: true, Served: true}, Word{Answered: true}, Word{}
+	away, back := Status{Away: true}, Status{Back: true, Answered: true}
+	served, fresh, quiet := Status{Answered: true, Served: true}, Status{Answered: true}, Status{}
 	cases := []struct {
 		name  string
-		nodes []Word
+		nodes []Status
 		want  bool
 	}{
-		{"alone and well", []Word{served}, false},
-		{"alone, and the store does not answer", []Word{away}, true},
-		{"one node turned away", []Word{away, served, quiet}, false},
-		{"another node turned away", []Word{served, away, quiet}, false},
-		{"one node turned away, the others have just started", []Word{away, fresh, quiet}, false},
-		{"all turned away", []Word{away, away, away}, true},
-		{"the others do not ask", []Word{away, quiet, quiet}, true},
-		{"does not ask, hears of an outage only", []Word{quiet, away, quiet}, true},
-		{"does not ask, hears of both", []Word{quiet, away, served}, false},
-		{"the store is back for one", []Word{away, back, away}, true},
-		{"the store is back for one, and another has just started", []Word{back, fresh}, true},
-		{"back for one that was turned away alone", []Word{back, served}, false},
-		{"just started, nobody knows", []Word{quiet, quiet}, false},
+		{"alone and well", []Status{served}, false},
+		{"alone, and the store does not answer", []Status{away}, true},
+		{"one node turned away", []Status{away, served, quiet}, false},
+		{"another node turned away", []Status{served, away, quiet}, false},
+		{"one node turned away, the others have just started", []Status{away, fresh, quiet}, false},
+		{"all turned away", []Status{away, away, away}, true},
+		{"the others do not ask", []Status{away, quiet, quiet}, true},
+		{"does not ask, hears of an outage only", []Status{quiet, away, quiet}, true},
+		{"does not ask, hears of both", []Status{quiet, away, served}, false},
+		{"the store is back for one", []Status{away, back, away}, true},
+		{"the store is back for one, and another has just started", []Status{back, fresh}, true},
+		{"back for one that was turned away alone", []Status{back, served}, false},
+		{"just started, nobody knows", []Status{quiet, quiet}, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) { is.New(t).Equal(Away(c.nodes...), c.want) })
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -271,30 +271,30 @@
 // watchStore tells others how the store serves this node, and the list whether
 // it was away for all.
 func (c *control) watchStore(ctx context.Context, now time.Time) {
-	c.self.Store = c.n.health.Word(now)
-	words := []citronhealth.Word{c.self.Store}
+	c.self.Store = c.n.health.Status(now)
+	statuses := []citronhealth.Status{c.self.Store}
 	for _, m := range c.members {
 		if m.alive {
-			words = append(words, m.Store)
+			statuses = append(statuses, m.Store)
 		}
 	}
-	if away := citronhealth.Away(words...); away != c.storeAway {
+	if away := citronhealth.Away(statuses...); away != c.storeAway {
 		c.storeAway = away
-		c.logStore(ctx, now, words)
+		c.logStore(ctx, now, statuses)
 	}
 	c.list.Tick(ctx, c.storeAway)
 }
 
 // logStore logs what is believed of the store and on what that rests.
-func (c *control) logStore(ctx context.Context, now time.Time, words []citronhealth.Word) {
+func (c *control) logStore(ctx context.Context, now time.Time, statuses []citronhealth.Status) {
 	unanswered, back, answered, served := 0, 0, 0, 0
-	for _, w := range words {
-		unanswered += one(w.Away)
-		back += one(w.Back)
-		answered += one(w.Answered)
-		served += one(w.Served)
+	for _, s := range statuses {
+		unanswered += one(s.Away)
+		back += one(s.Back)
+		answered += one(s.Answered)
+		served += one(s.Served)
 	}
-	args := []any{"away", c.storeAway, "nodes", len(words), "unanswered", unanswered, "back", back, "answered", answered, "served", served}
+	args := []any{"away", c.storeAway, "nodes", len(statuses), "unanswered", unanswered, "back", back, "answered", answered, "served", served}
 	if f := c.n.health.Failed(); f != nil {
 		args = append(args, "step", f.Name, "key", f.Key, "age", now.Sub(f.Ended), "err", f.Err)
 	}
--- a/citronnode/outage_test.go
+++ b/citronnode/outage_test.go
@@ -12,14 +12,14 @@
 )
 
 // This node's calls to the store fail. Another node says that it is served: the
-// store is well. Once the other has not been heard of for two seconds its word is
+// store is well. Once the other has not been heard of for two seconds its status is
 // old, and the store counts as away.
-func TestWordOfALostNodeDoesNotCount(t *testing.T) {
+func TestLostNodeIsNoProofAgainstAnOutage(t *testing.T) {
 	is := is.New(t)
 	r := newLoop(t)
 	now := time.Now()
 	r.n.health.Note(citronhealth.Call{Begun: now, Ended: now, Err: citronkv.ErrUnavailable})
-	r.take(context.Background(), membersSeen{[]citronpeer.Member{{Name: "n2", Beat: 1, Store: citronhealth.Word{Answered: true, Served: true}}}})
+	r.take(context.Background(), membersSeen{[]citronpeer.Member{{Name: "n2", Beat: 1, Store: citronhealth.Status{Answered: true, Served: true}}}})
 	r.tick(context.Background())
 	is.True(r.self.Store.Away)
 	is.True(!r.storeAway)
--- a/citronpeer/peer.go
+++ b/citronpeer/peer.go
@@ -38,7 +38,7 @@
 	// Watching: the node watches the store, and the store answers it.
 	Watching bool `json:"watching,omitempty"`
 	// Store is what the node knows of the store.
-	Store citronhealth.Word `json:"store"`
+	Store citronhealth.Status `json:"store,omitzero"`
 	// Load is the cache, in tokens, that the node's requests take by zone.
 	Load map[string]int64 `json:"load,omitempty"`
 	// Sent is what the node has sent for each service in a window.
