An order cuts requests off only where no engines hold the missing layers

Cause: an order that fills a hole was marked to break running requests unless each gap lay within one span that is still served. Before: of the losses in TestNothingIsCutOffWhileOtherCopiesServe one planned an order with cut although each layer was held; after: none. Conclusion: what several engines hold between them is served.

--- a/citronplace/copies.go
+++ b/citronplace/copies.go
@@ -128,7 +128,7 @@
 		part := improveCopy(spec, g.engines, free)
 		if missing(spec, all) > 0 {
 			whole = false
-			part = decideZone(spec, all, slices.Concat(served, spans(groups, i)), withinOne)
+			part = decideZone(spec, all, slices.Concat(served, spans(groups, i), held(free)), withinOne)
 		}
 		maps.Copy(plan, part)
 		free = slices.DeleteFunc(free, func(e Engine) bool { _, used := plan[e.ID]; return used })
@@ -177,6 +177,15 @@
 	return out
 }
 
+// held are what engines hold.
+func held(engines []Engine) []citronmodel.Span {
+	out := make([]citronmodel.Span, len(engines))
+	for i, e := range engines {
+		out[i] = e.Layers
+	}
+	return out
+}
+
 // missing is how many layers a copy lacks.
 func missing(spec citronmodel.Spec, engines []Engine) int {
 	n := 0
--- a/citronplace/copies_test.go
+++ b/citronplace/copies_test.go
@@ -69,3 +69,33 @@
 		}
 	})
 }
+
+// A zone with three copies of the model loses eight engines at once. Streams
+// that ran through them are moved to the other copies within a second, and go
+// through whatever engine holds their layers there. An order that does not wait
+// for running requests then breaks those streams a second time, for a hole that
+// the zone serves meanwhile: while any engines hold all layers between them,
+// no order may cut requests off.
+func TestNothingIsCutOffWhileOtherCopiesServe(t *testing.T) {
+	is := is.New(t)
+	engines := settle(t, fleet("z", 3, 21, 20))
+	orders := 0
+	for first := range engines {
+		lost := map[string]bool{}
+		for i := range 8 {
+			lost[engines[(first+i*5)%len(engines)].ID] = true
+		}
+		left := without(engines, func(e citronplace.Engine) bool { return lost[e.ID] })
+		if least(left) == 0 {
+			continue
+		}
+		plan := citronplace.Decide(spec, left, nil)
+		orders += len(plan)
+		for id, o := range plan {
+			if o.Cut {
+				t.Fatalf("%s is to hold %v at once, after the loss of %v", id, o.Span, lost)
+			}
+		}
+	}
+	is.True(orders > 0)
+}
--- a/citronplace/repair.go
+++ b/citronplace/repair.go
@@ -148,11 +148,17 @@
 	return out
 }
 
-// covered reports whether each gap lies in a span that is still served.
+// covered reports whether the served spans hold every layer of the gaps between
+// them. Copies of the model are divided at different layers, so that a gap
+// seldom lies in one span of another copy; asked for that, orders broke the
+// streams that had just been moved to those copies.
 func covered(gaps, served []citronmodel.Span) bool {
 	for _, g := range gaps {
-		if !slices.ContainsFunc(served, func(s citronmodel.Span) bool { return s.Covers(g) }) {
-			return false
+		for l := g.From; l < g.To; l++ {
+			held := func(s citronmodel.Span) bool { return s.From <= l && l < s.To }
+			if !slices.ContainsFunc(served, held) {
+				return false
+			}
 		}
 	}
 	return true
