Nodes tell each other of members in changes, and ask one before it is held for lost

Cause: each exchange carried every member whole as JSON. At 300 nodes it took 3.7 ms of processor time each way, and 60 % of all that an idle fleet used (CPU profile of BenchmarkFleetAtRest); a tenth of the nodes' rounds also went to all seeds at once, some 70 exchanges a second for each of three seed nodes. Change: fingerprints and beats in both directions (CBOR), details once, gauges within a zone, sums with ages for the others (citronroster); the state of all members is gathered once a tick, not with every message; a member is asked itself before it is lost, later where news usually takes longer; one seed in a round of three nodes; one log line for all that are lost in a tick. TestSoundNodeWithLateNewsIsNotLost failed before.

--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -140,7 +140,7 @@
 	StoreLost:      {slog.LevelWarn, "store.lost", "the store does not answer this node; what is known stays in force"},
 	StoreBack:      {slog.LevelInfo, "store.back", "the store answers again"},
 	MemberJoined:   {slog.LevelInfo, "member.joined", "nodes were heard of, or heard differently of, since the last tick; names a few, and counts who takes callers and who leaves"},
-	MemberLost:     {slog.LevelWarn, "member.lost", "another node was not heard of for too long, or said that it leaves"},
+	MemberLost:     {slog.LevelWarn, "member.lost", "other nodes were not heard of for too long and did not answer this one either; gives how many, names a few, and how long ago the first was heard of"},
 	LeaderElected:  {slog.LevelInfo, "leader.elected", "this node holds the lease under which layers are placed"},
 	LeaderResigned: {slog.LevelWarn, "leader.resigned", "this node lost the lease, or could not renew it in time; it gives no more orders"},
 	PlacePlanned:   {slog.LevelInfo, "place.planned", "the leader decided which engines are to hold other layers; gives the reason"},
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -9,7 +9,6 @@
 	"maps"
 	"time"
 
-	"citrondeck.dev/citrondeck/citronbudget"
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronforward"
 	"citrondeck.dev/citrondeck/citronhealth"
@@ -18,6 +17,7 @@
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronpeer"
 	"citrondeck.dev/citrondeck/citronpool"
+	"citrondeck.dev/citrondeck/citronroster"
 	"citrondeck.dev/citrondeck/citrontable"
 )
 
@@ -26,14 +26,9 @@
 	inboxSize = 256
 	// tickEvery is how often the loop looks at what time changes.
 	tickEvery = 100 * time.Millisecond
-	// memberTimeout is when a node that was not heard of is taken for
-	// dead: several rounds of gossip.
-	memberTimeout = 2 * time.Second
 	// deadNews is how long a node tells others of an engine that it found
 	// dead; they check for themselves.
 	deadNews = 1500 * time.Millisecond
-	// memberForget is when it is no longer asked.
-	memberForget = 20 * time.Second
 )
 
 // Where a document came from, for the log.
@@ -59,19 +54,19 @@
 	source         string
 }
 
-// membersSeen brings news of other nodes.
-type membersSeen struct{ members []citronpeer.Member }
+// membersSeen brings news of other nodes: some whole, of others the gauges or
+// just that they live; and what zones do together.
+type membersSeen struct {
+	whole  []citronpeer.Member
+	gauges []citronpeer.Gauge
+	digest citronpeer.Digest
+	sums   []citronpeer.Sum
+}
 
 func (listSeen) isMessage()    {}
 func (listChanged) isMessage() {}
 func (membersSeen) isMessage() {}
 
-type known struct {
-	citronpeer.Member
-	heard time.Time
-	alive bool
-}
-
 // control is the state of the loop.
 type control struct {
 	n      *Node
@@ -81,7 +76,8 @@
 	// view.
 	list        *citronlist.List
 	listVersion int
-	members     map[string]known
+	members     *citronroster.Table
+	sums        *citronroster.Sums
 	self        citronpeer.Member
 	view        *citronpool.View
 	// listSince is when the first list came, listAt when it last changed,
@@ -89,14 +85,16 @@
 	listSince, listAt, configAt time.Time
 	// storeAway: the store was away for all nodes within the last seconds.
 	storeAway bool
-	changed   bool
+	// changed: the configuration did, and the view is to be built anew.
+	// membersDue: what is known of the nodes is to be gathered.
+	changed, membersDue bool
 	// joined are the nodes heard of, or heard differently of, since the last
 	// tick.
 	joined []string
 }
 
 func newControl(n *Node) *control {
-	c := &control{n: n, members: map[string]known{}, self: n.snap.Load().self}
+	c := &control{n: n, members: citronroster.NewTable(n.set.Name, n.set.Zone), sums: citronroster.NewSums(n.set.Zone), self: n.snap.Load().self}
 	c.list = citronlist.New(citronlist.Settings{
 		Prefix: n.src.EnginePrefix, Decode: n.src.DecodeEngine, DrainWithin: n.set.DrainWithin, Clock: n.clock, Log: n.log, Ended: c.ended,
 	})
@@ -140,7 +138,10 @@
 			c.listTaken(ctx, m.source)
 		}
 	case membersSeen:
-		c.takeMembers(ctx, m.members)
+		c.takeMembers(m.whole)
+		c.takeGauges(m.gauges)
+		c.takeDigest(m.digest)
+		c.takeSums(m.sums)
 	}
 }
 
@@ -191,34 +192,6 @@
 	citronevent.Log(ctx, c.n.log, citronevent.TableApplied, "version", d.table.Version, "source", d.source)
 }
 
-func (c *control) takeMembers(ctx context.Context, members []citronpeer.Member) {
-	for _, m := range members {
-		if m.Name == c.self.Name {
-			continue
-		}
-		old, ok := c.members[m.Name]
-		// A process restarted after its clock was set back looks older
-		// than the one before it, which is known to be gone by now.
-		restarted := ok && !old.alive && m.Started != old.Started
-		if ok && !restarted && !m.Newer(old.Member) {
-			continue
-		}
-		k := known{Member: m, heard: c.n.clock.Now(), alive: true}
-		c.members[m.Name] = k
-		c.suspect(m.Dead)
-		for instance, born := range m.Starts {
-			c.list.StartedAnew(ctx, instance, born)
-		}
-		if !ok || !old.alive || old.Leaving != m.Leaving || old.Ready != m.Ready {
-			c.changed = true
-			if m.Leaving {
-				c.n.tell()
-			}
-			c.joined = append(c.joined, m.Name)
-		}
-	}
-}
-
 // suspect leaves engines alone that another node found dead.
 func (c *control) suspect(ids []string) {
 	if c.view == nil {
@@ -233,18 +206,7 @@
 
 func (c *control) tick(ctx context.Context) {
 	now := c.n.clock.Now()
-	for name, m := range c.members {
-		age := now.Sub(m.heard)
-		if m.alive && age > memberTimeout {
-			m.alive = false
-			c.members[name] = m
-			c.changed = true
-			citronevent.Log(ctx, c.n.log, citronevent.MemberLost, "member", name, "peer", m.Peer, "age", age)
-		}
-		if age > memberForget {
-			delete(c.members, name)
-		}
-	}
+	c.ageMembers(ctx, now)
 	c.watchStore(ctx, now) // after those who are lost are known
 	c.logJoined(ctx)
 	c.self.Beat++
@@ -266,6 +228,7 @@
 		}
 		c.self.Dead = dead
 	}
+	c.membersDue = true
 }
 
 // watchStore tells others how the store serves this node, and the list whether
@@ -273,9 +236,9 @@
 func (c *control) watchStore(ctx context.Context, now time.Time) {
 	c.self.Store = c.n.health.Status(now)
 	statuses := []citronhealth.Status{c.self.Store}
-	for _, m := range c.members {
-		if m.alive {
-			statuses = append(statuses, m.Store)
+	for k := range c.members.All() {
+		if k.Alive {
+			statuses = append(statuses, k.Store)
 		}
 	}
 	if away := citronhealth.Away(statuses...); away != c.storeAway {
@@ -308,29 +271,6 @@
 	return 0
 }
 
-// mostNames bounds the names in a log line.
-const mostNames = 5
-
-// logJoined logs in one line which nodes were heard of. With a line for each,
-// eighty nodes that restart in turn logged 29,156 lines about each other in a
-// minute.
-func (c *control) logJoined(ctx context.Context) {
-	if len(c.joined) == 0 {
-		return
-	}
-	ready, leaving := 0, 0
-	for _, m := range c.members {
-		if takesCallers(m.Member) {
-			ready++
-		}
-		if m.Leaving {
-			leaving++
-		}
-	}
-	citronevent.Log(ctx, c.n.log, citronevent.MemberJoined, "changed", len(c.joined), "members", c.joined[:min(mostNames, len(c.joined))], "ready", ready, "leaving", leaving)
-	c.joined = nil
-}
-
 // tellGoals has the others know what this node as the leader wants engines
 // to hold: if it dies, the next leader goes on with that.
 func (c *control) tellGoals() {
@@ -346,25 +286,6 @@
 	}
 }
 
-// goalsMemory is how long the goals of a leader that is not heard of any
-// more are believed: a lease runs out and most loads end within it.
-const goalsMemory = 6 * time.Second
-
-// lateGoals are the goals that a leader told of last.
-func (c *control) lateGoals(now time.Time) map[string]citronmodel.Span {
-	var last known
-	for _, m := range c.members {
-		if len(m.Goals) > 0 && now.Sub(m.heard) < goalsMemory && m.heard.After(last.heard) {
-			last = m
-		}
-	}
-	out := map[string]citronmodel.Span{}
-	for id, s := range last.Goals {
-		out[id] = citronmodel.Span{From: s[0], To: s[1]}
-	}
-	return out
-}
-
 // settle is how long after the first list a node waits before it says that
 // it is ready: on a cold start engines are still registering.
 const settle = 300 * time.Millisecond
@@ -380,34 +301,21 @@
 	s := &snapshot{config: c.config, configAt: c.configAt, listAt: c.listAt, self: c.self, traffic: old.traffic, engines: old.engines}
 	s.listWhole = !c.listSince.IsZero() && c.n.clock.Now().Sub(c.listSince) > listWhole
 	s.listSettled = !c.listSince.IsZero() && c.n.clock.Now().Sub(c.listSince) > settle
-	s.goals = c.lateGoals(c.n.clock.Now())
 	s.unreadable = c.list.Unreadable()
 	s.kept = c.list.Kept()
-	others := map[string]int64{}
-	sent := map[string]citronbudget.Usage{}
-	for _, m := range c.members {
-		if !m.alive {
-			continue
-		}
-		s.members = append(s.members, m.Member)
-		for zone, tokens := range m.Load {
-			others[zone] += tokens
-		}
-		for service, u := range m.Sent {
-			sum := sent[service]
-			sum.Requests += u.Requests
-			sum.Repeats += u.Repeats
-			sent[service] = sum
-		}
+	if c.membersDue {
+		c.membersDue = false
+		c.gather(s)
+	} else {
+		s.members, s.roster, s.sums, s.others, s.goals = old.members, old.roster, old.sums, old.others, old.goals
 	}
 	if c.changed || c.listVersion != c.list.Version() {
 		c.changed, c.listVersion = false, c.list.Version()
 		s.engines = c.list.Engines(c.services())
 		c.view = citronpool.Build(s.engines, c.view)
 	}
-	c.n.budget.Learn(sent, len(s.members)+1, c.n.clock.Now())
 	if c.table != nil {
-		s.traffic = &citronforward.State{Table: c.table, View: c.view, ListRevision: c.list.Revision(), Others: others}
+		s.traffic = &citronforward.State{Table: c.table, View: c.view, ListRevision: c.list.Revision(), Others: s.others}
 	}
 	s.list = c.list.Passed()
 	c.n.snap.Store(s)
--- /dev/null
+++ b/citronnode/fleet_test.go
@@ -0,0 +1,111 @@
+package citronnode_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronevent"
+)
+
+// lossCounter counts the nodes that others held for lost.
+type lossCounter struct {
+	slog.Handler
+	losses *atomic.Int64
+}
+
+func newLossCounter() lossCounter {
+	return lossCounter{Handler: slog.DiscardHandler, losses: &atomic.Int64{}}
+}
+
+func (c lossCounter) Enabled(context.Context, slog.Level) bool { return true }
+
+func (c lossCounter) Handle(_ context.Context, r slog.Record) error {
+	r.Attrs(func(a slog.Attr) bool {
+		if a.Key == "event" && a.Value.Int64() == int64(citronevent.MemberLost) {
+			c.losses.Add(1)
+		}
+		return true
+	})
+	return nil
+}
+
+// processorTime is what this process has used.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// The news of sound nodes is late: the others do not get to hear of them in the
+// rounds in which they should. A node that is taken for lost is missing from what
+// callers are told and from what repeats are dealt by, so before that it is asked
+// itself, and answers.
+func TestSoundNodeWithLateNewsIsNotLost(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	c, m := newLossCounter(), newMesh()
+	f.log, f.net = c, m
+	f.config("1")
+	for _, name := range []string{"a", "b", "c"} {
+		f.add(name, "z1")
+	}
+	allKnown := func() bool {
+		for _, n := range f.nodes {
+			if n.Status().Nodes < len(f.nodes)-1 {
+				return false
+			}
+		}
+		return true
+	}
+	eventually(t, "all know all", allKnown)
+	m.deaf.Store(true)
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if !allKnown() {
+			t.Fatal("a node is held for lost")
+		}
+	}
+	f.nodes[2].stop()
+	eventually(t, "the node that is gone is lost", func() bool { return f.nodes[0].Status().Nodes == 1 && c.losses.Load() > 0 })
+}
+
+// BenchmarkFleetAtRest gives what a node spends on knowing the others: in a
+// fleet without callers, of five zones, in which nothing happens.
+func BenchmarkFleetAtRest(b *testing.B) {
+	for _, size := range []int{30, 100, 300} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			f := newFleet(b)
+			c, m := newLossCounter(), newMesh()
+			f.log, f.net = c, m
+			f.config("1")
+			for _, e := range engines(200) {
+				f.engine(e)
+			}
+			for i := range size {
+				f.add(fmt.Sprintf("z%d-n%03d", i%5, i), fmt.Sprintf("z%d", i%5))
+			}
+			eventually(b, "all know all", func() bool {
+				for _, n := range f.nodes {
+					if n.Status().Nodes < size-1 {
+						return false
+					}
+				}
+				return true
+			})
+			time.Sleep(2 * time.Second)
+			c.losses.Store(0)
+			m.bytes.Store(0)
+			from, cpu := time.Now(), processorTime()
+			b.ResetTimer()
+			time.Sleep(time.Duration(b.N) * time.Second)
+			spent := processorTime() - cpu
+			b.ReportMetric(float64(m.bytes.Load())/1024/float64(size)/time.Since(from).Seconds(), "KB/s/node")
+			b.ReportMetric(float64(spent.Milliseconds())/float64(size)/time.Since(from).Seconds(), "ms/s/node")
+			b.ReportMetric(float64(c.losses.Load()), "lost")
+		})
+	}
+}
--- a/citronnode/gossip.go
+++ b/citronnode/gossip.go
@@ -1,8 +1,9 @@
 package citronnode
 
-// Gossip: exchanges with other nodes. Each tells what it knows of the nodes,
-// and whoever has the older document gets the newer one: the configuration
-// whole, the list of engines as the changes since the other's revision.
+// Gossip: exchanges with other nodes. Each gets what the other knows newer of
+// the nodes, and whoever has the older document gets the newer one: the
+// configuration whole, the list of engines as the changes since the other's
+// revision.
 
 import (
 	"context"
@@ -27,7 +28,7 @@
 	// within two or three rounds. With all of a zone's nodes asking, and
 	// lists passed on whole, 59 nodes sent 1.6 MB a second between zones;
 	// with three, and changes, 0.5 MB.
-	farNodes = 3
+	farNodes = 6
 	// newsGap is the least time between two sendings of news: when many
 	// engines come or go at once, their news goes together.
 	newsGap = 60 * time.Millisecond
@@ -75,8 +76,13 @@
 // fetch sends this node's news to another, and takes the documents that the
 // other has newer.
 func (n *Node) fetch(ctx context.Context, addr string) {
-	s := n.snap.Load()
-	theirs, err := n.peers.News(ctx, addr, s.news())
+	n.give(ctx, addr, n.snap.Load().news())
+}
+
+// give sends another node what this one tells, and takes what the other has
+// newer.
+func (n *Node) give(ctx context.Context, addr string, k citronpeer.Knowledge) {
+	theirs, err := n.peers.News(ctx, addr, k)
 	if err != nil {
 		citronevent.Log(ctx, n.log, citronevent.GossipFailed, "peer", addr, "err", err)
 		return
@@ -87,10 +93,18 @@
 // news is what this node tells of itself.
 func (s *snapshot) news() citronpeer.Knowledge {
 	return citronpeer.Knowledge{
-		Members: []citronpeer.Member{s.self}, Config: citronpeer.Document{Revision: s.config.Revision}, Engines: citronpeer.Document{Revision: s.list.Revision},
+		From: s.self, Config: citronpeer.Document{Revision: s.config.Revision}, Engines: citronpeer.Document{Revision: s.list.Revision},
 	}
 }
 
+// all is what this node tells of itself and of which others it knows.
+func (s *snapshot) all() citronpeer.Knowledge {
+	k := s.news()
+	k.Digest = s.roster.Digest()
+	k.Sums = s.sums
+	return k
+}
+
 // leaders are the nodes that place layers, which repair what is found dead.
 func (n *Node) leaders() []string {
 	var addrs []string
@@ -121,52 +135,57 @@
 	if len(far) > 0 && rand.IntN(len(near)+1) < farNodes {
 		addrs = append(addrs, far[rand.IntN(len(far))])
 	}
-	if len(near)+len(far) < fanout || rand.N(seedChance) == 0 {
-		for _, a := range n.seeds() {
-			if a != n.set.Peer {
-				addrs = append(addrs, a)
-			}
+	if len(near)+len(far) < fanout {
+		return append(addrs, n.seeds()...)
+	}
+	if rand.IntN(len(near)+len(far)+1) < seedNodes {
+		if seeds := n.seeds(); len(seeds) > 0 {
+			addrs = append(addrs, seeds[rand.IntN(len(seeds))])
 		}
 	}
 	return addrs
 }
 
-// seeds are the addresses of the settings and one of those in the store.
+// seeds are the addresses of the settings and one of those in the store, but
+// this node's own.
 func (n *Node) seeds() []string {
-	found := n.registered.Load()
-	if found == nil || len(*found) == 0 {
-		return n.set.Seeds
+	seeds := slices.Clone(n.set.Seeds)
+	if found := n.registered.Load(); found != nil && len(*found) > 0 {
+		seeds = append(seeds, (*found)[rand.IntN(len(*found))])
 	}
-	return append(slices.Clone(n.set.Seeds), (*found)[rand.IntN(len(*found))])
+	return slices.DeleteFunc(seeds, func(a string) bool { return a == n.set.Peer })
 }
 
-// seedChance: one round in so many also asks the seeds, so that two halves
-// of a fleet that lost each other meet again.
-const seedChance = 10
+// seedNodes is how many of all nodes also ask a seed in each round, on average,
+// so that two halves of a fleet that lost each other meet again. A fixed part
+// of the nodes would be too many for the few seeds of a large fleet: they are
+// nodes as small as the others.
+const seedNodes = 3
 
+// exchange takes from another node what that one knows newer, and then gives
+// it what it asks for.
 func (n *Node) exchange(ctx context.Context, addr string) {
 	s := n.snap.Load()
-	theirs, err := n.peers.Exchange(ctx, addr, citronpeer.Knowledge{
-		Members: s.all(), Config: citronpeer.Document{Revision: s.config.Revision}, Engines: citronpeer.Document{Revision: s.list.Revision},
-	})
+	k := s.all()
+	theirs, err := n.peers.Exchange(ctx, addr, k)
 	if err != nil {
 		citronevent.Log(ctx, n.log, citronevent.GossipFailed, "peer", addr, "err", err)
 		return
 	}
 	n.learn(ctx, theirs)
+	if theirs.Wants.Empty() {
+		return
+	}
+	k = s.news()
+	k.Diff = s.roster.Wanted(theirs.Wants)
+	n.give(ctx, addr, k)
 }
 
-// all are the nodes that this one knows, itself first.
-func (s *snapshot) all() []citronpeer.Member {
-	return append([]citronpeer.Member{s.self}, s.members...)
-}
-
-// knowledge is what this node tells one that knows other; bodies that the
-// other has are left out.
-func (s *snapshot) knowledge(members []citronpeer.Member, other citronpeer.Knowledge) (citronpeer.Knowledge, error) {
-	k := citronpeer.Knowledge{Members: members, Config: s.config}
-	if other.Config.Revision >= k.Config.Revision {
-		k.Config.Body = nil
+// withBodies adds to what this node tells another the documents that the other
+// has older.
+func (s *snapshot) withBodies(k, other citronpeer.Knowledge) (citronpeer.Knowledge, error) {
+	if other.Config.Revision < s.config.Revision {
+		k.Config = s.config
 	}
 	var err error
 	k.Engines, err = s.list.After(other.Engines.Revision)
@@ -179,25 +198,29 @@
 // Exchange implements citronpeer.Answerer.
 func (a answerer) Exchange(theirs citronpeer.Knowledge) citronpeer.Knowledge {
 	s := a.n.snap.Load()
-	return a.n.answer(s, s.all(), theirs)
+	k := s.all()
+	near := theirs.From.Zone == s.self.Zone
+	k.Diff = s.roster.Diff(theirs.Digest, near)
+	k.Wants = s.roster.Wants(theirs.Digest, near)
+	return a.n.answer(s, k, theirs)
 }
 
 // News implements citronpeer.Answerer.
 func (a answerer) News(theirs citronpeer.Knowledge) citronpeer.Knowledge {
 	s := a.n.snap.Load()
-	return a.n.answer(s, []citronpeer.Member{s.self}, theirs)
+	return a.n.answer(s, s.news(), theirs)
 }
 
-// answer takes what another node tells and returns these members and the
-// documents that the other lacks.
-func (n *Node) answer(s *snapshot, members []citronpeer.Member, theirs citronpeer.Knowledge) citronpeer.Knowledge {
+// answer takes what another node tells and returns what this one tells it, with
+// the documents that the other lacks.
+func (n *Node) answer(s *snapshot, k, theirs citronpeer.Knowledge) citronpeer.Knowledge {
 	ctx := context.Background()
 	n.hearAccused(theirs.Accused)
 	n.learn(ctx, theirs)
-	if len(theirs.Members) > 0 && s.lacks(theirs) {
-		n.pull.from(ctx, n, theirs.Members[0].Peer, theirs)
+	if theirs.From.Peer != "" && s.lacks(theirs) {
+		n.pull.from(ctx, n, theirs.From.Peer, theirs)
 	}
-	k, err := s.knowledge(members, theirs)
+	k, err := s.withBodies(k, theirs)
 	if err != nil {
 		// Items are plain values; the other node asks again.
 		citronevent.Log(ctx, n.log, citronevent.EngineRejected, "key", "exchange", "err", err)
@@ -251,7 +274,7 @@
 }
 
 func (n *Node) learn(ctx context.Context, k citronpeer.Knowledge) {
-	n.send(ctx, membersSeen{k.Members})
+	n.send(ctx, membersSeen{whole: append(k.Members, k.From), gauges: k.Gauges, digest: k.Digest, sums: k.Sums})
 	if len(k.Config.Body) > 0 {
 		n.offerConfig(ctx, k.Config.Revision, k.Config.Body, sourceNode)
 	}
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -32,6 +32,7 @@
 	"citrondeck.dev/citrondeck/citronpeer"
 	"citrondeck.dev/citrondeck/citronplace"
 	"citrondeck.dev/citrondeck/citronpool"
+	"citrondeck.dev/citrondeck/citronroster"
 	"citrondeck.dev/citrondeck/citrontable"
 )
 
@@ -116,6 +117,12 @@
 	config citronpeer.Document
 	list   citronlist.Passed
 	self   citronpeer.Member
+	// roster is this node and the members, as others are told of them.
+	roster citronroster.Roster
+	// sums is what the zones do, with this one's.
+	sums []citronpeer.Sum
+	// others is the cache that the other nodes' requests take by zone.
+	others map[string]int64
 	// configAt and listAt are when they last changed here.
 	configAt, listAt time.Time
 	// goals are what a leader lately wanted engines to hold.
--- a/citronnode/outage_test.go
+++ b/citronnode/outage_test.go
@@ -19,13 +19,13 @@
 	r := newLoop(t)
 	now := time.Now()
 	r.n.health.Note(citronhealth.Call{Begun: now, Ended: now, Err: citronkv.ErrUnavailable})
-	r.take(context.Background(), membersSeen{[]citronpeer.Member{{Name: "n2", Beat: 1, Store: citronhealth.Status{Answered: true, Served: true}}}})
+	r.take(context.Background(), membersSeen{whole: []citronpeer.Member{{Name: "n2", Store: citronhealth.Status{Answered: true, Served: true}}}})
 	r.tick(context.Background())
 	is.True(r.self.Store.Away)
 	is.True(!r.storeAway)
-	m := r.members["n2"]
-	m.heard = now.Add(-memberTimeout - time.Millisecond)
-	r.members["n2"] = m
+	for age := time.Duration(0); age <= 2*time.Second+tickEvery; age += tickEvery {
+		r.members.Age(now.Add(age))
+	}
 	r.tick(context.Background())
 	is.True(r.storeAway)
 }
--- a/citronnode/rig_test.go
+++ b/citronnode/rig_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
@@ -175,12 +176,69 @@
 	return e, err
 }
 
+// network connects nodes.
+type network interface {
+	// listen serves a node at a new address; hc reaches the other nodes.
+	listen(h http.Handler) (addr string, hc *http.Client, unplug func())
+}
+
+// sockets is the loopback interface.
+type sockets struct{}
+
+func (sockets) listen(h http.Handler) (string, *http.Client, func()) {
+	hs := httptest.NewServer(h)
+	return strings.TrimPrefix(hs.URL, "http://"), hs.Client(), hs.Close
+}
+
+// mesh connects nodes by calls: three hundred nodes need more connections than
+// a process may open. It counts the bytes of all bodies.
+type mesh struct {
+	mu       sync.Mutex
+	handlers map[string]http.Handler
+	bytes    atomic.Int64
+	// deaf: nobody hears what nodes tell of others.
+	deaf atomic.Bool
+}
+
+func newMesh() *mesh { return &mesh{handlers: map[string]http.Handler{}} }
+
+func (m *mesh) listen(h http.Handler) (string, *http.Client, func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	addr := fmt.Sprintf("node-%d:1", len(m.handlers))
+	m.handlers[addr] = h
+	unplug := func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.handlers[addr] = nil
+	}
+	return addr, &http.Client{Transport: m}, unplug
+}
+
+// RoundTrip implements http.RoundTripper.
+func (m *mesh) RoundTrip(r *http.Request) (*http.Response, error) {
+	m.mu.Lock()
+	h := m.handlers[r.URL.Host]
+	m.mu.Unlock()
+	if h == nil || m.deaf.Load() && strings.HasSuffix(r.URL.Path, "/Exchange") {
+		return nil, errors.New("connection refused")
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	m.bytes.Add(max(0, r.ContentLength) + int64(w.Body.Len()))
+	return w.Result(), nil
+}
+
 // fleet is some nodes before one store.
 type fleet struct {
-	t      *testing.T
+	t      testing.TB
 	store  *citronkv.Server
 	orders *orders
-	nodes  []*member
+	// net is what the nodes speak to each other over.
+	net network
+	// log takes what all nodes log.
+	log   slog.Handler
+	nodes []*member
 	// drain is the nodes' DrainWithin.
 	drain time.Duration
 }
@@ -192,23 +250,25 @@
 	stop context.CancelFunc
 }
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB) *fleet {
 	t.Helper()
 	store := citronkv.NewServer(citronclock.Real{}, 0)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go store.Run(ctx)
-	return &fleet{t: t, store: store, orders: &orders{store: store}}
+	return &fleet{t: t, store: store, orders: &orders{store: store}, net: sockets{}, log: slog.NewTextHandler(io.Discard, nil)}
 }
 
-// add starts a node; it knows the addresses of those before it.
+// mostSeeds is how many addresses a node is given.
+const mostSeeds = 8
+
+// add starts a node; it knows the addresses of the last before it.
 func (f *fleet) add(name, zone string) *member {
 	f.t.Helper()
 	mux := http.NewServeMux()
-	hs := httptest.NewServer(mux)
-	addr := strings.TrimPrefix(hs.URL, "http://")
+	addr, hc, unplug := f.net.listen(mux)
 	var seeds []string
-	for _, m := range f.nodes {
+	for _, m := range f.nodes[max(0, len(f.nodes)-mostSeeds):] {
 		seeds = append(seeds, m.addr)
 	}
 	m := &member{gate: &gatedStore{Server: f.store}, addr: addr}
@@ -217,7 +277,7 @@
 	}, citronnode.Sources{
 		Store: m.gate, ConfigKey: "config", EnginePrefix: "engines/",
 		DecodeConfig: decodeConfig, DecodeEngine: decodeEngine, Orders: nodeOrders{f.orders, name},
-	}, citronclock.Real{}, slog.New(slog.NewTextHandler(io.Discard, nil)), citronbudget.New(citronbudget.Limits{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}), &citronpool.Loads{}, hs.Client())
+	}, citronclock.Real{}, slog.New(f.log), citronbudget.New(citronbudget.Limits{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}), &citronpool.Loads{}, hc)
 	m.Handle(mux)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -227,7 +287,7 @@
 		once.Do(func() {
 			cancel()
 			<-done
-			hs.Close()
+			unplug()
 		})
 	}
 	f.t.Cleanup(m.stop)
@@ -260,7 +320,7 @@
 // slow machine must not fail it.
 const patience = 30 * time.Second
 
-func eventually(t *testing.T, what string, ok func() bool) {
+func eventually(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if ok() {
--- a/citronpeer/peer.go
+++ b/citronpeer/peer.go
@@ -5,8 +5,8 @@
 // configuration and of engines that leave. Every node asks a few others,
 // drawn at random, a few times a second; whoever has the older document
 // takes the newer one. News reaches all nodes in a number of rounds that
-// grows with the logarithm of the fleet, at a cost for each node that does
-// not grow with it.
+// grows with the logarithm of the fleet. Of the members themselves a message
+// tells only what the other node lacks (citronroster).
 package citronpeer
 
 import (
@@ -26,10 +26,9 @@
 	// Front is where callers connect, Peer where other nodes do.
 	Front string `json:"front"`
 	Peer  string `json:"peer"`
-	// Started tells a restarted process from the one before it; Beat
-	// grows while the process lives.
+	// Started tells a restarted process from the one before it.
 	Started int64 `json:"started"`
-	Beat    int64 `json:"beat"`
+	Gauges
 	// Ready: callers may connect. Leaving: it will stop.
 	Ready   bool `json:"ready"`
 	Leaving bool `json:"leaving"`
@@ -39,10 +38,6 @@
 	Watching bool `json:"watching,omitempty"`
 	// Store is what the node knows of the store.
 	Store citronhealth.Status `json:"store,omitzero"`
-	// Load is the cache, in tokens, that the node's requests take by zone.
-	Load map[string]int64 `json:"load,omitempty"`
-	// Sent is what the node has sent for each service in a window.
-	Sent map[string]Sent `json:"sent,omitempty"`
 	// Goals are the layers, from and up to, that the node as the leader
 	// wants engines to hold, by their id, until they hold them.
 	Goals map[string][2]int `json:"goals,omitempty"`
@@ -53,6 +48,22 @@
 	Starts map[string]int64 `json:"starts,omitempty"`
 }
 
+// Gauges are what changes of a member from moment to moment.
+type Gauges struct {
+	// Beat grows while the process lives.
+	Beat int64 `json:"beat"`
+	// Load is the cache, in tokens, that the node's requests take by zone.
+	Load map[string]int64 `json:"load,omitempty"`
+	// Sent is what the node has sent for each service in a window.
+	Sent map[string]Sent `json:"sent,omitempty"`
+}
+
+// WithGauges returns m with other gauges.
+func (m Member) WithGauges(g Gauges) Member {
+	m.Gauges = g
+	return m
+}
+
 // Sent counts requests and repeats.
 type Sent struct {
 	Requests float64 `json:"requests"`
@@ -67,6 +78,59 @@
 	return m.Beat > o.Beat
 }
 
+// Print is a fingerprint of all of a member but its gauges (citronroster). In
+// one of six thousand fleets of 1,200 nodes two members share one, until either
+// changes. The news of one is then missing, and it is asked itself.
+type Print uint32
+
+// Digest tells which members a node knows, by fingerprint, and how new each
+// is. The lists go together.
+type Digest struct {
+	Prints []Print `json:"prints,omitempty"`
+	Beats  []int64 `json:"beats,omitempty"`
+}
+
+// Beat is the beat that goes with the fingerprint at i; zero if a node has
+// told fewer beats than fingerprints.
+func (d Digest) Beat(i int) int64 {
+	if i >= len(d.Beats) {
+		return 0
+	}
+	return d.Beats[i]
+}
+
+// Gauge is news of a member that the other node knows whole.
+type Gauge struct {
+	Print Print `json:"print"`
+	Gauges
+}
+
+// Diff is what one node has newer than another: members whole, and gauges of
+// members of which the other has the details.
+type Diff struct {
+	Members []Member `json:"members,omitempty"`
+	Gauges  []Gauge  `json:"gauges,omitempty"`
+}
+
+// Sum is what the nodes of a zone do together.
+type Sum struct {
+	Zone string `json:"zone"`
+	// AgeMS is how long ago it was added up by a node of that zone, in
+	// milliseconds. Ages need no clocks that agree.
+	AgeMS int64            `json:"ageMs"`
+	Load  map[string]int64 `json:"load,omitempty"`
+	Sent  map[string]Sent  `json:"sent,omitempty"`
+}
+
+// Wants is what a node asks for of what another has told of in its digest.
+type Wants struct {
+	Members []Print `json:"members,omitempty"`
+	Gauges  []Print `json:"gauges,omitempty"`
+}
+
+// Empty reports whether nothing is wanted.
+func (w Wants) Empty() bool { return len(w.Members)+len(w.Gauges) == 0 }
+
 // Document is something that nodes pass on; the higher revision wins.
 type Document struct {
 	Revision int64 `json:"revision"`
@@ -78,7 +142,16 @@
 // Knowledge is what a node tells another. Documents whose body is empty
 // only tell which revision it has.
 type Knowledge struct {
-	Members []Member
+	// From is the node that tells it.
+	From Member
+	// Diff is what the other lacks, as far as it has told what it knows.
+	Diff
+	// Digest is which members this node knows, and Sums what the zones do;
+	// both are empty in news.
+	Digest Digest
+	Sums   []Sum
+	// Wants is what this node lacks of the other's digest.
+	Wants   Wants
 	Config  Document
 	Engines Document
 	// Accused are ids of engines that have just been named in a refusal.
@@ -86,7 +159,11 @@
 }
 
 type exchangeMessage struct {
-	Members []Member `json:"members"`
+	From Member `json:"from"`
+	Diff
+	Digest  Digest   `json:"digest,omitzero"`
+	Sums    []Sum    `json:"sums,omitempty"`
+	Wants   Wants    `json:"wants,omitzero"`
 	Config  Document `json:"config"`
 	Engines Document `json:"engines"`
 	Accused []string `json:"accused,omitempty"`
@@ -95,23 +172,25 @@
 const (
 	procedureExchange = "/citron.peer/Exchange"
 	procedureNews     = "/citron.peer/News"
-	// mostExchanges is how many exchanges a node serves at once. Each holds
-	// the decoded members of the whole fleet; a node that stood still for a
-	// moment is met by all that waited, and held 180 MB then. Who is turned
+	// mostExchanges is how many exchanges a node serves at once. Each may
+	// hold the decoded members of the whole fleet; a node that stood still for
+	// a moment is met by all that waited, and ran out of memory. Who is turned
 	// away asks another node in its next round.
 	mostExchanges = 8
-	// mostNews is the same for news, which is of one node and small.
+	// mostNews is the same for news, which is of one node as a rule and small.
 	mostNews = 64
-	// smallMessage is below what compressing a message gains.
-	smallMessage = 1 << 10
+	// smallMessage is below what compressing a message gains. Fingerprints,
+	// of which most messages of a large fleet consist, do not compress.
+	smallMessage = 4 << 10
 )
 
 // Answerer is a node's side of what others begin.
 type Answerer interface {
-	// Exchange gets what another node knows and returns what this one knows,
-	// with the bodies that the other lacks.
+	// Exchange gets which members another node knows, and returns what it
+	// lacks of what this one knows, and what this one lacks.
 	Exchange(Knowledge) Knowledge
-	// News is Exchange where both tell of no members but themselves.
+	// News gets what another node tells of itself, and of the members that
+	// this one asked it for, and returns the same of this node.
 	News(Knowledge) Knowledge
 }
 
@@ -126,7 +205,7 @@
 	citronwire.Handle(inner, procedure, func(_ context.Context, m *exchangeMessage) (*exchangeMessage, error) {
 		a := exchangeMessage(answer(Knowledge(*m)))
 		return &a, nil
-	}, citronwire.FastGzipHandler, connect.WithCompressMinBytes(smallMessage))
+	}, citronwire.Compact(), citronwire.FastGzipHandler, connect.WithCompressMinBytes(smallMessage))
 	mux.Handle(procedure, limited(inner, most))
 }
 
@@ -151,8 +230,8 @@
 	Timeout time.Duration
 }
 
-// Exchange tells the node at addr what this one knows and returns what that
-// one knows.
+// Exchange tells the node at addr which members this one knows and returns
+// what that one has newer.
 func (c *Client) Exchange(ctx context.Context, addr string, k Knowledge) (Knowledge, error) {
 	return c.call(ctx, addr, procedureExchange, k)
 }
@@ -167,9 +246,9 @@
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
 	m := exchangeMessage(k)
-	// Members repeat the same names; compressed, a message of nine is a
-	// quarter as long, and bytes between zones are dear.
-	res, err := citronwire.NewUnary[exchangeMessage, exchangeMessage](c.HC, "http://"+addr, procedure, citronwire.FastGzipClient, connect.WithSendGzip(), connect.WithCompressMinBytes(smallMessage)).Call(ctx, &m)
+	// Members repeat the same names; compressed, a message is a quarter as
+	// long, and bytes between zones are dear.
+	res, err := citronwire.NewUnary[exchangeMessage, exchangeMessage](c.HC, "http://"+addr, procedure, citronwire.Compact(), citronwire.FastGzipClient, connect.WithSendGzip(), connect.WithCompressMinBytes(smallMessage)).Call(ctx, &m)
 	if err != nil {
 		return Knowledge{}, err
 	}
--- a/citronpeer/peer_test.go
+++ b/citronpeer/peer_test.go
@@ -13,11 +13,18 @@
 	"github.com/matryer/is"
 )
 
+func gauges(i int) citronpeer.Gauges {
+	return citronpeer.Gauges{
+		Beat: int64(1000 + i*37%900), Load: map[string]int64{"hall-0": int64(i * 991), "hall-1": int64(i * 17)},
+		Sent: map[string]citronpeer.Sent{"model": {Requests: float64(i), Repeats: 1}},
+	}
+}
+
 func member(i int) citronpeer.Member {
 	return citronpeer.Member{
 		Name: fmt.Sprintf("front-hall-%d", i), Zone: fmt.Sprintf("hall-%d", i%3), Front: fmt.Sprintf("10.1.%d.%d:8227", i/250, i%250),
-		Peer: fmt.Sprintf("10.1.%d.%d:8229", i/250, i%250), Started: 1_790_000_000_000_000_000 + int64(i)*7919, Beat: int64(1000 + i*37%900), Ready: true,
-		Load: map[string]int64{"hall-0": int64(i * 991), "hall-1": int64(i * 17)}, Sent: map[string]citronpeer.Sent{"model": {Requests: float64(i), Repeats: 1}},
+		Peer: fmt.Sprintf("10.1.%d.%d:8229", i/250, i%250), Started: 1_790_000_000_000_000_000 + int64(i)*7919, Ready: true,
+		Gauges: gauges(i),
 	}
 }
 
@@ -32,7 +39,10 @@
 	is := is.New(t)
 	mux := http.NewServeMux()
 	var heard citronpeer.Knowledge
-	answer := citronpeer.Knowledge{Members: []citronpeer.Member{member(2)}, Config: citronpeer.Document{Revision: 9, Body: []byte("nine")}}
+	answer := citronpeer.Knowledge{
+		From: member(2), Diff: citronpeer.Diff{Members: []citronpeer.Member{member(3)}, Gauges: []citronpeer.Gauge{{Print: 7, Gauges: gauges(7)}}},
+		Wants: citronpeer.Wants{Gauges: []citronpeer.Print{1 << 31}}, Config: citronpeer.Document{Revision: 9, Body: []byte("nine")},
+	}
 	citronpeer.Handle(mux, answering(func(k citronpeer.Knowledge) citronpeer.Knowledge {
 		heard = k
 		return answer
@@ -40,7 +50,7 @@
 	hs := httptest.NewServer(mux)
 	defer hs.Close()
 	c := &citronpeer.Client{HC: hs.Client(), Timeout: 30 * time.Second}
-	told := citronpeer.Knowledge{Members: []citronpeer.Member{member(1)}, Engines: citronpeer.Document{Revision: 4}}
+	told := citronpeer.Knowledge{From: member(1), Digest: citronpeer.Digest{Prints: []citronpeer.Print{5}, Beats: []int64{9}}, Engines: citronpeer.Document{Revision: 4}}
 	got, err := c.Exchange(context.Background(), strings.TrimPrefix(hs.URL, "http://"), told)
 	is.NoErr(err)
 	is.Equal(heard, told)
@@ -62,10 +72,13 @@
 // Which news of a node is later.
 func TestNewer(t *testing.T) {
 	is := is.New(t)
-	a := citronpeer.Member{Started: 5, Beat: 10}
-	is.True(citronpeer.Member{Started: 5, Beat: 11}.Newer(a))
-	is.True(citronpeer.Member{Started: 6, Beat: 1}.Newer(a))
-	is.True(!citronpeer.Member{Started: 4, Beat: 99}.Newer(a))
+	at := func(started, beat int64) citronpeer.Member {
+		return citronpeer.Member{Started: started, Gauges: citronpeer.Gauges{Beat: beat}}
+	}
+	a := at(5, 10)
+	is.True(at(5, 11).Newer(a))
+	is.True(at(6, 1).Newer(a))
+	is.True(!at(4, 99).Newer(a))
 	is.True(!a.Newer(a))
 }
 
@@ -73,7 +86,7 @@
 // revisions of its documents, with no member of the fleet but itself. The whole
 // knowledge of a hundred nodes, which was sent before, is 3.8 KB.
 func BenchmarkNews(b *testing.B) {
-	k := citronpeer.Knowledge{Members: []citronpeer.Member{member(1)}, Config: citronpeer.Document{Revision: 9}, Engines: citronpeer.Document{Revision: 4}}
+	k := citronpeer.Knowledge{From: member(1), Config: citronpeer.Document{Revision: 9}, Engines: citronpeer.Document{Revision: 4}}
 	var size int64
 	mux := http.NewServeMux()
 	citronpeer.Handle(mux, answering(func(citronpeer.Knowledge) citronpeer.Knowledge { return citronpeer.Knowledge{} }))
@@ -94,7 +107,7 @@
 // BenchmarkMessage gives the bytes on the wire and the time of one message
 // about so many members.
 func BenchmarkMessage(b *testing.B) {
-	for _, n := range []int{9, 100, 1200} {
+	for _, n := range []int{9, 100, 295, 1200} {
 		k := citronpeer.Knowledge{}
 		for i := range n {
 			k.Members = append(k.Members, member(i))
--- /dev/null
+++ b/citronroster/table.go
@@ -0,0 +1,224 @@
+package citronroster
+
+import (
+	"iter"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronpeer"
+)
+
+const (
+	// suspectAfter and suspectLatest bound when a member that was not heard of
+	// is asked itself. What is known of most members is hearsay, which takes
+	// longer in a larger fleet: suspectGaps times the usual time between two
+	// pieces of news of a member.
+	suspectAfter  = 1500 * time.Millisecond
+	suspectLatest = 2500 * time.Millisecond
+	suspectGaps   = 4
+	// askTime is how long after that one that does not answer is lost.
+	askTime = 500 * time.Millisecond
+	// askLate is the same for one that nobody had time to ask: a node that is
+	// cut from a whole zone has more to ask than it can.
+	askLate = 1500 * time.Millisecond
+	// mostAhead is by how many beats a member may be ahead of what was told
+	// of it: whatever is further ahead is not its beat, and would hide what
+	// it does from then on.
+	mostAhead = 1000
+	// gapWeight is the weight of one piece of news in the usual time.
+	gapWeight = 0.01
+	// forgetAfter is when a lost member is no longer known at all.
+	forgetAfter = 20 * time.Second
+	// mostAsked is how many members are asked in one aging.
+	mostAsked = 8
+	// stoodStill is the time between two agings from which on this node has
+	// not been running, and its silence about others tells nothing.
+	stoodStill = 500 * time.Millisecond
+)
+
+// Known is a member, and when it was heard of.
+type Known struct {
+	Entry
+	Heard time.Time
+	// seen is the latest beat that was told of it. Within a zone its gauges
+	// may be older.
+	seen int64
+	// Alive: it was heard of lately.
+	Alive bool
+	// asked: it was asked itself since it was heard of.
+	asked bool
+}
+
+// Table is what one node knows of the others, as time goes on. It is not safe
+// for use by several goroutines.
+//
+// A member is believed lost only if it does not answer when asked itself. In a
+// large fleet the news of a sound member is late now and then; taken for lost,
+// it is missing from what callers are told, and from the sums that repeats are
+// dealt and paths are chosen by.
+type Table struct {
+	// self is the node whose table it is, by name, and zone its zone.
+	self, zone string
+	members    map[string]*Known
+	byPrint    map[citronpeer.Print]*Known
+	aged       time.Time
+	// near and far are the usual times between two pieces of news of a member
+	// of this zone and of another.
+	near, far gap
+}
+
+// gap is a running mean of times.
+type gap time.Duration
+
+// with returns g with one more time taken in.
+func (g gap) with(d time.Duration) gap {
+	return g + gap(gapWeight*float64(d-time.Duration(g)))
+}
+
+// gapOf is the mean that a member's news goes into.
+func (t *Table) gapOf(k *Known) *gap {
+	if k.Zone == t.zone {
+		return &t.near
+	}
+	return &t.far
+}
+
+// suspectAfter is when a member that was not heard of is asked, if this is the
+// usual time between its news.
+func (g gap) suspectAfter() time.Duration {
+	return min(max(suspectAfter, suspectGaps*time.Duration(g)), suspectLatest)
+}
+
+// NewTable returns the empty table of the node of this name.
+func NewTable(self, zone string) *Table {
+	return &Table{self: self, zone: zone, members: map[string]*Known{}, byPrint: map[citronpeer.Print]*Known{}}
+}
+
+// Take takes what is told of a member as a whole. It reports whether that was
+// news, and whether with it the member has come, is back, or serves callers
+// otherwise than before.
+func (t *Table) Take(m citronpeer.Member, now time.Time) (news, changed bool) {
+	if m.Name == "" || m.Name == t.self {
+		return false, false
+	}
+	old, ok := t.members[m.Name]
+	// A process restarted after its clock was set back looks older than the
+	// one before it, which is known to be gone by now.
+	restarted := ok && !old.Alive && m.Started != old.Started
+	if ok && !restarted && !m.Newer(old.Member) {
+		return false, false
+	}
+	if ok {
+		delete(t.byPrint, old.Print)
+	}
+	k := &Known{Entry: Entry{Member: m, Print: Of(m)}, seen: m.Beat, Heard: now, Alive: true}
+	t.members[m.Name] = k
+	t.byPrint[k.Print] = k
+	return true, !ok || !old.Alive || old.Leaving != m.Leaving || old.Ready != m.Ready
+}
+
+// TakeGauge takes news of a member that is known whole. It returns the member,
+// and whether it is back with it; nil if that was no news.
+func (t *Table) TakeGauge(g citronpeer.Gauge, now time.Time) (of *Known, back bool) {
+	k := t.byPrint[g.Print]
+	if k == nil || g.Beat <= k.Beat || g.Beat > k.seen+mostAhead {
+		return nil, false
+	}
+	k.Gauges = g.Gauges
+	return k, t.hear(k, g.Beat, now)
+}
+
+// TakeDigest takes from another node's digest that members live, and returns
+// those that are back with it. The beat of a member of this zone stays that of
+// its gauges, which do not come with a digest.
+func (t *Table) TakeDigest(d citronpeer.Digest, now time.Time) (back []*Known) {
+	for i, p := range d.Prints {
+		k := t.byPrint[p]
+		beat := d.Beat(i)
+		if k == nil || beat > k.seen+mostAhead {
+			continue
+		}
+		if k.Zone != t.zone {
+			k.Beat = max(k.Beat, beat)
+		}
+		if t.hear(k, beat, now) {
+			back = append(back, k)
+		}
+	}
+	return back
+}
+
+// hear notes that a member was at this beat, and reports whether it was lost
+// before.
+func (t *Table) hear(k *Known, beat int64, now time.Time) bool {
+	if beat <= k.seen {
+		return false
+	}
+	lost := !k.Alive
+	if !lost {
+		g := t.gapOf(k)
+		*g = g.with(now.Sub(k.Heard))
+	}
+	k.seen, k.Heard, k.Alive, k.asked = beat, now, true, false
+	return lost
+}
+
+// Age returns which members to ask whether they live, and which are lost from
+// now on, and forgets those that have been lost for long.
+func (t *Table) Age(now time.Time) (ask, lost []*Known) {
+	still := now.Sub(t.aged)
+	if !t.aged.IsZero() && still > stoodStill {
+		t.later(still)
+	}
+	t.aged = now
+	near, far := t.near.suspectAfter(), t.far.suspectAfter()
+	for name, k := range t.members {
+		age := now.Sub(k.Heard)
+		suspect := far
+		if k.Zone == t.zone {
+			suspect = near
+		}
+		switch {
+		case age > forgetAfter:
+			delete(t.members, name)
+			delete(t.byPrint, k.Print)
+		case k.Alive && (k.asked && age > suspect+askTime || age > suspect+askLate):
+			k.Alive = false
+			lost = append(lost, k)
+		case k.Alive && age > suspect && !k.asked && len(ask) < mostAsked:
+			k.asked = true
+			ask = append(ask, k)
+		}
+	}
+	return ask, lost
+}
+
+// later counts a time in which this node did not run as no time.
+func (t *Table) later(d time.Duration) {
+	for _, k := range t.members {
+		if k.Alive {
+			k.Heard = k.Heard.Add(d)
+		}
+	}
+}
+
+// All are the members that are known, also those lost.
+func (t *Table) All() iter.Seq[*Known] {
+	return func(yield func(*Known) bool) {
+		for _, k := range t.members {
+			if !yield(k) {
+				return
+			}
+		}
+	}
+}
+
+// Alive are the members that are not lost, in no order.
+func (t *Table) Alive() []Entry {
+	out := make([]Entry, 0, len(t.members)+1)
+	for _, k := range t.members {
+		if k.Alive {
+			out = append(out, k.Entry)
+		}
+	}
+	return out
+}
--- a/citronwire/wire.go
+++ b/citronwire/wire.go
@@ -23,6 +23,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
 )
 
 // codec encodes wire types as JSON with encoding/json. It takes the name
@@ -38,6 +39,17 @@
 // Option is the connect option that every handler and client takes.
 func Option() connect.Option { return connect.WithCodec(codec{}) }
 
+// compact encodes wire types as CBOR, for messages with many numbers: JSON took
+// most of the processor time that nodes spend on telling each other who is there.
+type compact struct{}
+
+func (compact) Name() string                    { return "cbor" }
+func (compact) Marshal(v any) ([]byte, error)   { return cbor.Marshal(v) }
+func (compact) Unmarshal(b []byte, v any) error { return cbor.Unmarshal(b, v) }
+
+// Compact is the connect option of handlers and clients that speak CBOR.
+func Compact() connect.Option { return connect.WithCodec(compact{}) }
+
 // Client and handler options for small messages that are sent often: gzip
 // at its fastest level. The default level keeps 0.8 MB a writer, which
 // doubled the memory of a node that sends five messages a second.
@@ -64,7 +76,7 @@
 			return nil, err
 		}
 		return connect.NewResponse(res), nil
-	}, append(more, Option())...)
+	}, append([]connect.HandlerOption{Option()}, more...)...)
 	mux.Handle(procedure, h)
 }
 
@@ -79,7 +91,7 @@
 // http://127.0.0.1:7000).
 func NewUnary[Req, Res any](hc connect.HTTPClient, base, procedure string, more ...connect.ClientOption) *Unary[Req, Res] {
 	return &Unary[Req, Res]{
-		client: connect.NewClient[Req, Res](hc, base+procedure, append(more, Option())...),
+		client: connect.NewClient[Req, Res](hc, base+procedure, append([]connect.ClientOption{Option()}, more...)...),
 		peer:   base,
 		step:   procedure,
 	}
