--- a/citronpath/path.go
+++ b/citronpath/path.go
@@ -11,7 +11,6 @@
 
 import (
 	"math"
-	"sort"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronmodel"
@@ -147,75 +146,96 @@
 	return c
 }
 
+// state is the cheapest way found to have run all layers before a cut and to
+// hand on from a zone.
 type state struct {
 	cost float64
 	prev int // index of the state before, -1 at the start
 	hop  Hop
-	pos  int
-	zone string
+}
+
+// candidate is an engine that may be on the path.
+type candidate struct {
+	*citronpool.Engine
+	// zone counts the zones from 1; 0 is where a path begins.
+	zone int
+	// perLayer is the cost of one layer, last the index of the cut at which
+	// its layers end.
+	perLayer float64
+	last     int
 }
 
 // Choose returns the cheapest path for q over engines, or false if some
 // layer is held by no usable engine.
 func Choose(engines []*citronpool.Engine, q Query) (Path, bool) {
-	usable := make([]*citronpool.Engine, 0, len(engines))
-	cuts := map[int]bool{q.Spec.Layers: true}
+	usable := make([]candidate, 0, len(engines))
+	isCut := make([]bool, q.Spec.Layers+1)
+	isCut[0], isCut[q.Spec.Layers] = true, true
+	zones := map[string]int{}
 	for _, e := range engines {
-		if e.Layers.Empty() || q.Avoid[e.ID] || !e.Usable(q.Now) {
+		s := e.Layers
+		if s.Empty() || s.From < 0 || s.To > q.Spec.Layers || q.Avoid[e.ID] || !e.Usable(q.Now) {
 			continue
 		}
-		usable = append(usable, e)
-		cuts[e.Layers.From] = true
-		cuts[e.Layers.To] = true
+		if zones[e.Zone] == 0 {
+			zones[e.Zone] = len(zones) + 1
+		}
+		usable = append(usable, candidate{Engine: e, zone: zones[e.Zone], perLayer: q.perLayer(e)})
+		isCut[s.From], isCut[s.To] = true, true
 	}
-	ends := make([]int, 0, len(cuts))
-	for c := range cuts {
-		ends = append(ends, c)
+	var cuts []int
+	index := make([]int, q.Spec.Layers+1)
+	for layer, is := range isCut {
+		if is {
+			index[layer] = len(cuts)
+			cuts = append(cuts, layer)
+		}
 	}
-	sort.Ints(ends)
-	return search(usable, ends, q)
+	for i := range usable {
+		usable[i].last = index[usable[i].Layers.To]
+	}
+	return search(usable, cuts, len(zones)+1, q)
 }
 
 // search walks the cuts in ascending order and keeps, for each cut and
 // zone, the cheapest way to have run all layers before it.
-func search(engines []*citronpool.Engine, ends []int, q Query) (Path, bool) {
+func search(engines []candidate, cuts []int, zones int, q Query) (Path, bool) {
 	states := []state{{prev: -1}}
-	best := map[int]map[string]int{0: {"": 0}}
-	costs := make([]float64, len(engines))
-	for i, e := range engines {
-		costs[i] = q.perLayer(e)
-	}
-	for _, pos := range ends {
-		for _, si := range best[pos] {
-			s := states[si]
-			for i, e := range engines {
-				if e.Layers.From > pos || e.Layers.To <= pos {
-					continue
-				}
-				if pos == 0 && q.First != "" && e.ID != q.First {
-					continue
-				}
-				for _, to := range ends {
-					if to <= pos || to > e.Layers.To {
-						continue
-					}
-					c := s.cost + hopCost + costs[i]*float64(to-pos) + q.move(pos, s.zone, e.Zone) + q.read(e, citronmodel.Span{From: pos, To: to})
-					if bi, ok := best[to][e.Zone]; ok && states[bi].cost <= c {
+	best := make([]int, len(cuts)*zones) // index of the state plus one, 0: none
+	best[0] = 1
+	holders := make([]int, 0, len(engines))
+	for at, pos := range cuts[:len(cuts)-1] {
+		holders = holders[:0]
+		for i, e := range engines {
+			if e.Layers.From <= pos && pos < e.Layers.To && (pos > 0 || q.First == "" || e.ID == q.First) {
+				holders = append(holders, i)
+			}
+		}
+		for zone, si := range best[at*zones : (at+1)*zones] {
+			if si == 0 {
+				continue
+			}
+			s := states[si-1]
+			for _, i := range holders {
+				e := &engines[i]
+				base := s.cost + hopCost + q.move(pos, zone, e)
+				for next := at + 1; next <= e.last; next++ {
+					span := citronmodel.Span{From: pos, To: cuts[next]}
+					c := base + e.perLayer*float64(span.Len()) + q.read(e.Engine, span)
+					known := &best[next*zones+e.zone]
+					if *known > 0 && states[*known-1].cost <= c {
 						continue
 					}
-					if best[to] == nil {
-						best[to] = map[string]int{}
-					}
-					best[to][e.Zone] = len(states)
-					states = append(states, state{cost: c, prev: si, hop: Hop{e, citronmodel.Span{From: pos, To: to}}, pos: to, zone: e.Zone})
+					states = append(states, state{cost: c, prev: si - 1, hop: Hop{e.Engine, span}})
+					*known = len(states)
 				}
 			}
 		}
 	}
 	last := -1
-	for _, si := range best[q.Spec.Layers] {
-		if last < 0 || states[si].cost < states[last].cost {
-			last = si
+	for _, si := range best[(len(cuts)-1)*zones:] {
+		if si > 0 && (last < 0 || states[si-1].cost < states[last].cost) {
+			last = si - 1
 		}
 	}
 	if last < 0 || math.IsInf(states[last].cost, 1) {
@@ -224,11 +244,12 @@
 	return trace(states, last), true
 }
 
-func (q Query) move(pos int, from, to string) float64 {
+// move is the price of going on at an engine from a zone; 0: from the caller.
+func (q Query) move(pos, from int, to *candidate) float64 {
 	switch {
-	case pos == 0 && to != q.Zone:
-		return otherZone + q.ZoneCost[to]
-	case pos == 0 || from == to:
+	case pos == 0 && to.Zone != q.Zone:
+		return otherZone + q.ZoneCost[to.Zone]
+	case pos == 0 || from == to.zone:
 		return 0
 	default:
 		return crossing
--- a/citronpath/path_test.go
+++ b/citronpath/path_test.go
@@ -169,3 +169,33 @@
 		})
 	}
 }
+
+// large are the engines of five zones with three copies each, every copy divided
+// at other layers.
+func large(layers int) []citronmodel.Engine {
+	var out []citronmodel.Engine
+	sizes := []int{4, 6, 4, 22, 6, 4, 6, 4, 4, 6}
+	for zone := range 5 {
+		for copied := range 3 {
+			for at, i := 0, zone+3*copied; at < layers; i++ {
+				to := min(layers, at+sizes[i%len(sizes)])
+				out = append(out, engine(fmt.Sprint(len(out)), string(rune('a'+zone)), "fast", at, to))
+				at = to
+			}
+		}
+	}
+	return out
+}
+
+// BenchmarkChooseLarge gives the cost of one choice in a fleet of 150 engines
+// that share few boundaries.
+func BenchmarkChooseLarge(b *testing.B) {
+	big := spec
+	big.Layers = 80
+	es := view(large(big.Layers)...)
+	q := query()
+	q.Spec = big
+	for range b.N {
+		citronpath.Choose(es, q)
+	}
+}
