Places of an engine bound what is sent there, as its cache does

Cause: a path's use was judged by cache alone. Ruled out: dead or misplaced engines; the engines named most were sound and held what the list said. TestPlacesBoundAnEngineToo failed before.

--- a/citronmodel/model.go
+++ b/citronmodel/model.go
@@ -74,6 +74,17 @@
 	return max(0, free/(s.TokenBytes/float64(s.Layers)*float64(layers)))
 }
 
+// RoomTokens is how many tokens of running requests an engine of a kind has
+// room for while it holds the given number of layers: it runs so many requests
+// at once, and caches so many tokens.
+func (s Spec) RoomTokens(kind string, layers int) float64 {
+	cache := s.CacheTokens(kind, layers)
+	if s.Slots <= 0 || s.MeanTokens <= 0 {
+		return cache
+	}
+	return min(cache, float64(s.Slots*s.MeanTokens))
+}
+
 // StepTime is the time, in milliseconds, that an engine of a kind needs for
 // one token step over the given number of layers with so many writers.
 func (s Spec) StepTime(kind string, layers int, writers, contextTokens float64) float64 {
--- a/citronpath/path.go
+++ b/citronpath/path.go
@@ -87,21 +87,23 @@
 	// typicalWriters and typicalContext describe a zone at its peak.
 	typicalWriters = 120
 	typicalContext = 110_000
-	// fullAt is the share of an engine's cache beyond which a further
-	// request risks preemption; overfull, a step of the whole zone's cost,
+	// fullAt is the share of an engine's room beyond which a further request
+	// risks preemption or refusal; overfull, a step of the whole zone's cost,
 	// makes another zone the better choice before that point is passed.
 	fullAt   = 0.8
 	overfull = 60
 )
 
-// Used is the share of an engine's cache that running requests may need.
-// Requests of other nodes are known by zone only.
+// Used is the share of an engine's room that running requests may need, of its
+// cache or of its places, whichever is scarcer: small engines with few layers
+// have cache for more requests than they run at once, and refused what was sent
+// there for it. Requests of other nodes are known by zone only.
 func (q Query) Used(e *citronpool.Engine) float64 {
-	cache := q.Spec.CacheTokens(e.Kind, e.Layers.Len())
-	if cache <= 0 {
+	room := q.Spec.RoomTokens(e.Kind, e.Layers.Len())
+	if room <= 0 {
 		return math.Inf(1)
 	}
-	return (float64(e.Tokens()) + float64(q.Others[e.Zone])*q.part(e)) / cache
+	return (float64(e.Tokens()) + float64(q.Others[e.Zone])*q.part(e)) / room
 }
 
 // priorTokens is how many tokens count for an even spread before what this
@@ -117,7 +119,7 @@
 	return min(1, (float64(e.Tokens())+priorTokens/max(1, e.Copies))/(float64(q.Own[e.Zone])+priorTokens))
 }
 
-// Used is the share of cache taken at the fullest engine of the path.
+// Used is the share of room taken at the fullest engine of the path.
 func (p Path) Used(q Query) float64 {
 	most := 0.0
 	for _, h := range p {
--- a/citronpath/path_test.go
+++ b/citronpath/path_test.go
@@ -170,6 +170,25 @@
 	}
 }
 
+// At the peak a zone loses one of its copies, and the engines that hold the same
+// layers get its streams too. They have cache for a hundred requests and run
+// eight at once: what is sent to them beyond that is refused, and costs a repeat
+// or its caller, while another zone has places. So those count as well as cache.
+func TestPlacesBoundAnEngineToo(t *testing.T) {
+	is := is.New(t)
+	es := view(engine("a1", "a", "fast", 0, 8), engine("b1", "b", "fast", 0, 8))
+	q := query()
+	q.Spec.Slots, q.Spec.MeanTokens = 8, 900
+	q.Others = map[string]int64{"a": 7 * 900}
+	is.True(q.Spec.CacheTokens("fast", 8) > 100*900)
+	p, ok := citronpath.Choose(es, q)
+	is.True(ok)
+	is.Equal(ids(p), "b1[0,8) ")
+	q.Others["a"] = 2 * 900
+	p, _ = citronpath.Choose(es, q)
+	is.Equal(ids(p), "a1[0,8) ")
+}
+
 // large are the engines of five zones with three copies each, every copy divided
 // at other layers.
 func large(layers int) []citronmodel.Engine {
