Nodes in need borrow repeats from those that need none

Cause: the budget of repeats was dealt in equal parts, 2.4 repeats a node in 0.8 s at 295 nodes. Ruled out: dealing by told need. Until all have heard of each other's need the parts add up to more than what is left, and the limit would not hold. The part that is dealt now follows how old the news of what others used is: 0.4 of what is left in a small fleet, as before, less where news takes longer.

--- a/citronbudget/budget.go
+++ b/citronbudget/budget.go
@@ -12,7 +12,9 @@
 // node may use an equal part of what was left at the last news, so that a
 // node in need gets more and more of what the others leave, and all of them
 // together cannot pass the limit however late within an interval they use
-// theirs.
+// theirs. In a large fleet an equal part is a repeat or two, so a node in need
+// borrows from others what they were dealt: what is lent is theirs no more,
+// and all together have what they had, also if the answer is lost on the way.
 package citronbudget
 
 import (
@@ -36,16 +38,12 @@
 	// slices a window is divided into; one more is kept, so that any span
 	// of a window's length is covered.
 	slices = 20
-	// dealShare is the part of what is left of the budget that is dealt in an
-	// interval. What all nodes use just before an interval ends is not yet
-	// known when the next is dealt, so two intervals' parts can be used before
-	// anybody knows of the first: together they have to stay under what is
-	// left. A tenth less than half is for the news that is late. A fixed half
-	// of the whole limit, less what is used, is no safer and dealt nothing
-	// from there on: of 367 requests that one engine had refused, 344 were
-	// given up after it while three fifths of the budget were left.
-	dealShare = 0.4
-	// interval is the time in which news reaches all nodes.
+	// sureShare is the part of what is left of the budget that all nodes
+	// together may use before anybody knows of it. The rest is for news that
+	// is later than usual.
+	sureShare = 0.8
+	// interval is for how long a part is dealt; in a small fleet news of what
+	// was used reaches all nodes in it.
 	interval = 800 * time.Millisecond
 )
 
@@ -57,8 +55,17 @@
 	slices [slices + 1]Usage
 	// others is what the other nodes have sent, by their last news.
 	others Usage
-	// allowance is what this node may still use in this interval.
+	// allowance is what this node may still use in this interval, loans what
+	// others lent it.
 	allowance float64
+	loans     []Loan
+}
+
+// Loan is repeats that a node may use in place of the one that lent them, until
+// that one's interval ends.
+type Loan struct {
+	Repeats int
+	Until   time.Time
 }
 
 func (r *ring) sum() Usage {
@@ -76,7 +83,9 @@
 	limits Limits
 	rings  map[string]*ring
 	nodes  int
-	dealt  time.Time
+	// newsAge is how old the news of what others have used may be.
+	newsAge time.Duration
+	dealt   time.Time
 }
 
 // New returns a budget for one node of one.
@@ -108,21 +117,29 @@
 	own := r.sum()
 	limit := b.limits.Ratio*(own.Requests+r.others.Requests) + b.limits.Slack
 	left := max(0, limit-own.Repeats-r.others.Repeats)
-	whole, fraction := math.Modf(dealShare * left / float64(b.nodes))
+	whole, fraction := math.Modf(b.dealShare() * left / float64(b.nodes))
 	if rand.Float64() < fraction {
 		whole++
 	}
 	return whole
 }
 
-// Learn takes what the other nodes have used, and how many nodes there are.
-func (b *Budget) Learn(others map[string]Usage, nodes int, now time.Time) {
+// dealShare is the part of what is left that is dealt in an interval: what is
+// dealt until news of the first of it has come stays within sureShare.
+func (b *Budget) dealShare() float64 {
+	unknown := max(1, b.newsAge.Seconds()/interval.Seconds())
+	return sureShare / (1 + unknown)
+}
+
+// Learn takes what the other nodes have used, how old that news may be, and how
+// many nodes there are.
+func (b *Budget) Learn(others map[string]Usage, newsAge time.Duration, nodes int, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for service, u := range others {
 		b.at(service, now).others = u
 	}
-	b.nodes = max(1, nodes)
+	b.nodes, b.newsAge = max(1, nodes), newsAge
 	if now.Sub(b.dealt) < interval {
 		return
 	}
@@ -157,10 +174,49 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.at(service, now)
-	if r.allowance < 1 {
+	if r.allowance >= 1 {
+		r.allowance--
+	} else if !r.useLoan(now) {
 		return false
 	}
-	r.allowance--
 	r.slices[r.slot%(slices+1)].Repeats++
 	return true
 }
+
+// useLoan takes a repeat from what others lent, and reports whether it could.
+func (r *ring) useLoan(now time.Time) bool {
+	for i := range r.loans {
+		if l := &r.loans[i]; l.Repeats > 0 && now.Before(l.Until) {
+			l.Repeats--
+			return true
+		}
+	}
+	r.loans = nil
+	return false
+}
+
+// Lend gives up to want repeats of this node's part to another node. They are
+// given up even if the other does not hear of it.
+func (b *Budget) Lend(service string, want int, now time.Time) Loan {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	until := b.dealt.Add(interval)
+	if !now.Before(until) {
+		return Loan{}
+	}
+	r := b.at(service, now)
+	n := max(0, min(want, int(r.allowance)))
+	r.allowance -= float64(n)
+	return Loan{Repeats: n, Until: until}
+}
+
+// Borrowed takes a loan.
+func (b *Budget) Borrowed(service string, l Loan, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l.Repeats <= 0 || l.Until.Sub(now) > interval {
+		return
+	}
+	r := b.at(service, now)
+	r.loans = append(r.loans, l)
+}
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -74,6 +74,9 @@
 	// Accuse, if set, has other nodes hear of an engine that was named in a
 	// refusal.
 	Accuse func(*citronpool.Engine)
+	// Borrow, if set, has other nodes lend this one repeats for a service, and
+	// reports whether any did.
+	Borrow func(service string) bool
 	// Stopping tells whether and how far this node is stopping.
 	Stopping func() Stopping
 
@@ -325,7 +328,8 @@
 }
 
 func (j *job) takeBudget() bool {
-	if j.f.Budget.Take(j.service.Name, j.f.Clock.Now()) {
+	service := j.service.Name
+	if j.f.Budget.Take(service, j.f.Clock.Now()) || j.f.Borrow != nil && j.f.Borrow(service) && j.f.Budget.Take(service, j.f.Clock.Now()) {
 		j.limit = ""
 		return true
 	}
--- a/citronnode/fleet_test.go
+++ b/citronnode/fleet_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"citrondeck.dev/citrondeck/citronevent"
+	"github.com/matryer/is"
 )
 
 // lossCounter counts the nodes that others held for lost.
@@ -73,6 +74,35 @@
 	eventually(t, "the node that is gone is lost", func() bool { return f.nodes[0].Status().Nodes == 1 && c.losses.Load() > 0 })
 }
 
+// One node has used up what it was dealt of the budget of repeats, and has more
+// requests that engines refused. The others need none: it borrows, and those
+// requests are sent again. Cut off from them it is told so at once.
+func TestNodeInNeedBorrows(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t)
+	f.config("1")
+	for _, name := range []string{"a", "b", "c"} {
+		m := f.add(name, "z1")
+		m.budget.Request("model", time.Now())
+	}
+	a := f.nodes[0]
+	eventually(t, "the others lend", func() bool {
+		for a.budget.Take("model", time.Now()) {
+		}
+		return a.Borrow("model") && a.budget.Take("model", time.Now())
+	})
+	for _, m := range f.nodes[1:] {
+		m.stop()
+	}
+	eventually(t, "nobody lends", func() bool { return !a.Borrow("model") })
+	begin := time.Now()
+	for range 100 {
+		is.True(!a.Borrow("model"))
+	}
+	is.True(time.Since(begin) < time.Second)
+}
+
 // BenchmarkFleetAtRest gives what a node spends on knowing the others: in a
 // fleet without callers, of five zones, in which nothing happens.
 func BenchmarkFleetAtRest(b *testing.B) {
--- a/citronnode/members.go
+++ b/citronnode/members.go
@@ -153,11 +153,15 @@
 		}
 	}
 	s.others = others.Load
+	newsAge := 2 * c.members.NearGap()
+	for _, sum := range s.sums {
+		newsAge = max(newsAge, 2*c.members.NearGap()+time.Duration(sum.AgeMS)*time.Millisecond)
+	}
 	s.roster = citronroster.New(c.self.Zone, append(alive, citronroster.Entry{Member: c.self, Print: citronroster.Of(c.self)}))
 	s.goals = c.lateGoals(now)
 	used := map[string]citronbudget.Usage{}
 	for service, u := range others.Sent {
 		used[service] = citronbudget.Usage(u)
 	}
-	c.n.budget.Learn(used, len(alive)+1, now)
+	c.n.budget.Learn(used, newsAge, len(alive)+1, now)
 }
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -93,6 +93,8 @@
 	configs configInbox
 	// pull fetches documents that other nodes told of.
 	pull puller
+	// borrower asks other nodes for repeats.
+	borrower borrower
 	// answered is how many of the followed prefixes the store answers.
 	answered atomic.Int64
 	// health is what this node's calls tell of the store.
@@ -142,11 +144,12 @@
 	src.Store = citronhealth.Observe(src.Store, clock, health.Note)
 	n := &Node{
 		set: set, src: src, health: health, clock: clock, log: log, budget: budget, loads: loads,
-		peers:   &citronpeer.Client{HC: hc, Timeout: exchangeTimeout},
-		control: make(chan message, inboxSize),
-		news:    make(chan struct{}, 1),
-		alarms:  make(chan struct{}, 1),
-		configs: newConfigInbox(src.DecodeConfig),
+		peers:    &citronpeer.Client{HC: hc, Timeout: exchangeTimeout},
+		control:  make(chan message, inboxSize),
+		news:     make(chan struct{}, 1),
+		alarms:   make(chan struct{}, 1),
+		configs:  newConfigInbox(src.DecodeConfig),
+		borrower: borrower{rounds: map[string]*round{}, emptyAt: map[string]time.Time{}},
 	}
 	n.snap.Store(&snapshot{self: citronpeer.Member{Name: set.Name, Zone: set.Zone, Front: set.Front, Peer: set.Peer, Started: clock.Now().UnixNano()}})
 	return n
@@ -174,7 +177,10 @@
 }
 
 // Handle mounts what other nodes call.
-func (n *Node) Handle(mux *http.ServeMux) { citronpeer.Handle(mux, answerer{n}) }
+func (n *Node) Handle(mux *http.ServeMux) {
+	citronpeer.Handle(mux, answerer{n})
+	citronpeer.HandleLend(mux, answerer{n})
+}
 
 // Run keeps the node up to date until ctx ends.
 func (n *Node) Run(ctx context.Context) {
--- a/citronnode/rig_test.go
+++ b/citronnode/rig_test.go
@@ -245,9 +245,10 @@
 
 type member struct {
 	*citronnode.Node
-	gate *gatedStore
-	addr string
-	stop context.CancelFunc
+	gate   *gatedStore
+	addr   string
+	budget *citronbudget.Budget
+	stop   context.CancelFunc
 }
 
 func newFleet(t testing.TB) *fleet {
@@ -271,13 +272,13 @@
 	for _, m := range f.nodes[max(0, len(f.nodes)-mostSeeds):] {
 		seeds = append(seeds, m.addr)
 	}
-	m := &member{gate: &gatedStore{Server: f.store}, addr: addr}
+	m := &member{gate: &gatedStore{Server: f.store}, addr: addr, budget: citronbudget.New(citronbudget.Limits{Ratio: 0.2, Slack: 10, Window: 10 * time.Second})}
 	m.Node = citronnode.New(citronnode.Settings{
 		Name: name, Zone: zone, Front: "front-" + name, Peer: addr, Seeds: seeds, LeaseTTL: 600 * time.Millisecond, Grace: time.Second, DrainWithin: f.drain,
 	}, citronnode.Sources{
 		Store: m.gate, ConfigKey: "config", EnginePrefix: "engines/",
 		DecodeConfig: decodeConfig, DecodeEngine: decodeEngine, Orders: nodeOrders{f.orders, name},
-	}, citronclock.Real{}, slog.New(f.log), citronbudget.New(citronbudget.Limits{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}), &citronpool.Loads{}, hc)
+	}, citronclock.Real{}, slog.New(f.log), m.budget, &citronpool.Loads{}, hc)
 	m.Handle(mux)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/citronroster/table.go
+++ b/citronroster/table.go
@@ -82,6 +82,10 @@
 	return &t.far
 }
 
+// NearGap is the usual time between two pieces of news of a member of this zone.
+// What is known of such a member is twice as old at most, as a rule.
+func (t *Table) NearGap() time.Duration { return time.Duration(t.near) }
+
 // suspectAfter is when a member that was not heard of is asked, if this is the
 // usual time between its news.
 func (g gap) suspectAfter() time.Duration {
