Who watches and leads first is told by hash, strong machines before weak ones

Cause: the first four nodes by name watch the store for all. Names begin with the zone, so that at 295 nodes all four stand in one zone, three strong and one weak or all weak; a cut of that zone, or a store that turns that zone away, silences all of them at once. Ruled out: more watchers, which cost a sixth more calls at eight nodes and served nobody better. Change: an order by strength and a hash of the name (Member.Before), for watchers, their waits and the node that stands in as leader. Before: the first four of 300 names by name stand in one zone. After: in three or more (TestFirstNodesStandInSeveralZones), all strong.

--- a/citronnode/leader.go
+++ b/citronnode/leader.go
@@ -38,6 +38,9 @@
 	weakWait    = 700 * time.Millisecond
 )
 
+// weak reports whether a node should leave to others what a few do for all.
+func (s Settings) weak() bool { return s.Cores > 0 && s.Cores < leaderCores }
+
 // errHeld means that the key of the leader is held.
 var errHeld = errors.New("another node leads")
 
@@ -47,7 +50,7 @@
 		if n.leaderKnown() {
 			continue
 		}
-		if n.set.Cores > 0 && n.set.Cores < leaderCores {
+		if n.set.weak() {
 			_ = n.clock.Sleep(ctx, weakWait)
 			if n.leaderKnown() {
 				continue
@@ -65,12 +68,12 @@
 	}
 }
 
-// first reports whether this node is the first by name of the nodes that it
-// hears, and hears others at all. A node cut off from all does not lead.
+// first reports whether this node comes before all nodes that it hears, and
+// hears others at all. A node cut off from all does not lead.
 func (n *Node) first() bool {
-	members := n.snap.Load().members
-	return len(members) > 0 && !slices.ContainsFunc(members, func(m citronpeer.Member) bool {
-		return m.Ready && !m.Leaving && m.Name < n.set.Name
+	s := n.snap.Load()
+	return len(s.members) > 0 && !slices.ContainsFunc(s.members, func(m citronpeer.Member) bool {
+		return m.Ready && !m.Leaving && m.Before(s.self)
 	})
 }
 
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -151,7 +151,7 @@
 		configs:  newConfigInbox(src.DecodeConfig),
 		borrower: borrower{rounds: map[string]*round{}, emptyAt: map[string]time.Time{}},
 	}
-	n.snap.Store(&snapshot{self: citronpeer.Member{Name: set.Name, Zone: set.Zone, Front: set.Front, Peer: set.Peer, Started: clock.Now().UnixNano()}})
+	n.snap.Store(&snapshot{self: citronpeer.Member{Name: set.Name, Zone: set.Zone, Front: set.Front, Peer: set.Peer, Weak: set.weak(), Started: clock.Now().UnixNano()}})
 	return n
 }
 
--- a/citronnode/sources.go
+++ b/citronnode/sources.go
@@ -123,11 +123,12 @@
 var errStandBy = errors.New("other nodes watch")
 
 // watchersBefore counts the nodes that watch the store, of those before this
-// one by name.
+// one.
 func (n *Node) watchersBefore() int {
 	count := 0
-	for _, m := range n.snap.Load().members {
-		if m.Watching && m.Name < n.set.Name {
+	s := n.snap.Load()
+	for _, m := range s.members {
+		if m.Watching && m.Before(s.self) {
 			count++
 		}
 	}
@@ -135,7 +136,7 @@
 }
 
 // mayWatch reports whether this node is to watch the store, or waits and
-// reports false. When the store is away for all, the nodes last by name wait
+// reports false. When the store is away for all, the nodes that come last wait
 // longest before they try too: their calls would help nobody.
 func (n *Node) mayWatch(ctx context.Context) bool {
 	before, rank := n.watchersBefore(), n.rank()
@@ -146,11 +147,12 @@
 	return n.watchersBefore() < mostWatchers
 }
 
-// rank is this node's place among those that it hears, by name.
+// rank is this node's place among those that it hears (citronpeer.Member.Before).
 func (n *Node) rank() int {
 	rank := 0
-	for _, m := range n.snap.Load().members {
-		if m.Name < n.set.Name {
+	s := n.snap.Load()
+	for _, m := range s.members {
+		if m.Before(s.self) {
 			rank++
 		}
 	}
--- a/citronpeer/peer.go
+++ b/citronpeer/peer.go
@@ -17,6 +17,7 @@
 	"citrondeck.dev/citrondeck/citronhealth"
 	"citrondeck.dev/citrondeck/citronwire"
 	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
 )
 
 // Member is a node as the others know it.
@@ -29,6 +30,9 @@
 	// Started tells a restarted process from the one before it.
 	Started int64 `json:"started"`
 	Gauges
+	// Weak: it has too little processor time to lead or watch where others
+	// can (Before).
+	Weak bool `json:"weak,omitempty"`
 	// Ready: callers may connect. Leaving: it will stop.
 	Ready   bool `json:"ready"`
 	Leaving bool `json:"leaving"`
@@ -78,6 +82,17 @@
 	return m.Beat > o.Beat
 }
 
+// Before is the order in which nodes take on what a few of them do for all.
+// Weak nodes come last. Names begin with the zone as a rule: taken in their
+// order, the first few would stand in one zone, and be cut off together.
+func (m Member) Before(o Member) bool {
+	if m.Weak != o.Weak {
+		return o.Weak
+	}
+	a, b := xxhash.Sum64String(m.Name), xxhash.Sum64String(o.Name)
+	return a < b || a == b && m.Name < o.Name
+}
+
 // Print is a fingerprint of all of a member but its gauges (citronroster). In
 // one of six thousand fleets of 1,200 nodes two members share one, until either
 // changes. The news of one is then missing, and it is asked itself.
--- a/citronpeer/peer_test.go
+++ b/citronpeer/peer_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -82,6 +83,30 @@
 	is.True(!a.Newer(a))
 }
 
+// A few nodes watch the store and stand ready to lead. One zone's cut must not
+// take all of them, and a small machine not be one while a large one can.
+func TestFirstNodesStandInSeveralZones(t *testing.T) {
+	is := is.New(t)
+	var all []citronpeer.Member
+	for i := range 300 {
+		zone := fmt.Sprintf("hall-%d", i%5)
+		all = append(all, citronpeer.Member{Name: fmt.Sprintf("front-%s-%d", zone, i/5), Zone: zone, Weak: i >= 40})
+	}
+	slices.SortFunc(all, func(a, b citronpeer.Member) int {
+		if a.Before(b) {
+			return -1
+		}
+		return 1
+	})
+	zones := map[string]bool{}
+	for _, m := range all[:4] {
+		zones[m.Zone] = true
+		is.True(!m.Weak)
+	}
+	is.True(len(zones) >= 3)
+	is.True(!all[0].Before(all[0]))
+}
+
 // BenchmarkNews gives the bytes on the wire of one piece of news: a node and the
 // revisions of its documents, with no member of the fleet but itself. The whole
 // knowledge of a hundred nodes, which was sent before, is 3.8 KB.
