A node that starts asks other nodes before the store

Cause: in its first moment a node knows nobody, takes itself for the first and reads and watches configuration and list, writes its address and reads those of all others: six calls a start, and 295 entries to each of 295 nodes. Change: a node asks other nodes for half a second before it may watch; the first sixteen in the nodes' order leave their addresses, and only a node that hears of nobody reads them.

--- a/citronnode/fleet_test.go
+++ b/citronnode/fleet_test.go
@@ -103,6 +103,39 @@
 	is.True(time.Since(begin) < time.Second)
 }
 
+// All machines of a fleet lose power and start again within a moment. Each node
+// that asks the store for all it needs by itself, and then finds that others watch
+// it already, makes six calls; the store serves so many a second, and each is
+// paid for. All are served within two seconds all the same, through a few.
+func TestStartOfAllAsksTheStoreLittle(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t)
+	f.net = newMesh()
+	f.config("1")
+	for _, e := range engines(12) {
+		f.engine(e)
+	}
+	const nodes = 60
+	for i := range nodes {
+		f.add(fmt.Sprintf("z%d-n%03d", i%5, i), fmt.Sprintf("z%d", i%5))
+	}
+	eventually(t, "all have the configuration and the list", func() bool {
+		for _, m := range f.nodes {
+			if m.version() != 1 || m.usable() != 12 {
+				return false
+			}
+		}
+		return true
+	})
+	calls := int64(0)
+	for _, m := range f.nodes {
+		calls += m.gate.calls.Load()
+	}
+	t.Logf("%d calls of %d nodes", calls, nodes)
+	is.True(calls < 3*nodes)
+}
+
 // BenchmarkFleetAtRest gives what a node spends on knowing the others: in a
 // fleet without callers, of five zones, in which nothing happens.
 func BenchmarkFleetAtRest(b *testing.B) {
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -82,6 +82,8 @@
 	control chan message
 	snap    atomic.Pointer[snapshot]
 	leaving atomic.Bool
+	// startedAt is when it began to run.
+	startedAt time.Time
 	// leftAt is when the node began to stop.
 	leftAt atomic.Pointer[time.Time]
 	// news wakes the gossip loop when a document changed here, alarms when
@@ -184,6 +186,7 @@
 
 // Run keeps the node up to date until ctx ends.
 func (n *Node) Run(ctx context.Context) {
+	n.startedAt = n.clock.Now()
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
 	tasks.Go(func() { n.loop(ctx) })
--- a/citronnode/rig_test.go
+++ b/citronnode/rig_test.go
@@ -34,6 +34,8 @@
 	silent atomic.Bool
 	// watches counts the watches that wait.
 	watches atomic.Int64
+	// calls counts the reads, writes and watches that were begun.
+	calls atomic.Int64
 }
 
 var errTurnedAway = errors.Mark(errors.New("turned away"), citronkv.ErrUnavailable)
@@ -46,6 +48,7 @@
 }
 
 func (d *gatedStore) Range(ctx context.Context, prefix string) ([]citronkv.Item, citronkv.Revision, error) {
+	d.calls.Add(1)
 	if d.closed.Load() {
 		return nil, 0, errTurnedAway
 	}
@@ -53,6 +56,7 @@
 }
 
 func (d *gatedStore) Put(ctx context.Context, key string, value []byte, expect citronkv.Revision, lease citronkv.LeaseID) (citronkv.Revision, error) {
+	d.calls.Add(1)
 	if d.closed.Load() {
 		return 0, errTurnedAway
 	}
@@ -63,6 +67,7 @@
 	if d.closed.Load() {
 		return nil, 0, errTurnedAway
 	}
+	d.calls.Add(1)
 	d.watches.Add(1)
 	defer d.watches.Add(-1)
 	if d.silent.Load() {
--- a/citronnode/sources.go
+++ b/citronnode/sources.go
@@ -117,6 +117,9 @@
 	// standBy is how often a node that does not watch looks whether it has
 	// to: a node that the store turns away says so within a second.
 	standBy = 300 * time.Millisecond
+	// startWait is how long a node that starts asks other nodes before it asks
+	// the store: a round or two of gossip.
+	startWait = 500 * time.Millisecond
 )
 
 // errStandBy ends a watch that enough others hold.
@@ -138,7 +141,15 @@
 // mayWatch reports whether this node is to watch the store, or waits and
 // reports false. When the store is away for all, the nodes that come last wait
 // longest before they try too: their calls would help nobody.
+//
+// In its first moments a node knows nobody and would take itself for the first.
+// Three hundred nodes that start at once then made six calls each, and a node
+// that starts alone gets all it needs from the others.
 func (n *Node) mayWatch(ctx context.Context) bool {
+	if since := n.clock.Now().Sub(n.startedAt); since < startWait {
+		_ = n.clock.Sleep(ctx, startWait-since)
+		return false
+	}
 	before, rank := n.watchersBefore(), n.rank()
 	if before < mostWatchers && rank < mostWatchers {
 		return true
@@ -222,26 +233,52 @@
 // nodePrefix is where nodes leave their peer addresses.
 const nodePrefix = "deck/nodes/"
 
-// register leaves this node's peer address in the store and reads those of
-// the others, once. The seeds of the settings may all be gone when a machine
-// is replaced; a node without peers would serve callers that nobody sends to
-// it. The entries need no lease: an address where nobody answers costs a
-// connection now and then, and the machine's name is used again.
+const (
+	// mostRegistered is how many nodes leave their addresses in the store, the
+	// first in their order: with those that are there, any node finds the fleet.
+	mostRegistered = 16
+	// registerEvery is how often a node looks whether it is one of them.
+	registerEvery = 2 * time.Second
+	// lonelyAfter is when a node that hears of no other reads the addresses.
+	lonelyAfter = time.Second
+)
+
+// register leaves this node's peer address in the store, if it is one of the
+// first, and reads those of the others if it hears of none. The seeds of the
+// settings may all be gone when a machine is replaced; a node without peers
+// would serve callers that nobody sends to it. The entries need no lease: an
+// address where nobody answers costs a connection now and then, and the
+// machine's name is used again.
 func (n *Node) register(ctx context.Context) {
-	for ctx.Err() == nil {
-		_, err := n.src.Store.Put(ctx, nodePrefix+n.set.Name, []byte(n.set.Peer), citronkv.AnyRevision, 0)
+	_ = n.clock.Sleep(ctx, lonelyAfter)
+	for registered := false; ctx.Err() == nil; {
+		var err error
+		if !registered && n.rank() < mostRegistered {
+			_, err = n.src.Store.Put(ctx, nodePrefix+n.set.Name, []byte(n.set.Peer), citronkv.AnyRevision, 0)
+			registered = err == nil
+		}
+		if len(n.snap.Load().members) == 0 && err == nil {
+			err = n.readRegistered(ctx)
+		}
 		if err == nil {
-			var items []citronkv.Item
-			if items, _, err = n.src.Store.Range(ctx, nodePrefix); err == nil {
-				addrs := make([]string, len(items))
-				for i, it := range items {
-					addrs[i] = string(it.Value)
-				}
-				n.registered.Store(&addrs)
-				return
-			}
+			_ = n.clock.Sleep(ctx, registerEvery)
+			continue
 		}
 		citronevent.Log(ctx, n.log, citronevent.GossipFailed, "peer", nodePrefix, "err", err)
 		_ = n.clock.Sleep(ctx, retryMost+rand.N(retryMost))
 	}
 }
+
+// readRegistered reads the addresses that nodes have left in the store.
+func (n *Node) readRegistered(ctx context.Context) error {
+	items, _, err := n.src.Store.Range(ctx, nodePrefix)
+	if err != nil {
+		return err
+	}
+	addrs := make([]string, len(items))
+	for i, it := range items {
+		addrs[i] = string(it.Value)
+	}
+	n.registered.Store(&addrs)
+	return nil
+}
