A broken copy is left alone where it could only be mended poorly

Change: while other copies hold the missing layers, a hole is filled only by orders that leave each engine 0.6 of what it should cache; the rest of the copy serves on as parts of other paths, and is mended when engines come. TestBrokenCopyIsNotMendedPoorly failed before (41,646 tokens of room after an order).

--- a/citronnode/fleet_test.go
+++ b/citronnode/fleet_test.go
@@ -172,3 +172,30 @@
 		})
 	}
 }
+
+// BenchmarkFleetInChange gives the same while engines of the list change ten times
+// a second, as when layers are placed.
+func BenchmarkFleetInChange(b *testing.B) {
+	const size, every = 100, 100 * time.Millisecond
+	f := newFleet(b)
+	f.net = newMesh()
+	f.config("1")
+	all := engines(200)
+	for _, e := range all {
+		f.engine(e)
+	}
+	for i := range size {
+		f.add(fmt.Sprintf("z%d-n%03d", i%5, i), fmt.Sprintf("z%d", i%5))
+	}
+	time.Sleep(4 * time.Second)
+	from, cpu := time.Now(), processorTime()
+	b.ResetTimer()
+	for i := range b.N * int(time.Second/every) {
+		e := all[i%len(all)]
+		e.Slots = i
+		f.engine(e)
+		time.Sleep(every)
+	}
+	spent := processorTime() - cpu
+	b.ReportMetric(float64(spent.Milliseconds())/size/time.Since(from).Seconds(), "ms/s/node")
+}
--- a/citronplace/copies.go
+++ b/citronplace/copies.go
@@ -25,6 +25,13 @@
 	// keepShare is the same for a copy that is there: a zone that has lost a
 	// few engines does not give up the rest of a copy.
 	keepShare = 0.7
+	// worthShare is the part of what an engine should cache that it must keep
+	// for a hole of one copy to be filled while other copies hold the layers.
+	// A copy that has lost most of its engines would otherwise be divided over
+	// the few left, each with places for a quarter of its requests: they load
+	// for seconds and refuse most of what is sent there, and the zone was
+	// better served without. Its engines serve on as parts of other paths.
+	worthShare = 0.6
 )
 
 // copies is how many copies of the model a zone holds.
@@ -109,7 +116,7 @@
 func decideCopies(spec citronmodel.Spec, engines []Engine, served []citronmodel.Span) Plan {
 	n := copies(spec, engines)
 	if n == 1 {
-		return decideZone(spec, engines, served, anywhere)
+		return decideZone(spec, engines, served, bounds{within: anywhere})
 	}
 	groups, free := split(engines, n)
 	if !slices.ContainsFunc(engines, func(e Engine) bool { return !e.Goal.Empty() }) {
@@ -120,6 +127,7 @@
 	})
 	plan := Plan{}
 	whole := true
+	least := worthShare * min(fullCache(spec), evenCacheFor(spec, engines, n*spec.Layers))
 	for i, g := range groups {
 		all := slices.Concat(g.engines, free)
 		if len(all) == 0 {
@@ -128,7 +136,12 @@
 		part := improveCopy(spec, g.engines, free)
 		if missing(spec, all) > 0 {
 			whole = false
-			part = decideZone(spec, all, slices.Concat(served, spans(groups, i), held(free)), withinOne)
+			others := spans(groups, i)
+			b := bounds{within: withinOne}
+			if covered(Gaps(spec, all), others) {
+				b.least = least
+			}
+			part = decideZone(spec, all, slices.Concat(served, others, held(free)), b)
 		}
 		maps.Copy(plan, part)
 		free = slices.DeleteFunc(free, func(e Engine) bool { _, used := plan[e.ID]; return used })
@@ -206,7 +219,7 @@
 	}
 	plan := Plan{}
 	for _, part := range parts {
-		maps.Copy(plan, decideZone(spec, part, nil, withinOne))
+		maps.Copy(plan, decideZone(spec, part, nil, bounds{within: withinOne}))
 	}
 	return plan
 }
--- a/citronplace/copies_test.go
+++ b/citronplace/copies_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"testing"
 
@@ -99,3 +100,51 @@
 	}
 	is.True(orders > 0)
 }
+
+// evenCacheOf is what each part of a zone could cache, in tokens, if so many
+// copies were divided over the memory of its engines without loss.
+func evenCacheOf(engines []citronplace.Engine, copies float64) float64 {
+	memory := 0.0
+	for _, e := range engines {
+		memory += spec.Kinds[e.Kind].MemoryMB
+	}
+	weights := copies * float64(spec.Layers) * spec.LayerMB
+	return (memory - weights) * 1e6 / (copies * spec.TokenBytes)
+}
+
+// A zone with three copies loses most of the engines of one at the peak. Divided
+// over the few that are left, that copy's parts would have room for a quarter of
+// the requests, refuse the rest, and be loaded for seconds while the other copies
+// serve the zone. So nobody is ordered to hold so much that less than half of
+// what a part of the zone should have is left for requests.
+func TestBrokenCopyIsNotMendedPoorly(t *testing.T) {
+	usual(t, 980)
+	is := is.New(t)
+	engines := settle(t, fleet("z", 3, 21, 20))
+	places := float64(spec.Slots * spec.MeanTokens)
+	orders := 0
+	for seed := range uint64(200) {
+		drawn := rand.New(rand.NewPCG(seed, 1))
+		lost := map[string]bool{}
+		from := drawn.IntN(spec.Layers)
+		for _, e := range engines {
+			if e.Layers.From >= from && drawn.IntN(3) == 0 || drawn.IntN(6) == 0 {
+				lost[e.ID] = true
+			}
+		}
+		left := without(engines, func(e citronplace.Engine) bool { return lost[e.ID] })
+		if least(left) == 0 {
+			continue
+		}
+		plan := citronplace.Decide(spec, left, nil)
+		orders += len(plan)
+		should := min(places, evenCacheOf(left, 3))
+		for _, e := range left {
+			o, ok := plan[e.ID]
+			if room := spec.CacheTokens(e.Kind, o.Len()); ok && o.Len() > e.Layers.Len() && room < should/2 {
+				t.Fatalf("%s is to hold %v, with room for %.0f tokens, after the loss of %v", e.ID, o.Span, room, lost)
+			}
+		}
+	}
+	is.True(orders > 0)
+}
--- a/citronplace/plan.go
+++ b/citronplace/plan.go
@@ -95,16 +95,16 @@
 	return out
 }
 
-func decideZone(spec citronmodel.Spec, engines []Engine, served []citronmodel.Span, within reach) Plan {
+func decideZone(spec citronmodel.Spec, engines []Engine, served []citronmodel.Span, b bounds) Plan {
 	even := usefulCache(spec, engines)
 	gaps := Gaps(spec, engines)
 	switch {
 	case len(gaps) == 0:
-		return improve(spec, engines, even, within)
+		return improve(spec, engines, even, b.within)
 	case gaps[0].Len() == spec.Layers:
-		return divide(spec, engines, even*headroom, false, within)
+		return divide(spec, engines, even*headroom, false, b)
 	}
-	return repair(spec, engines, gaps, served, even, within)
+	return repair(spec, engines, gaps, served, even, b)
 }
 
 // Gaps returns the layers that no engine holds or was ordered to hold.
@@ -246,7 +246,10 @@
 
 // divide assigns all layers anew. Engines keep their order along the model,
 // so that as many layers as possible stay where they are.
-func divide(spec citronmodel.Spec, engines []Engine, tokens float64, cut bool, within reach) Plan {
+func divide(spec citronmodel.Spec, engines []Engine, tokens float64, cut bool, b bounds) Plan {
+	if tokens < b.least {
+		return Plan{}
+	}
 	counts, ok := allocate(spec, engines, tokens, spec.Layers)
 	if !ok {
 		return Plan{}
@@ -264,7 +267,7 @@
 		}
 		return a.Goal.From < b.Goal.From
 	})
-	return cover(spec, engines, assign(order, counts, 0, cut), within)
+	return cover(spec, engines, assign(order, counts, 0, cut), b.within)
 }
 
 // assign gives the engines their counts of layers one after the other.
--- a/citronplace/repair.go
+++ b/citronplace/repair.go
@@ -30,13 +30,21 @@
 	repairSteps  = 12
 )
 
+// bounds are what a plan for some engines of a zone keeps to.
+type bounds struct {
+	within reach
+	// least is the cache, in tokens, that an engine must keep; zero: a gap is
+	// filled whatever is left.
+	least float64
+}
+
 // repair fills gaps.
-func repair(spec citronmodel.Spec, engines []Engine, gaps, served []citronmodel.Span, even float64, within reach) Plan {
+func repair(spec citronmodel.Spec, engines []Engine, gaps, served []citronmodel.Span, even float64, b bounds) Plan {
 	cut := !covered(gaps, served)
-	plan := standIns(spec, engines, gaps, even*standInShare)
+	plan := standIns(spec, engines, gaps, max(b.least, even*standInShare))
 	engines = carriedOut(engines, plan)
 	if left := Gaps(spec, engines); len(left) > 0 {
-		maps.Copy(plan, move(spec, engines, left, even, cut, within))
+		maps.Copy(plan, move(spec, engines, left, even, cut, b))
 	}
 	return plan
 }
@@ -78,24 +86,24 @@
 // nothing from running requests, and balance evens the cache out later. An
 // engine that gives up layers first waits for the requests that run through
 // them, which lasts up to 15 s, or cuts them off.
-func move(spec citronmodel.Spec, engines []Engine, gaps []citronmodel.Span, even float64, cut bool, within reach) Plan {
+func move(spec citronmodel.Spec, engines []Engine, gaps []citronmodel.Span, even float64, cut bool, b bounds) Plan {
 	share := extendShare
 	if !cut {
 		share = servedShare
 	}
-	if plan, ok := extend(spec, engines, gaps, even*share, keepAll); ok {
+	if plan, ok := extend(spec, engines, gaps, max(b.least, even*share), keepAll); ok {
 		return plan
 	}
-	if plan, ok := extend(spec, engines, gaps, even*extendShare, way(cut)); ok {
+	if plan, ok := extend(spec, engines, gaps, max(b.least, even*extendShare), way(cut)); ok {
 		return plan
 	}
-	if plan, ok := windows(spec, engines, gaps, even*windowShare, cut); ok {
+	if plan, ok := windows(spec, engines, gaps, max(b.least, even*windowShare), cut); ok {
 		return plan
 	}
-	if plan, ok := extend(spec, engines, gaps, even*poorShare, way(cut)); ok {
+	if plan, ok := extend(spec, engines, gaps, max(b.least, even*poorShare), way(cut)); ok {
 		return plan
 	}
-	return divide(spec, engines, even*headroom, cut, within)
+	return divide(spec, engines, even*headroom, cut, b)
 }
 
 // giving says what spares that repeat layers may do to fill a gap.
