--- a/citronforward/accused.go
+++ b/citronforward/accused.go
@@ -7,9 +7,8 @@
 // it; the streams that run through it only fall silent. Neither sign alone says
 // that it is dead: it may be full or give up layers, and a stream pauses now and
 // then. Both together, and no answer to a question of its own, are enough to
-// move a stream. Three days of eighty nodes earned 0.02 to 0.03 more of their
-// worth each (one play a day, before and after). Where nobody else in the zone
-// holds the layers the stream still waits, half a second and more.
+// move a stream, long before its silence alone would be. Where nobody else in the
+// zone holds the layers the stream still waits.
 
 import "time"
 
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -196,8 +196,7 @@
 const (
 	// stopAccept is how long a node that is stopping still takes all
 	// streams: callers know its address for up to two seconds more, and
-	// have but one other try. Nine restarts in turn: credit 0.940 with
-	// 1 s, 0.946 with 2.5 s, one play each, which is within noise.
+	// have but one other try.
 	stopAccept = 2500 * time.Millisecond
 	// stopAcceptAlone is the same while no other node takes callers, as
 	// when all are restarted faster than they can drain. A stream that
--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -296,7 +296,7 @@
 			// it loads other layers, say, or has lost its path to the
 			// engine before it. To call it dead would have all streams
 			// moved and its layers given to others, each of which then
-			// loads in turn: a zone lost seven sound engines in 3 s.
+			// loads in turn, until the zone has lost most of its engines.
 			if h.Engine.Usable(now) {
 				h.Engine.Failed(now)
 			}
--- a/citronnode/directory.go
+++ b/citronnode/directory.go
@@ -18,7 +18,7 @@
 // own zone, and others only where those are too few. Nodes that are stopping
 // are never named, also when all are: callers keep what they have until a
 // node is back, and spread better over that than over the few that stopped
-// last (restarting six nodes in 5 s: credit 0.906 with, 0.937 without).
+// last.
 func (n *Node) Addresses(zone string) []string {
 	s := n.snap.Load()
 	all := slices.DeleteFunc(append([]citronpeer.Member{s.self}, s.members...), func(m citronpeer.Member) bool { return !takesCallers(m) })
--- a/citronnode/gossip.go
+++ b/citronnode/gossip.go
@@ -20,14 +20,13 @@
 
 const (
 	// gossipEvery and fanout set how news spreads: to one node of the own
-	// zone and one of another each round. Bytes between zones are dear.
+	// zone, and now and then one of another, each round.
 	gossipEvery = 400 * time.Millisecond
 	fanout      = 2
 	// farNodes is how many nodes of a zone ask one of another zone in each
 	// round, on average: what comes from there reaches the rest of the zone
-	// within two or three rounds. With all of a zone's nodes asking, and
-	// lists passed on whole, 59 nodes sent 1.6 MB a second between zones;
-	// with three, and changes, 0.5 MB.
+	// within two or three rounds. Were all of a zone's nodes to ask, the bytes
+	// between zones would grow with the nodes and not with the zones.
 	farNodes = 6
 	// newsGap is the least time between two sendings of news: when many
 	// engines come or go at once, their news goes together.
@@ -65,8 +64,8 @@
 // sendNews tells a few nodes which documents this one has, and of itself. Those
 // that lack one fetch it (puller) and tell others in turn, so that news goes
 // through the fleet in steps of newsGap without the members of the whole fleet
-// in each message: with those, eighty nodes that all heard of dying engines
-// took a leader's whole processor, and it called sound engines dead.
+// in each message: when all nodes hear of dying engines at once, those would
+// take a leader's whole processor, and it would call sound engines dead.
 func (n *Node) sendNews(ctx context.Context, addrs []string) {
 	for _, addr := range addrs {
 		go n.fetch(ctx, addr)
--- a/citronnode/leader.go
+++ b/citronnode/leader.go
@@ -30,10 +30,9 @@
 	// campaignWait is how long a node waits before it looks again whether
 	// it should lead. Nodes that wait as long try one after the other.
 	campaignWait = 300 * time.Millisecond
-	// leaderCores is what a leader should have: a node with a fifth of a
-	// core that placed 93 engines was deaf to the others for three seconds,
-	// and lost its lease. Nodes with less let the others try first, for
-	// weakWait.
+	// leaderCores is what a leader should have: one that is short of processor
+	// time while it places engines is deaf to the others, and loses its lease.
+	// Nodes with less let the others try first, for weakWait.
 	leaderCores = 0.3
 	weakWait    = 700 * time.Millisecond
 )
--- a/citronnode/members.go
+++ b/citronnode/members.go
@@ -87,9 +87,8 @@
 // mostNames bounds the names in a log line.
 const mostNames = 5
 
-// logJoined logs in one line which nodes were heard of. With a line for each,
-// eighty nodes that restart in turn logged 29,156 lines about each other in a
-// minute.
+// logJoined logs in one line which nodes were heard of: a line for each would
+// grow with the square of the nodes when they restart in turn.
 func (c *control) logJoined(ctx context.Context) {
 	if len(c.joined) == 0 {
 		return
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -28,6 +28,7 @@
 	"citrondeck.dev/citrondeck/citronhealth"
 	"citrondeck.dev/citrondeck/citronkv"
 	"citrondeck.dev/citrondeck/citronlist"
+	"citrondeck.dev/citrondeck/citronloan"
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronpeer"
 	"citrondeck.dev/citrondeck/citronplace"
@@ -95,8 +96,8 @@
 	configs configInbox
 	// pull fetches documents that other nodes told of.
 	pull puller
-	// borrower asks other nodes for repeats.
-	borrower borrower
+	// loans asks other nodes for repeats.
+	loans *citronloan.Borrower
 	// answered is how many of the followed prefixes the store answers.
 	answered atomic.Int64
 	// health is what this node's calls tell of the store.
@@ -146,13 +147,13 @@
 	src.Store = citronhealth.Observe(src.Store, clock, health.Note)
 	n := &Node{
 		set: set, src: src, health: health, clock: clock, log: log, budget: budget, loads: loads,
-		peers:    &citronpeer.Client{HC: hc, Timeout: exchangeTimeout},
-		control:  make(chan message, inboxSize),
-		news:     make(chan struct{}, 1),
-		alarms:   make(chan struct{}, 1),
-		configs:  newConfigInbox(src.DecodeConfig),
-		borrower: borrower{rounds: map[string]*round{}, emptyAt: map[string]time.Time{}},
+		peers:   &citronpeer.Client{HC: hc, Timeout: exchangeTimeout},
+		control: make(chan message, inboxSize),
+		news:    make(chan struct{}, 1),
+		alarms:  make(chan struct{}, 1),
+		configs: newConfigInbox(src.DecodeConfig),
 	}
+	n.loans = citronloan.New(budget, n.peers, clock, func() []citronpeer.Member { return n.snap.Load().members })
 	n.snap.Store(&snapshot{self: citronpeer.Member{Name: set.Name, Zone: set.Zone, Front: set.Front, Peer: set.Peer, Weak: set.weak(), Started: clock.Now().UnixNano()}})
 	return n
 }
@@ -178,6 +179,15 @@
 	}
 }
 
+// Borrow has other nodes lend this one repeats for a service, and reports
+// whether any did.
+func (n *Node) Borrow(service string) bool { return n.loans.Borrow(service) }
+
+// Lend implements citronpeer.Lender.
+func (a answerer) Lend(service string, want int) citronpeer.Loan {
+	return citronloan.Lend(a.n.budget, service, want, a.n.clock.Now())
+}
+
 // Handle mounts what other nodes call.
 func (n *Node) Handle(mux *http.ServeMux) {
 	citronpeer.Handle(mux, answerer{n})
--- a/citronnode/sources.go
+++ b/citronnode/sources.go
@@ -111,8 +111,7 @@
 	// changes from them within about 0.3 s. Each watch is a priced call and
 	// is answered at every change, so that the calls of a fleet would grow
 	// with its nodes times its changes. Four outlast the loss of any three
-	// of them, and of the store for those; six cost a sixth more calls in all
-	// (902 against 760 on a day of eight nodes) and served nobody better.
+	// of them, and of the store for those.
 	mostWatchers = 4
 	// standBy is how often a node that does not watch looks whether it has
 	// to: a node that the store turns away says so within a second.
@@ -142,9 +141,9 @@
 // reports false. When the store is away for all, the nodes that come last wait
 // longest before they try too: their calls would help nobody.
 //
-// In its first moments a node knows nobody and would take itself for the first.
-// Three hundred nodes that start at once then made six calls each, and a node
-// that starts alone gets all it needs from the others.
+// In its first moments a node knows nobody and would take itself for the first:
+// all nodes that start at once would read and watch everything, although a few
+// of them serve all, and a node that starts alone gets it from the others.
 func (n *Node) mayWatch(ctx context.Context) bool {
 	if since := n.clock.Now().Sub(n.startedAt); since < startWait {
 		_ = n.clock.Sleep(ctx, startWait-since)
--- a/citronpath/path.go
+++ b/citronpath/path.go
@@ -113,8 +113,7 @@
 // part is the part of a zone's requests that passes through an engine. Nodes
 // choose alike, so it is taken from this node's own. An even spread over the
 // engines that hold the same layers would hide that all nodes prefer the
-// faster one: of two copies, one got three quarters of a zone's streams and
-// made half of them late.
+// faster one, and make its streams late while the other has room.
 func (q Query) part(e *citronpool.Engine) float64 {
 	return min(1, (float64(e.Tokens())+priorTokens/max(1, e.Copies))/(float64(q.Own[e.Zone])+priorTokens))
 }
--- a/citronplacer/placer.go
+++ b/citronplacer/placer.go
@@ -103,8 +103,8 @@
 // engines stop being fresh, and those found dead may be back.
 const decideEvery = time.Second
 
-// toDecide reports whether there is a reason to decide. A decision about 4,100
-// engines takes 16 ms, which ten times a second would be a sixth of a core.
+// toDecide reports whether there is a reason to decide. A decision about some
+// thousand engines, made in each round, would take most of a leader's time.
 func (p *Placer) toDecide(s *State, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -289,8 +289,7 @@
 // check asks the engines that some node has found dead. Their layers are
 // given to others only if they do not answer the leader either, however many
 // nodes say so: nodes that are short of processor time miss answers together.
-// A storm of configurations had two nodes call three sound engines dead, and
-// two zones were divided anew for them.
+// Believed, they would have whole zones divided anew for sound engines.
 func (p *Placer) check(ctx context.Context, s *State, now time.Time) {
 	for id, count := range s.Dead {
 		e, ok := s.View.ByID(id)
@@ -357,10 +356,9 @@
 // the last time either.
 //
 // One silence proves nothing where nobody else complains: a leader short of
-// processor time misses answers, and then those of many engines at once. In a
-// burst after twelve crashes one called thirty sound engines dead within three
-// seconds, each of which had its zone divided anew. An engine that refuses
-// connections, or that several nodes miss, is believed dead at once.
+// processor time misses answers, and then those of many engines at once, each of
+// which would have its zone divided anew. An engine that refuses connections, or
+// that several nodes miss, is believed dead at once.
 func (p *Placer) doubted(id string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/citronroster/roster.go
+++ b/citronroster/roster.go
@@ -2,10 +2,10 @@
 // members of their fleet.
 //
 // Every node knows every other, and what changes most is that they are alive
-// and how much they do. Told whole, three hundred members are 11 KB compressed
-// and 4 ms of processor time each way, a few times a second at every node. So
-// a member is told whole once, and from then on by a fingerprint of what
-// seldom changes of it, with its beat:
+// and how much they do. Told whole a few times a second at every node, members
+// take most of the processor time of a large fleet. So a member is told whole
+// once, and from then on by a fingerprint of what seldom changes of it, with
+// its beat:
 //
 //	A -- digest of A ----------------------> B
 //	A <- digest of B, what B has newer, and
--- a/citronwire/wire.go
+++ b/citronwire/wire.go
@@ -39,8 +39,8 @@
 // Option is the connect option that every handler and client takes.
 func Option() connect.Option { return connect.WithCodec(codec{}) }
 
-// compact encodes wire types as CBOR, for messages with many numbers: JSON took
-// most of the processor time that nodes spend on telling each other who is there.
+// compact encodes wire types as CBOR, for messages of many numbers, which JSON
+// makes long and slow to read.
 type compact struct{}
 
 func (compact) Name() string                    { return "cbor" }
@@ -51,8 +51,7 @@
 func Compact() connect.Option { return connect.WithCodec(compact{}) }
 
 // Client and handler options for small messages that are sent often: gzip
-// at its fastest level. The default level keeps 0.8 MB a writer, which
-// doubled the memory of a node that sends five messages a second.
+// at its fastest level. The default level keeps most of a megabyte a writer.
 var (
 	FastGzipClient  = connect.WithAcceptCompression("gzip", newDecompressor, newCompressor)
 	FastGzipHandler = connect.WithCompression("gzip", newDecompressor, newCompressor)
