The goals of a term are set under the lock that guards them

Ruled out: the test's own state; both stacks are the node's. TestGoalsAreAskedForWhileATermBegins fails before under -race, passes after. Conclusion: a torn read would have told other nodes a map in the making.

--- a/citronplacer/placer.go
+++ b/citronplacer/placer.go
@@ -72,9 +72,7 @@
 
 // Run places layers until ctx ends.
 func (p *Placer) Run(ctx context.Context) {
-	p.goals = p.inherit()
-	p.dead, p.checked, p.doubts, p.joined = map[string]time.Time{}, map[string]time.Time{}, map[string]time.Time{}, map[string]time.Time{}
-	p.since = p.Clock.Now()
+	p.begin(p.inherit())
 	var orders sync.WaitGroup
 	defer orders.Wait()
 	for ctx.Err() == nil {
@@ -83,6 +81,16 @@
 	}
 }
 
+// begin sets what a term starts from. The node that leads asks for the goals from
+// another goroutine as soon as it leads.
+func (p *Placer) begin(goals board) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.goals = goals
+	p.dead, p.checked, p.doubts, p.joined = map[string]time.Time{}, map[string]time.Time{}, map[string]time.Time{}, map[string]time.Time{}
+	p.since = p.Clock.Now()
+}
+
 func (p *Placer) round(ctx context.Context, orders *sync.WaitGroup) {
 	s := p.Current()
 	if s == nil {
