A node that starts reads the store at once, and waits only with watching

Ruled out: leaving out the wait for the watch too; that is where most calls were. Change: configuration and list are read once at the start, by every node. Conclusion: callers go before calls.

--- a/citronnode/fleet_test.go
+++ b/citronnode/fleet_test.go
@@ -104,9 +104,9 @@
 }
 
 // All machines of a fleet lose power and start again within a moment. Each node
-// that asks the store for all it needs by itself, and then finds that others watch
-// it already, makes six calls; the store serves so many a second, and each is
-// paid for. All are served within two seconds all the same, through a few.
+// that watches, and then finds that others do already, and leaves and reads
+// addresses makes six calls; the store serves so many a second, and each is paid
+// for. The two that callers wait for are enough.
 func TestStartOfAllAsksTheStoreLittle(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -136,6 +136,26 @@
 	is.True(calls < 3*nodes)
 }
 
+// A machine loses power, and its callers wait until it is back. The store answers:
+// the node has the configuration at once, and does not first look for other nodes
+// that may have it.
+func TestStartDoesNotWaitForOtherNodes(t *testing.T) {
+	t.Parallel()
+	const lookingAround = 500 * time.Millisecond
+	for range 5 {
+		f := newFleet(t)
+		f.net = newMesh()
+		f.config("1")
+		from := time.Now()
+		m := f.add("a", "z1")
+		eventually(t, "the configuration is in force", func() bool { return m.version() == 1 })
+		if time.Since(from) < lookingAround/2 {
+			return // a slow machine may take longer now and then
+		}
+	}
+	t.Fatal("no start of five was quick")
+}
+
 // BenchmarkFleetAtRest gives what a node spends on knowing the others: in a
 // fleet without callers, of five zones, in which nothing happens.
 func BenchmarkFleetAtRest(b *testing.B) {
--- a/citronnode/sources.go
+++ b/citronnode/sources.go
@@ -24,8 +24,8 @@
 	gather = 150 * time.Millisecond
 )
 
-// follow keeps a prefix of the store up to date: it reads all of it and
-// then watches from that revision on. When the store has dropped the
+// follow keeps a prefix of the store up to date: it reads all of it and, if
+// this node is to watch, watches from that revision on. When the store has dropped the
 // history since, it reads all again.
 func (n *Node) follow(ctx context.Context, prefix string, config bool) {
 	wait := retryFirst
@@ -39,6 +39,7 @@
 		}
 		well = ok
 	}
+	_, _ = n.read(ctx, prefix, config) // a store that does not answer is tried again below
 	for ctx.Err() == nil {
 		if !n.mayWatch(ctx) {
 			continue
@@ -70,17 +71,27 @@
 	}
 }
 
-func (n *Node) followOnce(ctx context.Context, prefix string, config bool, well func()) error {
+// read takes all of a prefix from the store. A node that starts does so at once,
+// whoever watches: callers wait for it.
+func (n *Node) read(ctx context.Context, prefix string, config bool) (citronkv.Revision, error) {
 	items, rev, err := n.src.Store.Range(ctx, prefix)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	well()
 	if config {
 		n.sendConfig(ctx, items)
 	} else {
 		n.send(ctx, listSeen{items: items, revision: rev, source: sourceStore})
 	}
+	return rev, nil
+}
+
+func (n *Node) followOnce(ctx context.Context, prefix string, config bool, well func()) error {
+	rev, err := n.read(ctx, prefix, config)
+	if err != nil {
+		return err
+	}
+	well()
 	for ctx.Err() == nil {
 		if n.watchersBefore() >= mostWatchers {
 			return errStandBy
@@ -116,8 +127,8 @@
 	// standBy is how often a node that does not watch looks whether it has
 	// to: a node that the store turns away says so within a second.
 	standBy = 300 * time.Millisecond
-	// startWait is how long a node that starts asks other nodes before it asks
-	// the store: a round or two of gossip.
+	// startWait is how long a node that starts asks other nodes before it
+	// watches the store: a round or two of gossip.
 	startWait = 500 * time.Millisecond
 )
 
@@ -142,8 +153,7 @@
 // longest before they try too: their calls would help nobody.
 //
 // In its first moments a node knows nobody and would take itself for the first:
-// all nodes that start at once would read and watch everything, although a few
-// of them serve all, and a node that starts alone gets it from the others.
+// all nodes that start at once would watch, although a few of them serve all.
 func (n *Node) mayWatch(ctx context.Context) bool {
 	if since := n.clock.Now().Sub(n.startedAt); since < startWait {
 		_ = n.clock.Sleep(ctx, startWait-since)
