--- a/citronplacer/placer_test.go
+++ b/citronplacer/placer_test.go
@@ -291,7 +291,7 @@
 // A node has just been elected and tells the others what engines are to hold, in
 // the moment in which its term begins. What it tells must be the goals of before
 // or of after, never a map in the making; the race detector sees the difference.
-func TestGoalsAreAskedForWhileATermBegins(t *testing.T) {
+func TestGoalsAreAskedForWhileATermBegins(_ *testing.T) {
 	for range 20 {
 		p := &citronplacer.Placer{Clock: citronclock.Real{}, Log: slog.New(slog.DiscardHandler), Current: func() *citronplacer.State { return nil }}
 		ctx, cancel := context.WithCancel(context.Background())
