The first nodes of each half of a fleet read the addresses in the store

Cause: since only a node that hears of nobody read the addresses, two halves of a fleet that lost each other met again by the seeds of the settings alone, and never if those machines had been replaced. Ruled out: the addresses of members once heard; they are forgotten after 20 s. Change: a node that leaves its address, one of the first sixteen that it hears, reads the others' too; in each half some do. TestHalvesMeetWithoutSeeds fails before (30 s), passes after. Conclusion: sixteen more calls a start of the fleet.

--- a/citronnode/fleet_test.go
+++ b/citronnode/fleet_test.go
@@ -156,6 +156,28 @@
 	t.Fatal("no start of five was quick")
 }
 
+// Two halves of a fleet have lost each other, and all seeds of the settings are
+// gone with the machines that were replaced. Each half hears of enough nodes to go
+// on, with a leader of its own. They find each other again by the addresses in the
+// store.
+func TestHalvesMeetWithoutSeeds(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.net, f.strangers = newMesh(), true
+	f.config("1")
+	for i := range 6 {
+		f.add(fmt.Sprintf("n%d", i), fmt.Sprintf("z%d", i%2))
+	}
+	eventually(t, "all know all", func() bool {
+		for _, n := range f.nodes {
+			if n.Status().Nodes < len(f.nodes)-1 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // BenchmarkFleetAtRest gives what a node spends on knowing the others: in a
 // fleet without callers, of five zones, in which nothing happens.
 func BenchmarkFleetAtRest(b *testing.B) {
--- a/citronnode/rig_test.go
+++ b/citronnode/rig_test.go
@@ -241,6 +241,8 @@
 	orders *orders
 	// net is what the nodes speak to each other over.
 	net network
+	// strangers: nodes know none of another zone when they start.
+	strangers bool
 	// log takes what all nodes log.
 	log   slog.Handler
 	nodes []*member
@@ -252,6 +254,7 @@
 	*citronnode.Node
 	gate   *gatedStore
 	addr   string
+	zone   string
 	budget *citronbudget.Budget
 	stop   context.CancelFunc
 }
@@ -275,9 +278,11 @@
 	addr, hc, unplug := f.net.listen(mux)
 	var seeds []string
 	for _, m := range f.nodes[max(0, len(f.nodes)-mostSeeds):] {
-		seeds = append(seeds, m.addr)
+		if !f.strangers || m.zone == zone {
+			seeds = append(seeds, m.addr)
+		}
 	}
-	m := &member{gate: &gatedStore{Server: f.store}, addr: addr, budget: citronbudget.New(citronbudget.Limits{Ratio: 0.2, Slack: 10, Window: 10 * time.Second})}
+	m := &member{gate: &gatedStore{Server: f.store}, addr: addr, zone: zone, budget: citronbudget.New(citronbudget.Limits{Ratio: 0.2, Slack: 10, Window: 10 * time.Second})}
 	m.Node = citronnode.New(citronnode.Settings{
 		Name: name, Zone: zone, Front: "front-" + name, Peer: addr, Seeds: seeds, LeaseTTL: 600 * time.Millisecond, Grace: time.Second, DrainWithin: f.drain,
 	}, citronnode.Sources{
--- a/citronnode/sources.go
+++ b/citronnode/sources.go
@@ -25,8 +25,8 @@
 )
 
 // follow keeps a prefix of the store up to date: it reads all of it and, if
-// this node is to watch, watches from that revision on. When the store has dropped the
-// history since, it reads all again.
+// this node is to watch, watches from that revision on. When the store has
+// dropped the history since, it reads all again.
 func (n *Node) follow(ctx context.Context, prefix string, config bool) {
 	wait := retryFirst
 	down, well := false, false
@@ -252,21 +252,25 @@
 	lonelyAfter = time.Second
 )
 
-// register leaves this node's peer address in the store, if it is one of the
-// first, and reads those of the others if it hears of none. The seeds of the
-// settings may all be gone when a machine is replaced; a node without peers
-// would serve callers that nobody sends to it. The entries need no lease: an
-// address where nobody answers costs a connection now and then, and the
-// machine's name is used again.
+// register leaves this node's peer address in the store and reads those of the
+// others, once it is one of the first of the nodes that it hears; one that hears
+// of none reads them too. The seeds of the settings may all be gone when a
+// machine is replaced: a node without peers would serve callers that nobody sends
+// to it, and two halves of a fleet that lost each other would never meet again.
+// In each half some nodes come first, and those know the addresses of both. The
+// entries need no lease: an address where nobody answers costs a connection now
+// and then, and the machine's name is used again.
 func (n *Node) register(ctx context.Context) {
 	_ = n.clock.Sleep(ctx, lonelyAfter)
 	for registered := false; ctx.Err() == nil; {
 		var err error
 		if !registered && n.rank() < mostRegistered {
 			_, err = n.src.Store.Put(ctx, nodePrefix+n.set.Name, []byte(n.set.Peer), citronkv.AnyRevision, 0)
+			if err == nil {
+				err = n.readRegistered(ctx)
+			}
 			registered = err == nil
-		}
-		if len(n.snap.Load().members) == 0 && err == nil {
+		} else if len(n.snap.Load().members) == 0 {
 			err = n.readRegistered(ctx)
 		}
 		if err == nil {
