--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -326,11 +326,19 @@
 	return ok
 }
 
+// borrowRounds is how often a request waits for other nodes' repeats: others of
+// its node may have used what was lent.
+const borrowRounds = 3
+
 func (j *job) takeBudget() bool {
-	service := j.service.Name
-	if j.f.Budget.Take(service, j.f.Clock.Now()) || j.f.Borrow != nil && j.f.Borrow(service) && j.f.Budget.Take(service, j.f.Clock.Now()) {
-		j.limit = ""
-		return true
+	for round := 0; ; round++ {
+		if j.f.Budget.Take(j.service.Name, j.f.Clock.Now()) {
+			j.limit = ""
+			return true
+		}
+		if round == borrowRounds || j.f.Borrow == nil || !j.f.Borrow(j.service.Name) {
+			break
+		}
 	}
 	j.f.Metrics.BudgetSpent.Inc()
 	j.limit = budgetUsed
--- a/citronforward/stream_test.go
+++ b/citronforward/stream_test.go
@@ -585,3 +585,29 @@
 		})
 	}
 }
+
+// The engine of many streams refuses them all at once, and its node borrows
+// repeats for them. What one round brings the others use up; a stream that found
+// nothing left was refused although more was to be had.
+func TestRequestBorrowsAgainWhenOthersUsedTheLoan(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, engine("a1", "a", 0, 8), engine("a2", "a", 0, 8))
+	r.Budget = citronbudget.New(citronbudget.Limits{Window: 10 * time.Second})
+	rounds := 0
+	r.Borrow = func(service string) bool {
+		rounds++
+		if rounds > 1 { // the first loan is gone before this stream wakes
+			now := time.Now()
+			r.Budget.Borrowed(service, citronbudget.Loan{Repeats: 1, Until: now.Add(100 * time.Millisecond)}, now)
+		}
+		return true
+	}
+	r.engines.answer = func(_ context.Context, n int, _ citronupstream.Call) (*citronupstream.Reply, error) {
+		if n == 0 {
+			return shed(""), nil
+		}
+		return reply(200, events(1, 3)), nil
+	}
+	is.Equal(r.ask("stream", time.Second).body, events(1, 3))
+	is.Equal(rounds, 2)
+}
