Failed attempts and refusals name the request by fingerprint, and how far its run got

No line told that two requests are the same one come again under another id, at another node, nor whether a run had only begun when its engine ended. Without that the logs of the incident leave it open whether one request ends the engines or is a victim.

--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -29,6 +29,7 @@
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citronprobe"
+	"citrondeck.dev/citrondeck/citronquarantine"
 	"citrondeck.dev/citrondeck/citrontable"
 	"citrondeck.dev/citrondeck/citronupstream"
 )
@@ -124,6 +125,18 @@
 	retryAfter time.Duration
 	// limit is what kept the request from being sent once more, if anything.
 	limit limit
+	// print is the request's fingerprint once it was asked for.
+	print *citronquarantine.Print
+}
+
+// fingerprint identifies the request when it comes again. Most requests never
+// need theirs.
+func (j *job) fingerprint() citronquarantine.Print {
+	if j.print == nil {
+		p := citronquarantine.PrintOf(j.customer, j.Method, j.Host, j.Target, j.Body)
+		j.print = &p
+	}
+	return *j.print
 }
 
 // limit is what keeps a request from being sent once more.
@@ -301,7 +314,7 @@
 		}
 		after = -1
 	}
-	j.f.refuse(j.Request, j.out, status, after, reason, "service", j.service.Name, "customer", j.customer, "runs", j.runs+j.lostRuns, "refused", j.refused, "limit", j.limit, "used", math.Round(100*j.used)/100)
+	j.f.refuse(j.Request, j.out, status, after, reason, "service", j.service.Name, "customer", j.customer, "print", j.fingerprint(), "runs", j.runs+j.lostRuns, "refused", j.refused, "limit", j.limit, "used", math.Round(100*j.used)/100)
 }
 
 func (j *job) left() time.Duration { return j.deadline.Sub(j.f.Clock.Now()) }
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -15,6 +15,7 @@
 
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronpath"
+	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citronupstream"
 	"github.com/cockroachdb/errors"
 )
@@ -74,9 +75,31 @@
 	path citronpath.Path
 	// pathSince is when the path was chosen or last changed.
 	pathSince time.Time
-	release   func()
+	// run is the newest run over a path.
+	run     run
+	release func()
 }
 
+// run is what one run of a stream has come to.
+type run struct {
+	sent time.Time
+	// firstEvent and lastEvent are when its events were passed on; zero before
+	// the first.
+	firstEvent, lastEvent time.Time
+}
+
+// WithEvent returns the run after an event was passed on.
+func (r run) WithEvent(at time.Time) run {
+	if r.firstEvent.IsZero() {
+		r.firstEvent = at
+	}
+	r.lastEvent = at
+	return r
+}
+
+// lasted is the time between the run's first and its last event.
+func (r run) lasted() time.Duration { return r.lastEvent.Sub(r.firstEvent) }
+
 // verdict is how one run of a stream ended.
 type verdict int
 
@@ -112,7 +135,7 @@
 		}
 	}
 	if s.begun {
-		citronevent.Log(ctx, j.f.Log, citronevent.StreamBroken, "request", j.ID, "reason", reason, "lastEvent", s.last, "runs", j.runs, "limit", j.limit, "left", j.left())
+		citronevent.Log(ctx, j.f.Log, citronevent.StreamBroken, "request", j.ID, "reason", reason, "print", j.fingerprint(), "lastEvent", s.last, "runs", j.runs, "limit", j.limit, "left", j.left())
 		j.out.Abort()
 		return
 	}
@@ -132,7 +155,8 @@
 		return noPath, "no path runs all layers"
 	}
 	s.bind(p)
-	switch v := s.run(ctx); v {
+	s.run = run{sent: s.f.Clock.Now()}
+	switch v := s.send(ctx); v {
 	case callerLeft:
 		if errors.Is(ctx.Err(), context.Canceled) {
 			return v, "the caller left"
@@ -269,8 +293,8 @@
 	}
 }
 
-// run sends the stream over its path and passes events on until it ends.
-func (s *streamJob) run(ctx context.Context) verdict {
+// send sends the stream over its path and passes events on until it ends.
+func (s *streamJob) send(ctx context.Context) verdict {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	w := newWatch(ctx, s)
@@ -303,6 +327,12 @@
 	err   error
 }
 
+// logRun is logAttempt with how far the run got: from when it was sent, and
+// between its events.
+func (s *streamJob) logRun(first *citronpool.Engine, res result) {
+	s.logAttempt(first, res, "sent", s.f.Clock.Now().Sub(s.run.sent), "lasted", s.run.lasted())
+}
+
 func (s *streamJob) sendFailed(ctx context.Context, err error) verdict {
 	if ctx.Err() != nil {
 		return callerLeft
@@ -310,7 +340,7 @@
 	first := s.path[0].Engine
 	res := s.judge(first, err)
 	s.f.Metrics.Attempts.WithLabelValues(res.outcome.String()).Inc()
-	s.logAttempt(first, res)
+	s.logRun(first, res)
 	s.avoid[first.ID] = true
 	if res.outcome == notRun {
 		return refusedRun
@@ -332,7 +362,7 @@
 		return s.engineFailure(ctx, reply)
 	}
 	if !reply.Signed || reply.Header.Get("Content-Encoding") != "" {
-		s.logAttempt(first, result{outcome: unknown, status: reply.Status, err: errors.New("answer is not the engine's own")})
+		s.logRun(first, result{outcome: unknown, status: reply.Status, err: errors.New("answer is not the engine's own")})
 		s.avoid[first.ID] = true
 		return brokenRun
 	}
@@ -402,6 +432,7 @@
 		s.last = ev.id
 	}
 	s.lastAt = now
+	s.run = s.run.WithEvent(now)
 	return 0, false
 }
 
@@ -427,7 +458,7 @@
 		return callerLeft
 	}
 	first := s.path[0].Engine
-	s.logAttempt(first, result{outcome: unknown, err: errors.Wrap(err, "read stream")})
+	s.logRun(first, result{outcome: unknown, err: errors.Wrap(err, "read stream")})
 	s.avoid[first.ID] = true
 	return brokenRun
 }
@@ -440,7 +471,7 @@
 		return callerLeft
 	}
 	first := s.path[0].Engine
-	s.logAttempt(first, result{outcome: failed, status: reply.Status, err: err})
+	s.logRun(first, result{outcome: failed, status: reply.Status, err: err})
 	s.avoid[first.ID] = true
 	if err != nil || s.begun || reply.Status >= 500 && s.route.Idempotent() && s.runs+1 < s.route.MaxAttempts {
 		return brokenRun
--- a/citronforward/whole.go
+++ b/citronforward/whole.go
@@ -96,12 +96,12 @@
 	j.giveUp(ctx, "no engine answered")
 }
 
-func (j *job) logAttempt(e *citronpool.Engine, res result) {
-	args := []any{"request", j.ID, "service", j.service.Name, "engine", e.ID, "peer", e.Addr, "outcome", res.outcome.String(), "status", res.status, "runs", j.runs, "list", j.list, "left", j.left()}
+func (j *job) logAttempt(e *citronpool.Engine, res result, more ...any) {
+	args := []any{"request", j.ID, "print", j.fingerprint(), "service", j.service.Name, "engine", e.ID, "peer", e.Addr, "outcome", res.outcome.String(), "status", res.status, "runs", j.runs, "list", j.list, "left", j.left()}
 	if res.err != nil {
 		args = append(args, "err", res.err)
 	}
-	citronevent.Log(context.Background(), j.f.Log, citronevent.AttemptFailed, args...)
+	citronevent.Log(context.Background(), j.f.Log, citronevent.AttemptFailed, append(args, more...)...)
 }
 
 // attempt sends the request to one engine and reads the whole answer.
--- /dev/null
+++ b/citronquarantine/print_test.go
@@ -0,0 +1,37 @@
+package citronquarantine_test
+
+import (
+	"testing"
+
+	"citrondeck.dev/citrondeck/citronquarantine"
+	"github.com/matryer/is"
+)
+
+func TestPrintTellsRequestsApart(t *testing.T) {
+	is := is.New(t)
+	of := citronquarantine.PrintOf
+	p := of("council", "POST", "h", "/a/b", []byte("text"))
+	is.Equal(p, of("council", "POST", "h", "/a/b", []byte("text")))
+	for _, other := range []citronquarantine.Print{
+		of("shire", "POST", "h", "/a/b", []byte("text")),
+		of("council", "PUT", "h", "/a/b", []byte("text")),
+		of("council", "POST", "i", "/a/b", []byte("text")),
+		of("council", "POST", "h", "/a/bt", []byte("ext")),
+		of("council", "POST", "h", "/a/b", nil),
+	} {
+		is.True(p != other)
+	}
+}
+
+func TestPrintIsReadAsWritten(t *testing.T) {
+	is := is.New(t)
+	p := citronquarantine.PrintOf("council", "POST", "h", "/a", nil)
+	text, err := p.MarshalText()
+	is.NoErr(err)
+	var read citronquarantine.Print
+	is.NoErr(read.UnmarshalText(text))
+	is.Equal(read, p)
+	for _, bad := range []string{"", "00", string(text) + "00", "x" + string(text[1:])} {
+		is.True(read.UnmarshalText([]byte(bad)) != nil)
+	}
+}
