Failing tests: a request that crashes each engine that begins to run it

One attempt of a caller is sent to three engines where its route allows two, since runs on engines that have ended count for nothing.

--- a/citronsoak/engine_test.go
+++ b/citronsoak/engine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -33,6 +34,14 @@
 	by map[string]int
 	// late are requests that reached an engine after drainPromise.
 	late []string
+	// crashes is when engines began to run a request that crashes them.
+	crashes []time.Time
+}
+
+func (r *runs) crashed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashes = append(r.crashes, time.Now())
 }
 
 // arrived notes when a request reached an engine whose entry had gone.
@@ -70,6 +79,8 @@
 	leaving                 bool
 	// gone is when its entry went without a word; zero while it is there.
 	gone time.Time
+	// restart brings another engine in the place of one that a request crashed.
+	restart func()
 }
 
 func startEngine(t *testing.T, store citronkv.Store, r *runs, id, service, kind string) *engine {
@@ -121,6 +132,19 @@
 	})
 }
 
+// crashUnder has a request that has begun to run crash the engine.
+func (e *engine) crashUnder(w http.ResponseWriter) {
+	e.runs.crashed()
+	w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(w).Flush()
+	time.Sleep(crashAfter)
+	e.crash()
+	e.mu.Lock()
+	restart := e.restart
+	e.mu.Unlock()
+	time.AfterFunc(restartTime, restart)
+}
+
 // leave has the engine say that it leaves, serve on for a while, and end.
 func (e *engine) leave() {
 	e.mu.Lock()
@@ -198,6 +222,10 @@
 		return
 	}
 	h.Set("Content-Type", "text/event-stream")
+	if body, _ := io.ReadAll(r.Body); string(body) == crashBody {
+		e.crashUnder(w)
+		return
+	}
 	begin, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // none: from the first
 	for i := begin + 1; i <= streamEvents; i++ {
 		if _, err := fmt.Fprint(w, eventOf(id, i)); err != nil || http.NewResponseController(w).Flush() != nil {
--- a/citronsoak/soak_test.go
+++ b/citronsoak/soak_test.go
@@ -1,7 +1,6 @@
 package citronsoak_test
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"flag"
@@ -12,6 +11,7 @@
 	"net/http/httptest"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -98,10 +98,22 @@
 	defer w.mu.Unlock()
 	w.made++
 	e := startEngine(w.t, w.store, w.runs, fmt.Sprintf("i-%d", w.made), service, kind)
+	e.mu.Lock()
+	e.restart = func() { w.replaceCrashed(e) }
+	e.mu.Unlock()
 	w.t.Cleanup(func() { _ = e.hs.Close() })
 	w.engines[service] = append(w.engines[service], e)
 }
 
+// replaceCrashed brings an engine in the place of one that ended.
+func (w *world) replaceCrashed(e *engine) {
+	w.mu.Lock()
+	es := w.engines[e.service]
+	w.engines[e.service] = slices.DeleteFunc(es, func(o *engine) bool { return o == e })
+	w.mu.Unlock()
+	w.addEngine(e.service, e.kind)
+}
+
 // takeEngine removes one engine of a service, oldest first, if others stay.
 func (w *world) takeEngine(service string) *engine {
 	w.mu.Lock()
@@ -334,7 +346,12 @@
 }
 
 func (w *world) ask(hc *http.Client, n *node, path, id string) answer {
-	req, err := http.NewRequest(http.MethodPost, "http://"+n.front+path+"x", bytes.NewReader([]byte("body")))
+	return w.askWith(hc, n, path, id, "body")
+}
+
+// askWith sends a request with a body.
+func (w *world) askWith(hc *http.Client, n *node, path, id, text string) answer {
+	req, err := http.NewRequest(http.MethodPost, "http://"+n.front+path+"x", strings.NewReader(text))
 	if err != nil {
 		return answer{}
 	}
