A request that crashes engines is known at all nodes, and barred after three

Callers saw five of six streams refused or broken for twelve seconds at a time, and one request under which 22 engines ended, 13 of its sends after all could have known.

Cause: nothing of a request outlived one attempt of its caller. Runs on engines that had ended since counted for nothing, also where the request itself had ended them, and the caller's next attempt, at any node, began from zero.

The mend: an engine that has ended under a run that had just begun is held against the request, by a fingerprint of customer, method, host, target and body. Nodes tell each other at once. At two engines the request runs once for an attempt and once at a time, at three it is refused before it is sent, for a minute first, twice as long after each further crash. A request that runs well, anywhere, is cleared. An engine takes a hundred sound requests with it, so it takes three different ones, and runs that had gone on for a second are no evidence.

--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -61,6 +61,8 @@
 	AnswerSampled  Event = 505
 	StreamLate     Event = 506
 	StreamAsked    Event = 507
+	RunCrashed     Event = 508
+	RequestBarred  Event = 509
 
 	TableApplied   Event = 600
 	TableRejected  Event = 601
@@ -85,6 +87,8 @@
 	StoreAway      Event = 620
 	EnginesHeard   Event = 621
 
+	SuspectsRejected Event = 622
+
 	// 400 to 403 were announced for the stand-ins and never logged.
 )
 
@@ -132,6 +136,8 @@
 	RepathFailed:        {slog.LevelWarn, "repath.failed", "an engine did not move a running request to another path"},
 	StreamLate:          {slog.LevelInfo, "stream.late", "a stream was whole but late: its first event or a pause took longer than its route aims for; gives the moves of its path"},
 	StreamAsked:         {slog.LevelInfo, "stream.asked", "a silent stream's first engine told which requests wait for another engine"},
+	RunCrashed:          {slog.LevelWarn, "run.crashed", "an engine ended under a run that had just begun; gives the request's fingerprint and under how many engines it counts for that (crashes)"},
+	RequestBarred:       {slog.LevelWarn, "request.barred", "a request under which several engines have ended is not sent to engines for a while; gives its fingerprint, under how many they ended, and whether this node saw the last or heard of it"},
 	AnswerSampled:       {slog.LevelInfo, "answer.sampled", "a request was answered in full; one in many is logged"},
 
 	TableApplied:   {slog.LevelInfo, "table.applied", "a node put a new version of the configuration in force"},
@@ -157,6 +163,8 @@
 	StoreAway:      {slog.LevelWarn, "store.away", "the store was away (away=true) for all nodes that this one hears, long enough for entries to lapse, or is so no longer; gives how many nodes are unanswered, have it back, are answered or served, and this node's newest call without an answer"},
 	SettingsReload: {slog.LevelInfo, "settings.reload", "a reload was asked for; what the settings say of bounds is in force"},
 
+	SuspectsRejected: {slog.LevelWarn, "suspects.rejected", "another node told of requests that crash engines what no sound node tells; nothing of the message is taken, and the first of each node is logged"},
+
 	LedgerRetry: {slog.LevelWarn, "ledger.retry", "recording an answer in the ledger, or taking a claim back, failed; it is tried again"},
 }
 
--- a/citronforward/crash_test.go
+++ b/citronforward/crash_test.go
@@ -50,3 +50,81 @@
 	is.Equal(len(r.engines.seen()), 2) // the route allows two attempts
 	is.Equal(got.status, 502)          // it may have run: nothing is promised
 }
+
+// Guards against a barred request that still reaches engines, that waits for its
+// answer, or whose caller is told to come back soon.
+func TestBarredRequestIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, fourEngines()...)
+	r.crashing("")
+	is.Equal(r.ask("stream", time.Second).status, 502)
+	is.Equal(r.ask("stream", time.Second).status, 502)
+	is.Equal(len(r.engines.seen()), 3) // the third is the last
+	begin := time.Now()
+	got := r.ask("stream", 5*time.Second)
+	is.True(time.Since(begin) < 100*time.Millisecond)
+	is.Equal(got.status, 503) // it has not run under this id
+	is.True(got.retryAfter >= 50*time.Second)
+	is.Equal(len(r.engines.seen()), 3)
+	other := func(q *citronupstream.Request) { q.Body = []byte("another") }
+	r.ask("stream", time.Second, other)
+	is.True(len(r.engines.seen()) > 3)
+}
+
+// Guards against a request that crashes engines without being sent on: one that is
+// not idempotent runs once for each id, and its caller comes back with others.
+func TestCrashesOfAnUnsafeRequestAreCounted(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, plain("p1", "a"), plain("p2", "a"), plain("p3", "a"), plain("p4", "a"))
+	r.crashing("half an ans")
+	for range 3 {
+		is.Equal(r.ask("unsafe", time.Second).status, 502)
+	}
+	is.Equal(r.ask("unsafe", time.Second).status, 503)
+	is.Equal(len(r.engines.seen()), 3)
+}
+
+// Guards against taking an engine that breaks off its answers for one that has
+// ended: it is there, and others may be served.
+func TestBrokenAnswerOfALivingEngineIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, fourEngines()...)
+	r.crashing("")
+	r.engines.report = nil
+	for range 5 {
+		is.Equal(r.ask("stream", time.Second).status, 502)
+	}
+	is.True(r.Quarantine.Empty())
+}
+
+// Guards against holding a crash against the requests that had long been running
+// on the engine: one of them that is sent on to an engine that crashes too, and to
+// a third, is served in the end.
+func TestStreamThatRanWellIsNotSuspect(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, fourEngines()...)
+	r.crashing("")
+	crash := r.engines.answer
+	r.engines.answer = func(ctx context.Context, n int, c citronupstream.Call) (*citronupstream.Reply, error) {
+		switch n {
+		case 0:
+			body, w := io.Pipe()
+			go func() {
+				_, _ = io.WriteString(w, events(1, 1))
+				time.Sleep(1100 * time.Millisecond)
+				_, _ = io.WriteString(w, events(2, 2))
+				_, _ = crash(ctx, n, c)
+				_ = w.CloseWithError(io.ErrUnexpectedEOF)
+			}()
+			rep := reply(200, "")
+			rep.Body = body
+			return rep, nil
+		case 1, 2:
+			return crash(ctx, n, c)
+		}
+		return reply(200, events(3, 4)), nil
+	}
+	got := r.ask("stream", 5*time.Second)
+	is.Equal(got.body, events(1, 4))
+	is.True(r.Quarantine.Empty())
+}
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -78,6 +78,8 @@
 	// Borrow, if set, has other nodes lend this one repeats for a service, and
 	// reports whether any did.
 	Borrow func(service string) bool
+	// Quarantine knows which requests crash engines.
+	Quarantine *citronquarantine.Ledger
 	// Stopping tells whether and how far this node is stopping.
 	Stopping func() Stopping
 
@@ -118,6 +120,8 @@
 	runs, refused int
 	// lostRuns counts runs on engines that have ended since.
 	lostRuns int
+	// sound: the request has run well, under this id or another.
+	sound bool
 	// used is the share of cache taken at the fullest engine of the best
 	// path, if that is why the request is refused.
 	used float64
@@ -147,6 +151,8 @@
 	attemptsUsed limit = "attempts"
 	// budgetUsed: what this node was dealt of the shared budget is used up.
 	budgetUsed limit = "budget"
+	// crashesUsed: engines have ended under it, and the next would bar it.
+	crashesUsed limit = "crashes"
 	// refusalsUsed: so many engines refused it that others will too.
 	refusalsUsed limit = "refusals"
 )
@@ -187,6 +193,11 @@
 	}
 	f.Metrics.Requests.WithLabelValues(j.route.Kind.String()).Inc()
 	f.Budget.Request(j.service.Name, r.Received)
+	end, ok := j.admitted()
+	if !ok {
+		return
+	}
+	defer end()
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
 	if j.route.Kind == citrontable.Streaming {
@@ -322,7 +333,7 @@
 // mayRepeat reports whether the request may be sent once more after an
 // engine may have run it, and counts the repeat.
 func (j *job) mayRepeat() bool {
-	return j.within(attemptsUsed, j.route.Idempotent() && j.runs < max(1, j.route.MaxAttempts)) && j.takeBudget()
+	return j.within(crashesUsed, !j.suspect()) && j.within(attemptsUsed, j.route.Idempotent() && j.runs < max(1, j.route.MaxAttempts)) && j.takeBudget()
 }
 
 // mayMove reports whether the request may go to another engine after one
--- a/citronforward/metrics.go
+++ b/citronforward/metrics.go
@@ -9,6 +9,7 @@
 	Attempts    *prometheus.CounterVec
 	Repairs     *prometheus.CounterVec
 	BudgetSpent prometheus.Counter
+	Crashes     prometheus.Counter
 	FirstEvent  prometheus.Histogram
 	Pause       prometheus.Histogram
 	Whole       prometheus.Histogram
@@ -26,10 +27,11 @@
 		Attempts:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citrondeck_attempts_total", Help: "Calls to engines by outcome."}, []string{"outcome"}),
 		Repairs:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citrondeck_repairs_total", Help: "Streams moved while they ran, by way."}, []string{"way"}),
 		BudgetSpent: prometheus.NewCounter(prometheus.CounterOpts{Name: "citrondeck_budget_spent_total", Help: "Repeats that the shared budget did not allow."}),
+		Crashes:     prometheus.NewCounter(prometheus.CounterOpts{Name: "citrondeck_run_crashes_total", Help: "Runs that had just begun when their engine ended."}),
 		FirstEvent:  prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_first_event_seconds", Help: "Time to the first event of a stream.", Buckets: latencyBuckets}),
 		Pause:       prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_pause_seconds", Help: "Longest pause between events of a stream.", Buckets: latencyBuckets}),
 		Whole:       prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_answer_seconds", Help: "Time to a whole answer.", Buckets: latencyBuckets}),
 	}
-	r.MustRegister(m.Requests, m.Refusals, m.Attempts, m.Repairs, m.BudgetSpent, m.FirstEvent, m.Pause, m.Whole)
+	r.MustRegister(m.Requests, m.Refusals, m.Attempts, m.Repairs, m.BudgetSpent, m.Crashes, m.FirstEvent, m.Pause, m.Whole)
 	return m
 }
--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -313,6 +313,9 @@
 	s.avoid[s.path[bad].Engine.ID] = true
 	s.avoidDead()
 	w.bad, w.reason = s.path[bad], reason
+	if s.path[bad].Engine.Ended() {
+		s.noteCrash(w.ctx, s.path[bad].Engine)
+	}
 	if bad == 0 {
 		return w.resume()
 	}
--- a/citronforward/rig_test.go
+++ b/citronforward/rig_test.go
@@ -16,6 +16,7 @@
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronpath"
 	"citrondeck.dev/citrondeck/citronpool"
+	"citrondeck.dev/citrondeck/citronquarantine"
 	"citrondeck.dev/citrondeck/citrontable"
 	"citrondeck.dev/citrondeck/citronupstream"
 	"github.com/prometheus/client_golang/prometheus"
@@ -128,10 +129,12 @@
 	state := &citronforward.State{Table: table, View: r.view, Others: map[string]int64{}}
 	r.Forwarder = &citronforward.Forwarder{
 		Zone: "a", Clock: citronclock.Real{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Upstream: r.engines,
-		Budget:  citronbudget.New(citronbudget.Limits{Ratio: 0.2, Slack: 200, Window: 10 * time.Second}),
-		Loads:   &citronpool.Loads{},
-		Current: func() *citronforward.State { return state },
-		Metrics: citronforward.NewMetrics(prometheus.NewRegistry()),
+		Budget: citronbudget.New(citronbudget.Limits{Ratio: 0.2, Slack: 200, Window: 10 * time.Second}),
+		Loads:  &citronpool.Loads{},
+
+		Quarantine: citronquarantine.New("n", citronclock.Real{}),
+		Current:    func() *citronforward.State { return state },
+		Metrics:    citronforward.NewMetrics(prometheus.NewRegistry()),
 	}
 	return r
 }
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -154,6 +154,9 @@
 	case !ok:
 		return noPath, "no path runs all layers"
 	}
+	if s.barred() {
+		return noPath, reasonBarred
+	}
 	s.bind(p)
 	s.run = run{sent: s.f.Clock.Now()}
 	switch v := s.send(ctx); v {
@@ -178,7 +181,7 @@
 		s.runs++ // the engines may have begun
 		return false
 	case noPath:
-		return s.waitBegun(ctx)
+		return !s.barred() && s.waitBegun(ctx)
 	case refusedRun:
 		s.refused++
 		s.retryAfter = retryBusy
@@ -242,7 +245,7 @@
 	if s.firstEnded() {
 		runs--
 	}
-	return s.within(attemptsUsed, runs < max(1, s.route.MaxAttempts))
+	return s.within(crashesUsed, !s.suspect()) && s.within(attemptsUsed, runs < max(1, s.route.MaxAttempts))
 }
 
 // firstEnded reports whether the first engine's process has ended. That its
@@ -256,7 +259,7 @@
 		s.paid = false
 		return true
 	}
-	if !s.canResume() {
+	if !s.suspect() && !s.canResume() {
 		_ = s.f.probe(context.Background(), s.path[0].Engine, 0) // an older report may be from before the end
 	}
 	return s.canResume() && s.takeBudget()
@@ -345,6 +348,7 @@
 	if res.outcome == notRun {
 		return refusedRun
 	}
+	s.noteCrash(ctx, first)
 	return brokenRun
 }
 
@@ -433,6 +437,9 @@
 	}
 	s.lastAt = now
 	s.run = s.run.WithEvent(now)
+	if s.run.lasted() >= provenRun {
+		s.proven()
+	}
 	return 0, false
 }
 
@@ -452,6 +459,7 @@
 			return brokenRun // an empty stream is no answer
 		}
 		s.path[0].Engine.Answered(s.f.Clock.Now().Sub(s.pathSince))
+		s.proven()
 		return finished
 	}
 	if ctx.Err() != nil {
@@ -460,6 +468,7 @@
 	first := s.path[0].Engine
 	s.logRun(first, result{outcome: unknown, err: errors.Wrap(err, "read stream")})
 	s.avoid[first.ID] = true
+	s.noteCrash(ctx, first)
 	return brokenRun
 }
 
--- a/citronforward/whole.go
+++ b/citronforward/whole.go
@@ -65,6 +65,7 @@
 		res := j.attempt(ctx, e, hops)
 		j.f.Metrics.Attempts.WithLabelValues(res.outcome.String()).Inc()
 		if res.outcome == answered {
+			j.proven()
 			j.f.Metrics.Whole.Observe(j.f.Clock.Now().Sub(j.Received).Seconds())
 			j.out.Answer(res.status, res.header, res.body)
 			j.answered("engine", e.ID, "status", res.status, "runs", j.runs+1)
@@ -74,7 +75,7 @@
 		j.avoid[e.ID] = true
 		if res.outcome == notRun {
 			j.refused++
-			if ctx.Err() != nil || !j.mayMove() {
+			if ctx.Err() != nil || j.barred() || !j.mayMove() {
 				break
 			}
 			continue
@@ -82,8 +83,11 @@
 		// Counted before anything else: once a call may have run, no way
 		// out of here may tell the caller that the request did not.
 		j.runs++
-		if res.outcome == failed {
+		switch {
+		case res.outcome == failed:
 			fallback = &res
+		case ctx.Err() == nil:
+			j.noteCrash(ctx, e)
 		}
 		if ctx.Err() != nil || !j.mayRepeat() {
 			break
--- a/citronnode/gossip.go
+++ b/citronnode/gossip.go
@@ -81,6 +81,9 @@
 // give sends another node what this one tells, and takes what the other has
 // newer.
 func (n *Node) give(ctx context.Context, addr string, k citronpeer.Knowledge) {
+	if k.Suspects == nil {
+		k.Suspects = n.recentSuspects()
+	}
 	theirs, err := n.peers.News(ctx, addr, k)
 	if err != nil {
 		citronevent.Log(ctx, n.log, citronevent.GossipFailed, "peer", addr, "err", err)
@@ -166,17 +169,22 @@
 func (n *Node) exchange(ctx context.Context, addr string) {
 	s := n.snap.Load()
 	k := s.all()
+	k.SuspectSum = n.quarantine.Sum()
 	theirs, err := n.peers.Exchange(ctx, addr, k)
 	if err != nil {
 		citronevent.Log(ctx, n.log, citronevent.GossipFailed, "peer", addr, "err", err)
 		return
 	}
 	n.learn(ctx, theirs)
-	if theirs.Wants.Empty() {
+	same := theirs.SuspectSum == n.quarantine.Sum()
+	if theirs.Wants.Empty() && same {
 		return
 	}
 	k = s.news()
 	k.Diff = s.roster.Wanted(theirs.Wants)
+	if !same {
+		k.Suspects = n.allSuspects()
+	}
 	n.give(ctx, addr, k)
 }
 
@@ -201,6 +209,10 @@
 	near := theirs.From.Zone == s.self.Zone
 	k.Diff = s.roster.Diff(theirs.Digest, near)
 	k.Wants = s.roster.Wants(theirs.Digest, near)
+	k.SuspectSum = a.n.quarantine.Sum()
+	if theirs.SuspectSum != k.SuspectSum {
+		k.Suspects = a.n.allSuspects()
+	}
 	return a.n.answer(s, k, theirs)
 }
 
@@ -215,6 +227,9 @@
 func (n *Node) answer(s *snapshot, k, theirs citronpeer.Knowledge) citronpeer.Knowledge {
 	ctx := context.Background()
 	n.hearAccused(theirs.Accused)
+	if k.Suspects == nil {
+		k.Suspects = n.recentSuspects()
+	}
 	n.learn(ctx, theirs)
 	if theirs.From.Peer != "" && s.lacks(theirs) {
 		n.pull.from(ctx, n, theirs.From.Peer, theirs)
@@ -273,6 +288,7 @@
 }
 
 func (n *Node) learn(ctx context.Context, k citronpeer.Knowledge) {
+	n.learnSuspects(ctx, k.From.Name, k.Suspects)
 	n.send(ctx, membersSeen{whole: append(k.Members, k.From), gauges: k.Gauges, digest: k.Digest, sums: k.Sums})
 	if len(k.Config.Body) > 0 {
 		n.offerConfig(ctx, k.Config.Revision, k.Config.Body, sourceNode)
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -33,6 +33,7 @@
 	"citrondeck.dev/citrondeck/citronpeer"
 	"citrondeck.dev/citrondeck/citronplace"
 	"citrondeck.dev/citrondeck/citronpool"
+	"citrondeck.dev/citrondeck/citronquarantine"
 	"citrondeck.dev/citrondeck/citronroster"
 	"citrondeck.dev/citrondeck/citrontable"
 )
@@ -98,6 +99,12 @@
 	pull puller
 	// loans asks other nodes for repeats.
 	loans *citronloan.Borrower
+	// quarantine is what is known of requests that crash engines.
+	quarantine *citronquarantine.Ledger
+	// suspectsRejected counts what other nodes told of such requests and could
+	// not be true, and rejectedFrom holds the names of those nodes.
+	suspectsRejected atomic.Int64
+	rejectedFrom     sync.Map
 	// answered is how many of the followed prefixes the store answers.
 	answered atomic.Int64
 	// health is what this node's calls tell of the store.
@@ -153,6 +160,8 @@
 		alarms:  make(chan struct{}, 1),
 		configs: newConfigInbox(src.DecodeConfig),
 	}
+	n.quarantine = citronquarantine.New(set.Name, clock)
+	n.quarantine.Notify(n.tell)
 	n.loans = citronloan.New(budget, n.peers, clock, func() []citronpeer.Member { return n.snap.Load().members })
 	n.snap.Store(&snapshot{self: citronpeer.Member{Name: set.Name, Zone: set.Zone, Front: set.Front, Peer: set.Peer, Weak: set.weak(), Started: clock.Now().UnixNano()}})
 	return n
--- a/citronnode/status.go
+++ b/citronnode/status.go
@@ -18,6 +18,11 @@
 	Unreadable int
 	// Kept are engines in use whose entries are missing (outage.go).
 	Kept int
+	// Suspects are requests under which engines have ended, Barred those of them
+	// that are not sent to engines. SuspectsRejected are messages of other nodes
+	// about such requests of which nothing was taken.
+	Suspects, Barred int
+	SuspectsRejected int64
 	// Watching: the node watches the store, and the store answers.
 	// Leads: it places layers.
 	Watching, Leads bool
@@ -27,6 +32,8 @@
 func (n *Node) Status() Status {
 	s := n.snap.Load()
 	out := Status{ConfigVersion: s.config.Revision, ListRevision: s.list.Revision, Nodes: len(s.members), Unreadable: s.unreadable, Kept: s.kept, Watching: s.self.Watching, Leads: s.self.Leads}
+	out.Suspects, out.Barred = n.quarantine.Count()
+	out.SuspectsRejected = n.suspectsRejected.Load()
 	now := n.clock.Now()
 	if !s.configAt.IsZero() {
 		out.ConfigAge = now.Sub(s.configAt)
--- a/citronpeer/peer.go
+++ b/citronpeer/peer.go
@@ -171,6 +171,10 @@
 	Engines Document
 	// Accused are ids of engines that have just been named in a refusal.
 	Accused []string
+	// Suspects are requests that crash engines; SuspectSum is a checksum of all
+	// that this node knows, in exchanges.
+	Suspects   []Suspect
+	SuspectSum uint64
 }
 
 type exchangeMessage struct {
@@ -182,6 +186,9 @@
 	Config  Document `json:"config"`
 	Engines Document `json:"engines"`
 	Accused []string `json:"accused,omitempty"`
+
+	Suspects   []Suspect `json:"suspects,omitempty"`
+	SuspectSum uint64    `json:"suspectSum,omitempty"`
 }
 
 const (
--- a/citronstat/node.go
+++ b/citronstat/node.go
@@ -25,6 +25,9 @@
 	gauge("entries_unreadable", "Entries of the list that name no engine, of another writer.", func(s citronnode.Status) float64 { return float64(s.Unreadable) })
 	gauge("engines_kept", "Engines that stay in use although their entries are missing.", func(s citronnode.Status) float64 { return float64(s.Kept) })
 	gauge("nodes_heard", "Other nodes that are heard.", func(s citronnode.Status) float64 { return float64(s.Nodes) })
+	gauge("suspects", "Requests under which engines have ended.", func(s citronnode.Status) float64 { return float64(s.Suspects) })
+	gauge("requests_barred", "Requests that are not sent to engines because they crash them.", func(s citronnode.Status) float64 { return float64(s.Barred) })
+	gauge("suspects_rejected", "Messages of other nodes about suspects of which nothing was taken.", func(s citronnode.Status) float64 { return float64(s.SuspectsRejected) })
 	gauge("watching", "1 while the node watches the store and the store answers.", func(s citronnode.Status) float64 { return yes(s.Watching) })
 	gauge("leads", "1 while the node places layers.", func(s citronnode.Status) float64 { return yes(s.Leads) })
 }
