What is barred lasts in the store

All nodes of a fleet may start at once, and remembered nothing: a request would crash three more engines to be barred again, which is all that it may. Shown by TestBarredRequestOutlivesARestartOfAllNodes.

--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -88,6 +88,7 @@
 	EnginesHeard   Event = 621
 
 	SuspectsRejected Event = 622
+	BarredUnsaved    Event = 623
 
 	// 400 to 403 were announced for the stand-ins and never logged.
 )
@@ -163,6 +164,7 @@
 	StoreAway:      {slog.LevelWarn, "store.away", "the store was away (away=true) for all nodes that this one hears, long enough for entries to lapse, or is so no longer; gives how many nodes are unanswered, have it back, are answered or served, and this node's newest call without an answer"},
 	SettingsReload: {slog.LevelInfo, "settings.reload", "a reload was asked for; what the settings say of bounds is in force"},
 
+	BarredUnsaved:    {slog.LevelWarn, "barred.unsaved", "the record of a request that crashes engines could not be written to the store; it is tried again"},
 	SuspectsRejected: {slog.LevelWarn, "suspects.rejected", "another node told of requests that crash engines what no sound node tells; nothing of the message is taken, and the first of each node is logged"},
 
 	LedgerRetry: {slog.LevelWarn, "ledger.retry", "recording an answer in the ledger, or taking a claim back, failed; it is tried again"},
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -101,6 +101,8 @@
 	loans *citronloan.Borrower
 	// quarantine is what is known of requests that crash engines.
 	quarantine *citronquarantine.Ledger
+	// barredNews wakes the goroutine that keeps its records in the store.
+	barredNews chan struct{}
 	// suspectsRejected counts what other nodes told of such requests and could
 	// not be true, and rejectedFrom holds the names of those nodes.
 	suspectsRejected atomic.Int64
@@ -158,10 +160,15 @@
 		control: make(chan message, inboxSize),
 		news:    make(chan struct{}, 1),
 		alarms:  make(chan struct{}, 1),
-		configs: newConfigInbox(src.DecodeConfig),
+
+		barredNews: make(chan struct{}, 1),
+		configs:    newConfigInbox(src.DecodeConfig),
 	}
 	n.quarantine = citronquarantine.New(set.Name, clock)
-	n.quarantine.Notify(n.tell)
+	n.quarantine.Notify(func() {
+		n.tell()
+		wake(n.barredNews)
+	})
 	n.loans = citronloan.New(budget, n.peers, clock, func() []citronpeer.Member { return n.snap.Load().members })
 	n.snap.Store(&snapshot{self: citronpeer.Member{Name: set.Name, Zone: set.Zone, Front: set.Front, Peer: set.Peer, Weak: set.weak(), Started: clock.Now().UnixNano()}})
 	return n
@@ -214,6 +221,7 @@
 	tasks.Go(func() { n.follow(ctx, n.src.EnginePrefix, false) })
 	tasks.Go(func() { n.lead(ctx) })
 	tasks.Go(func() { n.register(ctx) })
+	tasks.Go(func() { n.keepBarred(ctx) })
 }
 
 const (
--- a/citronnode/sources.go
+++ b/citronnode/sources.go
@@ -40,10 +40,12 @@
 		well = ok
 	}
 	_, _ = n.read(ctx, prefix, config) // a store that does not answer is tried again below
+	readBarred := config               // those who follow the list read it
 	for ctx.Err() == nil {
 		if !n.mayWatch(ctx) {
 			continue
 		}
+		readBarred = readBarred || n.readBarred(ctx) == nil // the store may be away
 		err := n.followOnce(ctx, prefix, config, func() {
 			answered(true)
 			wait = retryFirst
--- a/citronnode/suspects.go
+++ b/citronnode/suspects.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronevent"
@@ -74,13 +75,20 @@
 		n.rejectSuspects(ctx, from, err)
 		return
 	}
-	barred, err := n.quarantine.Learn(entries)
-	if err != nil {
-		n.rejectSuspects(ctx, from, err)
-		return
-	}
-	for _, e := range barred {
-		citronevent.Log(ctx, n.log, citronevent.RequestBarred, "print", e.Print, "crashes", e.Standing(), "source", sourceNode)
+	n.learnEntries(ctx, from, entries)
+}
+
+// learnEntries takes records from a node or the store.
+func (n *Node) learnEntries(ctx context.Context, from string, entries []citronquarantine.Entry) {
+	for chunk := range slices.Chunk(entries, citronquarantine.MostTold) {
+		barred, err := n.quarantine.Learn(chunk)
+		if err != nil {
+			n.rejectSuspects(ctx, from, err)
+			return
+		}
+		for _, e := range barred {
+			citronevent.Log(ctx, n.log, citronevent.RequestBarred, "print", e.Print, "crashes", e.Standing(), "source", from)
+		}
 	}
 }
 
--- a/citronnode/suspects_test.go
+++ b/citronnode/suspects_test.go
@@ -87,6 +87,43 @@
 	eventually(t, "all hear that it ran well", func() bool { return f.barredAt(suspect) == 0 })
 }
 
+// Guards against a request that crashes three more engines when all nodes have
+// started at once and remember nothing.
+func TestBarredRequestOutlivesARestartOfAllNodes(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t)
+	f.config("1")
+	names := []string{"a", "b", "c"}
+	for _, name := range names {
+		f.add(name, "z1")
+	}
+	f.untilAllKnowAll()
+	for i := range 3 {
+		f.nodes[i].Quarantine().Crashed(suspect, fmt.Sprintf("i-%d", i))
+	}
+	eventually(t, "the record is in the store", func() bool {
+		items, _, err := f.store.Range(context.Background(), "deck/barred/")
+		return err == nil && len(items) == 1
+	})
+	restart := func() {
+		for _, m := range f.nodes {
+			m.stop()
+		}
+		f.nodes = nil
+		for _, name := range names {
+			f.add(name, "z1")
+		}
+	}
+	restart()
+	from := time.Now()
+	eventually(t, "all nodes bar the request", func() bool { return f.barredAt(suspect) == len(names) })
+	is.True(time.Since(from) < knownWithin)
+	// It turns out to be sound, and stays so.
+	f.nodes[0].Quarantine().Ran(suspect)
+	eventually(t, "no node bars it", func() bool { return f.barredAt(suspect) == 0 })
+}
+
 // Guards against messages that no sound node sends: impossible counts and ages, or
 // a flood of fingerprints. They are counted and bar nothing.
 func TestImpossibleSuspectsAreCounted(t *testing.T) {
--- a/citronquarantine/ledger.go
+++ b/citronquarantine/ledger.go
@@ -65,6 +65,10 @@
 	// changedAt is when this node last learned something of the request.
 	changedAt time.Time
 	onTrial   bool
+	// own: this node saw the last crash, and keeps the record where it lasts;
+	// saved is what it has kept.
+	own   bool
+	saved Record
 }
 
 // New returns an empty ledger of the node with a name.
@@ -148,6 +152,7 @@
 	news = e == nil || !e.WithAll(crash).equal(e.Record)
 	if news {
 		e = l.put(p, crash)
+		e.own = true
 	}
 	r = e.Record
 	l.mu.Unlock()
@@ -174,6 +179,29 @@
 	}
 }
 
+// Unsaved returns the records that this node has to keep where they last: those of
+// requests that were barred after a crash that it saw, as long as they change.
+func (l *Ledger) Unsaved() []Entry {
+	if l.Empty() {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.told(func(e *entry) bool {
+		kept := len(e.saved.crashes) > 0
+		return e.own && (kept || e.Standing() >= barAt) && !e.saved.equal(e.Record)
+	})
+}
+
+// Saved notes that a record is kept.
+func (l *Ledger) Saved(x Entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e := l.entries[x.Print]; e != nil {
+		e.saved = x.Record
+	}
+}
+
 // Learn takes what another node tells, and returns the requests that are barred
 // here by that. Other nodes are told of what is new.
 func (l *Ledger) Learn(told []Entry) ([]Entry, error) {
