--- a/citroncli/explain.go
+++ b/citroncli/explain.go
@@ -15,6 +15,7 @@
 type explainCmd struct {
 	Request string `help:"Request id: what became of it, and of the engines it met." xor:"subject" required:""`
 	Engine  string `help:"Engine id: its life in the fleet." xor:"subject" required:""`
+	Print   string `help:"Fingerprint of a request, as the log gives it: what became of it under all its ids." xor:"subject" required:""`
 	Version int64  `help:"Configuration version: when each node put it in force." xor:"subject" required:""`
 	Losses  bool   `help:"Which requests were late, refused or broken off: a table by cause, zone and time." xor:"subject" required:""`
 	// Window is for Losses only.
@@ -49,6 +50,6 @@
 		}
 		return citronexplain.Losses(g.Out, citronexplain.LossOptions{Window: c.Window}, logs...)
 	}
-	subject := citronexplain.Subject{Request: c.Request, Engine: c.Engine, Version: c.Version}
+	subject := citronexplain.Subject{Request: c.Request, Engine: c.Engine, Print: c.Print, Version: c.Version}
 	return citronexplain.Explain(g.Out, subject, logs...)
 }
--- a/citronexplain/explain.go
+++ b/citronexplain/explain.go
@@ -25,7 +25,9 @@
 // Subject is what a story is about; one field is set.
 type Subject struct {
 	Request, Engine string
-	Version         int64
+	// Print is the fingerprint of a request that came under several ids.
+	Print   string
+	Version int64
 }
 
 // line is one log line.
@@ -186,12 +188,14 @@
 		return str(l.fields["request"]) == s.Request
 	case s.Engine != "":
 		return slices.Contains(l.engines(), s.Engine)
+	case s.Print != "":
+		return str(l.fields["print"]) == s.Print
 	}
 	return l.name == "table.applied" && str(l.fields["version"]) == strconv.FormatInt(s.Version, 10)
 }
 
 // durations are fields that hold nanoseconds.
-var durations = map[string]bool{"left": true, "held": true, "silent": true, "first": true, "pause": true, "took": true, "retryAfter": true, "age": true, "lapsed": true}
+var durations = map[string]bool{"left": true, "held": true, "silent": true, "first": true, "pause": true, "took": true, "retryAfter": true, "age": true, "lapsed": true, "sent": true, "lasted": true}
 
 func (l line) print(out io.Writer, begin time.Time) error {
 	var b strings.Builder
