--- a/citronsoak/nodes_test.go
+++ b/citronsoak/nodes_test.go
@@ -23,9 +23,10 @@
 	cmd               *exec.Cmd
 	// life counts the processes.
 	life int
-	// away: a fault is at work here.
-	away bool
-	log  *os.File
+	// away: a fault is at work here. trouble is when one last was.
+	away    bool
+	trouble time.Time
+	log     *os.File
 }
 
 // grace is the time between SIGTERM and SIGKILL that the settings tell.
@@ -138,6 +139,21 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.away = away
+	n.trouble = time.Now()
+}
+
+// troubled notes that the node's link to the store was harmed until now.
+func (n *node) troubled() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.trouble = time.Now()
+}
+
+// inTouch reports whether the node has been without trouble for so long.
+func (n *node) inTouch(d time.Duration) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.away && time.Since(n.trouble) > d
 }
 
 // state is the process that runs and whether a fault is at work.
