A node that starts goes by what others know, not by the clock

TestStartOfAllAsksTheStoreLittle passed alone and failed beside ten busy processes under the race detector: 443, 295 and 390 calls of 60 nodes where fewer than 180 are allowed. Not the test's clock: half a second after its start a node that is short of processor had heard of two to four others, took itself for one of the first, watched the store (93 reads and 99 watches of the configuration) and left its address there (27 writes). A node now has settled once two others in a row knew as many nodes as it, ten have answered, or four in a row did not; a second's wait by the clock is gone. The bound stays.

Ruled out on the way: counting rounds without a new member (254, 253, 962 calls): early partners know as little as the node itself.

TestStartDoesNotWaitForOtherNodes was looked at: without the first read it fails, no start of five being quick.

--- a/citronnode/gossip.go
+++ b/citronnode/gossip.go
@@ -171,6 +171,7 @@
 	k := s.all()
 	k.SuspectSum = n.quarantine.Sum()
 	theirs, err := n.peers.Exchange(ctx, addr, k)
+	n.settling.exchanged(k.Digest, theirs.Digest, err)
 	if err != nil {
 		citronevent.Log(ctx, n.log, citronevent.GossipFailed, "peer", addr, "err", err)
 		return
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -97,6 +97,10 @@
 	configs configInbox
 	// pull fetches documents that other nodes told of.
 	pull puller
+	// settling finds out when a node that started knows the others; hasSettled
+	// is set once it does.
+	settling   settling
+	hasSettled atomic.Bool
 	// loans asks other nodes for repeats.
 	loans *citronloan.Borrower
 	// quarantine is what is known of requests that crash engines.
--- /dev/null
+++ b/citronnode/settle.go
@@ -0,0 +1,80 @@
+package citronnode
+
+// A node that starts knows nobody, and would take itself for the first: it would
+// watch the store and leave its address there, and so would all that start with
+// it. How long it takes to hear of the others depends on how busy they are, so a
+// node goes by its exchanges and not by the clock: it knows the fleet once a few
+// others in a row know as many as it does, and is alone once nobody answers.
+
+import (
+	"sync"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronpeer"
+)
+
+const (
+	// settledAfter is how many nodes in a row know as many as this one.
+	settledAfter = 2
+	// mostAnswered is how many exchanges are enough where nodes come and go all
+	// the time, so that no two know as many.
+	mostAnswered = 10
+	// aloneAfter is how many exchanges in a row fail where nobody is.
+	aloneAfter = 4
+	// settlePoll is how often a node that starts looks whether it has settled.
+	settlePoll = 100 * time.Millisecond
+	// startWait is the least time that a node asks other nodes before it watches
+	// the store: a round or two of gossip. One without seeds waits no longer.
+	startWait = 500 * time.Millisecond
+)
+
+// settling tells when a node that started knows the others. Its zero value is
+// ready.
+type settling struct {
+	mu sync.Mutex
+	// same is how many of the last exchanges in a row were with a node that knew
+	// as many others.
+	same int
+	// answered counts exchanges, failed those that failed since.
+	answered, failed int
+}
+
+// exchanged notes an exchange, and how many members each side knew before it.
+func (s *settling) exchanged(ours, theirs citronpeer.Digest, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.failed++
+		return
+	}
+	s.answered++
+	s.failed = 0
+	if len(ours.Prints) != len(theirs.Prints) {
+		s.same = 0
+		return
+	}
+	s.same++
+}
+
+// done reports whether the node knows the others, or that there are none.
+func (s *settling) done() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.same >= settledAfter || s.answered >= mostAnswered || s.failed >= aloneAfter
+}
+
+// settled reports whether this node knows the others, or that there are none. It
+// stays true.
+func (n *Node) settled() bool {
+	if n.hasSettled.Load() {
+		return true
+	}
+	if n.clock.Now().Sub(n.startedAt) < startWait {
+		return false
+	}
+	if len(n.seeds()) > 0 && !n.settling.done() {
+		return false
+	}
+	n.hasSettled.Store(true)
+	return true
+}
--- /dev/null
+++ b/citronnode/settle_test.go
@@ -0,0 +1,43 @@
+package citronnode
+
+import (
+	"testing"
+
+	"citrondeck.dev/citrondeck/citronpeer"
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+// Guards against a node that starts and never watches the store: the others have
+// just died, know something else each time, or were never there.
+func TestNodeThatStartsSettles(t *testing.T) {
+	knows := func(n int) citronpeer.Digest { return citronpeer.Digest{Prints: make([]citronpeer.Print, n)} }
+	down := errors.New("connection refused")
+	cases := []struct {
+		name  string
+		step  func(s *settling, i int)
+		steps int
+	}{
+		{"others know as many", func(s *settling, _ int) { s.exchanged(knows(3), knows(3), nil) }, settledAfter},
+		{"others always know more", func(s *settling, i int) { s.exchanged(knows(i), knows(i+1), nil) }, mostAnswered},
+		{"nobody is there", func(s *settling, _ int) { s.exchanged(knows(1), knows(0), down) }, aloneAfter},
+		{"the only other dies", func(s *settling, i int) {
+			var err error
+			if i > 0 {
+				err = down
+			}
+			s.exchanged(knows(1), knows(2), err)
+		}, 1 + aloneAfter},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var s settling
+			for i := range c.steps {
+				is.True(!s.done())
+				c.step(&s, i)
+			}
+			is.True(s.done())
+		})
+	}
+}
--- a/citronnode/sources.go
+++ b/citronnode/sources.go
@@ -129,9 +129,6 @@
 	// standBy is how often a node that does not watch looks whether it has
 	// to: a node that the store turns away says so within a second.
 	standBy = 300 * time.Millisecond
-	// startWait is how long a node that starts asks other nodes before it
-	// watches the store: a round or two of gossip.
-	startWait = 500 * time.Millisecond
 )
 
 // errStandBy ends a watch that enough others hold.
@@ -157,8 +154,8 @@
 // In its first moments a node knows nobody and would take itself for the first:
 // all nodes that start at once would watch, although a few of them serve all.
 func (n *Node) mayWatch(ctx context.Context) bool {
-	if since := n.clock.Now().Sub(n.startedAt); since < startWait {
-		_ = n.clock.Sleep(ctx, startWait-since)
+	if !n.settled() {
+		_ = n.clock.Sleep(ctx, settlePoll)
 		return false
 	}
 	before, rank := n.watchersBefore(), n.rank()
@@ -250,8 +247,6 @@
 	mostRegistered = 16
 	// registerEvery is how often a node looks whether it is one of them.
 	registerEvery = 2 * time.Second
-	// lonelyAfter is when a node that hears of no other reads the addresses.
-	lonelyAfter = time.Second
 )
 
 // register leaves this node's peer address in the store and reads those of the
@@ -263,7 +258,9 @@
 // entries need no lease: an address where nobody answers costs a connection now
 // and then, and the machine's name is used again.
 func (n *Node) register(ctx context.Context) {
-	_ = n.clock.Sleep(ctx, lonelyAfter)
+	for !n.settled() && ctx.Err() == nil {
+		_ = n.clock.Sleep(ctx, settlePoll)
+	}
 	for registered := false; ctx.Err() == nil; {
 		var err error
 		if !registered && n.rank() < mostRegistered {
