Failing test: nodes that start keep a dead node for one another

A node that starts takes for fresh what others tell it of a member, though they heard of it two seconds ago; the next one to start has it from that node.

--- a/citronnode/fleet_test.go
+++ b/citronnode/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -241,3 +242,35 @@
 	spent := processorTime() - cpu
 	b.ReportMetric(float64(spent.Milliseconds())/size/time.Since(from).Seconds(), "ms/s/node")
 }
+
+// Guards against callers being sent to a node long after its death: nodes that start
+// one after the other hear of it from each other, and none of them long enough ago
+// to ask it.
+func TestNodesThatStartDoNotKeepTheDead(t *testing.T) {
+	t.Parallel()
+	const (
+		named = 3 * time.Second
+		every = 300 * time.Millisecond
+	)
+	f := newFleet(t)
+	f.net = newMesh()
+	f.config("1")
+	for _, e := range engines(3) {
+		f.engine(e)
+	}
+	dead := f.add("dead", "z1")
+	b := f.add("b", "z1")
+	eventually(t, "callers are told of both", func() bool { return slices.Contains(b.Addresses("z1"), "front-dead") })
+	dead.stop()
+	from := time.Now()
+	for i := 0; time.Since(from) < 2*named; i++ {
+		f.add(fmt.Sprintf("n%d", i), "z1")
+		time.Sleep(every)
+		since := time.Since(from)
+		for _, m := range f.nodes[1:] {
+			if since > named && slices.Contains(m.Addresses("z1"), "front-dead") {
+				t.Fatalf("a node names one that has been dead for %v", since)
+			}
+		}
+	}
+}
