What is told of a member is as old as its teller's news

Callers could be told of a node 3 s and more after its death: nodes that started one after the other took for fresh what others had heard two seconds before, each from the one before it. The ages of members go with them; a member that is new here is asked, and lost, as if this node had heard of it when its teller did.

--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -57,8 +57,9 @@
 // membersSeen brings news of other nodes: some whole, of others the gauges or
 // just that they live; and what zones do together.
 type membersSeen struct {
-	whole  []citronpeer.Member
-	gauges []citronpeer.Gauge
+	// from is the node that tells it, told what it has heard of others.
+	from   citronpeer.Member
+	told   citronpeer.Diff
 	digest citronpeer.Digest
 	sums   []citronpeer.Sum
 }
@@ -138,8 +139,9 @@
 			c.listTaken(ctx, m.source)
 		}
 	case membersSeen:
-		c.takeMembers(m.whole)
-		c.takeGauges(m.gauges)
+		c.takeMembers(citronpeer.Diff{Members: []citronpeer.Member{m.from}})
+		c.takeMembers(m.told)
+		c.takeGauges(m.told.Gauges)
 		c.takeDigest(m.digest)
 		c.takeSums(m.sums)
 	}
--- a/citronnode/gossip.go
+++ b/citronnode/gossip.go
@@ -290,7 +290,7 @@
 
 func (n *Node) learn(ctx context.Context, k citronpeer.Knowledge) {
 	n.learnSuspects(ctx, k.From.Name, k.Suspects)
-	n.send(ctx, membersSeen{whole: append(k.Members, k.From), gauges: k.Gauges, digest: k.Digest, sums: k.Sums})
+	n.send(ctx, membersSeen{from: k.From, told: k.Diff, digest: k.Digest, sums: k.Sums})
 	if len(k.Config.Body) > 0 {
 		n.offerConfig(ctx, k.Config.Revision, k.Config.Body, sourceNode)
 	}
--- a/citronnode/members.go
+++ b/citronnode/members.go
@@ -14,10 +14,10 @@
 )
 
 // takeMembers takes what is told of nodes as a whole.
-func (c *control) takeMembers(members []citronpeer.Member) {
+func (c *control) takeMembers(told citronpeer.Diff) {
 	now := c.n.clock.Now()
-	for _, m := range members {
-		news, changed := c.members.Take(m, now)
+	for i, m := range told.Members {
+		news, changed := c.members.Take(m, now.Add(-told.Age(i)))
 		if !news {
 			continue
 		}
@@ -133,7 +133,7 @@
 // and not with every message.
 func (c *control) gather(s *snapshot) {
 	now := c.n.clock.Now()
-	alive := c.members.Alive()
+	alive := c.members.Alive(now)
 	s.members = make([]citronpeer.Member, len(alive))
 	others := citronroster.NewTotal()
 	for i, e := range alive {
--- a/citronpeer/peer.go
+++ b/citronpeer/peer.go
@@ -124,9 +124,24 @@
 // members of which the other has the details.
 type Diff struct {
 	Members []Member `json:"members,omitempty"`
-	Gauges  []Gauge  `json:"gauges,omitempty"`
+	// AgesMS are how long ago the members were last heard of, in milliseconds.
+	// The lists go together.
+	AgesMS []int64 `json:"agesMs,omitempty"`
+	Gauges []Gauge `json:"gauges,omitempty"`
 }
 
+// Age is how old the news of member i is. Without a word of it, or if it cannot
+// be, it is taken for new, as from the member itself.
+func (d Diff) Age(i int) time.Duration {
+	if i >= len(d.AgesMS) || d.AgesMS[i] < 0 || d.AgesMS[i] > oldestNews.Milliseconds() {
+		return 0
+	}
+	return time.Duration(d.AgesMS[i]) * time.Millisecond
+}
+
+// oldestNews is beyond what nodes tell of each other.
+const oldestNews = time.Minute
+
 // Sum is what the nodes of a zone do together.
 type Sum struct {
 	Zone string `json:"zone"`
--- a/citronroster/roster.go
+++ b/citronroster/roster.go
@@ -22,6 +22,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"citrondeck.dev/citrondeck/citronpeer"
 	"github.com/cespare/xxhash/v2"
@@ -44,6 +45,8 @@
 type Entry struct {
 	citronpeer.Member
 	Print citronpeer.Print
+	// Age is how long ago the member was heard of when the entry was made.
+	Age time.Duration
 }
 
 // Roster is the members that a node of a zone knows at one moment. It is
@@ -84,7 +87,7 @@
 		beat, known := theirs[e.Print]
 		switch {
 		case !known:
-			out.Members = append(out.Members, e.Member)
+			out = e.addTo(out)
 		case near && e.Zone == r.zone && e.Beat >= beat+beatStep:
 			out.Gauges = append(out.Gauges, e.gauge())
 		}
@@ -114,7 +117,7 @@
 	var out citronpeer.Diff
 	for _, p := range w.Members {
 		if at, ok := r.byPrint[p]; ok {
-			out.Members = append(out.Members, r.entries[at].Member)
+			out = r.entries[at].addTo(out)
 		}
 	}
 	for _, p := range w.Gauges {
@@ -125,6 +128,13 @@
 	return out
 }
 
+// addTo adds the whole member to what another node is told.
+func (e Entry) addTo(d citronpeer.Diff) citronpeer.Diff {
+	d.Members = append(d.Members, e.Member)
+	d.AgesMS = append(d.AgesMS, e.Age.Milliseconds())
+	return d
+}
+
 func (e Entry) gauge() citronpeer.Gauge {
 	return citronpeer.Gauge{Print: e.Print, Gauges: e.Gauges}
 }
--- a/citronroster/roster_test.go
+++ b/citronroster/roster_test.go
@@ -98,7 +98,7 @@
 		}
 		a, b := tables[0], tables[1]
 		near := rapid.Bool().Draw(t, "near")
-		ra, rb := citronroster.New("z0", a.Alive()), citronroster.New("z1", b.Alive())
+		ra, rb := citronroster.New("z0", a.Alive(now)), citronroster.New("z1", b.Alive(now))
 		take := func(tb *citronroster.Table, d citronpeer.Diff) {
 			for _, m := range d.Members {
 				tb.Take(m, now)
@@ -111,7 +111,7 @@
 		take(b, ra.Wanted(rb.Wants(ra.Digest(), near)))
 		for _, tb := range tables {
 			known := map[string]citronpeer.Member{}
-			for _, e := range tb.Alive() {
+			for _, e := range tb.Alive(now) {
 				known[e.Name] = e.Member
 			}
 			for name, m := range newest {
--- a/citronroster/table.go
+++ b/citronroster/table.go
@@ -80,10 +80,13 @@
 	return &Table{self: self, zone: zone, members: map[string]*Known{}, byPrint: map[citronpeer.Print]*Known{}}
 }
 
-// Take takes what is told of a member as a whole. It reports whether that was
-// news, and whether with it the member has come, is back, or serves callers
-// otherwise than before.
-func (t *Table) Take(m citronpeer.Member, now time.Time) (news, changed bool) {
+// Take takes what is told of a member as a whole by a node that heard of it at a
+// moment. It reports whether that was news, and whether with it the member has
+// come, is back, or serves callers otherwise than before.
+//
+// Were a member that is new here taken for heard of just now, nodes that start one
+// after the other would keep a dead one for each other.
+func (t *Table) Take(m citronpeer.Member, heard time.Time) (news, changed bool) {
 	if m.Name == "" || m.Name == t.self {
 		return false, false
 	}
@@ -97,7 +100,10 @@
 	if ok {
 		delete(t.byPrint, old.Print)
 	}
-	k := &Known{Entry: Entry{Member: m, Print: Of(m)}, seen: m.Beat, Heard: now, Alive: true}
+	if ok && old.Heard.After(heard) {
+		heard = old.Heard
+	}
+	k := &Known{Entry: Entry{Member: m, Print: Of(m)}, seen: m.Beat, Heard: heard, Alive: true}
 	t.members[m.Name] = k
 	t.byPrint[k.Print] = k
 	return true, !ok || !old.Alive || old.Leaving != m.Leaving || old.Ready != m.Ready
@@ -194,11 +200,13 @@
 }
 
 // Alive are the members that are not lost, in no order.
-func (t *Table) Alive() []Entry {
+func (t *Table) Alive(now time.Time) []Entry {
 	out := make([]Entry, 0, len(t.members)+1)
 	for _, k := range t.members {
 		if k.Alive {
-			out = append(out, k.Entry)
+			e := k.Entry
+			e.Age = max(0, now.Sub(k.Heard))
+			out = append(out, e)
 		}
 	}
 	return out
--- a/citronroster/table_test.go
+++ b/citronroster/table_test.go
@@ -44,11 +44,28 @@
 	asked, lost := age(tb, &now, 3*time.Second)
 	is.Equal(asked, []string{"b"})
 	is.Equal(lost, []string{"b"})
-	is.Equal(len(tb.Alive()), 0)
+	is.Equal(len(tb.Alive(now)), 0)
 	// It comes back: news of it is news of a member that was not there.
 	_, back := tb.TakeGauge(citronpeer.Gauge{Print: citronroster.Of(member("b", "z1", 0, 1)), Gauges: citronpeer.Gauges{Beat: 50}}, now)
 	is.True(back)
-	is.Equal(len(tb.Alive()), 1)
+	is.Equal(len(tb.Alive(now)), 1)
+}
+
+// Guards against a dead member that nodes which start keep for one another: what
+// one of them is told is as old as the news of the node that tells it.
+func TestHearsayIsAsOldAsItsTeller(t *testing.T) {
+	is := is.New(t)
+	now := start
+	first := citronroster.NewTable("a", "z1")
+	first.Take(member("b", "z1", 0, 1), now)
+	_, lost := age(first, &now, 1900*time.Millisecond)
+	is.Equal(len(lost), 0)
+	told := citronroster.New("z1", first.Alive(now)).Diff(citronpeer.Digest{}, true)
+	is.Equal(len(told.Members), 1)
+	second := citronroster.NewTable("c", "z1")
+	second.Take(told.Members[0], now.Add(-told.Age(0)))
+	_, lost = age(second, &now, 600*time.Millisecond)
+	is.Equal(lost, []string{"b"})
 }
 
 // A sound node's news is late for longer than is usual. It answers when asked,
