A store that returns from an older copy begins a new era

In a drill the store is away a moment and comes back without what was written in its last seconds; it counts its writes anew from there. Each node kept its old list until the counts had caught up, or took changes numbered anew for ones that it had: an engine that left stayed in use, one that came was not seen, and one node with the old list outbid all that had the new one. With a stand-in that counts back without a new era, 12 nodes did not follow it within 30 s, and what nodes had written stayed away.

A revision is now the era, from Store-Era in all answers, and the count, compared as a pair; the later list wins everywhere, as before. Watches, conditions and leases of an earlier era are over.

--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -89,6 +89,7 @@
 
 	SuspectsRejected Event = 622
 	BarredUnsaved    Event = 623
+	StoreReturned    Event = 624
 
 	// 400 to 403 were announced for the stand-ins and never logged.
 )
@@ -164,6 +165,7 @@
 	StoreAway:      {slog.LevelWarn, "store.away", "the store was away (away=true) for all nodes that this one hears, long enough for entries to lapse, or is so no longer; gives how many nodes are unanswered, have it back, are answered or served, and this node's newest call without an answer"},
 	SettingsReload: {slog.LevelInfo, "settings.reload", "a reload was asked for; what the settings say of bounds is in force"},
 
+	StoreReturned:    {slog.LevelWarn, "store.returned", "the store came back from an older copy; gives the revision of its list (era.count) and the one known before, and how many of its entries this node has seen overtaken"},
 	BarredUnsaved:    {slog.LevelWarn, "barred.unsaved", "the record of a request that crashes engines could not be written to the store; it is tried again"},
 	SuspectsRejected: {slog.LevelWarn, "suspects.rejected", "another node told of requests that crash engines what no sound node tells; nothing of the message is taken, and the first of each node is logged"},
 
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -27,6 +27,7 @@
 	"citrondeck.dev/citrondeck/citronbudget"
 	"citrondeck.dev/citrondeck/citronclock"
 	"citrondeck.dev/citrondeck/citronevent"
+	"citrondeck.dev/citrondeck/citronkv"
 	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citronprobe"
 	"citrondeck.dev/citrondeck/citronquarantine"
@@ -94,7 +95,7 @@
 // answered logs one in many of the requests that went well.
 func (j *job) answered(args ...any) {
 	if j.f.answers.Add(1)%sampleEvery == 1 {
-		citronevent.Log(context.Background(), j.f.Log, citronevent.AnswerSampled, append([]any{"request", j.ID, "route", j.route.Name, "version", j.version, "list", j.list, "took", j.f.Clock.Now().Sub(j.Received)}, args...)...)
+		citronevent.Log(context.Background(), j.f.Log, citronevent.AnswerSampled, append([]any{"request", j.ID, "route", j.route.Name, "version", j.version, "list", citronkv.RevisionText(j.list), "took", j.f.Clock.Now().Sub(j.Received)}, args...)...)
 	}
 }
 
--- a/citronkv/kv.go
+++ b/citronkv/kv.go
@@ -19,10 +19,6 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Revision is the store-wide counter that every write increments. A key's
-// revision is the store revision of its last write.
-type Revision = int64
-
 // Expectations for Put and Delete.
 const (
 	// AnyRevision writes whatever the key holds.
--- a/citronkv/server.go
+++ b/citronkv/server.go
@@ -290,7 +290,7 @@
 	defer cancel()
 	for {
 		s.mu.Lock()
-		if len(s.history) > 0 && s.history[0].Revision > after+1 && after < s.rev {
+		if Era(after) != Era(s.rev) || len(s.history) > 0 && s.history[0].Revision > after+1 && after < s.rev {
 			s.mu.Unlock()
 			return nil, 0, ErrCompacted
 		}
--- a/citronlist/lapse.go
+++ b/citronlist/lapse.go
@@ -34,6 +34,7 @@
 	lapseNot    lapseCause = ""
 	lapseOutage lapseCause = "the store was away"
 	lapseMany   lapseCause = "many entries went at once"
+	lapseCopy   lapseCause = "the store returned from an older copy"
 )
 
 // Tick does what is due by time. Away: the store was away for all nodes within
@@ -41,6 +42,7 @@
 func (l *List) Tick(ctx context.Context, away bool) {
 	l.away = away
 	now := l.set.Clock.Now()
+	l.forgetOvertaken(now)
 	for key, e := range l.entries {
 		if !e.lapsed.IsZero() && now.Sub(e.lapsed) > citronhealth.LapseGrace {
 			delete(l.entries, key)
@@ -60,6 +62,8 @@
 	switch {
 	case l.away:
 		return lapseOutage
+	case !l.returned.IsZero() && now.Sub(l.returned) < citronhealth.LapseGrace:
+		return lapseCopy
 	case len(l.vanished) >= max(lapseFewest, len(l.entries)/lapsePart):
 		return lapseMany
 	}
@@ -71,6 +75,8 @@
 	switch l.cause {
 	case lapseOutage:
 		return true
+	case lapseCopy:
+		return e.uncopied
 	case lapseMany:
 		return now.Sub(e.lapsed) < time.Duration(doubtShare*float64(l.set.DrainWithin))
 	}
--- a/citronlist/lapse_test.go
+++ b/citronlist/lapse_test.go
@@ -16,16 +16,21 @@
 	"github.com/matryer/is"
 )
 
-// listOf returns a list with so many engines.
-func listOf(t *testing.T, clock citronclock.Clock, n int, drain time.Duration) *List {
-	t.Helper()
-	l := New(Settings{
+// newList returns an empty list.
+func newList(clock citronclock.Clock, drain time.Duration) *List {
+	return New(Settings{
 		Prefix: "engines/", DrainWithin: drain, Clock: clock, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Ended: func(citronmodel.Engine) {},
 		Decode: func(_ string, text []byte) (citronmodel.Engine, error) {
 			var e citronmodel.Engine
 			return e, json.Unmarshal(text, &e)
 		},
 	})
+}
+
+// listOf returns a list with so many engines.
+func listOf(t *testing.T, clock citronclock.Clock, n int, drain time.Duration) *List {
+	t.Helper()
+	l := newList(clock, drain)
 	items := make([]citronkv.Item, n)
 	for i := range items {
 		text, err := json.Marshal(citronmodel.Engine{ID: fmt.Sprint(i), Addr: fmt.Sprintf("a%d:1", i)})
--- a/citronlist/list.go
+++ b/citronlist/list.go
@@ -59,6 +59,14 @@
 	// rejected is the revision of each entry that could not be read, so that
 	// it is logged once.
 	rejected map[string]citronkv.Revision
+	// overtaken are older entries of engines, by key, and returned is when the
+	// store last came back from an older copy (era.go).
+	overtaken map[string][]past
+	returned  time.Time
+	// eraBegan is the revision of the first list of the era.
+	eraBegan citronkv.Revision
+	// returning: the list that is being taken is the first of an era.
+	returning bool
 	// firsthand: what is being taken is from the store. Only then is each
 	// engine logged; the other nodes would log the same again.
 	firsthand bool
@@ -80,6 +88,8 @@
 	entryBorn int64
 	// lapsed is when the entry was found missing; zero while it is there.
 	lapsed time.Time
+	// uncopied: it is missing in the copy from which the store returned.
+	uncopied bool
 	// kept: it stays in use although its entry is missing.
 	kept bool
 	// spoiled: another writer has put something unreadable in its place.
@@ -91,7 +101,7 @@
 	if set.DrainWithin <= 0 {
 		set.DrainWithin = usualDrain
 	}
-	return &List{set: set, entries: map[string]entry{}, byAddr: map[string]string{}, rejected: map[string]citronkv.Revision{}}
+	return &List{set: set, entries: map[string]entry{}, byAddr: map[string]string{}, rejected: map[string]citronkv.Revision{}, overtaken: map[string][]past{}}
 }
 
 // Revision is that of the newest list taken, zero before the first.
@@ -116,6 +126,8 @@
 		return false
 	}
 	l.firsthand = firsthand
+	l.returning = l.beginEra(ctx, items, revision)
+	defer func() { l.returning = false }()
 	seen := map[string]bool{}
 	for _, it := range items {
 		seen[it.Key] = true
@@ -176,6 +188,9 @@
 // put takes an entry.
 func (l *List) put(ctx context.Context, it citronkv.Item) {
 	old, had := l.entries[it.Key]
+	if l.isOvertaken(it) {
+		return
+	}
 	e, err := l.set.Decode(it.Key, it.Value)
 	if err != nil {
 		l.reject(ctx, it, err)
@@ -194,6 +209,9 @@
 	if l.firsthand && (!had || old.engine != now.engine || !old.lapsed.IsZero()) {
 		citronevent.Log(ctx, l.set.Log, citronevent.EnginesChanged, "engine", e.ID, "peer", e.Addr, "service", e.Service, "zone", e.Zone, "kind", e.Kind, "from", e.Layers.From, "to", e.Layers.To, "leaving", e.Leaving)
 	}
+	if had && printOf(old.item) != printOf(it) {
+		l.overtake(old.item)
+	}
 	delete(l.rejected, it.Key)
 	l.entries[it.Key] = now
 	l.byAddr[e.Addr] = it.Key
@@ -207,7 +225,7 @@
 		return
 	}
 	l.rejected[it.Key] = it.Revision
-	citronevent.Log(ctx, l.set.Log, citronevent.EngineRejected, "key", it.Key, "revision", it.Revision, "bytes", len(it.Value), "err", err)
+	citronevent.Log(ctx, l.set.Log, citronevent.EngineRejected, "key", it.Key, "revision", citronkv.RevisionText(it.Revision), "bytes", len(it.Value), "err", err)
 	if e, ok := l.entries[it.Key]; ok {
 		l.drop(ctx, it.Key, e, it.Revision)
 		e = l.entries[it.Key]
@@ -232,6 +250,7 @@
 		return true
 	}
 	l.end(ctx, other.engine, e.ID)
+	l.overtake(other.item)
 	l.note(citronkv.Item{Key: key, Revision: it.Revision, Deleted: true})
 	delete(l.entries, key)
 	return false
@@ -250,9 +269,15 @@
 		return
 	}
 	l.note(citronkv.Item{Key: key, Revision: revision, Deleted: true})
+	e.uncopied = l.returning
+	if !e.uncopied {
+		l.overtake(e.item)
+	}
 	e.lapsed = l.set.Clock.Now()
 	l.entries[key] = e
-	l.vanished = append(l.vanished, e.lapsed)
+	if !e.uncopied {
+		l.vanished = append(l.vanished, e.lapsed)
+	}
 	citronevent.Log(ctx, l.set.Log, citronevent.EnginesChanged, "engine", e.engine.ID, "peer", e.engine.Addr, "missing", true)
 }
 
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -77,10 +77,12 @@
 	// view.
 	list        *citronlist.List
 	listVersion int
-	members     *citronroster.Table
-	sums        *citronroster.Sums
-	self        citronpeer.Member
-	view        *citronpool.View
+	// era is that of the list.
+	era     int64
+	members *citronroster.Table
+	sums    *citronroster.Sums
+	self    citronpeer.Member
+	view    *citronpool.View
 	// listSince is when the first list came, listAt when it last changed,
 	// configAt when the configuration did.
 	listSince, listAt, configAt time.Time
@@ -150,6 +152,11 @@
 // listTaken is called when news of the list was taken.
 func (c *control) listTaken(ctx context.Context, source string) {
 	c.listAt = c.n.clock.Now()
+	if era := citronkv.Era(c.list.Revision()); era != c.era {
+		c.era = era
+		c.n.quarantine.Unkeep()
+		wake(c.n.barredNews)
+	}
 	if c.listSince.IsZero() {
 		c.listSince = c.listAt
 	}
@@ -158,7 +165,7 @@
 	if source != sourceStore {
 		e = citronevent.EnginesHeard // a line of each node for each change would hide all else
 	}
-	citronevent.Log(ctx, c.n.log, e, "revision", c.list.Revision(), "engines", c.list.Len(), "source", source)
+	citronevent.Log(ctx, c.n.log, e, "revision", citronkv.RevisionText(c.list.Revision()), "engines", c.list.Len(), "source", source)
 }
 
 // ended has the requests moved that run on an engine that has ended.
--- a/citronnode/gossip.go
+++ b/citronnode/gossip.go
@@ -288,6 +288,11 @@
 	}
 }
 
+// mostErasAhead is how many times the store may have come back from a copy since
+// this node last heard of its list. Taken from a node that tells of more, all lists
+// that follow would be old news.
+const mostErasAhead = 16
+
 func (n *Node) learn(ctx context.Context, k citronpeer.Knowledge) {
 	n.learnSuspects(ctx, k.From.Name, k.Suspects)
 	n.send(ctx, membersSeen{from: k.From, told: k.Diff, digest: k.Digest, sums: k.Sums})
@@ -297,6 +302,10 @@
 	if len(k.Engines.Body) == 0 {
 		return
 	}
+	if own := n.storeEra(); citronkv.Era(k.Engines.Revision) > own+mostErasAhead && n.snap.Load().list.Revision > 0 {
+		citronevent.Log(ctx, n.log, citronevent.EngineRejected, "key", "exchange", "peer", k.From.Name, "revision", citronkv.RevisionText(k.Engines.Revision), "era", own)
+		return
+	}
 	var items []citronkv.Item
 	if err := json.Unmarshal(k.Engines.Body, &items); err != nil {
 		citronevent.Log(ctx, n.log, citronevent.EngineRejected, "key", "exchange", "err", err)
--- a/citronnode/sources.go
+++ b/citronnode/sources.go
@@ -249,6 +249,13 @@
 	registerEvery = 2 * time.Second
 )
 
+// notRegistered is the era of a node whose address is not in the store.
+const notRegistered = -1
+
+// storeEra is that of the newest list; what this node wrote in an earlier one may
+// be gone.
+func (n *Node) storeEra() int64 { return citronkv.Era(n.snap.Load().list.Revision) }
+
 // register leaves this node's peer address in the store and reads those of the
 // others, once it is one of the first of the nodes that it hears; one that hears
 // of none reads them too. The seeds of the settings may all be gone when a
@@ -256,19 +263,24 @@
 // to it, and two halves of a fleet that lost each other would never meet again.
 // In each half some nodes come first, and those know the addresses of both. The
 // entries need no lease: an address where nobody answers costs a connection now
-// and then, and the machine's name is used again.
+// and then, and the machine's name is used again. A store that came back from an older copy may
+// have lost them, and gets them again.
 func (n *Node) register(ctx context.Context) {
 	for !n.settled() && ctx.Err() == nil {
 		_ = n.clock.Sleep(ctx, settlePoll)
 	}
-	for registered := false; ctx.Err() == nil; {
+	registered := int64(notRegistered)
+	for ctx.Err() == nil {
 		var err error
-		if !registered && n.rank() < mostRegistered {
+		era := n.storeEra()
+		if registered != era && n.rank() < mostRegistered {
 			_, err = n.src.Store.Put(ctx, nodePrefix+n.set.Name, []byte(n.set.Peer), citronkv.AnyRevision, 0)
 			if err == nil {
 				err = n.readRegistered(ctx)
 			}
-			registered = err == nil
+			if err == nil {
+				registered = era
+			}
 		} else if len(n.snap.Load().members) == 0 {
 			err = n.readRegistered(ctx)
 		}
--- a/citronnode/status.go
+++ b/citronnode/status.go
@@ -1,6 +1,10 @@
 package citronnode
 
-import "time"
+import (
+	"time"
+
+	"citrondeck.dev/citrondeck/citronkv"
+)
 
 // Status is what a node knows at one moment, for its metrics.
 type Status struct {
@@ -12,6 +16,8 @@
 	// the list last changed.
 	ListRevision int64
 	ListAge      time.Duration
+	// StoreEra is how often the store has come back from an older copy.
+	StoreEra int64
 	// Ready and Leaving count engines, Nodes the other nodes heard.
 	Ready, Leaving, Nodes int
 	// Unreadable are entries of the list that name no engine, of another writer.
@@ -31,7 +37,7 @@
 // Status returns what the node knows now.
 func (n *Node) Status() Status {
 	s := n.snap.Load()
-	out := Status{ConfigVersion: s.config.Revision, ListRevision: s.list.Revision, Nodes: len(s.members), Unreadable: s.unreadable, Kept: s.kept, Watching: s.self.Watching, Leads: s.self.Leads}
+	out := Status{ConfigVersion: s.config.Revision, ListRevision: citronkv.Number(s.list.Revision), StoreEra: citronkv.Era(s.list.Revision), Nodes: len(s.members), Unreadable: s.unreadable, Kept: s.kept, Watching: s.self.Watching, Leads: s.self.Leads}
 	out.Suspects, out.Barred = n.quarantine.Count()
 	out.SuspectsRejected = n.suspectsRejected.Load()
 	now := n.clock.Now()
--- a/citronquarantine/ledger.go
+++ b/citronquarantine/ledger.go
@@ -193,6 +193,15 @@
 	})
 }
 
+// Unkeep notes that what was kept may be lost.
+func (l *Ledger) Unkeep() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range l.entries {
+		e.saved = Record{}
+	}
+}
+
 // Saved notes that a record is kept.
 func (l *Ledger) Saved(x Entry) {
 	l.mu.Lock()
--- a/citronsoak/engine_test.go
+++ b/citronsoak/engine_test.go
@@ -83,7 +83,7 @@
 	mu                      sync.Mutex
 	from, to                int
 	accepted, beats, born   int64
-	leaving                 bool
+	leaving, ended          bool
 	// gone is when its entry went without a word; zero while it is there.
 	gone time.Time
 	// restart brings another engine in the place of one that a request crashed.
@@ -133,6 +133,9 @@
 
 // crash ends the engine; its entry goes a second later.
 func (e *engine) crash() {
+	e.mu.Lock()
+	e.ended = true
+	e.mu.Unlock()
 	_ = e.hs.Close()
 	time.AfterFunc(time.Second, func() {
 		_ = e.store.Delete(context.Background(), "servers/"+e.id, citronkv.AnyRevision)
@@ -170,6 +173,13 @@
 	e.mu.Unlock()
 }
 
+// writes reports whether the engine keeps its entry.
+func (e *engine) writes() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.ended && e.gone.IsZero()
+}
+
 // sinceGone is how long the engine's entry has been missing, zero if it is there.
 func (e *engine) sinceGone() time.Duration {
 	e.mu.Lock()
--- a/citronsoak/soak_test.go
+++ b/citronsoak/soak_test.go
@@ -48,8 +48,12 @@
 	runs    *runs
 	mu      sync.Mutex
 	engines map[string][]*engine
+	// all are the engines that ever were.
+	all     []*engine
 	made    int
 	version atomic.Int64
+	// writing is held while the operator writes.
+	writing sync.Mutex
 	// served are, for each life of a node, the newest version whose effect
 	// a caller saw there.
 	served map[string]int64
@@ -58,6 +62,8 @@
 	counts map[string]int
 	// crashing: a request that crashes engines comes again and again.
 	crashing bool
+	// returning: the store comes back from older copies.
+	returning bool
 }
 
 // Nodes are killed, stopped, paused and restarted, engines die and leave, and
@@ -112,6 +118,7 @@
 	e.mu.Unlock()
 	w.t.Cleanup(func() { _ = e.hs.Close() })
 	w.engines[service] = append(w.engines[service], e)
+	w.all = append(w.all, e)
 }
 
 // replaceCrashed brings an engine in the place of one that ended.
@@ -137,7 +144,13 @@
 
 // configure writes the next version; it has a route of its own.
 func (w *world) configure() {
-	v := w.version.Load() + 1
+	w.writing.Lock()
+	defer w.writing.Unlock()
+	w.writeConfig(w.version.Load() + 1)
+}
+
+// writeConfig writes a version.
+func (w *world) writeConfig(v int64) {
 	route := func(prefix, kind, service string, attempts int) map[string]any {
 		return map[string]any{
 			"name": prefix, "host": "h", "prefix": prefix, "kind": kind, "service": service, "maxAttempts": attempts,
@@ -177,6 +190,9 @@
 	if w.crashing {
 		all.Go(func() { w.crashEngines(end) })
 	}
+	if w.returning {
+		all.Go(func() { w.returns(rand.New(rand.NewPCG(seed, 2000)), end) })
+	}
 	for time.Now().Before(end) {
 		f := w.fault(r)
 		faults.Go(f)
--- a/citronsoak/store_test.go
+++ b/citronsoak/store_test.go
@@ -34,7 +34,7 @@
 func wire(items []citronkv.Item) []wireItem {
 	out := make([]wireItem, len(items))
 	for i, it := range items {
-		out[i] = wireItem{it.Key, it.Value, it.Revision, int64(it.Lease), it.Deleted}
+		out[i] = wireItem{it.Key, it.Value, citronkv.Number(it.Revision), int64(it.Lease), it.Deleted}
 	}
 	return out
 }
@@ -53,6 +53,8 @@
 }
 
 func (s *storeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// A call that meets the return of the store is answered as of before it.
+	w.Header().Set("Store-Era", strconv.FormatInt(s.kv.Era(), 10))
 	v, err := s.call(r)
 	switch {
 	case err == nil:
@@ -79,7 +81,7 @@
 		return wire([]citronkv.Item{it})[0], err
 	case r.URL.Path == "/kv-range":
 		items, rev, err := s.kv.Range(ctx, q.Get("prefix"))
-		return map[string]any{"items": wire(items), "storeRevision": rev}, err
+		return map[string]any{"items": wire(items), "storeRevision": citronkv.Number(rev)}, err
 	case r.URL.Path == "/kv-watch":
 		return s.watch(ctx, q.Get("prefix"), number(q.Get("after")), number(q.Get("waitMs")))
 	case r.URL.Path == "/kv-txn":
@@ -106,11 +108,12 @@
 func (s *storeServer) watch(ctx context.Context, prefix string, after, waitMS int64) (any, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(waitMS)*time.Millisecond)
 	defer cancel()
+	after = citronkv.RevisionOf(s.kv.Era(), after)
 	items, rev, err := s.kv.Watch(ctx, prefix, after)
 	if err != nil && ctx.Err() != nil {
 		items, rev, err = nil, after, nil // the wait ended without events
 	}
-	return map[string]any{"events": wire(items), "storeRevision": rev}, err
+	return map[string]any{"events": wire(items), "storeRevision": citronkv.Number(rev)}, err
 }
 
 func (s *storeServer) commit(ctx context.Context, r *http.Request) (any, error) {
@@ -121,6 +124,9 @@
 	expect := map[string]int64{}
 	for _, e := range t.Expected {
 		expect[e.Key] = e.Revision
+		if e.Revision != citronkv.Absent {
+			expect[e.Key] = citronkv.RevisionOf(s.kv.Era(), e.Revision)
+		}
 	}
 	revision := func(key string) int64 {
 		if rev, ok := expect[key]; ok {
@@ -141,5 +147,5 @@
 			return nil, err
 		}
 	}
-	return map[string]any{"revision": last}, nil
+	return map[string]any{"revision": citronkv.Number(last)}, nil
 }
--- a/citronstat/node.go
+++ b/citronstat/node.go
@@ -18,7 +18,8 @@
 	}
 	gauge("config_version", "Version of the configuration in force, 0 without one.", func(s citronnode.Status) float64 { return float64(s.ConfigVersion) })
 	gauge("config_age_seconds", "Time since it was put in force.", func(s citronnode.Status) float64 { return s.ConfigAge.Seconds() })
-	gauge("list_revision", "Revision of the list of engines.", func(s citronnode.Status) float64 { return float64(s.ListRevision) })
+	gauge("list_revision", "Revision of the list of engines, in the era of the store.", func(s citronnode.Status) float64 { return float64(s.ListRevision) })
+	gauge("store_era", "How often the store has come back from an older copy.", func(s citronnode.Status) float64 { return float64(s.StoreEra) })
 	gauge("list_age_seconds", "Time since the list last changed.", func(s citronnode.Status) float64 { return s.ListAge.Seconds() })
 	gauge("engines_ready", "Engines that take new work.", func(s citronnode.Status) float64 { return float64(s.Ready) })
 	gauge("engines_leaving", "Engines that are leaving.", func(s citronnode.Status) float64 { return float64(s.Leaving) })
