A suspect is not moved along its path, and an engine under the same ID crashes again

A part that is replaced has the new one begin to run the request: after two engines had ended under it, it was moved to two more (TestSuspectIsNotMovedAlongItsPath fails without the check). Engines that do not tell when they started come back under the same ID: their crashes counted once however often, so that a fleet with two engines that begin paths never barred a request. A run that was sent after the engine had ended proves another start (TestEngineThatIsBackCrashesAgain).

--- a/citronforward/crash.go
+++ b/citronforward/crash.go
@@ -80,12 +80,12 @@
 }
 
 // noteCrash finds out whether an engine has ended under a run of the request that
-// broke off, and notes it if the request had not run well before.
-func (j *job) noteCrash(ctx context.Context, e *citronpool.Engine) {
+// broke off and had begun at a moment, and notes it if the request had not run well.
+func (j *job) noteCrash(ctx context.Context, e *citronpool.Engine, began time.Time) {
 	if !j.f.hasEnded(ctx, e) || j.sound {
 		return
 	}
-	r, news := j.f.Quarantine.Crashed(j.fingerprint(), e.ID)
+	r, news := j.f.Quarantine.Crashed(j.fingerprint(), e.ID, began)
 	if !news {
 		return
 	}
--- a/citronforward/crash_test.go
+++ b/citronforward/crash_test.go
@@ -128,3 +128,26 @@
 	is.Equal(got.body, events(1, 4))
 	is.True(r.Quarantine.Empty())
 }
+
+// Guards against a request that is moved to another engine as a part of its path,
+// after two have ended under it: the new part begins to run it too.
+func TestSuspectIsNotMovedAlongItsPath(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, engine("m1", "a", 0, 4), engine("m2", "a", 4, 8), engine("m3", "a", 4, 8), engine("m4", "a", 4, 8))
+	r.engines.answer = func(ctx context.Context, _ int, _ citronupstream.Call) (*citronupstream.Reply, error) {
+		rep := reply(200, "")
+		rep.Body = silent{strings.NewReader(events(1, 1)), ctx}
+		return rep, nil
+	}
+	r.engines.report = func(addr string) (citronupstream.Report, error) {
+		if addr == "m1:1" {
+			return citronupstream.Report{}, nil
+		}
+		return citronupstream.Report{}, syscall.ECONNREFUSED
+	}
+	got := r.ask("stream", 5*time.Second)
+	is.True(got.aborted)
+	r.engines.mu.Lock()
+	defer r.engines.mu.Unlock()
+	is.True(len(r.engines.repaths) <= 1)
+}
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -121,7 +121,7 @@
 	runs, refused int
 	// lostRuns counts runs on engines that have ended since.
 	lostRuns int
-	// sound: the request has run well, under this id or another.
+	// sound: the request has run well under this id.
 	sound bool
 	// used is the share of cache taken at the fullest engine of the best
 	// path, if that is why the request is refused.
--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -315,7 +315,7 @@
 	s.avoidDead()
 	w.bad, w.reason = s.path[bad], reason
 	if s.path[bad].Engine.Ended() {
-		s.noteCrash(w.ctx, s.path[bad].Engine)
+		s.noteCrash(w.ctx, s.path[bad].Engine, s.run.sent)
 	}
 	if bad == 0 {
 		return w.resume()
@@ -328,6 +328,9 @@
 func (w *watch) reroute() action {
 	s := w.s
 	state := s.f.Current()
+	if s.suspect() && !s.sound {
+		return replaceRun // a new part would begin to run it
+	}
 	q := s.query(state, s.path[0].Engine.ID)
 	q.Keep = s.path
 	p, ok := citronpath.Choose(state.View.ByService[s.service.Name], q)
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -348,7 +348,7 @@
 	if res.outcome == notRun {
 		return refusedRun
 	}
-	s.noteCrash(ctx, first)
+	s.noteCrash(ctx, first, s.run.sent)
 	return brokenRun
 }
 
@@ -468,7 +468,7 @@
 	first := s.path[0].Engine
 	s.logRun(first, result{outcome: unknown, err: errors.Wrap(err, "read stream")})
 	s.avoid[first.ID] = true
-	s.noteCrash(ctx, first)
+	s.noteCrash(ctx, first, s.run.sent)
 	return brokenRun
 }
 
--- a/citronforward/whole.go
+++ b/citronforward/whole.go
@@ -63,6 +63,7 @@
 		if !ok {
 			break
 		}
+		began := j.f.Clock.Now()
 		res := j.attempt(ctx, e, hops)
 		j.f.Metrics.Attempts.WithLabelValues(res.outcome.String()).Inc()
 		if res.outcome == answered {
@@ -88,7 +89,7 @@
 		case res.outcome == failed:
 			fallback = &res
 		case ctx.Err() == nil:
-			j.noteCrash(ctx, e)
+			j.noteCrash(ctx, e, began)
 		}
 		if ctx.Err() != nil || !j.mayRepeat() {
 			break
--- a/citronnode/era_test.go
+++ b/citronnode/era_test.go
@@ -94,7 +94,7 @@
 	}
 	f.untilAllKnowAll()
 	for i := range 3 {
-		f.nodes[0].Quarantine().Crashed(suspect, fmt.Sprintf("i-%d", i))
+		f.nodes[0].Quarantine().Crashed(suspect, fmt.Sprintf("i-%d", i), time.Time{})
 	}
 	there := func() bool {
 		for _, prefix := range []string{"deck/nodes/a", "deck/leader", "deck/barred/"} {
--- a/citronnode/sources.go
+++ b/citronnode/sources.go
@@ -263,8 +263,8 @@
 // to it, and two halves of a fleet that lost each other would never meet again.
 // In each half some nodes come first, and those know the addresses of both. The
 // entries need no lease: an address where nobody answers costs a connection now
-// and then, and the machine's name is used again. A store that came back from an older copy may
-// have lost them, and gets them again.
+// and then, and the machine's name is used again. A store that came back from an
+// older copy may have lost them, and gets them again.
 func (n *Node) register(ctx context.Context) {
 	for !n.settled() && ctx.Err() == nil {
 		_ = n.clock.Sleep(ctx, settlePoll)
--- a/citronnode/suspects_test.go
+++ b/citronnode/suspects_test.go
@@ -57,7 +57,7 @@
 	}
 	f.untilAllKnowAll()
 	for i := range 3 {
-		f.nodes[i*size/3].Quarantine().Crashed(suspect, fmt.Sprintf("i-%d", i))
+		f.nodes[i*size/3].Quarantine().Crashed(suspect, fmt.Sprintf("i-%d", i), time.Time{})
 	}
 	from := time.Now()
 	eventually(t, "all nodes bar the request", func() bool { return f.barredAt(suspect) == size })
@@ -77,7 +77,7 @@
 	}
 	f.untilAllKnowAll()
 	for i := range 3 {
-		f.nodes[0].Quarantine().Crashed(suspect, fmt.Sprintf("i-%d", i))
+		f.nodes[0].Quarantine().Crashed(suspect, fmt.Sprintf("i-%d", i), time.Time{})
 	}
 	eventually(t, "all nodes bar the request", func() bool { return f.barredAt(suspect) == 3 })
 	time.Sleep(2 * time.Second) // it is no news any more
@@ -100,7 +100,7 @@
 	}
 	f.untilAllKnowAll()
 	for i := range 3 {
-		f.nodes[i].Quarantine().Crashed(suspect, fmt.Sprintf("i-%d", i))
+		f.nodes[i].Quarantine().Crashed(suspect, fmt.Sprintf("i-%d", i), time.Time{})
 	}
 	eventually(t, "the record is in the store", func() bool {
 		items, _, err := f.store.Range(context.Background(), "deck/barred/")
--- a/citronquarantine/ledger.go
+++ b/citronquarantine/ledger.go
@@ -143,12 +143,16 @@
 }
 
 // Crashed notes that an engine, by the ID of its start, ended under a run of the
-// request that had just begun. It returns what is held against the request now,
-// and whether this is news.
-func (l *Ledger) Crashed(p Print, engine string) (r Record, news bool) {
-	crash := Record{}.WithCrash(Crash{Engine: EngineKey(engine), At: l.clock.Now()})
+// request that had begun a moment before. It returns what is held against the
+// request now, and whether this is news.
+func (l *Ledger) Crashed(p Print, engine string, began time.Time) (r Record, news bool) {
 	l.mu.Lock()
 	e := l.find(p)
+	var known Record
+	if e != nil {
+		known = e.Record
+	}
+	crash := Record{}.WithCrash(Crash{Engine: known.keyOf(engine, began), At: l.clock.Now()})
 	news = e == nil || !e.WithAll(crash).equal(e.Record)
 	if news {
 		e = l.put(p, crash)
--- a/citronquarantine/ledger_test.go
+++ b/citronquarantine/ledger_test.go
@@ -23,7 +23,7 @@
 // crash has engines end under a request, the first with number from.
 func crash(l *citronquarantine.Ledger, p citronquarantine.Print, from, count int) {
 	for i := range count {
-		l.Crashed(p, fmt.Sprintf("i-%d", from+i))
+		l.Crashed(p, fmt.Sprintf("i-%d", from+i), time.Time{})
 	}
 }
 
@@ -31,7 +31,7 @@
 	l, _ := newLedger("n1")
 	p := citronquarantine.PrintOf("council", "POST", "example.org", "/nest/7", []byte("a plan"))
 	for _, engine := range []string{"i-1", "i-2", "i-2", "i-3"} {
-		r, news := l.Crashed(p, engine)
+		r, news := l.Crashed(p, engine, time.Time{})
 		fmt.Println(engine, r.Standing(), news)
 	}
 	_, barred := l.Admit(p).(citronquarantine.Barred)
@@ -60,6 +60,23 @@
 	is.True(ok)
 }
 
+// Guards against counting the crashes of an engine once that starts again under the
+// same ID, and against counting one crash twice.
+func TestEngineThatIsBackCrashesAgain(t *testing.T) {
+	is := is.New(t)
+	l, clock := newLedger("n1")
+	p := request(1)
+	for i := range 3 {
+		began := clock.Now()
+		clock.Advance(100 * time.Millisecond)
+		for range 2 {
+			r, _ := l.Crashed(p, "i-1", began)
+			is.Equal(r.Standing(), i+1)
+		}
+		clock.Advance(3 * time.Second)
+	}
+}
+
 // Guards against a sound request that stays barred after it was on three engines
 // that crashed for other reasons.
 func TestRequestThatRunsWellIsCleared(t *testing.T) {
@@ -73,7 +90,7 @@
 	l.Ran(p)
 	_, ok = l.Admit(p).(citronquarantine.Free)
 	is.True(ok)
-	l.Crashed(p, "i-2") // late news of a crash from before
+	l.Crashed(p, "i-2", time.Time{}) // late news of a crash from before
 	_, ok = l.Admit(p).(citronquarantine.Free)
 	is.True(ok)
 }
@@ -90,7 +107,7 @@
 		clock.Advance(time.Minute)
 		if trial, ok := l.Admit(p).(citronquarantine.Trial); ok {
 			crashes++
-			l.Crashed(p, fmt.Sprintf("i-%d", crashes))
+			l.Crashed(p, fmt.Sprintf("i-%d", crashes), time.Time{})
 			trial.End()
 		}
 	}
@@ -189,7 +206,7 @@
 		which := rapid.IntRange(0, 4)
 		t.Repeat(map[string]func(*rapid.T){
 			"crash": func(t *rapid.T) {
-				nodes[node.Draw(t, "node")].Crashed(request(which.Draw(t, "request")), fmt.Sprintf("i-%d", rapid.IntRange(0, 9).Draw(t, "engine")))
+				nodes[node.Draw(t, "node")].Crashed(request(which.Draw(t, "request")), fmt.Sprintf("i-%d", rapid.IntRange(0, 9).Draw(t, "engine")), time.Time{})
 			},
 			"run":  func(t *rapid.T) { nodes[node.Draw(t, "node")].Ran(request(which.Draw(t, "request"))) },
 			"tell": func(t *rapid.T) { tell(node.Draw(t, "from"), node.Draw(t, "to")) },
--- a/citronquarantine/model_test.go
+++ b/citronquarantine/model_test.go
@@ -93,7 +93,7 @@
 	m.runs = others
 	for _, r := range there {
 		if now.Sub(r.since) < firstEvent+provenRun {
-			m.ledger.Crashed(r.print, fmt.Sprintf("%d@%d", engine, m.starts[engine]))
+			m.ledger.Crashed(r.print, fmt.Sprintf("%d@%d", engine, m.starts[engine]), r.since)
 		}
 		r.attempts++
 		switch {
--- a/citronquarantine/record.go
+++ b/citronquarantine/record.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -37,6 +38,21 @@
 // EngineKey identifies one start of an engine by its ID.
 func EngineKey(id string) uint64 { return xxhash.Sum64String(id) }
 
+// keyOf identifies the start of an engine that ended under a run. Some engines do
+// not tell when they started: one that has ended before, and ran the request since,
+// has started again.
+func (r Record) keyOf(id string, began time.Time) uint64 {
+	key := EngineKey(id)
+	for start := 2; r.endedBefore(key, began) && start <= MostCrashes; start++ {
+		key = EngineKey(id + "#" + strconv.Itoa(start))
+	}
+	return key
+}
+
+func (r Record) endedBefore(key uint64, t time.Time) bool {
+	return slices.ContainsFunc(r.crashes, func(c Crash) bool { return c.Engine == key && c.At.Before(t) })
+}
+
 // Record is what is held against one request. It is immutable.
 type Record struct{ crashes []Crash }
 
