Records of one crash are told sparingly; news of a known member counts from now

Likely causes by reading, not shown apart: eight engines that end at once leave hundreds of records of one crash, of sound requests, and each change woke all nodes to tell up to 64 of them again; and a member whose details changed counted as heard of when its teller had, so that well nodes were asked, and held for lost.

A record of one crash is told with other news, eight at most; only those that bar a request, might after one more crash, or did, are told at once and agreed on (TestSingleCrashesAreToldSparingly). The age of hearsay counts only for members that are new here, or were lost.

TestLedgerIsBounded fills the ledger with records of one and two crashes now: All does not return those of one.

--- a/citronnode/members.go
+++ b/citronnode/members.go
@@ -17,7 +17,7 @@
 func (c *control) takeMembers(told citronpeer.Diff) {
 	now := c.n.clock.Now()
 	for i, m := range told.Members {
-		news, changed := c.members.Take(m, now.Add(-told.Age(i)))
+		news, changed := c.members.Take(m, now.Add(-told.Age(i)), now)
 		if !news {
 			continue
 		}
--- a/citronquarantine/ledger.go
+++ b/citronquarantine/ledger.go
@@ -19,8 +19,12 @@
 	mostRecords = 1024
 	// MostTold is how many records nodes tell each other at once.
 	MostTold = 64
-	// tellFor is how long a change is news to other nodes.
-	tellFor = time.Second
+	// tellFor is how long a change is news to other nodes, and mostRecent how many
+	// changes are told as news. Eight engines that end at once leave hundreds of
+	// records of one crash: told whole, again and again, they take the links of a
+	// large fleet.
+	tellFor    = 2 * time.Second
+	mostRecent = 8
 	// summaryFor is how long forgotten records may be told still.
 	summaryFor = 10 * time.Second
 	// trialRetry is when a request may ask again while another of the same
@@ -160,8 +164,8 @@
 	}
 	r = e.Record
 	l.mu.Unlock()
-	if news {
-		l.changed()
+	if news && r.weighty() {
+		l.changed() // one crash alone is told with other news
 	}
 	return r, news
 }
@@ -177,8 +181,9 @@
 	if news {
 		l.set(e, e.WithRefuted())
 	}
+	urgent := news && e.weighty()
 	l.mu.Unlock()
-	if news {
+	if urgent {
 		l.changed()
 	}
 }
@@ -232,8 +237,8 @@
 				continue
 			}
 		}
-		news = true
 		after := l.put(t.Print, t.Record).Record
+		news = news || after.weighty()
 		if before < barAt && after.Standing() >= barAt {
 			barred = append(barred, Entry{t.Print, after})
 		}
@@ -272,11 +277,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
-	return l.told(func(e *entry) bool { return now.Sub(e.changedAt) < tellFor })
+	recent := l.told(func(e *entry) bool { return now.Sub(e.changedAt) < tellFor })
+	return recent[:min(len(recent), mostRecent)]
 }
 
-// All returns what a node is told that knows something else, the most crashes
-// first.
+// All returns what a node is told that knows something else: the records that bar a
+// request, or would with one more crash, and those that did.
 func (l *Ledger) All() []Entry { return l.summarize().all }
 
 // Sum is a checksum of what All returns, zero of nothing. Nodes that know the same
@@ -292,7 +298,7 @@
 	now := l.clock.Now()
 	if l.summary == nil || now.Sub(l.summary.at) > summaryFor {
 		l.dropForgotten()
-		all := l.told(func(*entry) bool { return true })
+		all := l.told(func(e *entry) bool { return e.weighty() })
 		l.summary = &summary{at: now, all: all, sum: checksum(all)}
 	}
 	return *l.summary
--- a/citronquarantine/record.go
+++ b/citronquarantine/record.go
@@ -121,6 +121,10 @@
 	return n
 }
 
+// weighty reports whether the record bars the request, or might after one more
+// crash, or did: all nodes have to agree on it.
+func (r Record) weighty() bool { return len(r.crashes) >= barAt-1 }
+
 // last is the time of the newest crash that counts, of any if none does.
 func (r Record) last() time.Time {
 	var last time.Time
--- a/citronroster/table.go
+++ b/citronroster/table.go
@@ -86,7 +86,7 @@
 //
 // Were a member that is new here taken for heard of just now, nodes that start one
 // after the other would keep a dead one for each other.
-func (t *Table) Take(m citronpeer.Member, heard time.Time) (news, changed bool) {
+func (t *Table) Take(m citronpeer.Member, heard, now time.Time) (news, changed bool) {
 	if m.Name == "" || m.Name == t.self {
 		return false, false
 	}
@@ -100,8 +100,8 @@
 	if ok {
 		delete(t.byPrint, old.Print)
 	}
-	if ok && old.Heard.After(heard) {
-		heard = old.Heard
+	if ok && old.Alive {
+		heard = now // it has gone on since it was heard of here
 	}
 	k := &Known{Entry: Entry{Member: m, Print: Of(m)}, seen: m.Beat, Heard: heard, Alive: true}
 	t.members[m.Name] = k
