--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -91,7 +91,7 @@
 	BarredUnsaved    Event = 623
 	StoreReturned    Event = 624
 
-	// 400 to 403 were announced for the stand-ins and never logged.
+	// 400 to 403 are reserved.
 )
 
 type entry struct {
