--- a/citronpath/path.go
+++ b/citronpath/path.go
@@ -78,8 +78,8 @@
 	// that the balance of a few requests makes.
 	otherZone = 6
 	// newPart is the price of a hop that is not on the request's present
-	// path. A token step costs 1 to 4 ms a hop and differs by less between
-	// engines that hold the same layers, so sound parts are kept.
+	// path. Token steps differ little between engines that hold the same
+	// layers, so sound parts are kept.
 	newPart = 3
 	// crossing is the price of handing a token's activations to another
 	// zone: all traffic of one zone over one pipe would nearly fill it.
