--- a/citroncli/apply.go
+++ b/citroncli/apply.go
@@ -32,8 +32,8 @@
 	File string `short:"f" help:"Fleet text to apply." required:""`
 	KV   string `help:"Base URL of the KV service." default:"http://127.0.0.1:7000"`
 	// Expect pins the revision the operator edited from.
-	Expect int64  `help:"Apply only if the fleet in force is at this revision (-1: whatever it is now)." default:"-1"`
-	Who    string `help:"Operator name for the audit trail (default: the login name)."`
+	Expect citronkv.Revision `help:"Apply only if the fleet in force is at this revision (-1: whatever it is now)." default:"-1"`
+	Who    string            `help:"Operator name for the audit trail (default: the login name)."`
 }
 
 type auditCmd struct {
@@ -91,15 +91,15 @@
 	ch, err := config(c.KV).Apply(ctx, c.File, text, c.who(), c.Expect)
 	switch {
 	case errors.Is(err, citronconfig.ErrRace):
-		citronevent.Log(ctx, log, citronevent.ConfigApplyRace, "expected", c.Expect, "err", err)
+		citronevent.Log(ctx, log, citronevent.ConfigApplyRace, "expected", c.Expect.String(), "err", err)
 		return errors.Wrap(err, "another operator applied first; read the fleet again, merge, and apply")
 	case errors.Is(err, citronconfig.ErrUnknown):
 		return errors.Wrap(err, "the KV service failed in between; see `citrondeck audit` before applying again")
 	case err != nil:
 		return err
 	}
-	citronevent.Log(ctx, log, citronevent.ConfigAudited, "revision", ch.Revision, "who", ch.Who)
-	fmt.Fprintf(g.Out, "applied fleet %q at revision %d (was %d)\n", f.Name, ch.Revision, ch.Previous)
+	citronevent.Log(ctx, log, citronevent.ConfigAudited, "revision", ch.Revision.String(), "who", ch.Who)
+	fmt.Fprintf(g.Out, "applied fleet %q at revision %v (was %v)\n", f.Name, ch.Revision, ch.Previous)
 	return nil
 }
 
@@ -121,7 +121,7 @@
 		return err
 	}
 	for _, ch := range trail {
-		fmt.Fprintf(g.Out, "%d (was %d) %s %s fleet %q sha256 %.12s\n", ch.Revision, ch.Previous, ch.At.Format(time.RFC3339), ch.Who, ch.Fleet, ch.SHA256)
+		fmt.Fprintf(g.Out, "%v (was %v) %s %s fleet %q sha256 %.12s\n", ch.Revision, ch.Previous, ch.At.Format(time.RFC3339), ch.Who, ch.Fleet, ch.SHA256)
 	}
 	return nil
 }
--- a/citronconfig/config.go
+++ b/citronconfig/config.go
@@ -88,8 +88,8 @@
 	applyWait  = 200 * time.Millisecond
 )
 
-// Apply checks text and puts it in force, replacing revision expect (0:
-// none may be there; a negative value: whatever is in force now).
+// Apply checks text and puts it in force, replacing revision expect (Absent:
+// none may be there; AnyRevision: whatever is in force now).
 func (c Config) Apply(ctx context.Context, file string, text []byte, who string, expect citronkv.Revision) (Change, error) {
 	f, err := citronfleet.Parse(file, text)
 	if err != nil {
@@ -99,11 +99,11 @@
 	if err != nil {
 		return Change{}, err
 	}
-	if expect < 0 {
+	if expect == citronkv.AnyRevision {
 		expect = cur.Revision
 	}
 	if cur.Revision != expect {
-		return Change{}, errors.Wrapf(ErrRace, "at revision %d, not %d", cur.Revision, expect)
+		return Change{}, errors.Wrapf(ErrRace, "at revision %v, not %v", cur.Revision, expect)
 	}
 	if err := c.audit(ctx, cur); err != nil {
 		return Change{}, err
@@ -180,7 +180,7 @@
 
 // audit copies the change record of the item about to be replaced.
 func (c Config) audit(ctx context.Context, it citronkv.Item) error {
-	if it.Revision == 0 {
+	if it.Revision.IsZero() {
 		return nil
 	}
 	rec, _ := json.Marshal(changeOf(it))
@@ -191,7 +191,7 @@
 	return errors.Wrap(err, "copy the audit record of the change in force")
 }
 
-func auditKey(rev citronkv.Revision) string { return fmt.Sprintf("%s%020d", AuditPrefix, rev) }
+func auditKey(rev citronkv.Revision) string { return fmt.Sprintf("%s%020d", AuditPrefix, rev.Packed()) }
 
 // write puts the change in force. A write whose reply is lost may have
 // been applied, and another operator may have replaced it since. Writing
@@ -206,38 +206,38 @@
 		case err == nil:
 			return rev, nil
 		case errors.Is(err, citronkv.ErrConflict) && !lost:
-			return 0, ErrRace
+			return citronkv.Revision{}, ErrRace
 		case errors.Is(err, citronkv.ErrConflict):
 			rev, ferr := c.find(ctx, ch.ID)
-			if ferr == nil && rev == 0 {
-				return 0, ErrRace
+			if ferr == nil && rev.IsZero() {
+				return citronkv.Revision{}, ErrRace
 			}
 			if ferr == nil {
 				return rev, nil
 			}
 		case !errors.Is(err, citronkv.ErrUnavailable):
-			return 0, errors.Wrap(err, "write the fleet text")
+			return citronkv.Revision{}, errors.Wrap(err, "write the fleet text")
 		}
 		lost = true
 		if c.Clock.Sleep(ctx, applyWait<<try) != nil {
 			break
 		}
 	}
-	return 0, errors.Wrapf(ErrUnknown, "change %s", ch.ID)
+	return citronkv.Revision{}, errors.Wrapf(ErrUnknown, "change %s", ch.ID)
 }
 
 // find returns the revision that change id got, or 0 if it was not made.
 func (c Config) find(ctx context.Context, id string) (citronkv.Revision, error) {
 	trail, err := c.Trail(ctx)
 	if err != nil {
-		return 0, err
+		return citronkv.Revision{}, err
 	}
 	for _, ch := range trail {
 		if ch.ID == id {
 			return ch.Revision, nil
 		}
 	}
-	return 0, nil
+	return citronkv.Revision{}, nil
 }
 
 // Trail returns the audit trail, oldest change first; its last element is
@@ -261,14 +261,14 @@
 		}
 		byRev[ch.Revision] = ch
 	}
-	if cur.Revision != 0 {
+	if !cur.Revision.IsZero() {
 		byRev[cur.Revision] = changeOf(cur)
 	}
 	return sorted(byRev), nil
 }
 
 func sorted(byRev map[citronkv.Revision]Change) []Change {
-	revs := slices.Sorted(maps.Keys(byRev))
+	revs := slices.SortedFunc(maps.Keys(byRev), citronkv.Revision.Compare)
 	out := make([]Change, len(revs))
 	for i, r := range revs {
 		out[i] = byRev[r]
--- a/citronconfig/config_test.go
+++ b/citronconfig/config_test.go
@@ -56,13 +56,13 @@
 	st := &interleaved{Server: kv}
 	alice := citronconfig.Config{KV: st, Clock: eager{}}
 	bob := citronconfig.Config{KV: kv, Clock: eager{}}
-	_, err := alice.Apply(ctx, "f", text(0), "alice", -1)
+	_, err := alice.Apply(ctx, "f", text(0), "alice", citronkv.AnyRevision)
 	is.NoErr(err)
 	st.before = func() {
-		_, err := bob.Apply(ctx, "f", text(1), "bob", -1)
+		_, err := bob.Apply(ctx, "f", text(1), "bob", citronkv.AnyRevision)
 		is.NoErr(err)
 	}
-	_, err = alice.Apply(ctx, "f", text(2), "alice", -1)
+	_, err = alice.Apply(ctx, "f", text(2), "alice", citronkv.AnyRevision)
 	is.True(errors.Is(err, citronconfig.ErrRace))
 	got, ch, err := bob.Text(ctx)
 	is.NoErr(err)
@@ -104,7 +104,7 @@
 			case 1:
 				kv.SetFaults(citronkv.Faults{})
 			case 2:
-				st.before = func() { apply(ops[1], -1) }
+				st.before = func() { apply(ops[1], citronkv.AnyRevision) }
 			case 3:
 				cur, err := ops[0].Current(ctx)
 				if err == nil {
@@ -113,7 +113,7 @@
 			case 4:
 				apply(ops[0], read) // from an older reading
 			default:
-				apply(ops[rapid.IntRange(0, 1).Draw(rt, "operator")], -1)
+				apply(ops[rapid.IntRange(0, 1).Draw(rt, "operator")], citronkv.AnyRevision)
 			}
 		}
 		kv.SetFaults(citronkv.Faults{})
@@ -139,7 +139,7 @@
 			}
 		}
 		// What is in force can be loaded, as it was written.
-		if cur, err := ops[0].Current(ctx); err != nil || cur.Revision == 0 {
+		if cur, err := ops[0].Current(ctx); err != nil || cur.Revision.IsZero() {
 			return
 		} else if got, err := (&citronconfig.Loader{KV: kv}).Load(ctx, cur); err != nil {
 			rt.Fatalf("the fleet in force cannot be loaded: %v", err)
@@ -157,10 +157,10 @@
 // A text put by hand, without the envelope, is taken as it is.
 func TestBareTextIsTaken(t *testing.T) {
 	is := is.New(t)
-	f, err := new(citronconfig.Loader).Load(context.Background(), citronkv.Item{Value: text(7), Revision: 3})
+	f, err := new(citronconfig.Loader).Load(context.Background(), citronkv.Item{Value: text(7), Revision: citronkv.RevisionOf(0, 3)})
 	is.NoErr(err)
 	is.Equal(f.Name, "f7")
-	is.Equal(f.Revision, int64(3))
+	is.Equal(f.Revision, citronkv.RevisionOf(0, 3))
 }
 
 // A change of one service costs an entry that section and no other, and
@@ -180,7 +180,7 @@
 		return kv.Counts().Reads - before
 	}
 	for n, want := range []int64{3, 1, 2} { // 0: all; 1: one service; 2: both
-		_, err := cfg.Apply(ctx, "f", text(n), "alice", -1)
+		_, err := cfg.Apply(ctx, "f", text(n), "alice", citronkv.AnyRevision)
 		is.NoErr(err)
 		is.Equal(load(), want)
 	}
@@ -196,7 +196,7 @@
 	ctx := context.Background()
 	kv := citronkv.NewServer(citronclock.Real{}, 0)
 	cfg := citronconfig.Config{KV: kv, Clock: eager{}}
-	_, err := cfg.Apply(ctx, "f", text(0), "alice", -1)
+	_, err := cfg.Apply(ctx, "f", text(0), "alice", citronkv.AnyRevision)
 	is.NoErr(err)
 	cur, err := cfg.Current(ctx)
 	is.NoErr(err)
@@ -227,7 +227,7 @@
 	var bytes, n int64
 	for i := 0; b.Loop(); i++ {
 		b.StopTimer()
-		if _, err := cfg.Apply(ctx, "f", large(i), "bench", -1); err != nil {
+		if _, err := cfg.Apply(ctx, "f", large(i), "bench", citronkv.AnyRevision); err != nil {
 			b.Fatal(err)
 		}
 		cur, err := cfg.Current(ctx)
@@ -236,7 +236,7 @@
 		}
 		items, _, _ := kv.Range(ctx, "config/section/")
 		for _, it := range items {
-			if it.Revision > cur.Revision-3 { // written by this change
+			if it.Revision.Number() > cur.Revision.Number()-3 { // written by this change
 				bytes += size(it)
 			}
 		}
--- a/citronentry/bench_test.go
+++ b/citronentry/bench_test.go
@@ -183,12 +183,12 @@
 			t0 := time.Now()
 			for range b.N {
 				start := time.Now()
-				ch, err := cfg.Apply(context.Background(), "f", []byte(text), "bench", -1)
+				ch, err := cfg.Apply(context.Background(), "f", []byte(text), "bench", citronkv.AnyRevision)
 				if err != nil {
 					b.Fatal(err)
 				}
 				for _, e := range r.entries {
-					for e.Revision() < ch.Revision {
+					for ch.Revision.After(e.Revision()) {
 						time.Sleep(50 * time.Microsecond)
 					}
 				}
--- a/citronentry/config_test.go
+++ b/citronentry/config_test.go
@@ -56,7 +56,7 @@
 	history := []citronkv.Item{base}
 	rapid.Check(t, func(rt *rapid.T) {
 		r.kv.SetFaults(citronkv.Faults{})
-		seen := []int64{r.entries[0].Revision(), r.entries[1].Revision()}
+		seen := []citronkv.Revision{r.entries[0].Revision(), r.entries[1].Revision()}
 		for range rapid.IntRange(1, 8).Draw(rt, "steps") {
 			switch rapid.IntRange(0, 2).Draw(rt, "action") {
 			case 0: // an operator applies a changed text
@@ -72,7 +72,7 @@
 				r.kv.SetFaults(citronkv.Faults{Down: rapid.Bool().Draw(rt, "down")})
 			}
 			for i, e := range r.entries {
-				if now := e.Revision(); now < seen[i] {
+				if now := e.Revision(); seen[i].After(now) {
 					rt.Fatalf("entry %d went back from revision %d to %d", i, seen[i], now)
 				} else {
 					seen[i] = now
@@ -87,7 +87,7 @@
 		for i, e := range r.entries {
 			for tries := 0; e.Revision() != newest; tries++ {
 				if tries > 20_000 {
-					rt.Fatalf("entry %d is at revision %d, the newest accepted one is %d", i, e.Revision(), newest)
+					rt.Fatalf("entry %d is at revision %v, the newest accepted one is %v", i, e.Revision(), newest)
 				}
 				time.Sleep(time.Millisecond)
 			}
@@ -97,5 +97,5 @@
 	r.kv.SetFaults(citronkv.Faults{Down: true})
 	wantOracle(t, r.ask(0, "during-outage", 2), "during-outage", 4, 2) // last good fleet still serves
 	r.kv.SetFaults(citronkv.Faults{})
-	is.True(r.entries[0].Revision() >= history[len(history)-1].Revision)
+	is.True(!history[len(history)-1].Revision.After(r.entries[0].Revision()))
 }
--- a/citronentry/control.go
+++ b/citronentry/control.go
@@ -134,14 +134,14 @@
 		}
 		return true
 	})
-	c.e.metrics.revision.Set(c.fleet.Revision)
+	c.e.metrics.revision.Set(c.fleet.Revision.Number())
 	c.e.metrics.kvUp.Set(map[bool]int64{true: 1}[c.kvUp])
 }
 
 func (c *control) takeWatch(ctx context.Context, w watchResult) {
 	if w.err != nil {
 		if c.kvUp {
-			citronevent.Log(ctx, c.e.log, citronevent.ConfigKVDown, "err", w.err, "in_force", c.fleet.Revision)
+			citronevent.Log(ctx, c.e.log, citronevent.ConfigKVDown, "err", w.err, "in_force", c.fleet.Revision.String())
 		}
 		c.dirty = c.dirty || c.kvUp
 		c.kvUp = false
@@ -161,7 +161,7 @@
 		}
 	}
 	if w.rejected != nil {
-		citronevent.Log(ctx, c.e.log, citronevent.ConfigRejected, "in_force", c.fleet.Revision, "err", w.rejected)
+		citronevent.Log(ctx, c.e.log, citronevent.ConfigRejected, "in_force", c.fleet.Revision.String(), "err", w.rejected)
 	}
 	if w.fleet != nil {
 		c.applyFleet(ctx, *w.fleet)
@@ -173,15 +173,15 @@
 // a reconnect, and a KV replica may answer from behind; applying it would
 // revert an accepted configuration.
 func (c *control) applyFleet(ctx context.Context, f citronfleet.Fleet) {
-	if f.Revision <= c.fleet.Revision {
-		if f.Revision < c.fleet.Revision {
-			citronevent.Log(ctx, c.e.log, citronevent.ConfigStale, "offered", f.Revision, "in_force", c.fleet.Revision)
+	if !f.Revision.After(c.fleet.Revision) {
+		if c.fleet.Revision.After(f.Revision) {
+			citronevent.Log(ctx, c.e.log, citronevent.ConfigStale, "offered", f.Revision.String(), "in_force", c.fleet.Revision.String())
 		}
 		return
 	}
 	c.fleet = f
 	c.dirty = true
-	citronevent.Log(ctx, c.e.log, citronevent.ConfigApplied, "revision", f.Revision, "services", len(f.Services))
+	citronevent.Log(ctx, c.e.log, citronevent.ConfigApplied, "revision", f.Revision.String(), "services", len(f.Services))
 }
 
 // pollInstances reads the platform's instance list again and again.
--- a/citronentry/entry.go
+++ b/citronentry/entry.go
@@ -92,7 +92,7 @@
 func (e *Entry) Metrics() *expvar.Map { return e.metrics.all }
 
 // Revision is the fleet revision in force.
-func (e *Entry) Revision() int64 { return e.snap.Load().Fleet.Revision }
+func (e *Entry) Revision() citronkv.Revision { return e.snap.Load().Fleet.Revision }
 
 // gate returns the admission gate of svc, sized for the snapshot.
 func (e *Entry) gate(s *citronroute.Snapshot, svc citronfleet.Service) *citronadmit.Gate {
--- a/citronentry/rig_test.go
+++ b/citronentry/rig_test.go
@@ -207,7 +207,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = e.Run(ctx, ln) }()
-	for e.Revision() == 0 {
+	for e.Revision().IsZero() {
 		time.Sleep(time.Millisecond)
 	}
 	d.entries = append(d.entries, e)
--- a/citronentry/serve.go
+++ b/citronentry/serve.go
@@ -52,7 +52,7 @@
 func (r *request) key() string { return deref(r.IdempotencyKey) }
 
 func (r *request) result(outcome string, e *Entry) *deck.SubmitResult {
-	rev := r.snap.Fleet.Revision
+	rev := r.snap.Fleet.Revision.Number()
 	return &deck.SubmitResult{RequestID: r.id, Outcome: outcome, Entry: e.set.Name, Revision: &rev}
 }
 
@@ -74,7 +74,8 @@
 	for _, en := range choose(a.e.listed(s), deref(p.Zone)) {
 		out = append(out, &deck.EntryAddr{Name: en.Name, Addr: en.Addr, Zone: en.Zone})
 	}
-	return &deck.EntriesResult{Entries: out, TTLSeconds: int(a.e.set.DiscoveryTTL / time.Second), Revision: &s.Fleet.Revision}, nil
+	rev := s.Fleet.Revision.Number()
+	return &deck.EntriesResult{Entries: out, TTLSeconds: int(a.e.set.DiscoveryTTL / time.Second), Revision: &rev}, nil
 }
 
 // Submit implements deck.Service.
@@ -144,7 +145,7 @@
 // check resolves the service and the customer; nil means the request may
 // go on.
 func (a *api) check(r *request) *deck.Refusal {
-	rev := r.snap.Fleet.Revision
+	rev := r.snap.Fleet.Revision.Number()
 	svc, ok := r.snap.Service(r.Service)
 	if !ok {
 		return refusal("unknown_service", fmt.Sprintf("no service %q in fleet revision %d", r.Service, rev), retryAfterNow)
--- a/citronentry/stream_test.go
+++ b/citronentry/stream_test.go
@@ -94,7 +94,7 @@
 	text := modelFleet(4, []stage{{name: "a1", to: 4}}, r.engines)
 	before := r.entries[0].Revision()
 	r.apply(t, strings.Replace(text, "kind: model", "kind: model\n    idempotent: false", 1))
-	eventually(t, "the change in force", func() bool { return r.entries[0].Revision() > before })
+	eventually(t, "the change in force", func() bool { return r.entries[0].Revision().After(before) })
 	a := r.post(0, "/v1/services/m/streams", "key", `{"customer":"c","prompt":"nest"}`)
 	is.Equal(a.status, http.StatusBadRequest)
 	is.Equal(a.code, "bad_request")
--- a/citronentry/watch.go
+++ b/citronentry/watch.go
@@ -47,7 +47,9 @@
 			continue
 		}
 		wait = kvBackoffFirst
-		after = max(after, rev)
+		if rev.After(after) {
+			after = rev
+		}
 	}
 }
 
@@ -73,11 +75,11 @@
 func (c *control) loadFleet(ctx context.Context, w watchResult) watchResult {
 	var newest citronkv.Item
 	for _, it := range w.items {
-		if it.Key == citronconfig.Key && !it.Deleted && it.Revision > newest.Revision {
+		if it.Key == citronconfig.Key && !it.Deleted && it.Revision.After(newest.Revision) {
 			newest = it
 		}
 	}
-	if w.err != nil || newest.Revision == 0 {
+	if w.err != nil || newest.Revision.IsZero() {
 		return w
 	}
 	f, err := c.loader.Load(ctx, newest)
@@ -87,9 +89,9 @@
 	case errors.IsAny(err, citronkv.ErrUnavailable, citronkv.ErrNotFound):
 		// Not found: a newer head replaced this one while it was read, and
 		// the next answer brings that.
-		return watchResult{err: errors.Wrapf(err, "load configuration revision %d", newest.Revision)}
+		return watchResult{err: errors.Wrapf(err, "load configuration revision %v", newest.Revision)}
 	default:
-		w.rejected = errors.Wrapf(err, "configuration revision %d", newest.Revision)
+		w.rejected = errors.Wrapf(err, "configuration revision %v", newest.Revision)
 	}
 	return w
 }
--- a/citronfleet/fleet.go
+++ b/citronfleet/fleet.go
@@ -14,6 +14,8 @@
 import (
 	"slices"
 	"time"
+
+	"citrondeck.dev/citrondeck/citronkv"
 )
 
 // Kind says what a service is.
@@ -35,7 +37,7 @@
 	Services  []Service  `json:"services,omitempty" yaml:"services"`
 	// Revision is the KV revision the text was read at; zero when parsed
 	// from a file.
-	Revision int64 `json:"-" yaml:"-"`
+	Revision citronkv.Revision `json:"-" yaml:"-"`
 }
 
 // Customer is a party whose callers send requests.
@@ -121,7 +123,7 @@
 }
 
 // WithRevision returns f read at revision rev.
-func (f Fleet) WithRevision(rev int64) Fleet {
+func (f Fleet) WithRevision(rev citronkv.Revision) Fleet {
 	f.Revision = rev
 	return f
 }
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -56,7 +56,7 @@
 	Table *citrontable.Table
 	View  *citronpool.View
 	// ListRevision is that of the list which View was made of.
-	ListRevision int64
+	ListRevision citronkv.Revision
 	// Others is the cache, in tokens, that requests of other nodes take in
 	// each zone.
 	Others map[string]int64
@@ -95,7 +95,7 @@
 // answered logs one in many of the requests that went well.
 func (j *job) answered(args ...any) {
 	if j.f.answers.Add(1)%sampleEvery == 1 {
-		citronevent.Log(context.Background(), j.f.Log, citronevent.AnswerSampled, append([]any{"request", j.ID, "route", j.route.Name, "version", j.version, "list", citronkv.RevisionText(j.list), "took", j.f.Clock.Now().Sub(j.Received)}, args...)...)
+		citronevent.Log(context.Background(), j.f.Log, citronevent.AnswerSampled, append([]any{"request", j.ID, "route", j.route.Name, "version", j.version, "list", j.list.String(), "took", j.f.Clock.Now().Sub(j.Received)}, args...)...)
 	}
 }
 
@@ -108,7 +108,7 @@
 	version int64
 	// list is the revision of the list of engines from which one was chosen
 	// last.
-	list     int64
+	list     citronkv.Revision
 	route    citrontable.Route
 	service  citrontable.Service
 	customer string
--- a/citronforward/list_test.go
+++ b/citronforward/list_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"citrondeck.dev/citrondeck/citronforward"
+	"citrondeck.dev/citrondeck/citronkv"
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citronupstream"
@@ -27,11 +28,11 @@
 	var log bytes.Buffer
 	r.Log = slog.New(slog.NewTextHandler(&log, nil))
 	before := *r.Current()
-	before.ListRevision = 41
+	before.ListRevision = citronkv.RevisionOf(0, 41)
 	leaving := plain("e2", "a")
 	leaving.Leaving = true
 	after := before
-	after.ListRevision = 42
+	after.ListRevision = citronkv.RevisionOf(0, 42)
 	after.View = citronpool.Build([]citronmodel.Engine{plain("e1", "a"), leaving, plain("e3", "b")}, before.View)
 	var inForce atomic.Pointer[citronforward.State]
 	inForce.Store(&before)
--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -27,7 +27,6 @@
 	"time"
 
 	"citrondeck.dev/citrondeck/citronevent"
-	"citrondeck.dev/citrondeck/citronkv"
 	"citrondeck.dev/citrondeck/citronpath"
 	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citronprobe"
@@ -405,7 +404,7 @@
 
 func (w *watch) log(way string) {
 	s := w.s
-	citronevent.Log(w.ctx, s.f.Log, citronevent.PartReplaced, "request", s.ID, "engine", w.bad.Engine.ID, "peer", w.bad.Engine.Addr, "from", w.bad.Span.From, "to", w.bad.Span.To, "reason", w.reason, "way", way, "lastEvent", s.last, "list", citronkv.RevisionText(s.list), "silent", s.f.Clock.Now().Sub(s.lastAt), "runs", s.runs+1)
+	citronevent.Log(w.ctx, s.f.Log, citronevent.PartReplaced, "request", s.ID, "engine", w.bad.Engine.ID, "peer", w.bad.Engine.Addr, "from", w.bad.Span.From, "to", w.bad.Span.To, "reason", w.reason, "way", way, "lastEvent", s.last, "list", s.list.String(), "silent", s.f.Clock.Now().Sub(s.lastAt), "runs", s.runs+1)
 }
 
 // moved takes the answer to an order to move the request.
--- a/citronforward/whole.go
+++ b/citronforward/whole.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"citrondeck.dev/citrondeck/citronevent"
-	"citrondeck.dev/citrondeck/citronkv"
 	"citrondeck.dev/citrondeck/citronpath"
 	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citronprobe"
@@ -103,7 +102,7 @@
 }
 
 func (j *job) logAttempt(e *citronpool.Engine, res result, more ...any) {
-	args := []any{"request", j.ID, "print", j.fingerprint(), "service", j.service.Name, "engine", e.ID, "peer", e.Addr, "outcome", res.outcome.String(), "status", res.status, "runs", j.runs, "list", citronkv.RevisionText(j.list), "left", j.left()}
+	args := []any{"request", j.ID, "print", j.fingerprint(), "service", j.service.Name, "engine", e.ID, "peer", e.Addr, "outcome", res.outcome.String(), "status", res.status, "runs", j.runs, "list", j.list.String(), "left", j.left()}
 	if res.err != nil {
 		args = append(args, "err", res.err)
 	}
--- a/citronhealth/observe_test.go
+++ b/citronhealth/observe_test.go
@@ -57,7 +57,7 @@
 	is.True(errors.Is(err, citronkv.ErrNotFound))
 	_, _, err = s.Range(ctx, "a/")
 	is.NoErr(err)
-	_, _, err = s.Watch(ctx, "a/", 0)
+	_, _, err = s.Watch(ctx, "a/", citronkv.Revision{})
 	is.NoErr(err)
 	is.NoErr(s.Delete(ctx, "a/1", citronkv.AnyRevision))
 	is.NoErr(s.Revoke(ctx, lease))
--- a/citronkv/client.go
+++ b/citronkv/client.go
@@ -96,7 +96,7 @@
 	defer cancel()
 	r, err := c.rangeAll.Call(ctx, &keyRequest{Key: prefix})
 	if err != nil {
-		return nil, 0, fromConnect(err)
+		return nil, Revision{}, fromConnect(err)
 	}
 	return r.Items, r.Revision, nil
 }
@@ -107,7 +107,7 @@
 	defer cancel()
 	r, err := c.put.Call(ctx, &putRequest{Key: key, Value: value, Expect: expect, Lease: lease})
 	if err != nil {
-		return 0, fromConnect(err)
+		return Revision{}, fromConnect(err)
 	}
 	return r.Item.Revision, nil
 }
@@ -126,7 +126,7 @@
 	defer cancel()
 	r, err := c.watch.Call(ctx, &watchRequest{Prefix: prefix, After: after, Wait: watchWait})
 	if err != nil {
-		return nil, 0, fromConnect(err)
+		return nil, Revision{}, fromConnect(err)
 	}
 	return r.Items, r.Revision, nil
 }
--- a/citronkv/contract_test.go
+++ b/citronkv/contract_test.go
@@ -89,7 +89,7 @@
 			_ = put(v, "k", v.rev)
 			return v.st.Delete(ctx, "k", v.rev)
 		}, citronkv.ErrConflict, "new"},
-		{"delete what is absent", func(v env) error { return v.st.Delete(ctx, "x", 0) }, citronkv.ErrNotFound, "old"},
+		{"delete what is absent", func(v env) error { return v.st.Delete(ctx, "x", citronkv.Absent) }, citronkv.ErrNotFound, "old"},
 		{"write while down", func(v env) error {
 			v.sv.SetFaults(citronkv.Faults{Down: true})
 			return put(v, "k", v.rev)
@@ -138,8 +138,8 @@
 				rt.Fatal(err)
 			}
 			for _, it := range items {
-				if it.Revision <= after {
-					rt.Fatalf("revision %d came again after %d", it.Revision, after)
+				if !it.Revision.After(after) {
+					rt.Fatalf("revision %v came again after %v", it.Revision, after)
 				}
 				if it.Deleted {
 					delete(seen, it.Key)
@@ -197,7 +197,7 @@
 	for range 70_000 {
 		_, _ = s.Put(ctx, "other", nil, citronkv.AnyRevision, 0)
 	}
-	_, _, err := s.Watch(ctx, "p/", 1)
+	_, _, err := s.Watch(ctx, "p/", citronkv.RevisionOf(0, 1))
 	is.True(errors.Is(err, citronkv.ErrCompacted))
 }
 
--- a/citronkv/kv.go
+++ b/citronkv/kv.go
@@ -19,14 +19,6 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Expectations for Put and Delete.
-const (
-	// AnyRevision writes whatever the key holds.
-	AnyRevision Revision = -1
-	// Absent writes only if the key does not exist.
-	Absent Revision = 0
-)
-
 // LeaseID names a lease; zero is no lease.
 type LeaseID int64
 
--- /dev/null
+++ b/citronkv/revision_test.go
@@ -0,0 +1,57 @@
+package citronkv_test
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"citrondeck.dev/citrondeck/citronkv"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func drawRevision(t *rapid.T, name string) citronkv.Revision {
+	return citronkv.RevisionOf(rapid.Int64Range(0, citronkv.LastEra).Draw(t, name+" era"), rapid.Int64Range(0, citronkv.LastNumber).Draw(t, name+" number"))
+}
+
+// Guards against a revision that nodes read otherwise than it was written, or order
+// otherwise once it is packed.
+func TestRevisionSurvivesItsEncodings(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		a, b := drawRevision(t, "a"), drawRevision(t, "b")
+		is.Equal(a.Compare(b), cmp.Compare(a.Packed(), b.Packed()))
+		for _, codec := range []struct {
+			marshal   func(any) ([]byte, error)
+			unmarshal func([]byte, any) error
+		}{{json.Marshal, json.Unmarshal}, {cbor.Marshal, cbor.Unmarshal}} {
+			for _, r := range []citronkv.Revision{a, citronkv.AnyRevision, citronkv.Absent} {
+				data, err := codec.marshal(r)
+				is.NoErr(err)
+				var back citronkv.Revision
+				is.NoErr(codec.unmarshal(data, &back))
+				is.Equal(back, r)
+			}
+		}
+		var back citronkv.Revision
+		is.NoErr(back.UnmarshalText([]byte(a.String())))
+		is.Equal(back, a)
+	})
+}
+
+// Guards against a number that no revision packs to.
+func TestRevisionsThatCannotBe(t *testing.T) {
+	is := is.New(t)
+	var r citronkv.Revision
+	is.True(json.Unmarshal([]byte("-2"), &r) != nil)
+	is.True(json.Unmarshal([]byte(`"1"`), &r) != nil)
+	is.True(r.UnmarshalText([]byte("1.x")) != nil)
+	is.True(r.IsZero())
+}
+
+func ExampleRevision_String() {
+	fmt.Println(citronkv.RevisionOf(0, 41), citronkv.RevisionOf(3, 7))
+	// Output: 41 3.7
+}
--- a/citronkv/server.go
+++ b/citronkv/server.go
@@ -183,7 +183,7 @@
 	if l := s.leases[old.Lease]; l != nil {
 		delete(l.keys, key)
 	}
-	s.rev++
+	s.rev = s.rev.next()
 	s.recordLocked(Item{Key: key, Revision: s.rev, Deleted: true})
 }
 
@@ -206,7 +206,7 @@
 func (s *Server) Range(ctx context.Context, prefix string) ([]Item, Revision, error) {
 	s.reads.Add(1)
 	if err := s.gate(ctx); err != nil {
-		return nil, 0, err
+		return nil, Revision{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -223,25 +223,25 @@
 func (s *Server) Put(ctx context.Context, key string, value []byte, expect Revision, id LeaseID) (Revision, error) {
 	s.writes.Add(1)
 	if err := s.gate(ctx); err != nil {
-		return 0, err
+		return Revision{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old, exists := s.items[key]
 	switch {
-	case expect == Absent && exists, expect > 0 && (!exists || old.Revision != expect):
-		return 0, ErrConflict
+	case expect == Absent && exists, expect.isOne() && (!exists || old.Revision != expect):
+		return Revision{}, ErrConflict
 	}
 	var l *lease
 	if id != 0 {
 		if l = s.leases[id]; l == nil {
-			return 0, ErrLeaseExpired
+			return Revision{}, ErrLeaseExpired
 		}
 	}
 	if ol := s.leases[old.Lease]; exists && ol != nil {
 		delete(ol.keys, key)
 	}
-	s.rev++
+	s.rev = s.rev.next()
 	it := Item{Key: key, Value: value, Revision: s.rev, Lease: id}
 	s.items[key] = it
 	if l != nil {
@@ -249,7 +249,7 @@
 	}
 	s.recordLocked(it)
 	if s.loseReplyLocked() {
-		return 0, ErrUnavailable
+		return Revision{}, ErrUnavailable
 	}
 	return s.rev, nil
 }
@@ -266,7 +266,7 @@
 	if !exists {
 		return ErrNotFound
 	}
-	if expect > 0 && old.Revision != expect {
+	if expect.isOne() && old.Revision != expect {
 		return ErrConflict
 	}
 	s.deleteLocked(key)
@@ -284,19 +284,19 @@
 func (s *Server) watchFor(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Item, Revision, error) {
 	s.watches.Add(1)
 	if err := s.gate(ctx); err != nil {
-		return nil, 0, err
+		return nil, Revision{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, min(wait, watchWaitMax))
 	defer cancel()
 	for {
 		s.mu.Lock()
-		if Era(after) != Era(s.rev) || len(s.history) > 0 && s.history[0].Revision > after+1 && after < s.rev {
+		if after.Era() != s.rev.Era() || len(s.history) > 0 && s.history[0].Revision.After(after.next()) && s.rev.After(after) {
 			s.mu.Unlock()
-			return nil, 0, ErrCompacted
+			return nil, Revision{}, ErrCompacted
 		}
 		var out []Item
 		for _, it := range s.history {
-			if it.Revision > after && strings.HasPrefix(it.Key, prefix) {
+			if it.Revision.After(after) && strings.HasPrefix(it.Key, prefix) {
 				out = append(out, it)
 			}
 		}
--- a/citronkv/servercopy.go
+++ b/citronkv/servercopy.go
@@ -19,7 +19,7 @@
 func (s *Server) Era() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Era(s.rev)
+	return s.rev.Era()
 }
 
 // Return has the stand-in come back from an older copy: what was written since is
@@ -28,8 +28,8 @@
 func (s *Server) Return(c Copy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	era := Era(s.rev) + 1
-	s.rev = RevisionOf(era, Number(c.rev))
+	era := s.rev.Era() + 1
+	s.rev = RevisionOf(era, c.rev.Number())
 	s.items = map[string]Item{}
 	s.history = nil
 	s.leases = map[LeaseID]*lease{}
@@ -37,7 +37,7 @@
 		if it.Lease != 0 {
 			continue
 		}
-		it.Revision = RevisionOf(era, Number(it.Revision))
+		it.Revision = RevisionOf(era, it.Revision.Number())
 		s.items[key] = it
 	}
 	close(s.changed)
--- a/citronledger/ledger.go
+++ b/citronledger/ledger.go
@@ -178,7 +178,7 @@
 	if mine {
 		return Claim{Key: k, Owned: true, Revision: it.Revision}, nil
 	}
-	if it.Revision == 0 {
+	if it.Revision.IsZero() {
 		// Neither created nor held: the create did not apply yet. It may
 		// still apply later (a delayed write), which only leaves the key
 		// "started" and unrun.
@@ -208,7 +208,7 @@
 		case mine:
 			l.Wrote()
 			return l.KV.Delete(ctx, k, it.Revision)
-		case it.Revision != 0:
+		case !it.Revision.IsZero():
 			return nil // somebody else's
 		}
 		now := l.Clock.Now()
--- a/citronlist/era.go
+++ b/citronlist/era.go
@@ -34,7 +34,7 @@
 // printOf identifies a write of an entry, in whatever era it is read.
 func printOf(it citronkv.Item) uint64 {
 	h := xxhash.New()
-	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(citronkv.Number(it.Revision)))) // a hash takes all bytes
+	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(it.Revision.Number()))) // a hash takes all bytes
 	_, _ = h.Write(it.Value)
 	return h.Sum64()
 }
@@ -50,7 +50,7 @@
 // isOvertaken reports whether an entry was overtaken in an earlier era. What was
 // written after the first list of this one is not of the copy.
 func (l *List) isOvertaken(it citronkv.Item) bool {
-	if citronkv.Era(it.Revision) == 0 || it.Revision > l.eraBegan {
+	if it.Revision.Era() == 0 || it.Revision.After(l.eraBegan) {
 		return false
 	}
 	wanted := printOf(it)
@@ -68,7 +68,7 @@
 
 // beginEra notes if a list of a later era is taken.
 func (l *List) beginEra(ctx context.Context, items []citronkv.Item, revision citronkv.Revision) bool {
-	if l.revision == 0 || citronkv.Era(revision) == citronkv.Era(l.revision) {
+	if l.revision.IsZero() || revision.Era() == l.revision.Era() {
 		return false
 	}
 	l.eraBegan = revision
@@ -82,6 +82,6 @@
 	// Removals of another era mean nothing in this one: whoever has an older
 	// list gets it whole.
 	l.removed, l.removedSince = nil, revision
-	citronevent.Log(ctx, l.set.Log, citronevent.StoreReturned, "revision", citronkv.RevisionText(revision), "was", citronkv.RevisionText(l.revision), "entries", len(items), "engines", len(l.entries), "overtaken", old)
+	citronevent.Log(ctx, l.set.Log, citronevent.StoreReturned, "revision", revision.String(), "was", l.revision.String(), "entries", len(items), "engines", len(l.entries), "overtaken", old)
 	return true
 }
--- a/citronlist/era_test.go
+++ b/citronlist/era_test.go
@@ -21,14 +21,14 @@
 		change(&e)
 	}
 	text, _ := json.Marshal(e) // of plain values
-	return citronkv.Item{Key: key(i), Value: text, Revision: number}
+	return citronkv.Item{Key: key(i), Value: text, Revision: citronkv.RevisionOf(0, number)}
 }
 
 // inEra is what a store says of items in an era.
 func inEra(era int64, items ...citronkv.Item) []citronkv.Item {
 	out := make([]citronkv.Item, len(items))
 	for i, it := range items {
-		it.Revision = citronkv.RevisionOf(era, citronkv.Number(it.Revision))
+		it.Revision = citronkv.RevisionOf(era, it.Revision.Number())
 		out[i] = it
 	}
 	return out
@@ -57,7 +57,7 @@
 	is.True(l.TakeWhole(t.Context(), items, citronkv.RevisionOf(1, 4), true))
 	is.True(!l.used()["1"])
 	// Changes of the old era mean nothing in the new one.
-	is.True(!l.TakeChanges(t.Context(), []citronkv.Item{written(0, 11, leaving)}, 10, 11, false))
+	is.True(!l.TakeChanges(t.Context(), []citronkv.Item{written(0, 11, leaving)}, citronkv.RevisionOf(0, 10), citronkv.RevisionOf(0, 11), false))
 	is.True(l.used()["0"])
 	// Counts that were given out again are other writes.
 	is.True(l.TakeChanges(t.Context(), inEra(1, written(0, 5, leaving)), citronkv.RevisionOf(1, 4), citronkv.RevisionOf(1, 5), true))
@@ -74,7 +74,7 @@
 	for i := range copied {
 		copied[i] = written(i, int64(i+1), nil)
 	}
-	is.True(l.TakeChanges(t.Context(), []citronkv.Item{written(0, 11, leaving), {Key: key(1), Revision: 12, Deleted: true}}, 10, 12, true))
+	is.True(l.TakeChanges(t.Context(), []citronkv.Item{written(0, 11, leaving), {Key: key(1), Revision: citronkv.RevisionOf(0, 12), Deleted: true}}, citronkv.RevisionOf(0, 10), citronkv.RevisionOf(0, 12), true))
 	clock.Advance(3 * time.Second)
 	l.Tick(t.Context(), false)
 	is.True(l.TakeWhole(t.Context(), inEra(1, copied...), citronkv.RevisionOf(1, 10), true))
@@ -92,7 +92,7 @@
 	is := is.New(t)
 	clock := citronclock.NewManual(time.Unix(0, 0))
 	l := listOf(t, clock, 3, 2*time.Second)
-	is.True(l.TakeChanges(t.Context(), []citronkv.Item{written(3, 11, nil), written(4, 12, nil)}, 3, 12, true))
+	is.True(l.TakeChanges(t.Context(), []citronkv.Item{written(3, 11, nil), written(4, 12, nil)}, citronkv.RevisionOf(0, 3), citronkv.RevisionOf(0, 12), true))
 	is.True(l.TakeWhole(t.Context(), inEra(1, written(0, 1, nil), written(1, 2, nil), written(2, 3, nil)), citronkv.RevisionOf(1, 3), true))
 	is.Equal(len(l.used()), 5)
 	clock.Advance(citronhealth.LapseGrace / 2)
@@ -110,9 +110,9 @@
 	clock := citronclock.NewManual(time.Unix(0, 0))
 	l := listOf(t, clock, 3, 2*time.Second)
 	is.True(l.TakeWhole(t.Context(), inEra(1, written(0, 1, nil)), citronkv.RevisionOf(1, 1), true))
-	doc, err := l.Passed().After(3)
+	doc, err := l.Passed().After(citronkv.RevisionOf(0, 3))
 	is.NoErr(err)
-	is.Equal(doc.Base, int64(0))
+	is.True(doc.Base.IsZero())
 	is.Equal(doc.Revision, citronkv.RevisionOf(1, 1))
 }
 
@@ -167,7 +167,7 @@
 			},
 			"": func(t *rapid.T) {
 				for i, left := range gone {
-					if left && l.used()[fmt.Sprint(i)] && citronkv.Era(l.Revision()) > 0 {
+					if left && l.used()[fmt.Sprint(i)] && l.Revision().Era() > 0 {
 						t.Fatalf("engine %d is used though it has left", i)
 					}
 				}
--- a/citronlist/lapse_test.go
+++ b/citronlist/lapse_test.go
@@ -37,9 +37,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		items[i] = citronkv.Item{Key: key(i), Value: text, Revision: int64(i + 1)}
+		items[i] = citronkv.Item{Key: key(i), Value: text, Revision: citronkv.RevisionOf(0, int64(i+1))}
 	}
-	is.New(t).True(l.TakeWhole(t.Context(), items, int64(n), true))
+	is.New(t).True(l.TakeWhole(t.Context(), items, citronkv.RevisionOf(0, int64(n)), true))
 	return l
 }
 
@@ -49,9 +49,9 @@
 func (l *List) remove(ctx context.Context, n int) bool {
 	items := make([]citronkv.Item, n)
 	for i := range items {
-		items[i] = citronkv.Item{Key: key(i), Revision: l.Revision() + int64(i) + 1, Deleted: true}
+		items[i] = citronkv.Item{Key: key(i), Revision: citronkv.RevisionOf(0, l.Revision().Number()+int64(i)+1), Deleted: true}
 	}
-	return l.TakeChanges(ctx, items, l.Revision(), l.Revision()+int64(n), true)
+	return l.TakeChanges(ctx, items, l.Revision(), citronkv.RevisionOf(0, l.Revision().Number()+int64(n)), true)
 }
 
 func (l *List) inUse() int {
--- a/citronlist/list.go
+++ b/citronlist/list.go
@@ -122,7 +122,7 @@
 // TakeWhole takes the whole list as of a revision and reports whether that was
 // news. Firsthand: it is from the store, not from another node.
 func (l *List) TakeWhole(ctx context.Context, items []citronkv.Item, revision citronkv.Revision, firsthand bool) bool {
-	if revision <= l.revision && l.revision > 0 {
+	if !revision.After(l.revision) && !l.revision.IsZero() {
 		return false
 	}
 	l.firsthand = firsthand
@@ -139,7 +139,7 @@
 		}
 	}
 	maps.DeleteFunc(l.rejected, func(key string, _ citronkv.Revision) bool { return !seen[key] })
-	if l.revision == 0 {
+	if l.revision.IsZero() {
 		l.removedSince = revision
 	}
 	l.taken(ctx, revision)
@@ -149,12 +149,12 @@
 // TakeChanges takes the changes of the list after base up to a revision and
 // reports whether they were news.
 func (l *List) TakeChanges(ctx context.Context, items []citronkv.Item, base, revision citronkv.Revision, firsthand bool) bool {
-	if revision <= l.revision || base > l.revision || l.revision == 0 {
+	if !revision.After(l.revision) || base.After(l.revision) || l.revision.IsZero() {
 		return false // old news, or changes of a list that this node does not have
 	}
 	l.firsthand = firsthand
 	for _, it := range items {
-		if it.Revision <= l.revision {
+		if !it.Revision.After(l.revision) {
 			continue
 		}
 		if !it.Deleted {
@@ -225,7 +225,7 @@
 		return
 	}
 	l.rejected[it.Key] = it.Revision
-	citronevent.Log(ctx, l.set.Log, citronevent.EngineRejected, "key", it.Key, "revision", citronkv.RevisionText(it.Revision), "bytes", len(it.Value), "err", err)
+	citronevent.Log(ctx, l.set.Log, citronevent.EngineRejected, "key", it.Key, "revision", it.Revision.String(), "bytes", len(it.Value), "err", err)
 	if e, ok := l.entries[it.Key]; ok {
 		l.drop(ctx, it.Key, e, it.Revision)
 		e = l.entries[it.Key]
@@ -246,7 +246,7 @@
 	if !ok || !listed || key == it.Key || other.engine.Addr != e.Addr || other.engine.Service != e.Service {
 		return false
 	}
-	if other.item.Revision > it.Revision {
+	if other.item.Revision.After(it.Revision) {
 		return true
 	}
 	l.end(ctx, other.engine, e.ID)
--- a/citronlist/passed.go
+++ b/citronlist/passed.go
@@ -1,7 +1,6 @@
 package citronlist
 
 import (
-	"cmp"
 	"encoding/json"
 	"slices"
 
@@ -23,22 +22,22 @@
 // After is what a node that has the list of another revision lacks. Engines
 // come and go one at a time, and the whole list is a hundred times as long
 // as one change.
-func (p Passed) After(revision citronkv.Revision) (citronpeer.Document, error) {
-	doc := citronpeer.Document{Revision: p.Revision}
-	if revision >= p.Revision {
+func (p Passed) After(revision citronkv.Revision) (citronpeer.ListDocument, error) {
+	doc := citronpeer.ListDocument{Revision: p.Revision}
+	if !p.Revision.After(revision) {
 		return doc, nil
 	}
 	items := p.items
-	if revision > 0 && revision >= p.since {
+	if !revision.IsZero() && !p.since.After(revision) {
 		doc.Base = revision
 		items = nil
 		for _, it := range slices.Concat(p.items, p.removed) {
-			if it.Revision > revision {
+			if it.Revision.After(revision) {
 				items = append(items, it)
 			}
 		}
 		// An entry that lapsed and came back stands in both.
-		slices.SortFunc(items, func(a, b citronkv.Item) int { return cmp.Compare(a.Revision, b.Revision) })
+		slices.SortFunc(items, func(a, b citronkv.Item) int { return a.Revision.Compare(b.Revision) })
 	}
 	var err error
 	doc.Body, err = json.Marshal(items)
--- a/citronlist/passed_test.go
+++ b/citronlist/passed_test.go
@@ -13,13 +13,15 @@
 // must end as present. Where removals are no longer known it gets the whole
 // list, or it would keep engines that are gone.
 func TestListIsPassedOnAsChanges(t *testing.T) {
-	put := func(key string, revision int64) citronkv.Item { return citronkv.Item{Key: key, Revision: revision} }
+	put := func(key string, revision int64) citronkv.Item {
+		return citronkv.Item{Key: key, Revision: citronkv.RevisionOf(0, revision)}
+	}
 	gone := func(key string, revision int64) citronkv.Item {
-		return citronkv.Item{Key: key, Revision: revision, Deleted: true}
+		return citronkv.Item{Key: key, Revision: citronkv.RevisionOf(0, revision), Deleted: true}
 	}
 	list := Passed{
-		Revision: 20, items: []citronkv.Item{put("a", 3), put("b", 18), put("c", 12)},
-		removed: []citronkv.Item{gone("x", 11), gone("b", 16)}, since: 10,
+		Revision: citronkv.RevisionOf(0, 20), items: []citronkv.Item{put("a", 3), put("b", 18), put("c", 12)},
+		removed: []citronkv.Item{gone("x", 11), gone("b", 16)}, since: citronkv.RevisionOf(0, 10),
 	}
 	cases := []struct {
 		name  string
@@ -37,10 +39,10 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			doc, err := list.After(c.asked)
+			doc, err := list.After(citronkv.RevisionOf(0, c.asked))
 			is.NoErr(err)
-			is.Equal(doc.Revision, int64(20))
-			is.Equal(doc.Base, c.base)
+			is.Equal(doc.Revision, citronkv.RevisionOf(0, 20))
+			is.Equal(doc.Base, citronkv.RevisionOf(0, c.base))
 			var got []citronkv.Item
 			if doc.Body != nil {
 				is.NoErr(json.Unmarshal(doc.Body, &got))
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -43,14 +43,14 @@
 // listSeen brings the whole list of engines as of a revision.
 type listSeen struct {
 	items    []citronkv.Item
-	revision int64
+	revision citronkv.Revision
 	source   string
 }
 
 // listChanged brings the changes of the list after base up to a revision.
 type listChanged struct {
 	items          []citronkv.Item
-	base, revision int64
+	base, revision citronkv.Revision
 	source         string
 }
 
@@ -71,7 +71,7 @@
 // control is the state of the loop.
 type control struct {
 	n      *Node
-	config citronpeer.Document
+	config citronpeer.ConfigDocument
 	table  *citrontable.Table
 	// list is what is believed of the engines; listVersion is that of the
 	// view.
@@ -152,7 +152,7 @@
 // listTaken is called when news of the list was taken.
 func (c *control) listTaken(ctx context.Context, source string) {
 	c.listAt = c.n.clock.Now()
-	if era := citronkv.Era(c.list.Revision()); era != c.era {
+	if era := c.list.Revision().Era(); era != c.era {
 		c.era = era
 		c.n.quarantine.Unkeep()
 		wake(c.n.barredNews)
@@ -165,7 +165,7 @@
 	if source != sourceStore {
 		e = citronevent.EnginesHeard // a line of each node for each change would hide all else
 	}
-	citronevent.Log(ctx, c.n.log, e, "revision", citronkv.RevisionText(c.list.Revision()), "engines", c.list.Len(), "source", source)
+	citronevent.Log(ctx, c.n.log, e, "revision", c.list.Revision().String(), "engines", c.list.Len(), "source", source)
 }
 
 // ended has the requests moved that run on an engine that has ended.
@@ -199,7 +199,7 @@
 		return
 	}
 	c.table, c.configAt = d.table, c.n.clock.Now()
-	c.config = citronpeer.Document{Revision: d.table.Version, Body: d.body}
+	c.config = citronpeer.ConfigDocument{Version: d.table.Version, Body: d.body}
 	c.changed = true
 	c.n.tell()
 	citronevent.Log(ctx, c.n.log, citronevent.TableApplied, "version", d.table.Version, "source", d.source)
--- a/citronnode/era_test.go
+++ b/citronnode/era_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"citrondeck.dev/citrondeck/citronkv"
 	"citrondeck.dev/citrondeck/citronmodel"
 	"github.com/matryer/is"
 )
@@ -119,7 +118,7 @@
 		t.Fatalf("%d nodes lead", leaders)
 	}
 	_, rev, err := f.store.Range(context.Background(), "config")
-	if err != nil || citronkv.Era(rev) != 1 {
+	if err != nil || rev.Era() != 1 {
 		t.Fatalf("era of %v: %v", rev, err)
 	}
 }
--- a/citronnode/gossip.go
+++ b/citronnode/gossip.go
@@ -95,7 +95,7 @@
 // news is what this node tells of itself.
 func (s *snapshot) news() citronpeer.Knowledge {
 	return citronpeer.Knowledge{
-		From: s.self, Config: citronpeer.Document{Revision: s.config.Revision}, Engines: citronpeer.Document{Revision: s.list.Revision},
+		From: s.self, Config: citronpeer.ConfigDocument{Version: s.config.Version}, Engines: citronpeer.ListDocument{Revision: s.list.Revision},
 	}
 }
 
@@ -192,7 +192,7 @@
 // withBodies adds to what this node tells another the documents that the other
 // has older.
 func (s *snapshot) withBodies(k, other citronpeer.Knowledge) (citronpeer.Knowledge, error) {
-	if other.Config.Revision < s.config.Revision {
+	if other.Config.Version < s.config.Version {
 		k.Config = s.config
 	}
 	var err error
@@ -245,7 +245,7 @@
 
 // lacks reports whether another node has a newer document.
 func (s *snapshot) lacks(theirs citronpeer.Knowledge) bool {
-	return theirs.Config.Revision > s.config.Revision || theirs.Engines.Revision > s.list.Revision
+	return theirs.Config.Version > s.config.Version || theirs.Engines.Revision.After(s.list.Revision)
 }
 
 // puller fetches documents one after the other. Many nodes tell of the same
@@ -262,7 +262,7 @@
 func (p *puller) from(ctx context.Context, n *Node, addr string, has citronpeer.Knowledge) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.busy && has.Config.Revision <= p.has.Config.Revision && has.Engines.Revision <= p.has.Engines.Revision {
+	if p.busy && has.Config.Version <= p.has.Config.Version && !has.Engines.Revision.After(p.has.Engines.Revision) {
 		return
 	}
 	p.addr, p.has = addr, has
@@ -297,13 +297,13 @@
 	n.learnSuspects(ctx, k.From.Name, k.Suspects)
 	n.send(ctx, membersSeen{from: k.From, told: k.Diff, digest: k.Digest, sums: k.Sums})
 	if len(k.Config.Body) > 0 {
-		n.offerConfig(ctx, k.Config.Revision, k.Config.Body, sourceNode)
+		n.offerConfig(ctx, k.Config.Version, k.Config.Body, sourceNode)
 	}
 	if len(k.Engines.Body) == 0 {
 		return
 	}
-	if own := n.storeEra(); citronkv.Era(k.Engines.Revision) > own+mostErasAhead && n.snap.Load().list.Revision > 0 {
-		citronevent.Log(ctx, n.log, citronevent.EngineRejected, "key", "exchange", "peer", k.From.Name, "revision", citronkv.RevisionText(k.Engines.Revision), "era", own)
+	if own := n.storeEra(); k.Engines.Revision.Era() > own+mostErasAhead && !n.snap.Load().list.Revision.IsZero() {
+		citronevent.Log(ctx, n.log, citronevent.EngineRejected, "key", "exchange", "peer", k.From.Name, "revision", k.Engines.Revision.String(), "era", own)
 		return
 	}
 	var items []citronkv.Item
@@ -311,7 +311,7 @@
 		citronevent.Log(ctx, n.log, citronevent.EngineRejected, "key", "exchange", "err", err)
 		return
 	}
-	if k.Engines.Base > 0 {
+	if !k.Engines.Base.IsZero() {
 		n.send(ctx, listChanged{items: items, base: k.Engines.Base, revision: k.Engines.Revision, source: sourceNode})
 		return
 	}
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -132,7 +132,7 @@
 	engines []citronmodel.Engine
 	members []citronpeer.Member
 	// config and list are passed on to other nodes.
-	config citronpeer.Document
+	config citronpeer.ConfigDocument
 	list   citronlist.Passed
 	self   citronpeer.Member
 	// roster is this node and the members, as others are told of them.
--- a/citronnode/reborn_test.go
+++ b/citronnode/reborn_test.go
@@ -62,12 +62,12 @@
 	var items []citronkv.Item
 	for key, text := range entries {
 		r.revision++
-		items = append(items, citronkv.Item{Key: "engines/" + key, Value: text, Revision: r.revision})
+		items = append(items, citronkv.Item{Key: "engines/" + key, Value: text, Revision: citronkv.RevisionOf(0, r.revision)})
 	}
-	if r.list.Revision() == 0 {
-		r.take(context.Background(), listSeen{items: items, revision: r.revision})
+	if r.list.Revision().IsZero() {
+		r.take(context.Background(), listSeen{items: items, revision: citronkv.RevisionOf(0, r.revision)})
 	} else {
-		r.take(context.Background(), listChanged{items: items, base: r.list.Revision(), revision: r.revision})
+		r.take(context.Background(), listChanged{items: items, base: r.list.Revision(), revision: citronkv.RevisionOf(0, r.revision)})
 	}
 	r.publish()
 }
@@ -155,9 +155,9 @@
 	is.Equal(r.inUse()["a:1"].ID, "i-9")
 	// A whole reading of the list still has the earlier entry, with its own
 	// revision; it must not take the address back.
-	old := citronkv.Item{Key: "engines/i-1", Value: listEntry(modelEngine("i-1", "a:1", 0, 8)), Revision: 11}
-	now := citronkv.Item{Key: "engines/i-9", Value: listEntry(modelEngine("i-9", "a:1", 0, 0)), Revision: 12}
-	r.take(context.Background(), listSeen{items: []citronkv.Item{old, now}, revision: 30})
+	old := citronkv.Item{Key: "engines/i-1", Value: listEntry(modelEngine("i-1", "a:1", 0, 8)), Revision: citronkv.RevisionOf(0, 11)}
+	now := citronkv.Item{Key: "engines/i-9", Value: listEntry(modelEngine("i-9", "a:1", 0, 0)), Revision: citronkv.RevisionOf(0, 12)}
+	r.take(context.Background(), listSeen{items: []citronkv.Item{old, now}, revision: citronkv.RevisionOf(0, 30)})
 	r.publish()
 	is.Equal(r.inUse()["a:1"].ID, "i-9")
 	is.Equal(len(r.inUse()), 1)
--- a/citronnode/rig_test.go
+++ b/citronnode/rig_test.go
@@ -50,7 +50,7 @@
 func (d *gatedStore) Range(ctx context.Context, prefix string) ([]citronkv.Item, citronkv.Revision, error) {
 	d.calls.Add(1)
 	if d.closed.Load() {
-		return nil, 0, errTurnedAway
+		return nil, citronkv.Revision{}, errTurnedAway
 	}
 	return d.Server.Range(ctx, prefix)
 }
@@ -58,21 +58,21 @@
 func (d *gatedStore) Put(ctx context.Context, key string, value []byte, expect citronkv.Revision, lease citronkv.LeaseID) (citronkv.Revision, error) {
 	d.calls.Add(1)
 	if d.closed.Load() {
-		return 0, errTurnedAway
+		return citronkv.Revision{}, errTurnedAway
 	}
 	return d.Server.Put(ctx, key, value, expect, lease)
 }
 
 func (d *gatedStore) Watch(ctx context.Context, prefix string, after citronkv.Revision) ([]citronkv.Item, citronkv.Revision, error) {
 	if d.closed.Load() {
-		return nil, 0, errTurnedAway
+		return nil, citronkv.Revision{}, errTurnedAway
 	}
 	d.calls.Add(1)
 	d.watches.Add(1)
 	defer d.watches.Add(-1)
 	if d.silent.Load() {
 		<-ctx.Done()
-		return nil, 0, errors.Mark(ctx.Err(), citronkv.ErrUnavailable)
+		return nil, citronkv.Revision{}, errors.Mark(ctx.Err(), citronkv.ErrUnavailable)
 	}
 	limit, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
 	defer cancel()
@@ -81,7 +81,7 @@
 		return nil, after, nil // the wait ended without events
 	}
 	if d.closed.Load() {
-		return nil, 0, errTurnedAway
+		return nil, citronkv.Revision{}, errTurnedAway
 	}
 	return items, rev, err
 }
--- a/citronnode/sources.go
+++ b/citronnode/sources.go
@@ -78,7 +78,7 @@
 func (n *Node) read(ctx context.Context, prefix string, config bool) (citronkv.Revision, error) {
 	items, rev, err := n.src.Store.Range(ctx, prefix)
 	if err != nil {
-		return 0, err
+		return citronkv.Revision{}, err
 	}
 	if config {
 		n.sendConfig(ctx, items)
@@ -103,7 +103,9 @@
 			return err
 		}
 		well()
-		rev = max(rev, next)
+		if next.After(rev) {
+			rev = next
+		}
 		if config {
 			n.sendConfig(ctx, events)
 			continue
@@ -254,7 +256,7 @@
 
 // storeEra is that of the newest list; what this node wrote in an earlier one may
 // be gone.
-func (n *Node) storeEra() int64 { return citronkv.Era(n.snap.Load().list.Revision) }
+func (n *Node) storeEra() int64 { return n.snap.Load().list.Revision.Era() }
 
 // register leaves this node's peer address in the store and reads those of the
 // others, once it is one of the first of the nodes that it hears; one that hears
--- a/citronnode/status.go
+++ b/citronnode/status.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"citrondeck.dev/citrondeck/citronkv"
 )
 
 // Status is what a node knows at one moment, for its metrics.
@@ -37,7 +35,7 @@
 // Status returns what the node knows now.
 func (n *Node) Status() Status {
 	s := n.snap.Load()
-	out := Status{ConfigVersion: s.config.Revision, ListRevision: citronkv.Number(s.list.Revision), StoreEra: citronkv.Era(s.list.Revision), Nodes: len(s.members), Unreadable: s.unreadable, Kept: s.kept, Watching: s.self.Watching, Leads: s.self.Leads}
+	out := Status{ConfigVersion: s.config.Version, ListRevision: s.list.Revision.Number(), StoreEra: s.list.Revision.Era(), Nodes: len(s.members), Unreadable: s.unreadable, Kept: s.kept, Watching: s.self.Watching, Leads: s.self.Leads}
 	out.Suspects, out.Barred = n.quarantine.Count()
 	out.SuspectsRejected = n.suspectsRejected.Load()
 	now := n.clock.Now()
--- a/citronpeer/peer.go
+++ b/citronpeer/peer.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"citrondeck.dev/citrondeck/citronhealth"
+	"citrondeck.dev/citrondeck/citronkv"
 	"citrondeck.dev/citrondeck/citronwire"
 	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
@@ -161,12 +162,19 @@
 // Empty reports whether nothing is wanted.
 func (w Wants) Empty() bool { return len(w.Members)+len(w.Gauges) == 0 }
 
-// Document is something that nodes pass on; the higher revision wins.
-type Document struct {
-	Revision int64 `json:"revision"`
+// ConfigDocument is a configuration that nodes pass on; the higher version wins.
+type ConfigDocument struct {
+	Version int64  `json:"revision"`
+	Body    []byte `json:"body,omitempty"`
+}
+
+// ListDocument is the list of engines as nodes pass it on; the later revision
+// wins.
+type ListDocument struct {
+	Revision citronkv.Revision `json:"revision"`
 	// Base is the revision whose changes Body holds; zero if Body is whole.
-	Base int64  `json:"base,omitempty"`
-	Body []byte `json:"body,omitempty"`
+	Base citronkv.Revision `json:"base,omitzero"`
+	Body []byte            `json:"body,omitempty"`
 }
 
 // Knowledge is what a node tells another. Documents whose body is empty
@@ -182,8 +190,8 @@
 	Sums   []Sum
 	// Wants is what this node lacks of the other's digest.
 	Wants   Wants
-	Config  Document
-	Engines Document
+	Config  ConfigDocument
+	Engines ListDocument
 	// Accused are ids of engines that have just been named in a refusal.
 	Accused []string
 	// Suspects are requests that crash engines; SuspectSum is a checksum of all
@@ -195,12 +203,12 @@
 type exchangeMessage struct {
 	From Member `json:"from"`
 	Diff
-	Digest  Digest   `json:"digest,omitzero"`
-	Sums    []Sum    `json:"sums,omitempty"`
-	Wants   Wants    `json:"wants,omitzero"`
-	Config  Document `json:"config"`
-	Engines Document `json:"engines"`
-	Accused []string `json:"accused,omitempty"`
+	Digest  Digest         `json:"digest,omitzero"`
+	Sums    []Sum          `json:"sums,omitempty"`
+	Wants   Wants          `json:"wants,omitzero"`
+	Config  ConfigDocument `json:"config"`
+	Engines ListDocument   `json:"engines"`
+	Accused []string       `json:"accused,omitempty"`
 
 	Suspects   []Suspect `json:"suspects,omitempty"`
 	SuspectSum uint64    `json:"suspectSum,omitempty"`
--- a/citronpeer/peer_test.go
+++ b/citronpeer/peer_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"citrondeck.dev/citrondeck/citronkv"
 	"citrondeck.dev/citrondeck/citronpeer"
 	"github.com/matryer/is"
 )
@@ -42,7 +43,7 @@
 	var heard citronpeer.Knowledge
 	answer := citronpeer.Knowledge{
 		From: member(2), Diff: citronpeer.Diff{Members: []citronpeer.Member{member(3)}, AgesMS: []int64{70}, Gauges: []citronpeer.Gauge{{Print: 7, Gauges: gauges(7)}}},
-		Wants: citronpeer.Wants{Gauges: []citronpeer.Print{1 << 31}}, Config: citronpeer.Document{Revision: 9, Body: []byte("nine")},
+		Wants: citronpeer.Wants{Gauges: []citronpeer.Print{1 << 31}}, Config: citronpeer.ConfigDocument{Version: 9, Body: []byte("nine")},
 	}
 	citronpeer.Handle(mux, answering(func(k citronpeer.Knowledge) citronpeer.Knowledge {
 		heard = k
@@ -51,7 +52,7 @@
 	hs := httptest.NewServer(mux)
 	defer hs.Close()
 	c := &citronpeer.Client{HC: hs.Client(), Timeout: 30 * time.Second}
-	told := citronpeer.Knowledge{From: member(1), Digest: citronpeer.Digest{Prints: []citronpeer.Print{5}, Beats: []int64{9}}, Engines: citronpeer.Document{Revision: 4}}
+	told := citronpeer.Knowledge{From: member(1), Digest: citronpeer.Digest{Prints: []citronpeer.Print{5}, Beats: []int64{9}}, Engines: citronpeer.ListDocument{Revision: citronkv.RevisionOf(0, 4)}}
 	got, err := c.Exchange(context.Background(), strings.TrimPrefix(hs.URL, "http://"), told)
 	is.NoErr(err)
 	is.Equal(heard, told)
@@ -111,7 +112,7 @@
 // revisions of its documents, with no member of the fleet but itself. The whole
 // knowledge of a hundred nodes, which was sent before, is 3.8 KB.
 func BenchmarkNews(b *testing.B) {
-	k := citronpeer.Knowledge{From: member(1), Config: citronpeer.Document{Revision: 9}, Engines: citronpeer.Document{Revision: 4}}
+	k := citronpeer.Knowledge{From: member(1), Config: citronpeer.ConfigDocument{Version: 9}, Engines: citronpeer.ListDocument{Revision: citronkv.RevisionOf(0, 4)}}
 	var size int64
 	mux := http.NewServeMux()
 	citronpeer.Handle(mux, answering(func(citronpeer.Knowledge) citronpeer.Knowledge { return citronpeer.Knowledge{} }))
--- a/citronsoak/store_test.go
+++ b/citronsoak/store_test.go
@@ -34,7 +34,7 @@
 func wire(items []citronkv.Item) []wireItem {
 	out := make([]wireItem, len(items))
 	for i, it := range items {
-		out[i] = wireItem{it.Key, it.Value, citronkv.Number(it.Revision), int64(it.Lease), it.Deleted}
+		out[i] = wireItem{it.Key, it.Value, it.Revision.Number(), int64(it.Lease), it.Deleted}
 	}
 	return out
 }
@@ -81,7 +81,7 @@
 		return wire([]citronkv.Item{it})[0], err
 	case r.URL.Path == "/kv-range":
 		items, rev, err := s.kv.Range(ctx, q.Get("prefix"))
-		return map[string]any{"items": wire(items), "storeRevision": citronkv.Number(rev)}, err
+		return map[string]any{"items": wire(items), "storeRevision": rev.Number()}, err
 	case r.URL.Path == "/kv-watch":
 		return s.watch(ctx, q.Get("prefix"), number(q.Get("after")), number(q.Get("waitMs")))
 	case r.URL.Path == "/kv-txn":
@@ -108,12 +108,12 @@
 func (s *storeServer) watch(ctx context.Context, prefix string, after, waitMS int64) (any, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(waitMS)*time.Millisecond)
 	defer cancel()
-	after = citronkv.RevisionOf(s.kv.Era(), after)
-	items, rev, err := s.kv.Watch(ctx, prefix, after)
+	from := citronkv.RevisionOf(s.kv.Era(), after)
+	items, rev, err := s.kv.Watch(ctx, prefix, from)
 	if err != nil && ctx.Err() != nil {
-		items, rev, err = nil, after, nil // the wait ended without events
+		items, rev, err = nil, from, nil // the wait ended without events
 	}
-	return map[string]any{"events": wire(items), "storeRevision": citronkv.Number(rev)}, err
+	return map[string]any{"events": wire(items), "storeRevision": rev.Number()}, err
 }
 
 func (s *storeServer) commit(ctx context.Context, r *http.Request) (any, error) {
@@ -121,20 +121,20 @@
 	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
 		return nil, err
 	}
-	expect := map[string]int64{}
+	expect := map[string]citronkv.Revision{}
 	for _, e := range t.Expected {
-		expect[e.Key] = e.Revision
-		if e.Revision != citronkv.Absent {
+		expect[e.Key] = citronkv.Absent
+		if e.Revision != 0 {
 			expect[e.Key] = citronkv.RevisionOf(s.kv.Era(), e.Revision)
 		}
 	}
-	revision := func(key string) int64 {
+	revision := func(key string) citronkv.Revision {
 		if rev, ok := expect[key]; ok {
 			return rev
 		}
 		return citronkv.AnyRevision
 	}
-	var last int64
+	var last citronkv.Revision
 	for _, p := range t.Writes {
 		rev, err := s.kv.Put(ctx, p.Key, p.Payload, revision(p.Key), citronkv.LeaseID(p.Lease))
 		if err != nil {
@@ -147,5 +147,5 @@
 			return nil, err
 		}
 	}
-	return map[string]any{"revision": citronkv.Number(last)}, nil
+	return map[string]any{"revision": last.Number()}, nil
 }
