One node gives orders while the store returns from an older copy

A store that returns from an older copy has lost the leader's key, so the next node takes it at once, while the old leader goes on until its next renewal, and for longer if the store turns it away.

A term now knows the era of its lease, which is that of the write that took the key. A leader whose list is of a later era ends its term at once, and one that is elected in a new era holds the lease but gives no order until the life of a lease has passed since it saw the store return: by then an older leader has heard of the era, or lost the others.

--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -77,8 +77,9 @@
 	// view.
 	list        *citronlist.List
 	listVersion int
-	// era is that of the list.
+	// era is that of the list, and eraAt when it began if this node saw that.
 	era     int64
+	eraAt   time.Time
 	members *citronroster.Table
 	sums    *citronroster.Sums
 	self    citronpeer.Member
@@ -154,6 +155,9 @@
 	c.listAt = c.n.clock.Now()
 	if era := c.list.Revision().Era(); era != c.era {
 		c.era = era
+		if !c.listSince.IsZero() {
+			c.eraAt = c.listAt
+		}
 		c.n.quarantine.Unkeep()
 		wake(c.n.barredNews)
 	}
@@ -311,7 +315,7 @@
 // publish makes the newest state visible to traffic, gossip and placement.
 func (c *control) publish() {
 	old := c.n.snap.Load()
-	s := &snapshot{config: c.config, configAt: c.configAt, listAt: c.listAt, self: c.self, traffic: old.traffic, engines: old.engines}
+	s := &snapshot{eraAt: c.eraAt, config: c.config, configAt: c.configAt, listAt: c.listAt, self: c.self, traffic: old.traffic, engines: old.engines}
 	s.listWhole = !c.listSince.IsZero() && c.n.clock.Now().Sub(c.listSince) > listWhole
 	s.listSettled = !c.listSince.IsZero() && c.n.clock.Now().Sub(c.listSince) > settle
 	s.unreadable = c.list.Unreadable()
--- a/citronnode/era_test.go
+++ b/citronnode/era_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
+	"citrondeck.dev/citrondeck/citronkv"
 	"citrondeck.dev/citrondeck/citronmodel"
+	"citrondeck.dev/citrondeck/citronpeer"
 	"github.com/matryer/is"
 )
 
@@ -122,3 +125,63 @@
 		t.Fatalf("era of %v: %v", rev, err)
 	}
 }
+
+// Guards against lists of other nodes that cannot be, of eras beyond what a store may
+// have come to, or that cannot be read: taken, all that follow would be old news.
+func TestImpossibleListsAreNotTaken(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t)
+	f.config("1")
+	m := f.add("a", "z1")
+	f.engine(appEngine("e0"))
+	eventually(t, "the engine is used", func() bool { return f.usableAt("e0") == 1 })
+	client := citronpeer.Client{HC: http.DefaultClient, Timeout: time.Second}
+	for _, told := range []citronpeer.ListDocument{
+		{Revision: citronkv.RevisionOf(citronkv.LastEra, citronkv.LastNumber), Body: []byte("[]")},
+		{Revision: citronkv.RevisionOf(1000, 1), Body: []byte("[]")},
+		{Revision: citronkv.RevisionOf(1, 1), Body: []byte("{")},
+		{Revision: citronkv.RevisionOf(1, 1), Base: citronkv.RevisionOf(0, 900), Body: []byte("[]")},
+		{Revision: citronkv.AnyRevision, Body: []byte("[]")},
+	} {
+		_, err := client.News(context.Background(), m.addr, citronpeer.Knowledge{From: citronpeer.Member{Name: "stranger"}, Engines: told})
+		is.NoErr(err)
+	}
+	f.engine(appEngine("e1"))
+	eventually(t, "the next engine is used", func() bool { return f.usableAt("e1") == 1 })
+	is.Equal(f.usableAt("e0"), 1)
+	is.Equal(m.Status().StoreEra, int64(0))
+}
+
+// Guards against two nodes that give orders at once, on the strength of leases of two
+// eras: the store returns twice within a second, and turns one node away meanwhile.
+func TestOneNodeLeadsWhileTheStoreReturns(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.config("1")
+	made := f.store.Copy()
+	for i := range 5 {
+		f.add(fmt.Sprintf("n%d", i), fmt.Sprintf("z%d", i%2))
+	}
+	f.untilAllKnowAll()
+	placers := func() (names []string) {
+		for _, m := range f.nodes {
+			if m.Status().Places {
+				names = append(names, m.name)
+			}
+		}
+		return names
+	}
+	eventually(t, "a node places layers", func() bool { return len(placers()) == 1 })
+	for i := range 3 {
+		f.nodes[i].gate.closed.Store(true)
+		f.store.Return(made)
+		for end := time.Now().Add(800 * time.Millisecond); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+			if names := placers(); len(names) > 1 {
+				t.Fatalf("%v place at once", names)
+			}
+		}
+		f.nodes[i].gate.closed.Store(false)
+	}
+	eventually(t, "a node places layers again", func() bool { return len(placers()) == 1 })
+}
--- a/citronnode/leader.go
+++ b/citronnode/leader.go
@@ -27,6 +27,8 @@
 	leaderKey = "deck/leader"
 	// renewals a lease lives through.
 	renewals = 3
+	// termPoll is how often a leader looks whether its term is over.
+	termPoll = 100 * time.Millisecond
 	// campaignWait is how long a node waits before it looks again whether
 	// it should lead. Nodes that wait as long try one after the other.
 	campaignWait = 300 * time.Millisecond
@@ -55,10 +57,10 @@
 				continue
 			}
 		}
-		lease, err := n.campaign(ctx)
+		t, err := n.campaign(ctx)
 		switch {
 		case err == nil:
-			n.serveTerm(ctx, lease)
+			n.serveTerm(ctx, t)
 		case !errors.Is(err, errHeld):
 			if n.first() && n.noLeaderFor() > n.set.LeaseTTL/2 {
 				n.standIn(ctx)
@@ -95,6 +97,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	citronevent.Log(ctx, n.log, citronevent.LeaderStandsIn, "members", len(n.snap.Load().members))
+	n.leads.Store(true)
+	defer n.leads.Store(false)
 	wait := n.startPlacing(ctx)
 	for !n.leaving.Load() && !n.leaderKnown() && ctx.Err() == nil {
 		_, err := n.src.Store.Get(ctx, leaderKey)
@@ -119,66 +123,93 @@
 	return false
 }
 
+// term is the leadership of a node: the lease, and the store's era in which it
+// was granted. A lease ends with its era.
+type term struct {
+	lease citronkv.LeaseID
+	era   int64
+}
+
 // campaign takes the key if it is free.
-func (n *Node) campaign(ctx context.Context) (citronkv.LeaseID, error) {
+func (n *Node) campaign(ctx context.Context) (term, error) {
 	_, err := n.src.Store.Get(ctx, leaderKey)
 	if err == nil {
-		return 0, errHeld
+		return term{}, errHeld
 	}
 	if !errors.Is(err, citronkv.ErrNotFound) {
-		return 0, err
+		return term{}, err
 	}
 	lease, err := n.src.Store.Grant(ctx, n.set.LeaseTTL)
 	if err != nil {
-		return 0, err
+		return term{}, err
 	}
-	_, err = n.src.Store.Put(ctx, leaderKey, []byte(n.set.Name), citronkv.Absent, lease)
+	rev, err := n.src.Store.Put(ctx, leaderKey, []byte(n.set.Name), citronkv.Absent, lease)
 	if err == nil {
-		return lease, nil
+		return term{lease, rev.Era()}, nil
 	}
 	_ = n.src.Store.Revoke(ctx, lease) // it ends by itself otherwise
 	if errors.Is(err, citronkv.ErrConflict) {
-		return 0, errHeld
+		return term{}, errHeld
 	}
-	return 0, err
+	return term{}, err
 }
 
 // serveTerm places layers while the lease is renewed in time.
-func (n *Node) serveTerm(ctx context.Context, lease citronkv.LeaseID) {
+func (n *Node) serveTerm(ctx context.Context, t term) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	citronevent.Log(ctx, n.log, citronevent.LeaderElected, "lease", lease)
-	wait := n.startPlacing(ctx)
+	citronevent.Log(ctx, n.log, citronevent.LeaderElected, "lease", t.lease, "era", t.era)
+	n.leads.Store(true)
+	defer n.leads.Store(false)
+	var stop func()
 	renewed := n.clock.Now()
+	askedAt := renewed
 	among := len(n.snap.Load().members) + 1
-	for !n.leaving.Load() {
-		_ = n.clock.Sleep(ctx, n.set.LeaseTTL/(renewals+1))
-		asked := n.clock.Now()
-		if ctx.Err() != nil {
-			break
+	for !n.leaving.Load() && ctx.Err() == nil && n.storeEra() <= t.era {
+		if stop == nil && n.earlierLeasesEnded(t) {
+			stop = n.startPlacing(ctx)
 		}
-		limit, stop := context.WithTimeout(ctx, n.set.LeaseTTL/2)
-		err := n.src.Store.KeepAlive(limit, lease)
-		stop()
+		_ = n.clock.Sleep(ctx, termPoll)
+		if n.clock.Now().Sub(askedAt) < n.set.LeaseTTL/(renewals+1) {
+			continue
+		}
+		askedAt = n.clock.Now()
+		err := n.renew(ctx, t.lease)
 		if err == nil {
-			renewed = asked
+			renewed = askedAt
 			continue
 		}
 		if errors.Is(err, citronkv.ErrLeaseExpired) || n.leaderKnown() || 2*(len(n.snap.Load().members)+1) <= among && among > 1 {
-			citronevent.Log(ctx, n.log, citronevent.LeaderResigned, "lease", lease, "age", n.clock.Now().Sub(renewed), "heard", len(n.snap.Load().members), "err", err)
+			citronevent.Log(ctx, n.log, citronevent.LeaderResigned, "lease", t.lease, "era", t.era, "age", n.clock.Now().Sub(renewed), "heard", len(n.snap.Load().members), "err", err)
 			break
 		}
 	}
 	cancel()
-	wait()
-	end, stop := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
-	defer stop()
-	_ = n.src.Store.Revoke(end, lease) // it ends by itself otherwise
+	if stop != nil {
+		stop()
+	}
+	end, done := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+	defer done()
+	_ = n.src.Store.Revoke(end, t.lease) // it ends by itself otherwise
+}
+
+func (n *Node) renew(ctx context.Context, lease citronkv.LeaseID) error {
+	limit, done := context.WithTimeout(ctx, n.set.LeaseTTL/2)
+	defer done()
+	return n.src.Store.KeepAlive(limit, lease)
+}
+
+// earlierLeasesEnded reports whether no node can lead any more under a lease of an
+// era before: by then it has heard of the new era from the others, or lost them. A
+// leader whose store returned would otherwise give orders beside the next.
+func (n *Node) earlierLeasesEnded(t term) bool {
+	s := n.snap.Load()
+	return s.list.Revision.Era() == t.era && n.clock.Now().Sub(s.eraAt) >= n.set.LeaseTTL
 }
 
 // startPlacing places layers until ctx ends; the result waits for that.
 func (n *Node) startPlacing(ctx context.Context) (wait func()) {
-	n.leads.Store(true)
+	n.places.Store(true)
 	p := &citronplacer.Placer{Orders: n.src.Orders, Clock: n.clock, Log: n.log, Current: n.placement}
 	goals := p.Goals
 	n.goals.Store(&goals)
@@ -190,7 +221,7 @@
 	return func() {
 		<-done
 		n.goals.Store(nil)
-		n.leads.Store(false)
+		n.places.Store(false)
 	}
 }
 
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -115,7 +115,8 @@
 	answered atomic.Int64
 	// health is what this node's calls tell of the store.
 	health *citronhealth.Record
-	leads  atomic.Bool
+	// leads is set while this node holds the lease, places while it gives orders.
+	leads, places atomic.Bool
 	// goals are what this node as the leader wants engines to hold.
 	goals atomic.Pointer[func() map[string]citronmodel.Span]
 	// leaderless is since when no leader has been heard of.
@@ -141,6 +142,8 @@
 	sums []citronpeer.Sum
 	// others is the cache that the other nodes' requests take by zone.
 	others map[string]int64
+	// eraAt is when this node saw the store return from an older copy.
+	eraAt time.Time
 	// configAt and listAt are when they last changed here.
 	configAt, listAt time.Time
 	// goals are what a leader lately wanted engines to hold.
--- a/citronnode/rig_test.go
+++ b/citronnode/rig_test.go
@@ -253,6 +253,7 @@
 type member struct {
 	*citronnode.Node
 	gate   *gatedStore
+	name   string
 	addr   string
 	zone   string
 	budget *citronbudget.Budget
@@ -282,7 +283,7 @@
 			seeds = append(seeds, m.addr)
 		}
 	}
-	m := &member{gate: &gatedStore{Server: f.store}, addr: addr, zone: zone, budget: citronbudget.New(citronbudget.Limits{Ratio: 0.2, Slack: 10, Window: 10 * time.Second})}
+	m := &member{name: name, gate: &gatedStore{Server: f.store}, addr: addr, zone: zone, budget: citronbudget.New(citronbudget.Limits{Ratio: 0.2, Slack: 10, Window: 10 * time.Second})}
 	m.Node = citronnode.New(citronnode.Settings{
 		Name: name, Zone: zone, Front: "front-" + name, Peer: addr, Seeds: seeds, LeaseTTL: 600 * time.Millisecond, Grace: time.Second, DrainWithin: f.drain,
 	}, citronnode.Sources{
--- a/citronnode/status.go
+++ b/citronnode/status.go
@@ -28,14 +28,15 @@
 	Suspects, Barred int
 	SuspectsRejected int64
 	// Watching: the node watches the store, and the store answers.
-	// Leads: it places layers.
-	Watching, Leads bool
+	// Leads: it holds the lease under which layers are placed. Places: it places
+	// them.
+	Watching, Leads, Places bool
 }
 
 // Status returns what the node knows now.
 func (n *Node) Status() Status {
 	s := n.snap.Load()
-	out := Status{ConfigVersion: s.config.Version, ListRevision: s.list.Revision.Number(), StoreEra: s.list.Revision.Era(), Nodes: len(s.members), Unreadable: s.unreadable, Kept: s.kept, Watching: s.self.Watching, Leads: s.self.Leads}
+	out := Status{ConfigVersion: s.config.Version, ListRevision: s.list.Revision.Number(), StoreEra: s.list.Revision.Era(), Nodes: len(s.members), Unreadable: s.unreadable, Kept: s.kept, Watching: s.self.Watching, Leads: s.self.Leads, Places: n.places.Load()}
 	out.Suspects, out.Barred = n.quarantine.Count()
 	out.SuspectsRejected = n.suspectsRejected.Load()
 	now := n.clock.Now()
--- /dev/null
+++ b/citronpeer/fuzz_test.go
@@ -0,0 +1,47 @@
+package citronpeer_test
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"citrondeck.dev/citrondeck/citronkv"
+	"citrondeck.dev/citrondeck/citronpeer"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// FuzzPeerMessage: whatever another process sends, it is answered or refused, and what
+// is taken from it can be told on.
+func FuzzPeerMessage(f *testing.F) {
+	for _, v := range []any{
+		nil, 7, "text", []int{1},
+		map[string]any{"from": member(1), "engines": map[string]any{"revision": int64(1) << 62}},
+		map[string]any{"engines": map[string]any{"revision": -5}},
+		map[string]any{"engines": citronpeer.ListDocument{Revision: citronkv.RevisionOf(3, 9), Base: citronkv.RevisionOf(3, 8), Body: []byte("[]")}},
+		map[string]any{"digest": citronpeer.Digest{Prints: []citronpeer.Print{1, 2}, Beats: []int64{-1}}},
+	} {
+		data, err := cbor.Marshal(v)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		mux := http.NewServeMux()
+		citronpeer.Handle(mux, answering(func(k citronpeer.Knowledge) citronpeer.Knowledge {
+			k.Diff.Age(0)
+			k.Digest.Beat(0)
+			return k
+		}))
+		for _, procedure := range []string{"/citron.peer/Exchange", "/citron.peer/News"} {
+			r := httptest.NewRequest(http.MethodPost, procedure, bytes.NewReader(data))
+			r.Header.Set("Content-Type", "application/cbor")
+			w := httptest.NewRecorder()
+			mux.ServeHTTP(w, r)
+			if w.Code != http.StatusOK && w.Code < http.StatusBadRequest {
+				t.Fatalf("status %d", w.Code)
+			}
+		}
+	})
+}
