A late beat of a dead member does not keep it

Cause: a beat of the dead node that this one had not heard of counted as heard just now, however long it had travelled from node to node.

A member beats every 100 ms at most, so a beat tells how long after the last known one the member lived at the least. TestLateBeatOfTheDeadDoesNotKeepIt fails before; TestSlowMemberIsNotAsked guards the other side.

--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -24,8 +24,9 @@
 const (
 	// inboxSize lets sources go on while the loop builds a table.
 	inboxSize = 256
-	// tickEvery is how often the loop looks at what time changes.
-	tickEvery = 100 * time.Millisecond
+	// tickEvery is how often the loop looks at what time changes; each tick is a
+	// beat of this node.
+	tickEvery = citronpeer.BeatEvery
 	// deadNews is how long a node tells others of an engine that it found
 	// dead; they check for themselves.
 	deadNews = 1500 * time.Millisecond
--- a/citronpeer/peer.go
+++ b/citronpeer/peer.go
@@ -75,6 +75,9 @@
 	Repeats  float64 `json:"repeats"`
 }
 
+// BeatEvery is the least time between two beats of a member, on average.
+const BeatEvery = 100 * time.Millisecond
+
 // Newer reports whether m is later news of the same node than o.
 func (m Member) Newer(o Member) bool {
 	if m.Started != o.Started {
--- a/citronroster/table.go
+++ b/citronroster/table.go
@@ -17,6 +17,9 @@
 	// askLate is the same for one that nobody had time to ask: a node that is
 	// cut from a whole zone has more to ask than it can.
 	askLate = 700 * time.Millisecond
+	// oldestHearsay bounds how old a beat is taken for that another node tells of: a
+	// sound member that is short of processor time beats late.
+	oldestHearsay = suspectAfter / 2
 	// mostAhead is by how many beats a member may be ahead of what was told
 	// of it: whatever is further ahead is not its beat, and would hide what
 	// it does from then on.
@@ -140,6 +143,20 @@
 	return back
 }
 
+// heardAt is when a member was at a beat, at the earliest: the later by its beats
+// than the last one known. Taken for now, beats of a dead member that travel from node
+// to node would keep it for another second.
+func (k *Known) heardAt(beat int64, now time.Time) time.Time {
+	at := k.Heard.Add(time.Duration(beat-k.seen) * citronpeer.BeatEvery)
+	if oldest := now.Add(-oldestHearsay); at.Before(oldest) {
+		return oldest
+	}
+	if at.After(now) {
+		return now
+	}
+	return at
+}
+
 // hear notes that a member was at this beat, and reports whether it was lost
 // before.
 func (t *Table) hear(k *Known, beat int64, now time.Time) bool {
@@ -150,7 +167,8 @@
 	if !lost && k.Zone == t.zone {
 		t.near = t.near.with(now.Sub(k.Heard))
 	}
-	k.seen, k.Heard, k.Alive, k.asked = beat, now, true, false
+	k.Heard = k.heardAt(beat, now)
+	k.seen, k.Alive, k.asked = beat, true, false
 	return lost
 }
 
--- a/citronroster/table_test.go
+++ b/citronroster/table_test.go
@@ -126,6 +126,33 @@
 	is.Equal(lost, []string{"b"})
 }
 
+// Guards against a dead member that is kept by beats which travel from node to node: the
+// last of them comes a second after it died.
+func TestLateBeatOfTheDeadDoesNotKeepIt(t *testing.T) {
+	is := is.New(t)
+	tb, now := citronroster.NewTable("a", "z1"), start
+	b := member("b", "z2", 0, 1)
+	tb.Take(b, now, now)
+	age(tb, &now, time.Second)
+	tb.TakeDigest(citronpeer.Digest{Prints: []citronpeer.Print{citronroster.Of(b)}, Beats: []int64{4}}, now)
+	_, lost := age(tb, &now, 2*time.Second)
+	is.Equal(lost, []string{"b"})
+}
+
+// Guards against a sound member that is short of processor time, beats at half of the
+// pace, and is asked at all times.
+func TestSlowMemberIsNotAsked(t *testing.T) {
+	is := is.New(t)
+	tb, now := citronroster.NewTable("a", "z1"), start
+	b := member("b", "z2", 0, 1)
+	tb.Take(b, now, now)
+	for beat := int64(1); beat < 500; beat += 2 {
+		asked, _ := age(tb, &now, 4*tick)
+		is.Equal(len(asked), 0)
+		tb.TakeDigest(citronpeer.Digest{Prints: []citronpeer.Print{citronroster.Of(b)}, Beats: []int64{beat}}, now)
+	}
+}
+
 // One peer tells of a beat that no node can have reached. If it were believed,
 // all that the member tells of itself would look old from then on.
 func TestImpossibleBeatIsNotTaken(t *testing.T) {
