A node that starts beside busy ones does not take itself for alone

All nodes of a fleet that start at once on a busy machine asked the store up to 338 times, 180 allowed (TestStartOfAllAsksTheStoreLittle). Exchanges that timed out or were turned away counted as if nobody were there, so that after four of them each node watched the store and registered; and two nodes that had both heard of nobody knew 'as many as each other'.

Only refused connections count as an empty network now, silence after sixteen; and a node settles when it has heard of no more while the others know as many. New cases of TestNodeThatStartsSettles fail before.

--- a/citronnode/rig_test.go
+++ b/citronnode/rig_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -226,7 +227,7 @@
 	h := m.handlers[r.URL.Host]
 	m.mu.Unlock()
 	if h == nil || m.deaf.Load() && strings.HasSuffix(r.URL.Path, "/Exchange") {
-		return nil, errors.New("connection refused")
+		return nil, errors.Wrap(syscall.ECONNREFUSED, "dial")
 	}
 	w := httptest.NewRecorder()
 	h.ServeHTTP(w, r)
--- a/citronnode/settle.go
+++ b/citronnode/settle.go
@@ -8,9 +8,11 @@
 
 import (
 	"sync"
+	"syscall"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronpeer"
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -19,8 +21,11 @@
 	// mostAnswered is how many exchanges are enough where nodes come and go all
 	// the time, so that no two know as many.
 	mostAnswered = 10
-	// aloneAfter is how many exchanges in a row fail where nobody is.
-	aloneAfter = 4
+	// aloneAfter is how many exchanges in a row fail where nobody is, and
+	// aloneInSilence the same if they time out or are turned away: whoever is there
+	// may be as busy with starting as this node.
+	aloneAfter     = 4
+	aloneInSilence = 16
 	// settlePoll is how often a node that starts looks whether it has settled.
 	settlePoll = 100 * time.Millisecond
 	// startWait is the least time that a node asks other nodes before it watches
@@ -33,10 +38,13 @@
 type settling struct {
 	mu sync.Mutex
 	// same is how many of the last exchanges in a row were with a node that knew
-	// as many others.
+	// as many others, while this one heard of no more.
 	same int
-	// answered counts exchanges, failed those that failed since.
-	answered, failed int
+	// known is how many members this node knew before the last exchange.
+	known int
+	// answered counts exchanges; refused and failed those that failed since,
+	// because nobody listened or for any reason.
+	answered, refused, failed int
 }
 
 // exchanged notes an exchange, and how many members each side knew before it.
@@ -45,11 +53,16 @@
 	defer s.mu.Unlock()
 	if err != nil {
 		s.failed++
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			s.refused++
+		}
 		return
 	}
 	s.answered++
-	s.failed = 0
-	if len(ours.Prints) != len(theirs.Prints) {
+	s.refused, s.failed = 0, 0
+	grown := len(ours.Prints) != s.known
+	s.known = len(ours.Prints)
+	if grown || len(ours.Prints) != len(theirs.Prints) {
 		s.same = 0
 		return
 	}
@@ -60,7 +73,7 @@
 func (s *settling) done() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.same >= settledAfter || s.answered >= mostAnswered || s.failed >= aloneAfter
+	return s.same >= settledAfter || s.answered >= mostAnswered || s.refused >= aloneAfter || s.failed >= aloneInSilence
 }
 
 // settled reports whether this node knows the others, or that there are none. It
--- a/citronnode/settle_test.go
+++ b/citronnode/settle_test.go
@@ -1,6 +1,7 @@
 package citronnode
 
 import (
+	"syscall"
 	"testing"
 
 	"citrondeck.dev/citrondeck/citronpeer"
@@ -12,15 +13,17 @@
 // just died, know something else each time, or were never there.
 func TestNodeThatStartsSettles(t *testing.T) {
 	knows := func(n int) citronpeer.Digest { return citronpeer.Digest{Prints: make([]citronpeer.Print, n)} }
-	down := errors.New("connection refused")
+	down, silent := errors.Wrap(syscall.ECONNREFUSED, "dial"), errors.New("timeout")
 	cases := []struct {
 		name  string
 		step  func(s *settling, i int)
 		steps int
 	}{
-		{"others know as many", func(s *settling, _ int) { s.exchanged(knows(3), knows(3), nil) }, settledAfter},
+		{"others know as many", func(s *settling, _ int) { s.exchanged(knows(3), knows(3), nil) }, 1 + settledAfter},
 		{"others always know more", func(s *settling, i int) { s.exchanged(knows(i), knows(i+1), nil) }, mostAnswered},
 		{"nobody is there", func(s *settling, _ int) { s.exchanged(knows(1), knows(0), down) }, aloneAfter},
+		{"all that start know as few", func(s *settling, i int) { s.exchanged(knows(i+1), knows(i+1), nil) }, mostAnswered},
+		{"nobody answers", func(s *settling, _ int) { s.exchanged(knows(1), knows(0), silent) }, aloneInSilence},
 		{"the only other dies", func(s *settling, i int) {
 			var err error
 			if i > 0 {
