An engine because of which requests are refused is left alone for longer each time

Callers saw 1,971 refusals within twelve seconds, 'engines are full, no budget left', while other engines had room. Engines that left while the store was away refused what was new and answered probes as if they were well; nobody could read why. Each was tried again after 150 ms by every node: seven engines met 2,100 of 2,582 refused arrivals, and each used up a repeat of those that all nodes share.

The pause now doubles with each refusal, up to 1.2 s, until a request that was sent after it is let in; requests that were on their way together count once, and each new pause is told to the zone. A stream that began before the refusal and ends no longer takes the pause back.

--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -421,6 +421,9 @@
 		return 0, false
 	}
 	now := s.f.Clock.Now()
+	if s.run.firstEvent.IsZero() {
+		s.admittedAlong()
+	}
 	if !s.begun {
 		s.begun = true
 		s.firstTook = now.Sub(s.Received)
@@ -443,6 +446,13 @@
 	return 0, false
 }
 
+// admittedAlong notes that the engines of the path run the stream.
+func (s *streamJob) admittedAlong() {
+	for _, h := range s.path {
+		h.Engine.Admitted(s.run.sent)
+	}
+}
+
 // after reports whether event id a comes after b.
 func after(a, b string) bool {
 	x, errA := strconv.ParseInt(a, 10, 64)
@@ -458,7 +468,7 @@
 		if !s.begun {
 			return brokenRun // an empty stream is no answer
 		}
-		s.path[0].Engine.Answered(s.f.Clock.Now().Sub(s.pathSince))
+		s.path[0].Engine.Answered(s.pathSince, s.f.Clock.Now())
 		s.proven()
 		return finished
 	}
--- a/citronforward/stream_test.go
+++ b/citronforward/stream_test.go
@@ -510,7 +510,7 @@
 		for dark.Load() == nil {
 			time.Sleep(time.Millisecond)
 		}
-		dark.Load().Accuse(time.Now(), 0) // by a refusal of another request
+		dark.Load().Accuse(time.Now()) // by a refusal of another request
 	}()
 	got := r.ask("stream", 5*time.Second)
 	is.Equal(got.body, events(1, 4)) // the engine's own silence is never over here
@@ -525,7 +525,7 @@
 	r := newRig(t, engine("m1", "a", 0, 4), engine("m2", "a", 4, 8), engine("m3", "a", 4, 8))
 	resumed := make(chan struct{})
 	r.engines.answer = func(ctx context.Context, _ int, c citronupstream.Call) (*citronupstream.Reply, error) {
-		c.Hops[1].Engine.Accuse(time.Now(), 0)
+		c.Hops[1].Engine.Accuse(time.Now())
 		time.AfterFunc(220*time.Millisecond, func() { close(resumed) })
 		return stuckUntil(ctx, resumed), nil
 	}
--- a/citronforward/whole.go
+++ b/citronforward/whole.go
@@ -140,7 +140,7 @@
 		res.outcome = failed
 		return res
 	}
-	e.Answered(j.f.Clock.Now().Sub(begin))
+	e.Answered(begin, j.f.Clock.Now())
 	return res
 }
 
@@ -170,7 +170,7 @@
 	now := j.f.Clock.Now()
 	if at, ok := j.f.Current().View.ByAddr(reply.Fault); reply.Fault != "" && ok {
 		j.avoid[at.ID] = true
-		if at.Accuse(now, busyPause) && j.f.Accuse != nil {
+		if at.Accuse(now) && j.f.Accuse != nil {
 			j.f.Accuse(at)
 		}
 		// It may be full, or dead, which the running streams need to know.
--- a/citronnode/accuse.go
+++ b/citronnode/accuse.go
@@ -20,9 +20,6 @@
 	// accuseGap is the least time between two sendings. Each goes to a zone's
 	// nodes or two.
 	accuseGap = 20 * time.Millisecond
-	// accusedWait is how long a node that is told leaves the engine alone: in
-	// that time it is found dead, or has room again.
-	accusedWait = 150 * time.Millisecond
 )
 
 // Accuse tells the nodes of this zone and of the engine's that the engine was
@@ -58,7 +55,7 @@
 	}
 	for _, id := range ids {
 		if e, ok := t.View.ByID(id); ok {
-			e.Accuse(n.clock.Now(), accusedWait)
+			e.Accuse(n.clock.Now())
 		}
 	}
 }
--- a/citronnode/node_test.go
+++ b/citronnode/node_test.go
@@ -317,7 +317,7 @@
 	})
 	eventually(t, "the other node avoids the accused engine", func() bool {
 		at, _ := a.Traffic().View.ByID("e1")
-		at.Accuse(time.Now(), 0)
+		at.Accuse(time.Now())
 		a.Accuse(at)
 		time.Sleep(20 * time.Millisecond)
 		there, _ := b.Traffic().View.ByID("e1")
--- a/citronpool/pool.go
+++ b/citronpool/pool.go
@@ -47,6 +47,8 @@
 	// accusedAt is when an engine that was to hand a request on to it last
 	// refused the request and named it, in nanoseconds since epoch.
 	accusedAt atomic.Int64
+	// refusals counts the pauses in a row after refusals because of it.
+	refusals atomic.Int64
 	// laterStart is when the engine started anew, by its own report.
 	laterStart atomic.Int64
 	// replaced: another start of the engine, or another engine, is at its
@@ -108,28 +110,6 @@
 	s.deadSince.Store(since(now))
 }
 
-// accusedFor is how long an accusation counts: until the engine's death is
-// certain, or news of what it holds has come.
-const accusedFor = 500 * time.Millisecond
-
-// Accuse notes that an engine refused a request and named this one. It is dead,
-// leaving, giving up layers or short of memory; all of these are over or known
-// in other ways within a moment. It reports whether that is news.
-func (s *State) Accuse(now time.Time, wait time.Duration) bool {
-	news := !s.Accused(now)
-	s.accusedAt.Store(since(now))
-	if until := since(now.Add(wait)); s.avoidUntil.Load() < until {
-		s.avoidUntil.Store(until)
-	}
-	return news
-}
-
-// Accused reports whether the engine was named in a refusal just now.
-func (s *State) Accused(now time.Time) bool {
-	at := s.accusedAt.Load()
-	return at != 0 && since(now)-at < int64(accusedFor)
-}
-
 // Suspect leaves alone for a moment an engine that another node has found
 // dead.
 func (s *State) Suspect(now time.Time) {
@@ -213,11 +193,14 @@
 
 const latencyWeight = 8
 
-// Answered records a sound answer and how long it took.
-func (s *State) Answered(took time.Duration) {
+// Answered records a sound answer to a request that was sent at a moment.
+func (s *State) Answered(sent, now time.Time) {
 	s.failures.Store(0)
-	s.avoidUntil.Store(0)
 	s.deadSince.Store(0)
+	if s.Admitted(sent) {
+		s.avoidUntil.Store(0)
+	}
+	took := now.Sub(sent)
 	old := s.latency.Load()
 	if old == 0 {
 		s.latency.Store(took.Microseconds())
@@ -258,6 +241,7 @@
 			case !old.Replaced():
 				p.State = old.State
 				p.Placed()
+				p.refusals.Store(0)
 			} // else its entry is of its next start, which does not tell when it was
 		}
 		v.ByService[e.Service] = append(v.ByService[e.Service], p)
