A node that starts while the store is away asks it until it has its documents

All nodes lost power and started while the store was away. It was back at 36.6 s; the nodes had their configuration from 37.2 to 37.6 s, 64 of 65 from other nodes and one from the store, and refused 796 requests by then. Cause: after the first failed read a node waits until it knows the others before it may watch, and until then nobody asked the store at all.

The first eight nodes in the order of the fleet now ask until they have what they lack, every 0.2 s at most; the others hear of it. TestStartOfAllWhileTheStoreIsAway fails before, 0.47 to 0.49 s where 0.25 s are allowed.

--- a/citronnode/fleet_test.go
+++ b/citronnode/fleet_test.go
@@ -157,6 +157,35 @@
 	t.Fatal("no start of five was quick")
 }
 
+// Guards against callers that are refused although the store is back: all nodes start
+// while it is away, and first look which of them are to watch it.
+func TestStartOfAllWhileTheStoreIsAway(t *testing.T) {
+	t.Parallel()
+	// Half of the time after which refused callers come again.
+	const inTime = 250 * time.Millisecond
+	for try := range 5 {
+		f := newFleet(t)
+		f.net = newMesh()
+		f.config("1")
+		f.engine(appEngine("e0"))
+		f.away.Store(true)
+		const size = 20
+		for i := range size {
+			f.add(fmt.Sprintf("z%d-n%d", i%3, i), fmt.Sprintf("z%d", i%3))
+		}
+		time.Sleep(100 * time.Millisecond)
+		f.away.Store(false)
+		from := time.Now()
+		eventually(t, "all can serve", func() bool { return f.usableAt("e0") == size })
+		took := time.Since(from)
+		t.Logf("try %d: all can serve after %v", try, took)
+		if took < inTime {
+			return // a slow machine may take longer now and then
+		}
+	}
+	t.Fatal("no start of five was in time")
+}
+
 // Two halves of a fleet have lost each other, and all seeds of the settings are
 // gone with the machines that were replaced. Each half hears of enough nodes to go
 // on, with a leader of its own. They find each other again by the addresses in the
--- a/citronnode/rig_test.go
+++ b/citronnode/rig_test.go
@@ -31,6 +31,8 @@
 	*citronkv.Server
 	// closed: the store turns this node away.
 	closed atomic.Bool
+	// away: it turns all nodes away.
+	away *atomic.Bool
 	// silent: watches hear nothing until they end.
 	silent atomic.Bool
 	// watches counts the watches that wait.
@@ -39,10 +41,14 @@
 	calls atomic.Int64
 }
 
+func (d *gatedStore) turnsAway() bool {
+	return d.closed.Load() || d.away != nil && d.away.Load()
+}
+
 var errTurnedAway = errors.Mark(errors.New("turned away"), citronkv.ErrUnavailable)
 
 func (d *gatedStore) Get(ctx context.Context, key string) (citronkv.Item, error) {
-	if d.closed.Load() {
+	if d.turnsAway() {
 		return citronkv.Item{}, errTurnedAway
 	}
 	return d.Server.Get(ctx, key)
@@ -50,7 +56,7 @@
 
 func (d *gatedStore) Range(ctx context.Context, prefix string) ([]citronkv.Item, citronkv.Revision, error) {
 	d.calls.Add(1)
-	if d.closed.Load() {
+	if d.turnsAway() {
 		return nil, citronkv.Revision{}, errTurnedAway
 	}
 	return d.Server.Range(ctx, prefix)
@@ -58,14 +64,14 @@
 
 func (d *gatedStore) Put(ctx context.Context, key string, value []byte, expect citronkv.Revision, lease citronkv.LeaseID) (citronkv.Revision, error) {
 	d.calls.Add(1)
-	if d.closed.Load() {
+	if d.turnsAway() {
 		return citronkv.Revision{}, errTurnedAway
 	}
 	return d.Server.Put(ctx, key, value, expect, lease)
 }
 
 func (d *gatedStore) Watch(ctx context.Context, prefix string, after citronkv.Revision) ([]citronkv.Item, citronkv.Revision, error) {
-	if d.closed.Load() {
+	if d.turnsAway() {
 		return nil, citronkv.Revision{}, errTurnedAway
 	}
 	d.calls.Add(1)
@@ -81,14 +87,14 @@
 	if err != nil && limit.Err() != nil && ctx.Err() == nil {
 		return nil, after, nil // the wait ended without events
 	}
-	if d.closed.Load() {
+	if d.turnsAway() {
 		return nil, citronkv.Revision{}, errTurnedAway
 	}
 	return items, rev, err
 }
 
 func (d *gatedStore) KeepAlive(ctx context.Context, id citronkv.LeaseID) error {
-	if d.closed.Load() {
+	if d.turnsAway() {
 		return errTurnedAway
 	}
 	return d.Server.KeepAlive(ctx, id)
@@ -247,6 +253,8 @@
 	// log takes what all nodes log.
 	log   slog.Handler
 	nodes []*member
+	// away: the store turns all nodes away.
+	away atomic.Bool
 	// drain is the nodes' DrainWithin.
 	drain time.Duration
 }
@@ -284,7 +292,7 @@
 			seeds = append(seeds, m.addr)
 		}
 	}
-	m := &member{name: name, gate: &gatedStore{Server: f.store}, addr: addr, zone: zone, budget: citronbudget.New(citronbudget.Limits{Ratio: 0.2, Slack: 10, Window: 10 * time.Second})}
+	m := &member{name: name, gate: &gatedStore{Server: f.store, away: &f.away}, addr: addr, zone: zone, budget: citronbudget.New(citronbudget.Limits{Ratio: 0.2, Slack: 10, Window: 10 * time.Second})}
 	m.Node = citronnode.New(citronnode.Settings{
 		Name: name, Zone: zone, Front: "front-" + name, Peer: addr, Seeds: seeds, LeaseTTL: 600 * time.Millisecond, Grace: time.Second, DrainWithin: f.drain,
 	}, citronnode.Sources{
--- a/citronnode/sources.go
+++ b/citronnode/sources.go
@@ -39,7 +39,7 @@
 		}
 		well = ok
 	}
-	_, _ = n.read(ctx, prefix, config) // a store that does not answer is tried again below
+	n.readFirst(ctx, prefix, config)
 	readBarred := config               // those who follow the list read it
 	for ctx.Err() == nil {
 		if !n.mayWatch(ctx) {
@@ -73,6 +73,38 @@
 	}
 }
 
+const (
+	// firstReaders is how many nodes that lack a document ask a store that did not
+	// answer for it; the others hear of it from them.
+	firstReaders = 8
+	// firstAgain is how often, at most: callers wait for it.
+	firstAgain = 200 * time.Millisecond
+)
+
+// readFirst takes all of a prefix when the node starts, from the store or from other
+// nodes. When all nodes start while the store is away, none of them has it: each would
+// first find out which of them are to watch, and callers be refused meanwhile although
+// the store is back.
+func (n *Node) readFirst(ctx context.Context, prefix string, config bool) {
+	for ctx.Err() == nil && !n.has(config) {
+		if n.rank() < firstReaders {
+			if _, err := n.read(ctx, prefix, config); err == nil {
+				return
+			}
+		}
+		_ = n.clock.Sleep(ctx, firstAgain/2+rand.N(firstAgain/2))
+	}
+}
+
+// has reports whether the node has a configuration, or a list.
+func (n *Node) has(config bool) bool {
+	s := n.snap.Load()
+	if config {
+		return s.config.Version > 0
+	}
+	return !s.list.Revision.IsZero()
+}
+
 // read takes all of a prefix from the store. A node that starts does so at once,
 // whoever watches: callers wait for it.
 func (n *Node) read(ctx context.Context, prefix string, config bool) (citronkv.Revision, error) {
