Streams of a leaving engine move over the time that it serves on

Streams moved off leaving engines between 0.9 and 1.6 s after the news, as fitted to the 2 s for which engines of the first deployments serve on. Where the operator states 3 s, streams that would have ended by themselves were moved, had their tokens read again, and were late by the pause.

The span follows the stated time now, with 0.4 s left: 0.7 s as before for 2 s, 1.7 s for 3 s.

--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -79,6 +79,9 @@
 	// Borrow, if set, has other nodes lend this one repeats for a service, and
 	// reports whether any did.
 	Borrow func(service string) bool
+	// DrainWithin is how long an engine that is leaving serves on; zero: it is not
+	// known.
+	DrainWithin time.Duration
 	// Quarantine knows which requests crash engines.
 	Quarantine *citronquarantine.Ledger
 	// Stopping tells whether and how far this node is stopping.
--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -14,11 +14,6 @@
 // handed to it by the part before, so it is cheap within a zone and slow
 // across the pipe between zones. A resume starts a new run after the last
 // event: all parts read the prompt again, so it fits another zone's copy.
-//
-// An engine that is leaving serves on for a short while. Streams that run
-// through it are moved before it exits, spread over time so that their
-// prompts are not all read again at the same moment, and after the time in
-// which its layers are placed on another engine of the zone.
 
 import (
 	"context"
@@ -68,17 +63,6 @@
 	deadMemory = 3 * time.Second
 	// maxRepaths bounds the moves of one stream.
 	maxRepaths = 4
-	// leaveSpread is the time over which streams move away from an engine
-	// that is leaving; it serves on for two seconds or more.
-	leaveSpread = 700 * time.Millisecond
-	// leaveWait is how long a stream waits before that for the layers to
-	// be placed on another engine: a decision and a load of a few layers.
-	leaveWait = 900 * time.Millisecond
-	// leaveLatest is how long a stream waits for an engine of the zone to
-	// take the layers over before it goes to another zone; leaveAgain is
-	// how often it looks.
-	leaveLatest = 1800 * time.Millisecond
-	leaveAgain  = 150 * time.Millisecond
 )
 
 // Why a part is replaced.
@@ -228,27 +212,6 @@
 	return -1
 }
 
-// leavingPart returns the first hop whose engine is leaving, once this
-// stream's turn to move has come, or -1.
-func (w *watch) leavingPart(now time.Time) int {
-	view := w.s.f.Current().View
-	for i, h := range w.s.path {
-		e, ok := view.ByID(h.Engine.ID)
-		if ok && !e.Leaving {
-			continue
-		}
-		if w.leaveAt.IsZero() {
-			w.leftAt = now
-			w.leaveAt = now.Add(leaveWait + rand.N(leaveSpread))
-		}
-		if now.After(w.leaveAt) {
-			return i
-		}
-		return -1
-	}
-	return -1
-}
-
 // ask asks all engines of the path for a sign of life. The first also
 // tells which of its requests wait for another engine.
 func (w *watch) ask(now time.Time) {
@@ -362,11 +325,7 @@
 func (w *watch) mayWait() bool {
 	now := w.s.f.Clock.Now()
 	if w.reason == reasonLeaving {
-		if now.Sub(w.leftAt) < leaveLatest {
-			w.leaveAt = now.Add(leaveAgain)
-			return true
-		}
-		return false
+		return w.mayWaitToLeave(now)
 	}
 	if w.crossAt.IsZero() {
 		w.crossAt = now
@@ -387,7 +346,7 @@
 	}
 	now := s.f.Clock.Now()
 	if w.reason == reasonLeaving {
-		w.leaveAt = now.Add(leaveSpread / 2)
+		w.leaveAt = now.Add(leaveAgain)
 		return goOn
 	}
 	w.waitUntil = now.Add(4 * checkEvery)
