--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -167,7 +167,7 @@
 
 	StoreReturned:    {slog.LevelWarn, "store.returned", "the store came back from an older copy; gives the revision of its list (era.count) and the one known before, and how many of its entries this node has seen overtaken"},
 	BarredUnsaved:    {slog.LevelWarn, "barred.unsaved", "the record of a request that crashes engines could not be written to the store; it is tried again"},
-	SuspectsRejected: {slog.LevelWarn, "suspects.rejected", "another node told of requests that crash engines what no sound node tells; nothing of the message is taken, and the first of each node is logged"},
+	SuspectsRejected: {slog.LevelWarn, "suspects.rejected", "another node sent an invalid message about requests that crash engines; nothing of the message is taken, and the first of each node is logged"},
 
 	LedgerRetry: {slog.LevelWarn, "ledger.retry", "recording an answer in the ledger, or taking a claim back, failed; it is tried again"},
 }
--- a/citronforward/accused.go
+++ b/citronforward/accused.go
@@ -27,7 +27,7 @@
 }
 
 // accusedPart returns the first hop of a silent stream whose engine was named in
-// a refusal and gives no sign of life either, or -1.
+// a refusal and does not answer a probe either, or -1.
 func (w *watch) accusedPart(now time.Time, silence time.Duration) int {
 	if silence < quietAfter {
 		w.accused = nil // it went on; the next silence is another question
--- a/citronforward/crash.go
+++ b/citronforward/crash.go
@@ -56,7 +56,7 @@
 	if j.f.Quarantine.Empty() {
 		return false
 	}
-	left, barred := j.f.Quarantine.Bars(j.fingerprint())
+	left, barred := j.f.Quarantine.Blocked(j.fingerprint())
 	if barred {
 		j.retryAfter = left
 	}
@@ -75,7 +75,7 @@
 	}
 	j.sound = true
 	if !j.f.Quarantine.Empty() {
-		j.f.Quarantine.Ran(j.fingerprint())
+		j.f.Quarantine.Succeeded(j.fingerprint())
 	}
 }
 
--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -5,9 +5,9 @@
 // An engine in the middle of a path does not speak to this node: when it
 // dies, the stream just falls silent, and the first engine gives up only
 // after seconds, when the caller has long left. So a stream that is silent
-// for several times its usual pause has all engines of its path asked for a
-// sign of life; all streams that run through one that gives none are moved
-// at once, without asking again.
+// for several times its usual pause has all engines of its path probed; all
+// streams that run through one that does not answer are moved at once, without
+// another probe.
 //
 // There are two ways to move a stream. A repath keeps the run and replaces
 // the dead part: the new part has to read all tokens so far, which are
@@ -212,7 +212,7 @@
 	return -1
 }
 
-// ask asks all engines of the path for a sign of life. The first also
+// ask probes all engines of the path. The first also
 // tells which of its requests wait for another engine.
 func (w *watch) ask(now time.Time) {
 	w.asking = true
@@ -229,7 +229,7 @@
 	}()
 }
 
-// probe asks an engine for a sign of life and notes if it gives none.
+// probe probes whether an engine is alive and notes if it gives none.
 func (f *Forwarder) probe(ctx context.Context, e *citronpool.Engine, maxAge time.Duration) error {
 	return f.probes.Probe(ctx, f.Upstream, f.Clock, e, maxAge)
 }
--- a/citronnode/barred.go
+++ b/citronnode/barred.go
@@ -43,13 +43,13 @@
 			return
 		case <-n.barredNews:
 		}
-		for _, e := range n.quarantine.Unsaved() {
+		for _, e := range n.quarantine.Dirty() {
 			if err := n.saveBarred(ctx, e); err != nil {
 				citronevent.Log(ctx, n.log, citronevent.BarredUnsaved, "print", e.Print, "err", err)
 				time.AfterFunc(retryMost, func() { wake(n.barredNews) })
 				break
 			}
-			n.quarantine.Saved(e)
+			n.quarantine.MarkSaved(e)
 		}
 	}
 }
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -143,8 +143,8 @@
 			c.listTaken(ctx, m.source)
 		}
 	case membersSeen:
-		c.takeMembers(citronpeer.Diff{Members: []citronpeer.Member{m.from}})
-		c.takeMembers(m.told)
+		c.mergeMembers(citronpeer.Diff{Members: []citronpeer.Member{m.from}})
+		c.mergeMembers(m.told)
 		c.takeGauges(m.told.Gauges)
 		c.takeDigest(m.digest)
 		c.takeSums(m.sums)
@@ -159,7 +159,7 @@
 		if !c.listSince.IsZero() {
 			c.eraAt = c.listAt
 		}
-		c.n.quarantine.Unkeep()
+		c.n.quarantine.InvalidateSaved()
 		wake(c.n.barredNews)
 	}
 	if c.listSince.IsZero() {
--- a/citronnode/fleet_test.go
+++ b/citronnode/fleet_test.go
@@ -14,7 +14,7 @@
 	"github.com/matryer/is"
 )
 
-// lossCounter counts the nodes that others held for lost.
+// lossCounter counts the nodes that others declared failed.
 type lossCounter struct {
 	slog.Handler
 	losses *atomic.Int64
@@ -68,7 +68,7 @@
 	m.deaf.Store(true)
 	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if !allKnown() {
-			t.Fatal("a node is held for lost")
+			t.Fatal("a sound node is declared failed")
 		}
 	}
 	f.nodes[2].stop()
--- a/citronnode/gossip.go
+++ b/citronnode/gossip.go
@@ -189,7 +189,7 @@
 	n.give(ctx, addr, k)
 }
 
-// withBodies adds to what this node tells another the documents that the other
+// withBodies adds to the delta gossiped to a peer the documents that the other
 // has older.
 func (s *snapshot) withBodies(k, other citronpeer.Knowledge) (citronpeer.Knowledge, error) {
 	if other.Config.Version < s.config.Version {
@@ -294,7 +294,7 @@
 const mostErasAhead = 16
 
 func (n *Node) learn(ctx context.Context, k citronpeer.Knowledge) {
-	n.learnSuspects(ctx, k.From.Name, k.Suspects)
+	n.mergeSuspects(ctx, k.From.Name, k.Suspects)
 	n.send(ctx, membersSeen{from: k.From, told: k.Diff, digest: k.Digest, sums: k.Sums})
 	if len(k.Config.Body) > 0 {
 		n.offerConfig(ctx, k.Config.Version, k.Config.Body, sourceNode)
--- a/citronnode/members.go
+++ b/citronnode/members.go
@@ -13,8 +13,8 @@
 	"citrondeck.dev/citrondeck/citronroster"
 )
 
-// takeMembers takes what is told of nodes as a whole.
-func (c *control) takeMembers(told citronpeer.Diff) {
+// mergeMembers merges what another node knows of whole members.
+func (c *control) mergeMembers(told citronpeer.Diff) {
 	now := c.n.clock.Now()
 	for i, m := range told.Members {
 		news, changed := c.members.Take(m, now.Add(-told.Age(i)), now)
--- a/citronnode/sources.go
+++ b/citronnode/sources.go
@@ -40,7 +40,7 @@
 		well = ok
 	}
 	n.readFirst(ctx, prefix, config)
-	readBarred := config               // those who follow the list read it
+	readBarred := config // those who follow the list read it
 	for ctx.Err() == nil {
 		if !n.mayWatch(ctx) {
 			continue
--- a/citronnode/suspects.go
+++ b/citronnode/suspects.go
@@ -31,9 +31,9 @@
 	return out
 }
 
-// hearSuspects reads what another node told.
-func hearSuspects(told []citronpeer.Suspect, now time.Time) ([]citronquarantine.Entry, error) {
-	if len(told) > citronquarantine.MostTold {
+// decodeSuspects reads what another node told.
+func decodeSuspects(told []citronpeer.Suspect, now time.Time) ([]citronquarantine.Entry, error) {
+	if len(told) > citronquarantine.MaxGossipRecords {
 		return nil, errors.Newf("%d suspects at once", len(told))
 	}
 	var out []citronquarantine.Entry
@@ -67,10 +67,10 @@
 	return tellSuspects(n.quarantine.All(), n.clock.Now())
 }
 
-// learnSuspects takes what another node told. Nothing is taken of what no sound
-// node tells.
-func (n *Node) learnSuspects(ctx context.Context, from string, told []citronpeer.Suspect) {
-	entries, err := hearSuspects(told, n.clock.Now())
+// mergeSuspects merges the records that another node sent. Nothing is taken of an
+// invalid message.
+func (n *Node) mergeSuspects(ctx context.Context, from string, told []citronpeer.Suspect) {
+	entries, err := decodeSuspects(told, n.clock.Now())
 	if err != nil {
 		n.rejectSuspects(ctx, from, err)
 		return
@@ -80,7 +80,7 @@
 
 // learnEntries takes records from a node or the store.
 func (n *Node) learnEntries(ctx context.Context, from string, entries []citronquarantine.Entry) {
-	for chunk := range slices.Chunk(entries, citronquarantine.MostTold) {
+	for chunk := range slices.Chunk(entries, citronquarantine.MaxGossipRecords) {
 		barred, err := n.quarantine.Learn(chunk)
 		if err != nil {
 			n.rejectSuspects(ctx, from, err)
--- a/citronnode/suspects_test.go
+++ b/citronnode/suspects_test.go
@@ -18,7 +18,7 @@
 func (f *fleet) barredAt(p citronquarantine.Print) int {
 	n := 0
 	for _, m := range f.nodes {
-		if _, barred := m.Quarantine().Bars(p); barred {
+		if _, barred := m.Quarantine().Blocked(p); barred {
 			n++
 		}
 	}
@@ -83,7 +83,7 @@
 	time.Sleep(2 * time.Second) // it is no news any more
 	f.add("d", "z1")
 	eventually(t, "the new node bars it too", func() bool { return f.barredAt(suspect) == 4 })
-	f.nodes[3].Quarantine().Ran(suspect)
+	f.nodes[3].Quarantine().Succeeded(suspect)
 	eventually(t, "all hear that it ran well", func() bool { return f.barredAt(suspect) == 0 })
 }
 
@@ -120,7 +120,7 @@
 	eventually(t, "all nodes bar the request", func() bool { return f.barredAt(suspect) == len(names) })
 	is.True(time.Since(from) < knownWithin)
 	// It turns out to be sound, and stays so.
-	f.nodes[0].Quarantine().Ran(suspect)
+	f.nodes[0].Quarantine().Succeeded(suspect)
 	eventually(t, "no node bars it", func() bool { return f.barredAt(suspect) == 0 })
 }
 
@@ -139,7 +139,7 @@
 		}
 		return out
 	}
-	flood := make([]citronpeer.Suspect, citronquarantine.MostTold+1)
+	flood := make([]citronpeer.Suspect, citronquarantine.MaxGossipRecords+1)
 	for i := range flood {
 		p := citronquarantine.PrintOf("council", "POST", "h", fmt.Sprint(i), nil)
 		flood[i] = citronpeer.Suspect{Print: p.String(), Crashes: crashes(3, 1)}
--- a/citronpeer/fuzz_test.go
+++ b/citronpeer/fuzz_test.go
@@ -15,7 +15,8 @@
 // is taken from it can be told on.
 func FuzzPeerMessage(f *testing.F) {
 	for _, v := range []any{
-		nil, 7, "text", []int{1},
+		nil, 7, "text",
+		[]int{1},
 		map[string]any{"from": member(1), "engines": map[string]any{"revision": int64(1) << 62}},
 		map[string]any{"engines": map[string]any{"revision": -5}},
 		map[string]any{"engines": citronpeer.ListDocument{Revision: citronkv.RevisionOf(3, 9), Base: citronkv.RevisionOf(3, 8), Body: []byte("[]")}},
--- a/citronprobe/probe.go
+++ b/citronprobe/probe.go
@@ -1,4 +1,4 @@
-// Package citronprobe asks engines for a sign of life. Many streams ask about
+// Package citronprobe probes whether engines are alive. Many streams ask about
 // the same engines at once: when one in the middle of a zone's path dies, all
 // streams of the zone fall silent together, so an answer serves all of them.
 package citronprobe
@@ -74,7 +74,7 @@
 	}
 }
 
-// Probe asks an engine for a sign of life, and notes what it says or that it
+// Probe probes whether an engine is alive, and notes what it says or that it
 // gives none. The error says why it gave none.
 func (p *Prober) Probe(ctx context.Context, up citronupstream.Engines, clock citronclock.Clock, e *citronpool.Engine, maxAge time.Duration) error {
 	r, err := p.Ask(ctx, up, e.Addr, maxAge)
@@ -117,7 +117,7 @@
 	}
 }
 
-// Dead notes an engine that gave no sign of life, and whether its process
+// Dead notes an engine that did not answer, and whether its process
 // has certainly ended.
 func Dead(e *citronpool.Engine, err error, now time.Time) {
 	e.Dead(now)
--- a/citronquarantine/doc.go
+++ b/citronquarantine/doc.go
@@ -6,12 +6,12 @@
 //
 //	run begins -> engine ends -> Crashed ----> record ----> Admit: Barred
 //	     |                                       ^
-//	     +-> run goes well ----> Ran: refuted ---+
+//	     +-> run goes well ----> Succeeded ------+
 //
-// An engine that ends takes all its requests with it, and one of them at most is
-// to blame. So a crash counts only against requests whose run had just begun, it
-// takes three engines to bar a request, and whatever runs well is cleared of all
-// that was held against it. A request that is barred is let through again after a
+// An engine that ends takes all its requests with it, and one of them at most
+// caused the crash. So a crash counts only against requests whose run had just begun, it
+// takes three engines to bar a request, and whatever runs well is cleared of its
+// crash count. A request that is barred is let through again after a
 // while, one run at a time; each further crash doubles that while. Barred wrongly
 // it is clear after its next run.
 package citronquarantine
--- a/citronquarantine/ledger.go
+++ b/citronquarantine/ledger.go
@@ -17,14 +17,14 @@
 	// mostRecords bounds the ledger. Records of the fewest crashes are dropped
 	// first, the oldest of them before others.
 	mostRecords = 1024
-	// MostTold is how many records nodes tell each other at once.
-	MostTold = 64
-	// tellFor is how long a change is news to other nodes, and mostRecent how many
+	// MaxGossipRecords is how many records nodes tell each other at once.
+	MaxGossipRecords = 64
+	// gossipTTL is how long a change is news to other nodes, and maxRecentRecords how many
 	// changes are told as news. Eight engines that end at once leave hundreds of
 	// records of one crash: told whole, again and again, they take the links of a
 	// large fleet.
-	tellFor    = 2 * time.Second
-	mostRecent = 8
+	gossipTTL        = 2 * time.Second
+	maxRecentRecords = 8
 	// summaryFor is how long forgotten records may be told still.
 	summaryFor = 10 * time.Second
 	// trialRetry is when a request may ask again while another of the same
@@ -84,7 +84,7 @@
 // ledger is used.
 func (l *Ledger) Notify(f func()) { l.changed = f }
 
-// Empty reports whether nothing is held against any request.
+// Empty reports whether no request has a crash count.
 func (l *Ledger) Empty() bool { return l.size.Load() == 0 }
 
 // Admit asks whether a request may run.
@@ -105,8 +105,8 @@
 	return Trial{End: func() { l.endTrial(p) }}
 }
 
-// Bars reports for how long a request may not run, which was let through before.
-func (l *Ledger) Bars(p Print) (time.Duration, bool) {
+// Blocked reports for how long a request may not run, which was let through before.
+func (l *Ledger) Blocked(p Print) (time.Duration, bool) {
 	if l.Empty() {
 		return 0, false
 	}
@@ -147,7 +147,7 @@
 }
 
 // Crashed notes that an engine, by the ID of its start, ended under a run of the
-// request that had begun a moment before. It returns what is held against the
+// request that had begun a moment before. It returns the crash record of the
 // request now, and whether this is news.
 func (l *Ledger) Crashed(p Print, engine string, began time.Time) (r Record, news bool) {
 	l.mu.Lock()
@@ -170,8 +170,8 @@
 	return r, news
 }
 
-// Ran notes that the request has run well.
-func (l *Ledger) Ran(p Print) {
+// Succeeded notes that the request has run well.
+func (l *Ledger) Succeeded(p Print) {
 	if l.Empty() {
 		return
 	}
@@ -188,9 +188,9 @@
 	}
 }
 
-// Unsaved returns the records that this node has to keep where they last: those of
+// Dirty returns the records that this node has to keep where they last: those of
 // requests that were barred after a crash that it saw, as long as they change.
-func (l *Ledger) Unsaved() []Entry {
+func (l *Ledger) Dirty() []Entry {
 	if l.Empty() {
 		return nil
 	}
@@ -202,8 +202,8 @@
 	})
 }
 
-// Unkeep notes that what was kept may be lost.
-func (l *Ledger) Unkeep() {
+// InvalidateSaved notes that what was kept may be lost.
+func (l *Ledger) InvalidateSaved() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, e := range l.entries {
@@ -211,8 +211,8 @@
 	}
 }
 
-// Saved notes that a record is kept.
-func (l *Ledger) Saved(x Entry) {
+// MarkSaved notes that a record is kept.
+func (l *Ledger) MarkSaved(x Entry) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if e := l.entries[x.Print]; e != nil {
@@ -250,9 +250,9 @@
 	return barred, nil
 }
 
-// check refuses what no sound node tells: nothing is taken from it.
+// check refuses invalid messages as a whole.
 func (l *Ledger) check(told []Entry) error {
-	if len(told) > MostTold {
+	if len(told) > MaxGossipRecords {
 		return errors.Newf("%d records at once", len(told))
 	}
 	now := l.clock.Now()
@@ -277,8 +277,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
-	recent := l.told(func(e *entry) bool { return now.Sub(e.changedAt) < tellFor })
-	return recent[:min(len(recent), mostRecent)]
+	recent := l.told(func(e *entry) bool { return now.Sub(e.changedAt) < gossipTTL })
+	return recent[:min(len(recent), maxRecentRecords)]
 }
 
 // All returns what a node is told that knows something else: the records that bar a
@@ -315,7 +315,7 @@
 	slices.SortFunc(out, func(a, b Entry) int {
 		return cmp.Or(cmp.Compare(b.Standing(), a.Standing()), b.last().Compare(a.last()), slices.Compare(a.Print[:], b.Print[:]))
 	})
-	return out[:min(len(out), MostTold)]
+	return out[:min(len(out), MaxGossipRecords)]
 }
 
 // checksum leaves out times, which differ from node to node.
--- a/citronquarantine/ledger_test.go
+++ b/citronquarantine/ledger_test.go
@@ -87,7 +87,7 @@
 	clock.Advance(2 * time.Minute)
 	_, ok := l.Admit(p).(citronquarantine.Trial)
 	is.True(ok)
-	l.Ran(p)
+	l.Succeeded(p)
 	_, ok = l.Admit(p).(citronquarantine.Free)
 	is.True(ok)
 	l.Crashed(p, "i-2", time.Time{}) // late news of a crash from before
@@ -153,7 +153,7 @@
 	known, barred := l.Count()
 	is.Equal(known, 1024)
 	is.Equal(barred, 1) // what crashed most is dropped last
-	is.Equal(len(l.All()), citronquarantine.MostTold)
+	is.Equal(len(l.All()), citronquarantine.MaxGossipRecords)
 	is.Equal(l.All()[0].Print, guilty)
 	clock.Advance(time.Hour)
 	is.Equal(len(l.All()), 0)
@@ -171,7 +171,7 @@
 		}
 		return r
 	}
-	flood := make([]citronquarantine.Entry, citronquarantine.MostTold+1)
+	flood := make([]citronquarantine.Entry, citronquarantine.MaxGossipRecords+1)
 	for i := range flood {
 		flood[i] = citronquarantine.Entry{Print: request(i), Record: record(0)}
 	}
@@ -208,7 +208,7 @@
 			"crash": func(t *rapid.T) {
 				nodes[node.Draw(t, "node")].Crashed(request(which.Draw(t, "request")), fmt.Sprintf("i-%d", rapid.IntRange(0, 9).Draw(t, "engine")), time.Time{})
 			},
-			"run":  func(t *rapid.T) { nodes[node.Draw(t, "node")].Ran(request(which.Draw(t, "request"))) },
+			"run":  func(t *rapid.T) { nodes[node.Draw(t, "node")].Succeeded(request(which.Draw(t, "request"))) },
 			"tell": func(t *rapid.T) { tell(node.Draw(t, "from"), node.Draw(t, "to")) },
 			"wait": func(*rapid.T) { clock.Advance(time.Second) },
 		})
@@ -247,7 +247,7 @@
 		crash(l, request(i), i%8, 1)
 	}
 	for i := range 200 {
-		l.Ran(request(i))
+		l.Succeeded(request(i))
 	}
 	is.Equal(told, 0)
 	is.True(len(l.Recent()) <= 8)
--- a/citronquarantine/record.go
+++ b/citronquarantine/record.go
@@ -53,7 +53,7 @@
 	return slices.ContainsFunc(r.crashes, func(c Crash) bool { return c.Engine == key && c.At.Before(t) })
 }
 
-// Record is what is held against one request. It is immutable.
+// Record is the crash count of one request. It is immutable.
 type Record struct{ crashes []Crash }
 
 // WithCrash returns the record with a crash. Of two reports of the same crash the
--- a/citronroster/table_test.go
+++ b/citronroster/table_test.go
@@ -35,7 +35,7 @@
 	return asked, lost
 }
 
-// A node is killed. The others ask it, get no answer, and hold it for lost
+// A node is killed. The others ask it, get no answer, and declare it failed
 // within the 3 s in which callers may still be sent there.
 func TestDeadMemberIsLostInTime(t *testing.T) {
 	is := is.New(t)
--- a/citronroute/backend.go
+++ b/citronroute/backend.go
@@ -123,7 +123,7 @@
 	return since, ok
 }
 
-// sawAnswer notes a sign of life.
+// sawAnswer notes that it is alive.
 func (a *activity) sawAnswer(now time.Time) {
 	a.mu.Lock()
 	a.lastAnswer = now
