Refused callers come back when what fills the caches has ended

It is told 0.15 to 0.32 of the time that it has left now (3 to 6.4 s of 20 s), which is as long as callers wait.

TestRefusedCallersReturnAfterTheSurge: 282 of 1000 come back too early before, 115 now.

--- a/citronforward/admit.go
+++ b/citronforward/admit.go
@@ -28,15 +28,21 @@
 	roomShare = 0.12
 	// roomPoll is how often a waiting stream looks again.
 	roomPoll = 20 * time.Millisecond
-	// retryRoom to retryRoomMost is what refused callers are told. A
-	// stream lasts about five seconds and a lost zone is whole again after
-	// as many, so a caller that returns sooner is likely to be refused
-	// again. The times are drawn at random: callers that were refused
-	// together must not return together.
-	retryRoom     = 1500 * time.Millisecond
-	retryRoomMost = 6 * time.Second
+	// returnFirst and returnLast are between which parts of the time that a refused
+	// caller has left it is told to come back. Callers wait for a third of it at most.
+	// What fills the caches ends after some seconds, and a caller that comes back sooner
+	// is likely to be refused again, for the last time.
+	returnFirst = 0.15
+	returnLast  = 0.32
 )
 
+// returnAfter is when a caller comes back that was refused with so much time left. It is
+// drawn: callers that were refused together must not return together.
+func returnAfter(left time.Duration) time.Duration {
+	part := returnFirst + (returnLast-returnFirst)*rand.Float64()
+	return time.Duration(part * float64(max(0, left)))
+}
+
 // room returns a path with room for the stream. full says that there were
 // paths but none with room.
 func (s *streamJob) room(ctx context.Context) (p citronpath.Path, full, ok bool) {
@@ -53,7 +59,7 @@
 		}
 		if s.f.Clock.Now().Add(roomPoll).After(until) || s.f.Clock.Sleep(ctx, roomPoll) != nil {
 			s.used = used
-			s.retryAfter = retryRoom + rand.N(retryRoomMost-retryRoom)
+			s.retryAfter = returnAfter(s.left())
 			return nil, true, false
 		}
 	}
--- /dev/null
+++ b/citronforward/admit_test.go
@@ -0,0 +1,49 @@
+package citronforward
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// refusedAgain is how many of the callers that are refused during a surge come back while
+// it lasts.
+func refusedAgain(surge time.Duration, after func() time.Duration) int {
+	const callers = 1000
+	drawn := rand.New(rand.NewPCG(3, 4))
+	n := 0
+	for range callers {
+		if at := time.Duration(drawn.Int64N(int64(surge))); at+after() < surge {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against callers that are refused twice, and then not served at all: the caches are
+// full for as long as most streams last.
+func TestRefusedCallersReturnAfterTheSurge(t *testing.T) {
+	is := is.New(t)
+	const surge, left = 5 * time.Second, 20 * time.Second
+	early := refusedAgain(surge, func() time.Duration { return 1500*time.Millisecond + rand.N(4500*time.Millisecond) })
+	late := refusedAgain(surge, func() time.Duration { return returnAfter(left) })
+	t.Logf("refused again: %d of 1000 if told 1.5 to 6 s, %d as told", early, late)
+	is.True(late < early/2)
+}
+
+// Guards against a time that callers do not wait for, and against callers that all return
+// at the same moment.
+func TestTimeToReturnIsSpreadOverWhatCallersWait(t *testing.T) {
+	is := is.New(t)
+	for _, left := range []time.Duration{0, time.Second, 20 * time.Second} {
+		first, last := left, time.Duration(0)
+		for range 1000 {
+			after := returnAfter(left)
+			first, last = min(first, after), max(last, after)
+		}
+		is.True(3*last <= left)
+		is.True(last-first >= left/8)
+	}
+}
