--- a/citronforward/accused.go
+++ b/citronforward/accused.go
@@ -13,8 +13,7 @@
 import "time"
 
 // accusedSilence is how long an engine may take to answer that was named in a
-// refusal and through which a stream is silent. It answers within a few
-// milliseconds.
+// refusal and through which a stream is silent.
 const accusedSilence = 60 * time.Millisecond
 
 // accusation is a question to an engine that was named in a refusal.
--- a/citronforward/admit.go
+++ b/citronforward/admit.go
@@ -19,9 +19,9 @@
 )
 
 const (
-	// fullest is the share of the fullest engine's cache up to which
-	// streams are let in. Requests are counted with all tokens that they
-	// may come to, which is about a tenth more than they hold on average.
+	// fullest is the share of the fullest engine's cache up to which streams are let
+	// in. Requests are counted with all tokens that they may come to, which is more
+	// than they hold on average.
 	fullest = 1.05
 	// roomShare is the part of the target time for the first event that
 	// may go into waiting; the rest is needed for reading the prompt.
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -163,12 +163,11 @@
 
 // What a caller is told when nothing can run its request now.
 const (
-	// retryNoState: a node that starts has its state within a second.
+	// retryNoState: the node has just started.
 	retryNoState = 500 * time.Millisecond
-	// retryNoEngine: a repair that loads a few layers takes about a second.
+	// retryNoEngine: a few layers are loaded meanwhile.
 	retryNoEngine = time.Second
-	// retryBusy: about the time in which a twentieth of the running
-	// requests end.
+	// retryBusy: some of the running requests end meanwhile.
 	retryBusy = 400 * time.Millisecond
 	// maxRefused is how many engines may refuse a request before it is
 	// given up: with more, the engines are full and asking on costs the
@@ -222,17 +221,16 @@
 }
 
 const (
-	// stopAccept is how long a node that is stopping still takes all
-	// streams: callers know its address for up to two seconds more, and
-	// have but one other try.
+	// stopAccept is how long a node that is stopping still takes all streams: callers
+	// know its address for a while, and have but one other try.
 	stopAccept = 2500 * time.Millisecond
 	// stopAcceptAlone is the same while no other node takes callers, as
 	// when all are restarted faster than they can drain. A stream that
 	// outlasts the node is resumed by its caller; one that is refused by
 	// every node is lost.
 	stopAcceptAlone = 2800 * time.Millisecond
-	// streamStart and tokenTime bound how long a stream lasts: under full
-	// load the first event takes up to 0.5 s and a token 25 ms.
+	// streamStart and tokenTime bound how long a stream lasts under full load: the
+	// time to its first event, and that of each token.
 	streamStart = 700 * time.Millisecond
 	tokenTime   = 30 * time.Millisecond
 	// retryStopped is when one of several nodes that stop one after the
--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -32,30 +32,25 @@
 const (
 	// checkEvery is how often a running stream looks at its path.
 	checkEvery = 50 * time.Millisecond
-	// quietAfter is the pause after which a stream that is silent looks again,
-	// every lookAgain: events are about 50 ms apart, a pause of 200 ms is late.
+	// quietAfter is the pause after which a stream that is silent looks at its path,
+	// every lookAgain.
 	quietAfter = 70 * time.Millisecond
 	lookAgain  = 20 * time.Millisecond
 	// ownPause between two looks means that this node stood still.
 	ownPause = 6 * checkEvery
-	// silentAfter is the pause after which the engines are asked. Events
-	// are about 100 ms apart under load, so this is a few of them; the
-	// caller leaves after 2 s.
+	// silentAfter is the longest pause between events before the path is probed.
 	silentAfter = 270 * time.Millisecond
-	// firstSilence is the same before the first event, which waits for
-	// the prompt to be read: up to 300 ms under load.
+	// firstSilence is the same before the first event, which waits for the prompt to
+	// be read.
 	firstSilence = 500 * time.Millisecond
 	// askAgain is the time between two questions about one stream.
 	askAgain = 300 * time.Millisecond
-	// repathTimeout bounds an order to move a request; it is answered within
-	// a few milliseconds.
+	// repathTimeout bounds an order to move a request.
 	repathTimeout = 400 * time.Millisecond
-	// A stream that waits for its first event when a part dies may still
-	// be in time, and goes to another zone at once. One that has begun is
-	// late already. It goes between crossFirst and crossFirst + crossSpread
-	// after the death was found, well before its caller leaves: the 150
-	// streams of a zone together would have 130,000 tokens read again at
-	// once, which holds up the sound streams of the other zones.
+	// A stream that waits for its first event when a part dies may still be in time,
+	// and goes to another zone at once. One that has begun is late already, and goes
+	// between crossFirst and crossFirst + crossSpread after the death was found: all
+	// streams of a zone together would hold up the sound streams of the others.
 	crossFirst  = 50 * time.Millisecond
 	crossSpread = 600 * time.Millisecond
 	// deadMemory is how long a stream trusts that an engine found dead by
--- a/citronforward/whole.go
+++ b/citronforward/whole.go
@@ -47,9 +47,8 @@
 	// maxAnswerBytes bounds what is kept of an answer before it is passed
 	// on; whole answers of plain services are some kilobytes.
 	maxAnswerBytes = 8 << 20
-	// impatience is how many targets a safe request waits for one engine
-	// before another is tried: three times the longest work of a sound
-	// engine fits into two targets.
+	// impatience is how many targets a safe request waits for one engine before
+	// another is tried.
 	impatience = 2
 )
 
@@ -160,8 +159,8 @@
 }
 
 const (
-	// busyPause is how long a full engine is left alone: about the time
-	// in which a few of its running requests end.
+	// busyPause is how long a full engine is left alone: a few of its running requests
+	// end meanwhile.
 	busyPause = 150 * time.Millisecond
 )
 
@@ -247,8 +246,7 @@
 	}
 }
 
-// zoneSpread is the most that is added to a zone's cost at random: about
-// what a fifth of a zone's cache more or less in use adds to its cost.
+// zoneSpread is the most that is added to a zone's cost at random.
 const zoneSpread = 15
 
 // drawSpread draws the costs of zones for one request.
--- a/citronpath/path.go
+++ b/citronpath/path.go
@@ -70,8 +70,7 @@
 
 // Costs are in milliseconds of one token step, the unit that StepTime has.
 const (
-	// hopCost is a hop's own delay: a network hop and half a pass of
-	// waiting, about 0.5 ms.
+	// hopCost is a hop's own delay: a network hop and half a pass of waiting.
 	hopCost = 0.5
 	// otherZone is the price of starting in another zone: delay and the
 	// bytes of request and answer. Small, yet more than the difference
--- a/citronplace/copies.go
+++ b/citronplace/copies.go
@@ -18,9 +18,8 @@
 // half of its callers while the hole is filled. A small zone has no memory
 // for that: what layers do not use caches the running requests.
 const (
-	// copyShare is the part of a zone's memory that copies may take; the
-	// rest is cache. At full load a zone needs about as much for its requests
-	// as for one and a half copies.
+	// copyShare is the part of a zone's memory that copies may take; the rest is
+	// cache.
 	copyShare = 0.55
 	// keepShare is the same for a copy that is there: a zone that has lost a
 	// few engines does not give up the rest of a copy.
