--- a/citronforward/admit.go
+++ b/citronforward/admit.go
@@ -36,10 +36,11 @@
 	returnLast  = 0.32
 )
 
-// returnAfter is when a caller comes back that was refused with so much time left. It is
-// drawn: callers that were refused together must not return together.
-func returnAfter(left time.Duration) time.Duration {
-	part := returnFirst + (returnLast-returnFirst)*rand.Float64()
+// returnAfter is when a caller comes back that was refused with so much time left. drawn,
+// from 0 to 1, is another for each: callers that were refused together must not return
+// together.
+func returnAfter(left time.Duration, drawn float64) time.Duration {
+	part := returnFirst + (returnLast-returnFirst)*drawn
 	return time.Duration(part * float64(max(0, left)))
 }
 
@@ -59,7 +60,7 @@
 		}
 		if s.f.Clock.Now().Add(roomPoll).After(until) || s.f.Clock.Sleep(ctx, roomPoll) != nil {
 			s.used = used
-			s.retryAfter = returnAfter(s.left())
+			s.retryAfter = returnAfter(s.left(), rand.Float64())
 			return nil, true, false
 		}
 	}
--- a/citronforward/admit_test.go
+++ b/citronforward/admit_test.go
@@ -10,12 +10,12 @@
 
 // refusedAgain is how many of the callers that are refused during a surge come back while
 // it lasts.
-func refusedAgain(surge time.Duration, after func() time.Duration) int {
-	const callers = 1000
+func refusedAgain(surge time.Duration, after func(drawn float64) time.Duration) int {
+	const callers = 100_000
 	drawn := rand.New(rand.NewPCG(3, 4))
 	n := 0
 	for range callers {
-		if at := time.Duration(drawn.Int64N(int64(surge))); at+after() < surge {
+		if at := time.Duration(drawn.Int64N(int64(surge))); at+after(drawn.Float64()) < surge {
 			n++
 		}
 	}
@@ -27,9 +27,11 @@
 func TestRefusedCallersReturnAfterTheSurge(t *testing.T) {
 	is := is.New(t)
 	const surge, left = 5 * time.Second, 20 * time.Second
-	early := refusedAgain(surge, func() time.Duration { return 1500*time.Millisecond + rand.N(4500*time.Millisecond) })
-	late := refusedAgain(surge, func() time.Duration { return returnAfter(left) })
-	t.Logf("refused again: %d of 1000 if told 1.5 to 6 s, %d as told", early, late)
+	early := refusedAgain(surge, func(drawn float64) time.Duration {
+		return 1500*time.Millisecond + time.Duration(drawn*float64(4500*time.Millisecond))
+	})
+	late := refusedAgain(surge, func(drawn float64) time.Duration { return returnAfter(left, drawn) })
+	t.Logf("refused again: %d of 100,000 if told 1.5 to 6 s, %d as told", early, late)
 	is.True(late < early/2)
 }
 
@@ -38,11 +40,7 @@
 func TestTimeToReturnIsSpreadOverWhatCallersWait(t *testing.T) {
 	is := is.New(t)
 	for _, left := range []time.Duration{0, time.Second, 20 * time.Second} {
-		first, last := left, time.Duration(0)
-		for range 1000 {
-			after := returnAfter(left)
-			first, last = min(first, after), max(last, after)
-		}
+		first, last := returnAfter(left, 0), returnAfter(left, 1)
 		is.True(3*last <= left)
 		is.True(last-first >= left/8)
 	}
