An upstream's rate limit is read, logged and counted

Nodes now log limit.named and limit.invalid, and count the engines that name a limit and what is sent to them. Nothing is decided by it yet.

A stricter limit counts at once, a milder one only from an answer to a request that was sent with the newest record known (TestOlderAnswerDoesNotLiftALimit).

--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -63,6 +63,8 @@
 	StreamAsked    Event = 507
 	RunCrashed     Event = 508
 	RequestBarred  Event = 509
+	LimitNamed     Event = 510
+	LimitInvalid   Event = 511
 
 	TableApplied   Event = 600
 	TableRejected  Event = 601
@@ -140,6 +142,8 @@
 	StreamAsked:         {slog.LevelInfo, "stream.asked", "a silent stream's first engine told which requests wait for another engine"},
 	RunCrashed:          {slog.LevelWarn, "run.crashed", "an engine ended under a run that had just begun; gives the request's fingerprint and under how many engines it counts for that (crashes)"},
 	RequestBarred:       {slog.LevelWarn, "request.barred", "a request under which several engines have ended is not sent to engines for a while; gives its fingerprint, under how many they ended, and whether this node saw the last or heard of it"},
+	LimitNamed:          {slog.LevelInfo, "limit.named", "an engine's answer named another rate limit than was known, or none any more (limited=false); gives how many requests a second it takes from all nodes"},
+	LimitInvalid:        {slog.LevelWarn, "limit.invalid", "an engine's answer named a rate limit that cannot be read; nothing of it is taken, and the first of each engine is logged"},
 	AnswerSampled:       {slog.LevelInfo, "answer.sampled", "a request was answered in full; one in many is logged"},
 
 	TableApplied:   {slog.LevelInfo, "table.applied", "a node put a new version of the configuration in force"},
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -21,6 +21,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,7 @@
 	"citrondeck.dev/citrondeck/citronclock"
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronkv"
+	"citrondeck.dev/citrondeck/citronlimit"
 	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citronprobe"
 	"citrondeck.dev/citrondeck/citronquarantine"
@@ -86,8 +88,12 @@
 	Quarantine *citronquarantine.Ledger
 	// Stopping tells whether and how far this node is stopping.
 	Stopping func() Stopping
+	// Limits holds the rate limits that engines name.
+	Limits *citronlimit.Book
 
 	probes citronprobe.Prober
+	// invalidLimits holds the engines of which an invalid limit was logged.
+	invalidLimits sync.Map
 	// answers counts requests that were answered in full.
 	answers atomic.Int64
 }
--- a/citronforward/metrics.go
+++ b/citronforward/metrics.go
@@ -4,15 +4,17 @@
 
 // Metrics counts what becomes of requests.
 type Metrics struct {
-	Requests    *prometheus.CounterVec
-	Refusals    *prometheus.CounterVec
-	Attempts    *prometheus.CounterVec
-	Repairs     *prometheus.CounterVec
-	BudgetSpent prometheus.Counter
-	Crashes     prometheus.Counter
-	FirstEvent  prometheus.Histogram
-	Pause       prometheus.Histogram
-	Whole       prometheus.Histogram
+	Requests      *prometheus.CounterVec
+	Refusals      *prometheus.CounterVec
+	Attempts      *prometheus.CounterVec
+	Repairs       *prometheus.CounterVec
+	BudgetSpent   prometheus.Counter
+	Crashes       prometheus.Counter
+	LimitedSends  prometheus.Counter
+	InvalidLimits prometheus.Counter
+	FirstEvent    prometheus.Histogram
+	Pause         prometheus.Histogram
+	Whole         prometheus.Histogram
 }
 
 // latencyBuckets spans 5 ms to 20 s, the range between a cached answer and
@@ -22,16 +24,18 @@
 // NewMetrics returns metrics registered with r.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
-		Requests:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citrondeck_requests_total", Help: "Requests by kind."}, []string{"kind"}),
-		Refusals:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citrondeck_refusals_total", Help: "Answers of the node's own by reason."}, []string{"reason"}),
-		Attempts:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citrondeck_attempts_total", Help: "Calls to engines by outcome."}, []string{"outcome"}),
-		Repairs:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citrondeck_repairs_total", Help: "Streams moved while they ran, by way."}, []string{"way"}),
-		BudgetSpent: prometheus.NewCounter(prometheus.CounterOpts{Name: "citrondeck_budget_spent_total", Help: "Repeats that the shared budget did not allow."}),
-		Crashes:     prometheus.NewCounter(prometheus.CounterOpts{Name: "citrondeck_run_crashes_total", Help: "Runs that had just begun when their engine ended."}),
-		FirstEvent:  prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_first_event_seconds", Help: "Time to the first event of a stream.", Buckets: latencyBuckets}),
-		Pause:       prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_pause_seconds", Help: "Longest pause between events of a stream.", Buckets: latencyBuckets}),
-		Whole:       prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_answer_seconds", Help: "Time to a whole answer.", Buckets: latencyBuckets}),
+		Requests:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citrondeck_requests_total", Help: "Requests by kind."}, []string{"kind"}),
+		Refusals:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citrondeck_refusals_total", Help: "Answers of the node's own by reason."}, []string{"reason"}),
+		Attempts:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citrondeck_attempts_total", Help: "Calls to engines by outcome."}, []string{"outcome"}),
+		Repairs:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citrondeck_repairs_total", Help: "Streams moved while they ran, by way."}, []string{"way"}),
+		BudgetSpent:   prometheus.NewCounter(prometheus.CounterOpts{Name: "citrondeck_budget_spent_total", Help: "Repeats that the shared budget did not allow."}),
+		Crashes:       prometheus.NewCounter(prometheus.CounterOpts{Name: "citrondeck_run_crashes_total", Help: "Runs that had just begun when their engine ended."}),
+		LimitedSends:  prometheus.NewCounter(prometheus.CounterOpts{Name: "citrondeck_limited_sends_total", Help: "Requests sent to engines that name a rate limit."}),
+		InvalidLimits: prometheus.NewCounter(prometheus.CounterOpts{Name: "citrondeck_invalid_limits_total", Help: "Answers with a rate limit that cannot be read."}),
+		FirstEvent:    prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_first_event_seconds", Help: "Time to the first event of a stream.", Buckets: latencyBuckets}),
+		Pause:         prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_pause_seconds", Help: "Longest pause between events of a stream.", Buckets: latencyBuckets}),
+		Whole:         prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_answer_seconds", Help: "Time to a whole answer.", Buckets: latencyBuckets}),
 	}
-	r.MustRegister(m.Requests, m.Refusals, m.Attempts, m.Repairs, m.BudgetSpent, m.Crashes, m.FirstEvent, m.Pause, m.Whole)
+	r.MustRegister(m.Requests, m.Refusals, m.Attempts, m.Repairs, m.BudgetSpent, m.Crashes, m.LimitedSends, m.InvalidLimits, m.FirstEvent, m.Pause, m.Whole)
 	return m
 }
--- a/citronforward/rig_test.go
+++ b/citronforward/rig_test.go
@@ -13,6 +13,7 @@
 	"citrondeck.dev/citrondeck/citronbudget"
 	"citrondeck.dev/citrondeck/citronclock"
 	"citrondeck.dev/citrondeck/citronforward"
+	"citrondeck.dev/citrondeck/citronlimit"
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronpath"
 	"citrondeck.dev/citrondeck/citronpool"
@@ -133,6 +134,7 @@
 		Loads:  &citronpool.Loads{},
 
 		Quarantine: citronquarantine.New("n", citronclock.Real{}),
+		Limits:     citronlimit.NewBook(),
 		Current:    func() *citronforward.State { return state },
 		Metrics:    citronforward.NewMetrics(prometheus.NewRegistry()),
 	}
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -304,7 +304,7 @@
 	replies := make(chan sent, 1)
 	call := citronupstream.Call{Request: s.Request, Engine: s.path[0].Engine, Hops: s.path, Customer: s.customer, Left: s.left(), After: s.last, Once: !s.route.Idempotent(), Urgent: s.begun}
 	go func() {
-		reply, err := s.f.Upstream.Send(ctx, call)
+		reply, err := s.f.send(ctx, call)
 		replies <- sent{reply, err}
 	}()
 	for {
--- /dev/null
+++ b/citronlimit/book_test.go
@@ -0,0 +1,40 @@
+package citronlimit_test
+
+import (
+	"testing"
+
+	"citrondeck.dev/citrondeck/citronlimit"
+	"citrondeck.dev/citrondeck/citronupstream"
+	"github.com/matryer/is"
+)
+
+// Guards against a limit that is lifted by an answer that began before it was named.
+func TestOlderAnswerDoesNotLiftALimit(t *testing.T) {
+	is := is.New(t)
+	b := citronlimit.NewBook()
+	before := b.Of("i-1")
+	r, news := b.Heard("i-1", before, citronupstream.PerSecond(4))
+	is.True(news)
+	is.True(r.Limited)
+	_, news = b.Heard("i-1", before, citronupstream.NoRateLimit{})
+	is.True(!news)
+	_, news = b.Heard("i-1", before, citronupstream.PerSecond(9))
+	is.True(!news)
+	_, news = b.Heard("i-1", before, citronupstream.PerSecond(2.5))
+	is.True(news) // a stricter one counts at once
+	is.Equal(b.Of("i-1").PerSecond, 2.5)
+	r, news = b.Heard("i-1", b.Of("i-1"), citronupstream.NoRateLimit{})
+	is.True(news)
+	is.True(!r.Limited)
+	is.Equal(b.Limited(), 0)
+}
+
+func TestInvalidLimitSaysNothing(t *testing.T) {
+	is := is.New(t)
+	b := citronlimit.NewBook()
+	b.Heard("i-1", b.Of("i-1"), citronupstream.PerSecond(4))
+	_, news := b.Heard("i-1", b.Of("i-1"), citronupstream.InvalidRateLimit("fast"))
+	is.True(!news)
+	is.Equal(b.Of("i-1").PerSecond, 4.0)
+	is.Equal(b.Of("i-2"), citronlimit.Record{})
+}
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -27,6 +27,7 @@
 	"citrondeck.dev/citrondeck/citronforward"
 	"citrondeck.dev/citrondeck/citronhealth"
 	"citrondeck.dev/citrondeck/citronkv"
+	"citrondeck.dev/citrondeck/citronlimit"
 	"citrondeck.dev/citrondeck/citronlist"
 	"citrondeck.dev/citrondeck/citronloan"
 	"citrondeck.dev/citrondeck/citronmodel"
@@ -105,6 +106,8 @@
 	loans *citronloan.Borrower
 	// quarantine is what is known of requests that crash engines.
 	quarantine *citronquarantine.Ledger
+	// limits are the rate limits that engines name.
+	limits *citronlimit.Book
 	// barredNews wakes the goroutine that keeps its records in the store.
 	barredNews chan struct{}
 	// suspectsRejected counts what other nodes told of such requests and could
@@ -173,6 +176,7 @@
 		barredNews: make(chan struct{}, 1),
 		configs:    newConfigInbox(src.DecodeConfig),
 	}
+	n.limits = citronlimit.NewBook()
 	n.quarantine = citronquarantine.New(set.Name, clock)
 	n.quarantine.Notify(func() {
 		n.tell()
@@ -183,6 +187,9 @@
 	return n
 }
 
+// Limits are the rate limits of engines that this node knows.
+func (n *Node) Limits() *citronlimit.Book { return n.limits }
+
 // Traffic returns what requests are forwarded by, nil before there is any.
 func (n *Node) Traffic() *citronforward.State { return n.snap.Load().traffic }
 
--- a/citronnode/status.go
+++ b/citronnode/status.go
@@ -27,6 +27,8 @@
 	// about such requests of which nothing was taken.
 	Suspects, Barred int
 	SuspectsRejected int64
+	// Limited are engines that name a rate limit.
+	Limited int
 	// Watching: the node watches the store, and the store answers.
 	// Leads: it holds the lease under which layers are placed. Places: it places
 	// them.
@@ -38,6 +40,7 @@
 	s := n.snap.Load()
 	out := Status{ConfigVersion: s.config.Version, ListRevision: s.list.Revision.Number(), StoreEra: s.list.Revision.Era(), Nodes: len(s.members), Unreadable: s.unreadable, Kept: s.kept, Watching: s.self.Watching, Leads: s.self.Leads, Places: n.places.Load()}
 	out.Suspects, out.Barred = n.quarantine.Count()
+	out.Limited = n.limits.Limited()
 	out.SuspectsRejected = n.suspectsRejected.Load()
 	now := n.clock.Now()
 	if !s.configAt.IsZero() {
--- a/citronupstream/upstream.go
+++ b/citronupstream/upstream.go
@@ -73,6 +73,8 @@
 	Fault string
 	// Signed: the answer is an engine's own.
 	Signed bool
+	// RateLimit is how many requests the engine takes; nil: nothing is known.
+	RateLimit RateLimit
 }
 
 // Errors of Engines.Send. Any other error leaves it open whether the
