Failing test: nodes together keep to an upstream's rate limit

Nodes in front of three upstreams, of which one names a limit, send it what they would send without: 199 requests in 4 s of 20 allowed (9 nodes, 2.5 a second), 199 of 125 (9 nodes, 20), 564 of 29 (one node, 4), 200 of 8 (45 nodes, 0.5).

With limit.named in the log the hypotheses part: the nodes get the limit, and none holds anything back, so it is the first: nothing acts on it.

--- /dev/null
+++ b/citronnode/limit_test.go
@@ -0,0 +1,263 @@
+package citronnode_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronclock"
+	"citrondeck.dev/citrondeck/citronforward"
+	"citrondeck.dev/citrondeck/citronmodel"
+	"citrondeck.dev/citrondeck/citronpath"
+	"citrondeck.dev/citrondeck/citronpool"
+	"citrondeck.dev/citrondeck/citrontable"
+	"citrondeck.dev/citrondeck/citronupstream"
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// arrival is a request that an upstream got.
+type arrival struct {
+	engine string
+	at     time.Time
+	// told: its node had got the limit half a second before or earlier.
+	told bool
+}
+
+// limitedUpstreams are upstreams of which some name a rate limit.
+type limitedUpstreams struct {
+	mu       sync.Mutex
+	limits   map[string]float64
+	arrivals []arrival
+	// told is when a node first got the limit of an engine.
+	told map[[2]string]time.Time
+}
+
+func newLimitedUpstreams(limits map[string]float64) *limitedUpstreams {
+	return &limitedUpstreams{limits: limits, told: map[[2]string]time.Time{}}
+}
+
+// toldAfter is how long after a node got an answer with a limit it has to keep to it.
+const toldAfter = 500 * time.Millisecond
+
+func (u *limitedUpstreams) arrive(node, engine string) citronupstream.RateLimit {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := time.Now()
+	key := [2]string{node, engine}
+	first, ok := u.told[key]
+	u.arrivals = append(u.arrivals, arrival{engine: engine, at: now, told: ok && now.Sub(first) >= toldAfter})
+	limit, limited := u.limits[engine]
+	if !limited {
+		return citronupstream.NoRateLimit{}
+	}
+	if !ok {
+		u.told[key] = now
+	}
+	return citronupstream.PerSecond(limit)
+}
+
+// limit has an engine name a limit from now on; negative: none.
+func (u *limitedUpstreams) limit(engine string, perSecond float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.limits[engine] = perSecond; perSecond < 0 {
+		delete(u.limits, engine)
+	}
+}
+
+// most is the most requests that an engine got in any four seconds from nodes that
+// knew its limit.
+func (u *limitedUpstreams) most(engine string) int {
+	return u.busiest(func(a arrival) bool { return a.engine == engine && a.told })
+}
+
+// got counts what an engine got in a time.
+func (u *limitedUpstreams) got(engine string, from, to time.Time) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	n := 0
+	for _, a := range u.arrivals {
+		if a.engine == engine && !a.at.Before(from) && a.at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
+const limitWindow = 4 * time.Second
+
+func (u *limitedUpstreams) busiest(counts func(arrival) bool) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var window []time.Time
+	most := 0
+	for _, a := range u.arrivals {
+		if !counts(a) {
+			continue
+		}
+		window = append(window, a.at)
+		for a.at.Sub(window[0]) > limitWindow {
+			window = window[1:]
+		}
+		most = max(most, len(window))
+	}
+	return most
+}
+
+// allowedInWindow is one and a half times what a limit allows, and five.
+func allowedInWindow(perSecond float64) int {
+	return int(1.5*perSecond*limitWindow.Seconds()) + 5
+}
+
+// nodeUpstreams are the upstreams as one node reaches them.
+type nodeUpstreams struct {
+	*limitedUpstreams
+	node string
+}
+
+func (u nodeUpstreams) Send(_ context.Context, c citronupstream.Call) (*citronupstream.Reply, error) {
+	limit := u.arrive(u.node, c.Engine.ID)
+	return &citronupstream.Reply{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("ok")), Signed: true, RateLimit: limit}, nil
+}
+
+func (nodeUpstreams) Report(context.Context, string) (citronupstream.Report, error) {
+	return citronupstream.Report{}, nil
+}
+
+func (nodeUpstreams) Repath(context.Context, string, string, citronpath.Path) error {
+	return errors.New("no streams")
+}
+
+// answers counts what callers got, by status.
+type answers struct {
+	mu       sync.Mutex
+	byStatus map[int]int
+	// earliest is the soonest that a refused caller was told to come back.
+	earliest time.Duration
+}
+
+func (a *answers) count(status int) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.byStatus[status]
+}
+
+func (a *answers) add(status int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.byStatus[status]++
+}
+
+func (a *answers) Answer(status int, _ http.Header, _ []byte) { a.add(status) }
+func (a *answers) Refuse(status int, after time.Duration, _ string) {
+	a.add(status)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.earliest == 0 || after < a.earliest {
+		a.earliest = after
+	}
+}
+func (a *answers) Begin(int, http.Header) {}
+func (a *answers) Event([]byte) error     { return nil }
+func (a *answers) Abort()                 {}
+
+var appTable = citrontable.New(1, []citrontable.Route{{
+	Name: "r", Host: "h", Prefix: "/", Kind: citrontable.Safe, Timeout: 4 * time.Second, Target: 120 * time.Millisecond, MaxAttempts: 2,
+	Services: []citrontable.Weighted{{Service: "app", Weight: 1}},
+}}, []citrontable.Service{{Name: "app"}}, nil, citrontable.Limits{})
+
+// forwarder is a node's traffic before such upstreams.
+func (m *member) forwarder(u *limitedUpstreams) *citronforward.Forwarder {
+	return &citronforward.Forwarder{
+		Zone: m.zone, Clock: citronclock.Real{}, Log: slog.New(slog.DiscardHandler), Upstream: nodeUpstreams{u, m.name}, Budget: m.budget, Loads: &citronpool.Loads{},
+		Current: func() *citronforward.State {
+			s := m.Traffic()
+			return &citronforward.State{Table: appTable, View: s.View, Others: s.Others}
+		},
+		Metrics: citronforward.NewMetrics(prometheus.NewRegistry()), Quarantine: m.Quarantine(), Limits: m.Limits(),
+	}
+}
+
+// surge has each node sent requests, so many a second in all, until the end.
+func (f *fleet) surge(u *limitedUpstreams, perSecond float64, end time.Time) *answers {
+	out := &answers{byStatus: map[int]int{}}
+	var calls, nodes sync.WaitGroup
+	pause := time.Duration(float64(time.Second) * float64(len(f.nodes)) / perSecond)
+	for i, m := range f.nodes {
+		fw := m.forwarder(u)
+		nodes.Go(func() {
+			time.Sleep(pause * time.Duration(i) / time.Duration(len(f.nodes)))
+			for n := 0; time.Now().Before(end); n++ {
+				calls.Go(func() {
+					fw.Serve(context.Background(), &citronupstream.Request{
+						ID: fmt.Sprintf("%s-%d", m.name, n), Method: "POST", Host: "h", Path: "/x", Target: "/x", Header: http.Header{}, Received: time.Now(), Wait: 2 * time.Second,
+					}, out)
+				})
+				time.Sleep(pause)
+			}
+		})
+	}
+	nodes.Wait()
+	calls.Wait()
+	return out
+}
+
+// apps starts so many nodes and upstreams of the plain service, over three zones.
+func (f *fleet) apps(nodes, upstreams int) {
+	f.t.Helper()
+	f.net = newMesh()
+	f.config("1")
+	for i := range upstreams {
+		f.engine(citronmodel.Engine{ID: fmt.Sprintf("i-%d", i), Service: "app", Addr: fmt.Sprintf("10.0.0.%d:1", i), Zone: fmt.Sprintf("z%d", i%3)})
+	}
+	for i := range nodes {
+		f.add(fmt.Sprintf("z%d-n%03d", i%3, i), fmt.Sprintf("z%d", i%3))
+	}
+	f.untilAllKnowAll()
+	eventually(f.t, "all nodes know all upstreams", func() bool {
+		for _, m := range f.nodes {
+			if s := m.Traffic(); s == nil || len(s.View.ByService["app"]) < upstreams {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// leastUsed is the share of a limit that is to be used where there is demand for it.
+const leastUsed = 0.8
+
+// Guards against nodes that go on to send an upstream more than the rate limit that it
+// named to them.
+func TestNodesTogetherKeepToAnUpstreamsRateLimit(t *testing.T) {
+	for _, c := range []struct {
+		nodes     int
+		perSecond float64
+	}{{1, 4}, {9, 2.5}, {9, 20}, {45, 0.5}} {
+		t.Run(fmt.Sprintf("%d nodes, %g a second", c.nodes, c.perSecond), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newFleet(t)
+			f.apps(c.nodes, 3)
+			u := newLimitedUpstreams(map[string]float64{"i-0": c.perSecond})
+			from := time.Now()
+			end := from.Add(9 * time.Second)
+			out := f.surge(u, 150, end)
+			settled := from.Add(5 * time.Second)
+			got, could := u.got("i-0", settled, end), c.perSecond*end.Sub(settled).Seconds()
+			t.Logf("most in 4 s: %d of %d; after 5 s %d of %.0f used; answers %v", u.most("i-0"), allowedInWindow(c.perSecond), got, could, out.byStatus)
+			is.True(u.most("i-0") <= allowedInWindow(c.perSecond))
+			is.True(float64(got) >= leastUsed*could-1) // whole requests
+			is.Equal(len(out.byStatus), 1)             // the other upstreams serve the rest
+			is.True(out.count(http.StatusOK) > 0)
+		})
+	}
+}
