Nodes together keep to the rate limit that an upstream names

Cause: nothing read the limit. Its class: what an upstream says of itself in an answer is not known to who decides what is sent to it, at this node or another.

Evidence: arrivals at both engines did not fall when they named limits; with the log lines of every node has the limit from its own answers and sends on.

The fix: a book of limits at each node (citronlimit), told to all nodes like the records of requests that crash engines; versions order it without clocks. One node an engine, drawn by rendezvous hashing, deals out permits from a bucket of the limit (citronpermit). Every send takes one first: first sends, repeats, resumed streams, and engines that are put into a running stream's path. Who is denied goes to another engine without a repeat being counted; who finds no other waits for up to half of the time left, or is refused with the time at which a permit is free.

--- a/citroncli/node.go
+++ b/citroncli/node.go
@@ -84,7 +84,7 @@
 	citronstat.Node(node.Status, registry)
 	forwarder := &citronforward.Forwarder{
 		Zone: set.Zone, Clock: clock, Log: log, Upstream: engines, Budget: budget, Loads: loads,
-		Current: node.Traffic, Metrics: citronforward.NewMetrics(registry), Stopping: node.Stopping, Accuse: node.Accuse, Borrow: node.Borrow, Quarantine: node.Quarantine(), Limits: node.Limits(), DrainWithin: set.DrainWithin,
+		Current: node.Traffic, Metrics: citronforward.NewMetrics(registry), Stopping: node.Stopping, Accuse: node.Accuse, Borrow: node.Borrow, Quarantine: node.Quarantine(), Limits: node.Limits(), Permit: node.Permit, DrainWithin: set.DrainWithin,
 	}
 	ingress := &platform.Ingress{Forwarder: forwarder, Leaving: node.Leaving, Track: node.Track, MaxBodyBytes: maxBody}
 
--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -65,6 +65,7 @@
 	RequestBarred  Event = 509
 	LimitNamed     Event = 510
 	LimitInvalid   Event = 511
+	LimitHeld      Event = 512
 
 	TableApplied   Event = 600
 	TableRejected  Event = 601
@@ -92,6 +93,8 @@
 	SuspectsRejected Event = 622
 	BarredUnsaved    Event = 623
 	StoreReturned    Event = 624
+	LimitsRejected   Event = 625
+	PermitFailed     Event = 626
 
 	// 400 to 403 are reserved.
 )
@@ -144,6 +147,7 @@
 	RequestBarred:       {slog.LevelWarn, "request.barred", "a request under which several engines have ended is not sent to engines for a while; gives its fingerprint, under how many they ended, and whether this node saw the last or heard of it"},
 	LimitNamed:          {slog.LevelInfo, "limit.named", "an engine's answer named another rate limit than was known, or none any more (limited=false); gives how many requests a second it takes from all nodes"},
 	LimitInvalid:        {slog.LevelWarn, "limit.invalid", "an engine's answer named a rate limit that cannot be read; nothing of it is taken, and the first of each engine is logged"},
+	LimitHeld:           {slog.LevelInfo, "limit.held", "a request was not sent to an engine at once because of the rate limit that it names: it waits there or goes to another engine (outcome denied; the first of each request is logged)"},
 	AnswerSampled:       {slog.LevelInfo, "answer.sampled", "a request was answered in full; one in many is logged"},
 
 	TableApplied:   {slog.LevelInfo, "table.applied", "a node put a new version of the configuration in force"},
@@ -171,6 +175,8 @@
 
 	StoreReturned:    {slog.LevelWarn, "store.returned", "the store came back from an older copy; gives the revision of its list (era.count) and the one known before, and how many of its entries this node has seen overtaken"},
 	BarredUnsaved:    {slog.LevelWarn, "barred.unsaved", "the record of a request that crashes engines could not be written to the store; it is tried again"},
+	LimitsRejected:   {slog.LevelWarn, "limits.rejected", "another node sent an invalid message about rate limits of engines; nothing of it is taken, and the first of each node is logged"},
+	PermitFailed:     {slog.LevelDebug, "permit.failed", "the node that deals out permits for an engine that names a rate limit did not answer; the request goes to another engine"},
 	SuspectsRejected: {slog.LevelWarn, "suspects.rejected", "another node sent an invalid message about requests that crash engines; nothing of the message is taken, and the first of each node is logged"},
 
 	LedgerRetry: {slog.LevelWarn, "ledger.retry", "recording an answer in the ledger, or taking a claim back, failed; it is tried again"},
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -30,6 +30,7 @@
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronkv"
 	"citrondeck.dev/citrondeck/citronlimit"
+	"citrondeck.dev/citrondeck/citronpermit"
 	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citronprobe"
 	"citrondeck.dev/citrondeck/citronquarantine"
@@ -90,6 +91,9 @@
 	Stopping func() Stopping
 	// Limits holds the rate limits that engines name.
 	Limits *citronlimit.Book
+	// Permit asks for a permit to send an engine that names a limit a request, which
+	// can wait for so long.
+	Permit func(ctx context.Context, e *citronpool.Engine, patience time.Duration) citronpermit.Decision
 
 	probes citronprobe.Prober
 	// invalidLimits holds the engines of which an invalid limit was logged.
@@ -137,6 +141,8 @@
 	used float64
 	// retryAfter is when a refusal tells the caller to come back.
 	retryAfter time.Duration
+	// permits is what it has asked of engines that name a rate limit.
+	permits permits
 	// limit is what kept the request from being sent once more, if anything.
 	limit limit
 	// print is the request's fingerprint once it was asked for.
--- a/citronforward/metrics.go
+++ b/citronforward/metrics.go
@@ -12,6 +12,7 @@
 	Crashes       prometheus.Counter
 	LimitedSends  prometheus.Counter
 	InvalidLimits prometheus.Counter
+	Permits       *prometheus.CounterVec
 	FirstEvent    prometheus.Histogram
 	Pause         prometheus.Histogram
 	Whole         prometheus.Histogram
@@ -31,11 +32,12 @@
 		BudgetSpent:   prometheus.NewCounter(prometheus.CounterOpts{Name: "citrondeck_budget_spent_total", Help: "Repeats that the shared budget did not allow."}),
 		Crashes:       prometheus.NewCounter(prometheus.CounterOpts{Name: "citrondeck_run_crashes_total", Help: "Runs that had just begun when their engine ended."}),
 		LimitedSends:  prometheus.NewCounter(prometheus.CounterOpts{Name: "citrondeck_limited_sends_total", Help: "Requests sent to engines that name a rate limit."}),
+		Permits:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citrondeck_permits_total", Help: "Permits asked for to send to engines that name a rate limit, by result."}, []string{"result"}),
 		InvalidLimits: prometheus.NewCounter(prometheus.CounterOpts{Name: "citrondeck_invalid_limits_total", Help: "Answers with a rate limit that cannot be read."}),
 		FirstEvent:    prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_first_event_seconds", Help: "Time to the first event of a stream.", Buckets: latencyBuckets}),
 		Pause:         prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_pause_seconds", Help: "Longest pause between events of a stream.", Buckets: latencyBuckets}),
 		Whole:         prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_answer_seconds", Help: "Time to a whole answer.", Buckets: latencyBuckets}),
 	}
-	r.MustRegister(m.Requests, m.Refusals, m.Attempts, m.Repairs, m.BudgetSpent, m.Crashes, m.LimitedSends, m.InvalidLimits, m.FirstEvent, m.Pause, m.Whole)
+	r.MustRegister(m.Requests, m.Refusals, m.Attempts, m.Repairs, m.BudgetSpent, m.Crashes, m.LimitedSends, m.InvalidLimits, m.Permits, m.FirstEvent, m.Pause, m.Whole)
 	return m
 }
--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -306,15 +306,26 @@
 	w.repaths++
 	w.moving = true
 	w.leaveAt, w.crossAt = time.Time{}, time.Time{}
+	added := s.added(p)
 	go func() {
 		ctx, cancel := context.WithTimeout(w.ctx, repathTimeout)
 		defer cancel()
-		err := s.f.Upstream.Repath(ctx, p[0].Engine.Addr, s.ID, p)
-		w.moves <- moveResult{p, err}
+		w.moves <- moveResult{p, s.repath(ctx, p, added)}
 	}()
 	return goOn
 }
 
+// repath moves the running request to another path. The engines that are added to it
+// get a request.
+func (s *streamJob) repath(ctx context.Context, p citronpath.Path, added []*citronpool.Engine) error {
+	for _, e := range added {
+		if !s.f.mayAdd(ctx, e) {
+			return &citronupstream.PartError{Addr: e.Addr}
+		}
+	}
+	return s.f.Upstream.Repath(ctx, p[0].Engine.Addr, s.ID, p)
+}
+
 // mayWait reports whether a stream should wait for its zone to be whole
 // again before it goes to another zone.
 func (w *watch) mayWait() bool {
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -147,14 +147,11 @@
 	if s.service.Model == nil {
 		return noPath, "service runs no model"
 	}
-	p, full, ok := s.room(ctx)
+	p, reason := s.permittedPath(ctx)
 	switch {
-	case full:
-		return noPath, "engines' cache is full"
-	case !ok:
-		return noPath, "no path runs all layers"
-	}
-	if s.barred() {
+	case reason != "":
+		return noPath, reason
+	case s.barred():
 		return noPath, reasonBarred
 	}
 	s.bind(p)
@@ -172,6 +169,27 @@
 	}
 }
 
+// permittedPath returns a path with room for the stream whose engines may be sent it,
+// or why there is none.
+func (s *streamJob) permittedPath(ctx context.Context) (citronpath.Path, string) {
+	for {
+		p, full, ok := s.room(ctx)
+		if ok && s.permitted(ctx, engines(p)...) {
+			return p, ""
+		}
+		switch {
+		case ok && ctx.Err() == nil && s.permits.denied < mostDenied:
+		case !ok && s.waitsForPermit():
+		case s.limitsUsedUp():
+			return nil, reasonLimited
+		case full:
+			return nil, "engines' cache is full"
+		default:
+			return nil, "no path runs all layers"
+		}
+	}
+}
+
 // goesOn decides, after an attempt that did not finish the stream, whether
 // there is another.
 func (s *streamJob) goesOn(ctx context.Context, v verdict) bool {
--- a/citronforward/whole.go
+++ b/citronforward/whole.go
@@ -59,8 +59,17 @@
 		s := j.f.Current()
 		e, hops, ok := j.pick(s)
 		if !ok {
+			if j.waitsForPermit() {
+				continue
+			}
 			break
 		}
+		if !j.permitted(ctx, targets(e, hops)...) {
+			if ctx.Err() != nil || j.permits.denied >= mostDenied {
+				break
+			}
+			continue
+		}
 		began := j.f.Clock.Now()
 		res := j.attempt(ctx, e, hops)
 		j.f.Metrics.Attempts.WithLabelValues(res.outcome.String()).Inc()
@@ -97,6 +106,10 @@
 		j.out.Answer(fallback.status, fallback.header, fallback.body)
 		return
 	}
+	if j.limitsUsedUp() {
+		j.giveUp(ctx, reasonLimited)
+		return
+	}
 	j.giveUp(ctx, "no engine answered")
 }
 
@@ -208,7 +221,7 @@
 	for _, lenient := range []bool{false, true} {
 		// An engine that failed others a moment ago is better than none.
 		for _, e := range s.View.ByService[j.service.Name] {
-			if j.avoid[e.ID] || e.Leaving || (!lenient && !e.Usable(now)) {
+			if j.avoid[e.ID] || e.Leaving || (!lenient && !e.Sound(now)) || (!j.permits.patient && e.ThrottledFor(now) > 0) {
 				continue
 			}
 			if c := plainCost(e, j.f.Zone); best == nil || c < bestCost {
@@ -242,7 +255,8 @@
 func (j *job) query(s *State, first string) citronpath.Query {
 	j.list = s.ListRevision
 	return citronpath.Query{
-		Spec: *j.service.Model, Zone: j.f.Zone, Now: j.f.Clock.Now(), Avoid: j.avoid, First: first, Others: s.Others, Own: j.f.Loads.Sums(), ZoneCost: j.spread,
+		Patient: j.permits.patient,
+		Spec:    *j.service.Model, Zone: j.f.Zone, Now: j.f.Clock.Now(), Avoid: j.avoid, First: first, Others: s.Others, Own: j.f.Loads.Sums(), ZoneCost: j.spread,
 	}
 }
 
--- a/citronlimit/book.go
+++ b/citronlimit/book.go
@@ -1,18 +1,27 @@
-// Package citronlimit keeps the rate limits that upstreams name in their answers,
-// and has all nodes together keep to them.
+// Package citronlimit keeps the rate limits that upstreams name in their answers.
 //
 // An upstream in need names how many requests a second it takes from all nodes, for
-// as long as its answers say so. A book holds what is known of each upstream.
+// as long as its answers say so. A node that is told tells the others:
+//
+//	answer --Heard--> book --Recent, All--> other nodes --Learn--> their books
+//
+// What is sent under a limit is decided by the permits of citronpermit.
 package citronlimit
 
 import (
 	"maps"
 	"sync"
 	"sync/atomic"
+	"time"
 
+	"citrondeck.dev/citrondeck/citronclock"
 	"citrondeck.dev/citrondeck/citronupstream"
 )
 
+// holdFor is how long a limit stands at least. One that an upstream names and takes
+// back several times a second would else let through all that came in between.
+const holdFor = time.Second
+
 // Record is what is known of the limit of one start of an upstream.
 type Record struct {
 	// Limited: it names a limit. PerSecond is how many requests a second it takes
@@ -28,26 +37,40 @@
 	return r.Limited && (!o.Limited || r.PerSecond < o.PerSecond)
 }
 
-// with returns the record that follows r.
-func (r Record) with(limited bool, perSecond float64) Record {
-	return Record{Limited: limited, PerSecond: perSecond, Version: r.Version + 1}
+// same reports whether r and o allow the same.
+func (r Record) same(o Record) bool {
+	return r.Limited == o.Limited && r.PerSecond == o.PerSecond
 }
 
 // Book is what this node knows of the limits of all upstreams, by engine id. Each
 // start of an engine has an id of its own.
 type Book struct {
+	clock citronclock.Clock
 	// records is replaced as a whole: each request reads it.
 	records atomic.Pointer[map[string]Record]
-	mu      sync.Mutex
+	// sum is the checksum of records.
+	sum     atomic.Uint64
+	changed func()
+
+	mu sync.Mutex
+	// listed are the engines of the list.
+	listed map[string]bool
+	// changedAt is when a record last changed here, for what is news; heldSince is
+	// when a limit was last named, for holdFor.
+	changedAt, heldSince map[string]time.Time
 }
 
 // NewBook returns a book in which no upstream is limited.
-func NewBook() *Book {
-	b := &Book{}
+func NewBook(clock citronclock.Clock) *Book {
+	b := &Book{clock: clock, changed: func() {}, changedAt: map[string]time.Time{}, heldSince: map[string]time.Time{}}
 	b.records.Store(&map[string]Record{})
 	return b
 }
 
+// Notify has f called when there is news for other nodes. It is set before the book is
+// used.
+func (b *Book) Notify(f func()) { b.changed = f }
+
 // Of returns what is known of an engine.
 func (b *Book) Of(engine string) Record { return (*b.records.Load())[engine] }
 
@@ -70,32 +93,57 @@
 // end of a limit, only from an answer to a request that was sent with the newest
 // record known: an earlier request may have been answered before the limit was named.
 func (b *Book) Heard(engine string, before Record, said citronupstream.RateLimit) (Record, bool) {
-	var limited bool
-	var perSecond float64
+	next := Record{}
 	switch s := said.(type) {
 	case citronupstream.PerSecond:
-		limited, perSecond = true, float64(s)
+		next.Limited, next.PerSecond = true, float64(s)
 	case citronupstream.NoRateLimit:
 	default:
 		return b.Of(engine), false
 	}
-	if r := b.Of(engine); r.Limited == limited && r.PerSecond == perSecond {
-		return r, false
+	if known := b.Of(engine); !next.Limited && known.same(next) {
+		return known, false
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	known := b.Of(engine)
-	next := known.with(limited, perSecond)
-	same := known.Limited == limited && known.PerSecond == perSecond
-	if same || !next.stricter(known) && before.Version != known.Version {
+	known, now := b.Of(engine), b.clock.Now()
+	if next.Limited && !known.stricter(next) {
+		b.heldSince[engine] = now
+	}
+	switch {
+	case known.same(next):
+		return known, false
+	case next.stricter(known):
+	case before.Version != known.Version || now.Sub(b.heldSince[engine]) < holdFor:
 		return known, false
 	}
-	b.set(engine, next)
+	next.Version = known.Version + 1
+	b.set(map[string]Record{engine: next})
 	return next, true
 }
 
-func (b *Book) set(engine string, r Record) {
+// set puts newer records in force, and has other nodes hear of them.
+func (b *Book) set(newer map[string]Record) {
+	if len(newer) == 0 {
+		return
+	}
+	now := b.clock.Now()
 	next := maps.Clone(*b.records.Load())
-	next[engine] = r
-	b.records.Store(&next)
+	for engine, r := range newer {
+		next[engine] = r
+		b.changedAt[engine] = now
+		if r.Limited {
+			b.heldSince[engine] = now
+		}
+	}
+	b.replace(next)
+	b.changed()
+}
+
+func (b *Book) replace(records map[string]Record) {
+	b.records.Store(&records)
+	b.sum.Store(sumOf(records))
+	gone := func(engine string, _ time.Time) bool { _, ok := records[engine]; return !ok }
+	maps.DeleteFunc(b.changedAt, gone)
+	maps.DeleteFunc(b.heldSince, gone)
 }
--- a/citronlimit/book_test.go
+++ b/citronlimit/book_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"testing"
+	"time"
 
+	"citrondeck.dev/citrondeck/citronclock"
 	"citrondeck.dev/citrondeck/citronlimit"
 	"citrondeck.dev/citrondeck/citronupstream"
 	"github.com/matryer/is"
@@ -11,7 +13,8 @@
 // Guards against a limit that is lifted by an answer that began before it was named.
 func TestOlderAnswerDoesNotLiftALimit(t *testing.T) {
 	is := is.New(t)
-	b := citronlimit.NewBook()
+	clock := citronclock.NewManual(time.Unix(0, 0))
+	b := citronlimit.NewBook(clock)
 	before := b.Of("i-1")
 	r, news := b.Heard("i-1", before, citronupstream.PerSecond(4))
 	is.True(news)
@@ -23,6 +26,7 @@
 	_, news = b.Heard("i-1", before, citronupstream.PerSecond(2.5))
 	is.True(news) // a stricter one counts at once
 	is.Equal(b.Of("i-1").PerSecond, 2.5)
+	clock.Advance(2 * time.Second)
 	r, news = b.Heard("i-1", b.Of("i-1"), citronupstream.NoRateLimit{})
 	is.True(news)
 	is.True(!r.Limited)
@@ -31,7 +35,8 @@
 
 func TestInvalidLimitSaysNothing(t *testing.T) {
 	is := is.New(t)
-	b := citronlimit.NewBook()
+	clock := citronclock.NewManual(time.Unix(0, 0))
+	b := citronlimit.NewBook(clock)
 	b.Heard("i-1", b.Of("i-1"), citronupstream.PerSecond(4))
 	_, news := b.Heard("i-1", b.Of("i-1"), citronupstream.InvalidRateLimit("fast"))
 	is.True(!news)
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -331,6 +331,7 @@
 		c.changed, c.listVersion = false, c.list.Version()
 		s.engines = c.list.Engines(c.services())
 		c.view = citronpool.Build(s.engines, c.view)
+		c.n.limits.Retain(c.view.IDs())
 	}
 	if c.table != nil {
 		s.traffic = &citronforward.State{Table: c.table, View: c.view, ListRevision: c.list.Revision(), Others: s.others}
--- a/citronnode/gossip.go
+++ b/citronnode/gossip.go
@@ -84,6 +84,9 @@
 	if k.Suspects == nil {
 		k.Suspects = n.recentSuspects()
 	}
+	if k.Limits == nil {
+		k.Limits = n.limits.Recent()
+	}
 	theirs, err := n.peers.News(ctx, addr, k)
 	if err != nil {
 		citronevent.Log(ctx, n.log, citronevent.GossipFailed, "peer", addr, "err", err)
@@ -169,7 +172,7 @@
 func (n *Node) exchange(ctx context.Context, addr string) {
 	s := n.snap.Load()
 	k := s.all()
-	k.SuspectSum = n.quarantine.Sum()
+	k.SuspectSum, k.LimitSum = n.quarantine.Sum(), n.limits.Sum()
 	theirs, err := n.peers.Exchange(ctx, addr, k)
 	n.settling.exchanged(k.Digest, theirs.Digest, err)
 	if err != nil {
@@ -177,8 +180,8 @@
 		return
 	}
 	n.learn(ctx, theirs)
-	same := theirs.SuspectSum == n.quarantine.Sum()
-	if theirs.Wants.Empty() && same {
+	same, sameLimits := theirs.SuspectSum == n.quarantine.Sum(), theirs.LimitSum == n.limits.Sum()
+	if theirs.Wants.Empty() && same && sameLimits {
 		return
 	}
 	k = s.news()
@@ -186,6 +189,9 @@
 	if !same {
 		k.Suspects = n.allSuspects()
 	}
+	if !sameLimits {
+		k.Limits = n.limits.All()
+	}
 	n.give(ctx, addr, k)
 }
 
@@ -214,6 +220,10 @@
 	if theirs.SuspectSum != k.SuspectSum {
 		k.Suspects = a.n.allSuspects()
 	}
+	k.LimitSum = a.n.limits.Sum()
+	if theirs.LimitSum != k.LimitSum {
+		k.Limits = a.n.limits.All()
+	}
 	return a.n.answer(s, k, theirs)
 }
 
@@ -231,6 +241,9 @@
 	if k.Suspects == nil {
 		k.Suspects = n.recentSuspects()
 	}
+	if k.Limits == nil {
+		k.Limits = n.limits.Recent()
+	}
 	n.learn(ctx, theirs)
 	if theirs.From.Peer != "" && s.lacks(theirs) {
 		n.pull.from(ctx, n, theirs.From.Peer, theirs)
@@ -295,6 +308,7 @@
 
 func (n *Node) learn(ctx context.Context, k citronpeer.Knowledge) {
 	n.mergeSuspects(ctx, k.From.Name, k.Suspects)
+	n.learnLimits(ctx, k.From.Name, k.Limits)
 	n.send(ctx, membersSeen{from: k.From, told: k.Diff, digest: k.Digest, sums: k.Sums})
 	if len(k.Config.Body) > 0 {
 		n.offerConfig(ctx, k.Config.Version, k.Config.Body, sourceNode)
--- a/citronnode/limit_test.go
+++ b/citronnode/limit_test.go
@@ -182,7 +182,7 @@
 			s := m.Traffic()
 			return &citronforward.State{Table: appTable, View: s.View, Others: s.Others}
 		},
-		Metrics: citronforward.NewMetrics(prometheus.NewRegistry()), Quarantine: m.Quarantine(), Limits: m.Limits(),
+		Metrics: citronforward.NewMetrics(prometheus.NewRegistry()), Quarantine: m.Quarantine(), Limits: m.Limits(), Permit: m.Permit,
 	}
 }
 
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -32,6 +32,7 @@
 	"citrondeck.dev/citrondeck/citronloan"
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronpeer"
+	"citrondeck.dev/citrondeck/citronpermit"
 	"citrondeck.dev/citrondeck/citronplace"
 	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citronquarantine"
@@ -106,8 +107,14 @@
 	loans *citronloan.Borrower
 	// quarantine is what is known of requests that crash engines.
 	quarantine *citronquarantine.Ledger
-	// limits are the rate limits that engines name.
+	// limits are the rate limits that engines name, dealt the permits for those
+	// engines that have fallen to this node.
 	limits *citronlimit.Book
+	dealt  *citronpermit.Dealer
+	// limitsRejected counts what other nodes told of limits and was invalid, and
+	// limitsRejectedFrom holds the names of those nodes.
+	limitsRejected     atomic.Int64
+	limitsRejectedFrom sync.Map
 	// barredNews wakes the goroutine that keeps its records in the store.
 	barredNews chan struct{}
 	// suspectsRejected counts what other nodes told of such requests and could
@@ -176,7 +183,8 @@
 		barredNews: make(chan struct{}, 1),
 		configs:    newConfigInbox(src.DecodeConfig),
 	}
-	n.limits = citronlimit.NewBook()
+	n.limits, n.dealt = citronlimit.NewBook(clock), citronpermit.NewDealer()
+	n.limits.Notify(n.tell)
 	n.quarantine = citronquarantine.New(set.Name, clock)
 	n.quarantine.Notify(func() {
 		n.tell()
@@ -187,9 +195,6 @@
 	return n
 }
 
-// Limits are the rate limits of engines that this node knows.
-func (n *Node) Limits() *citronlimit.Book { return n.limits }
-
 // Traffic returns what requests are forwarded by, nil before there is any.
 func (n *Node) Traffic() *citronforward.State { return n.snap.Load().traffic }
 
@@ -224,6 +229,7 @@
 func (n *Node) Handle(mux *http.ServeMux) {
 	citronpeer.Handle(mux, answerer{n})
 	citronpeer.HandleLend(mux, answerer{n})
+	citronpeer.HandlePermit(mux, answerer{n})
 }
 
 // Run keeps the node up to date until ctx ends.
--- a/citronnode/status.go
+++ b/citronnode/status.go
@@ -27,8 +27,10 @@
 	// about such requests of which nothing was taken.
 	Suspects, Barred int
 	SuspectsRejected int64
-	// Limited are engines that name a rate limit.
-	Limited int
+	// Limited are engines that name a rate limit; LimitsRejected are messages of
+	// other nodes about limits of which nothing was taken.
+	Limited        int
+	LimitsRejected int64
 	// Watching: the node watches the store, and the store answers.
 	// Leads: it holds the lease under which layers are placed. Places: it places
 	// them.
@@ -40,7 +42,7 @@
 	s := n.snap.Load()
 	out := Status{ConfigVersion: s.config.Version, ListRevision: s.list.Revision.Number(), StoreEra: s.list.Revision.Era(), Nodes: len(s.members), Unreadable: s.unreadable, Kept: s.kept, Watching: s.self.Watching, Leads: s.self.Leads, Places: n.places.Load()}
 	out.Suspects, out.Barred = n.quarantine.Count()
-	out.Limited = n.limits.Limited()
+	out.Limited, out.LimitsRejected = n.limits.Limited(), n.limitsRejected.Load()
 	out.SuspectsRejected = n.suspectsRejected.Load()
 	now := n.clock.Now()
 	if !s.configAt.IsZero() {
--- a/citronpath/path.go
+++ b/citronpath/path.go
@@ -52,6 +52,8 @@
 	// Zone is where the request entered.
 	Zone string
 	Now  time.Time
+	// Patient: the request can wait for an engine whose rate limit is used up.
+	Patient bool
 	// Avoid holds ids of engines that this request must not use.
 	Avoid map[string]bool
 	// First, if set, must be the first engine of the path.
@@ -174,7 +176,7 @@
 	zones := map[string]int{}
 	for _, e := range engines {
 		s := e.Layers
-		if s.Empty() || s.From < 0 || s.To > q.Spec.Layers || q.Avoid[e.ID] || !e.Usable(q.Now) {
+		if s.Empty() || s.From < 0 || s.To > q.Spec.Layers || q.Avoid[e.ID] || !q.usable(e) {
 			continue
 		}
 		if zones[e.Zone] == 0 {
@@ -197,6 +199,10 @@
 	return search(usable, cuts, len(zones)+1, q)
 }
 
+func (q Query) usable(e *citronpool.Engine) bool {
+	return e.Usable(q.Now) || (q.Patient || q.Keep.Has(e.ID)) && e.Sound(q.Now)
+}
+
 // search walks the cuts in ascending order and keeps, for each cut and
 // zone, the cheapest way to have run all layers before it.
 func search(engines []candidate, cuts []int, zones int, q Query) (Path, bool) {
--- a/citronpeer/peer.go
+++ b/citronpeer/peer.go
@@ -201,6 +201,10 @@
 	// that this node knows, in exchanges.
 	Suspects   []Suspect
 	SuspectSum uint64
+	// Limits are rate limits of engines; LimitSum is a checksum of all that this
+	// node knows, in exchanges.
+	Limits   []Limit
+	LimitSum uint64
 }
 
 type exchangeMessage struct {
@@ -215,6 +219,8 @@
 
 	Suspects   []Suspect `json:"suspects,omitempty"`
 	SuspectSum uint64    `json:"suspectSum,omitempty"`
+	Limits     []Limit   `json:"limits,omitempty"`
+	LimitSum   uint64    `json:"limitSum,omitempty"`
 }
 
 const (
--- a/citronpool/pool.go
+++ b/citronpool/pool.go
@@ -54,6 +54,9 @@
 	// replaced: another start of the engine, or another engine, is at its
 	// address.
 	replaced atomic.Bool
+	// throttledUntil is how long it is left alone because others have used up what it
+	// takes, in nanoseconds since epoch.
+	throttledUntil atomic.Int64
 	// misplacedUntil is how long it is left alone because it said that it
 	// does not hold what the list says, in nanoseconds since epoch.
 	misplacedUntil atomic.Int64
@@ -214,8 +217,23 @@
 	return time.Duration(s.latency.Load()) * time.Microsecond
 }
 
+// Throttle leaves alone for a while an engine whose rate limit is used up.
+func (s *State) Throttle(now time.Time, wait time.Duration) {
+	s.throttledUntil.Store(since(now.Add(wait)))
+}
+
+// ThrottledFor is how long the engine is still left alone for its rate limit.
+func (s *State) ThrottledFor(now time.Time) time.Duration {
+	return max(0, time.Duration(s.throttledUntil.Load()-since(now)))
+}
+
 // Usable reports whether the engine may get new work.
 func (e *Engine) Usable(now time.Time) bool {
+	return e.ThrottledFor(now) == 0 && e.Sound(now)
+}
+
+// Sound reports whether the engine may get new work once its rate limit allows it.
+func (e *Engine) Sound(now time.Time) bool {
 	at := since(now)
 	return !e.Leaving && !e.Replaced() && e.avoidUntil.Load() <= at && e.misplacedUntil.Load() <= at
 }
@@ -299,6 +317,15 @@
 	return out
 }
 
+// IDs returns the ids of all engines.
+func (v *View) IDs() map[string]bool {
+	out := make(map[string]bool, len(v.byID))
+	for id := range v.byID {
+		out[id] = true
+	}
+	return out
+}
+
 // ByAddr returns the engine at an address.
 func (v *View) ByAddr(addr string) (*Engine, bool) {
 	e, ok := v.byAddr[addr]
--- a/citronstat/node.go
+++ b/citronstat/node.go
@@ -29,6 +29,7 @@
 	gauge("suspects", "Requests under which engines have ended.", func(s citronnode.Status) float64 { return float64(s.Suspects) })
 	gauge("requests_barred", "Requests that are not sent to engines because they crash them.", func(s citronnode.Status) float64 { return float64(s.Barred) })
 	gauge("limited_engines", "Engines that name a rate limit.", func(s citronnode.Status) float64 { return float64(s.Limited) })
+	gauge("limits_rejected", "Messages of other nodes about rate limits of which nothing was taken.", func(s citronnode.Status) float64 { return float64(s.LimitsRejected) })
 	gauge("suspects_rejected", "Messages of other nodes about suspects of which nothing was taken.", func(s citronnode.Status) float64 { return float64(s.SuspectsRejected) })
 	gauge("watching", "1 while the node watches the store and the store answers.", func(s citronnode.Status) float64 { return yes(s.Watching) })
 	gauge("leads", "1 while the node holds the lease under which layers are placed.", func(s citronnode.Status) float64 { return yes(s.Leads) })
