--- a/citronnode/limits.go
+++ b/citronnode/limits.go
@@ -46,7 +46,7 @@
 	case !ok:
 		return citronpermit.Denied{Free: permitLost, Again: permitLost}
 	case owner.Name == n.set.Name:
-		return n.dealt.Deal(e.ID, r.PerSecond, n.set.Name, patience, n.clock.Now())
+		return n.dealt.Deal(e.ID, r.PerSecond, patience, n.clock.Now())
 	}
 	p, err := n.peers.AskPermit(ctx, owner.Peer, citronpeer.PermitRequest{Node: n.set.Name, Limit: r.Wire(e.ID), PatienceMS: patience.Milliseconds()}, permitTimeout)
 	if err != nil {
@@ -101,5 +101,5 @@
 	if !known.Limited {
 		return citronpermit.Granted{}
 	}
-	return n.dealt.Deal(engine, known.PerSecond, q.Node, time.Duration(q.PatienceMS)*time.Millisecond, n.clock.Now())
+	return n.dealt.Deal(engine, known.PerSecond, time.Duration(q.PatienceMS)*time.Millisecond, n.clock.Now())
 }
--- a/citronpermit/dealer.go
+++ b/citronpermit/dealer.go
@@ -17,6 +17,7 @@
 package citronpermit
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -42,7 +43,7 @@
 func (Denied) isDecision()  {}
 
 const (
-	// burst is how many permits are saved up while nobody asks.
+	// burst is how many permits are saved up while nobody asks. A new bucket is empty.
 	burst = 2
 	// warmUp is the time in which a new dealer deals out half of the limit: the one
 	// before it may be dealing still, at a node that has not heard of the change.
@@ -55,9 +56,11 @@
 	// leastAgain and mostAgain bound the time after which a node asks again.
 	leastAgain = 20 * time.Millisecond
 	mostAgain  = 2 * time.Second
-	// askerMemory is how long a node that asked counts among those that share a limit,
-	// and bucketMemory how long a bucket is kept that nobody asks for.
-	askerMemory  = 3 * time.Second
+	// pauseStep is by how much the pause grows or shrinks with each node that is denied,
+	// and askMemory the time over which asks are counted for that.
+	pauseStep = 1.25
+	askMemory = time.Second
+	// bucketMemory is how long a bucket is kept that nobody asks for.
 	bucketMemory = time.Minute
 )
 
@@ -73,16 +76,18 @@
 	limiter *rate.Limiter
 	since   time.Time
 	askedAt time.Time
-	// askers are the nodes that asked lately.
-	askers map[string]time.Time
+	// asks is how often nodes asked lately, a second.
+	asks float64
+	// pause is what a node that is denied waits before it asks again.
+	pause time.Duration
 }
 
 // NewDealer returns a dealer without buckets.
 func NewDealer() *Dealer { return &Dealer{buckets: map[string]*bucket{}} }
 
-// Deal decides whether a node may send a request to an engine of a limit. The request
-// can wait for so long.
-func (d *Dealer) Deal(engine string, perSecond float64, node string, patience time.Duration, now time.Time) Decision {
+// Deal decides whether a request that can wait for so long may be sent to an engine of a
+// limit.
+func (d *Dealer) Deal(engine string, perSecond float64, patience time.Duration, now time.Time) Decision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.sweep(now)
@@ -91,19 +96,19 @@
 		b = newBucket(perSecond, now)
 		d.buckets[engine] = b
 	}
-	return b.deal(perSecond, node, patience, now)
+	return b.deal(perSecond, patience, now)
 }
 
 func newBucket(perSecond float64, now time.Time) *bucket {
-	b := &bucket{limiter: rate.NewLimiter(rate.Limit(warm(perSecond)), burst), since: now, askers: map[string]time.Time{}}
-	b.limiter.ReserveN(now, burst-1)
+	b := &bucket{limiter: rate.NewLimiter(rate.Limit(warm(perSecond)), burst), since: now, askedAt: now, pause: leastAgain}
+	b.limiter.ReserveN(now, burst)
 	return b
 }
 
 // warm is what is dealt out of a limit at first.
 func warm(perSecond float64) float64 { return max(leastPerSecond, perSecond/2) }
 
-func (b *bucket) deal(perSecond float64, node string, patience time.Duration, now time.Time) Decision {
+func (b *bucket) deal(perSecond float64, patience time.Duration, now time.Time) Decision {
 	perSecond = max(leastPerSecond, perSecond)
 	if now.Sub(b.since) < warmUp {
 		perSecond = warm(perSecond)
@@ -111,27 +116,32 @@
 	if rate.Limit(perSecond) != b.limiter.Limit() {
 		b.limiter.SetLimitAt(now, rate.Limit(perSecond))
 	}
-	b.askedAt = now
-	b.askers[node] = now
+	b.count(now)
 	permit := b.limiter.ReserveN(now, 1)
 	wait := permit.DelayFrom(now)
 	if wait <= patience {
 		return Granted{After: wait}
 	}
 	permit.CancelAt(now)
-	return Denied{Free: wait, Again: b.again(perSecond, wait, now)}
+	return Denied{Free: wait, Again: b.again(perSecond, wait)}
 }
 
-// again spreads the nodes that ask, so that their number does not set what the dealer
-// has to answer.
-func (b *bucket) again(perSecond float64, wait time.Duration, now time.Time) time.Duration {
-	for node, at := range b.askers {
-		if now.Sub(at) > askerMemory {
-			delete(b.askers, node)
-		}
+// count adds one to the asks of late.
+func (b *bucket) count(now time.Time) {
+	b.asks = b.asks*math.Exp(-now.Sub(b.askedAt).Seconds()/askMemory.Seconds()) + 1/askMemory.Seconds()
+	b.askedAt = now
+}
+
+// again is when a node that is denied asks again. The pause follows how often nodes ask,
+// so that neither their number sets what the dealer has to answer, nor a few of them that
+// have all the requests leave permits unused.
+func (b *bucket) again(perSecond float64, wait time.Duration) time.Duration {
+	if b.asks > asksPerPermit*perSecond+1/askMemory.Seconds() {
+		b.pause = min(mostAgain, time.Duration(float64(b.pause)*pauseStep))
+	} else {
+		b.pause = max(leastAgain, time.Duration(float64(b.pause)/pauseStep))
 	}
-	shared := time.Duration(float64(len(b.askers)) / (asksPerPermit * perSecond) * float64(time.Second))
-	again := min(mostAgain, max(leastAgain, wait, shared))
+	again := max(wait, b.pause)
 	return again/2 + rand.N(again)
 }
 
