A request that many engines deny a permit keeps to those without a limit

It gave up after eight, although others without a limit may have room. Tests of the forwarder under limits: another engine, refusal at once with the time of the next permit, waiting for one, an engine that leaves meanwhile, resumed and moved streams, and which answers end a limit.

--- a/citronforward/limit.go
+++ b/citronforward/limit.go
@@ -27,7 +27,8 @@
 	// permitShare is the part of the time that a caller has left which may go into
 	// waiting for a permit.
 	permitShare = 0.5
-	// mostDenied is how many engines may deny a request a permit before it is given up.
+	// mostDenied is how many engines may deny a request a permit before it keeps to those
+	// that name no limit.
 	mostDenied = 8
 )
 
@@ -94,8 +95,20 @@
 		j.permits.free = d.Free
 	}
 	j.permits.denied++
-	if j.permits.patient {
+	switch {
+	case j.permits.patient:
 		j.avoid[e.ID] = true
+	case j.permits.denied == mostDenied:
+		j.avoidLimited()
+	}
+}
+
+// avoidLimited keeps the request from all engines that name a limit.
+func (j *job) avoidLimited() {
+	for _, e := range j.f.Current().View.ByService[j.service.Name] {
+		if j.f.Limits.Of(e.ID).Limited {
+			j.avoid[e.ID] = true
+		}
 	}
 }
 
--- /dev/null
+++ b/citronforward/limit_test.go
@@ -0,0 +1,198 @@
+package citronforward_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronpath"
+	"citrondeck.dev/citrondeck/citronpermit"
+	"citrondeck.dev/citrondeck/citronpool"
+	"citrondeck.dev/citrondeck/citronupstream"
+	"github.com/matryer/is"
+)
+
+// limit has engines name limits, and decides on permits by engine.
+func (r *rig) limit(decide map[string]citronpermit.Decision) (asked map[string][]time.Duration) {
+	asked = map[string][]time.Duration{}
+	for id := range decide {
+		r.Limits.Heard(id, r.Limits.Of(id), citronupstream.PerSecond(2))
+	}
+	r.Permit = func(_ context.Context, e *citronpool.Engine, patience time.Duration) citronpermit.Decision {
+		asked[e.ID] = append(asked[e.ID], patience)
+		return decide[e.ID]
+	}
+	return asked
+}
+
+func answersOK(_ context.Context, _ int, c citronupstream.Call) (*citronupstream.Reply, error) {
+	if len(c.Hops) == 0 {
+		return reply(http.StatusOK, "ok"), nil
+	}
+	return reply(http.StatusOK, "id: 1\ndata: x\n\n"), nil
+}
+
+var deniedForLong = citronpermit.Denied{Free: 30 * time.Second, Again: 30 * time.Second}
+
+// Guards against a request that is refused although an engine without a limit has room.
+func TestRequestWithoutAPermitGoesToAnotherEngine(t *testing.T) {
+	for _, route := range []string{"safe", "unsafe", "stream"} {
+		t.Run(route, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t, plain("p1", "a"), plain("p2", "b"), engine("m1", "a", 0, 8), engine("m2", "b", 0, 8))
+			r.engines.answer = answersOK
+			asked := r.limit(map[string]citronpermit.Decision{"p1": deniedForLong, "m1": deniedForLong})
+			for range 3 {
+				is.Equal(r.ask(route, time.Second).status, http.StatusOK)
+			}
+			for _, c := range r.engines.seen() {
+				is.True(c.engine == "p2" || c.engine == "m2")
+			}
+			is.True(len(asked["p1"]) <= 1) // it is left alone for as long as it said
+			is.True(len(asked["m1"]) <= 1)
+		})
+	}
+}
+
+// Guards against a request that is held until its deadline although no engine can take
+// it before, and against a refusal that does not tell when to come back.
+func TestRequestIsRefusedAtOnceIfNoPermitComesInTime(t *testing.T) {
+	for _, route := range []string{"safe", "unsafe", "stream"} {
+		t.Run(route, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t, plain("p1", "a"), plain("p2", "b"), engine("m1", "a", 0, 8))
+			r.engines.answer = answersOK
+			r.limit(map[string]citronpermit.Decision{"p1": deniedForLong, "p2": deniedForLong, "m1": deniedForLong})
+			from := time.Now()
+			c := r.ask(route, 4*time.Second)
+			is.True(c.refused)
+			is.Equal(c.status, http.StatusServiceUnavailable)
+			is.True(c.retryAfter > deniedForLong.Free-time.Second) // some of it has passed
+			is.True(time.Since(from) < 300*time.Millisecond)
+			is.Equal(len(r.engines.seen()), 0)
+		})
+	}
+}
+
+// Guards against a request that is refused although its turn comes long before its
+// deadline.
+func TestRequestWaitsForAPermit(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, plain("p1", "a"))
+	r.engines.answer = answersOK
+	asked := r.limit(map[string]citronpermit.Decision{"p1": citronpermit.Granted{}})
+	r.Permit = func(_ context.Context, _ *citronpool.Engine, patience time.Duration) citronpermit.Decision {
+		asked["p1"] = append(asked["p1"], patience)
+		if patience == 0 {
+			return citronpermit.Denied{Free: 100 * time.Millisecond, Again: 50 * time.Millisecond}
+		}
+		return citronpermit.Granted{After: 100 * time.Millisecond}
+	}
+	from := time.Now()
+	is.Equal(r.ask("unsafe", time.Second).status, http.StatusOK)
+	is.True(time.Since(from) >= 100*time.Millisecond)
+	is.Equal(len(asked["p1"]), 2)
+	is.True(asked["p1"][1] > 400*time.Millisecond && asked["p1"][1] <= 500*time.Millisecond)
+}
+
+// Guards against new work for an engine that began to leave while a request waited for
+// its permit.
+func TestRequestThatWaitedIsNotSentToALeavingEngine(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, plain("p1", "a"))
+	r.engines.answer = answersOK
+	r.limit(map[string]citronpermit.Decision{"p1": citronpermit.Granted{After: 100 * time.Millisecond}})
+	time.AfterFunc(30*time.Millisecond, func() {
+		e, _ := r.view.ByID("p1")
+		e.Replace(time.Now())
+	})
+	is.True(r.ask("unsafe", time.Second).refused)
+	is.Equal(len(r.engines.seen()), 0)
+}
+
+// Guards against a stream that is resumed, or moved while it runs, without a permit.
+func TestRepeatsAndMovesTakePermits(t *testing.T) {
+	t.Run("resume", func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t, engine("m1", "a", 0, 8), engine("m2", "b", 0, 8))
+		asked := r.limit(map[string]citronpermit.Decision{"m2": citronpermit.Granted{}})
+		r.engines.answer = func(ctx context.Context, n int, c citronupstream.Call) (*citronupstream.Reply, error) {
+			if n == 0 && c.Engine.ID == "m1" {
+				return reply(http.StatusOK, "id: 1\ndata: x\n\nid: 2\nda"), nil
+			}
+			return answersOK(ctx, n, c)
+		}
+		is.Equal(r.ask("stream", 2*time.Second).status, http.StatusOK)
+		is.Equal(len(r.engines.seen()), 2)
+		is.Equal(len(asked["m2"]), 1)
+	})
+	t.Run("move", func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t, engine("m1", "a", 0, 4), engine("m2", "a", 4, 8), engine("m3", "a", 4, 8), engine("m4", "a", 4, 8))
+		r.limit(map[string]citronpermit.Decision{"m2": citronpermit.Granted{}, "m3": citronpermit.Granted{}, "m4": citronpermit.Granted{}})
+		var asked []string
+		r.Permit = func(_ context.Context, e *citronpool.Engine, _ time.Duration) citronpermit.Decision {
+			if asked = append(asked, e.ID); len(asked) == 2 {
+				return deniedForLong // the first that it would be moved to
+			}
+			return citronpermit.Granted{}
+		}
+		moved := make(chan struct{})
+		dead := ""
+		r.engines.answer = func(ctx context.Context, _ int, c citronupstream.Call) (*citronupstream.Reply, error) {
+			dead = c.Hops[1].Engine.Addr
+			return stuckUntil(ctx, moved), nil
+		}
+		r.engines.report = func(addr string) (citronupstream.Report, error) {
+			if addr == dead {
+				return citronupstream.Report{}, errReset
+			}
+			return citronupstream.Report{}, nil
+		}
+		r.engines.repath = func(citronpath.Path) error {
+			close(moved)
+			return nil
+		}
+		got := r.ask("stream", 5*time.Second, func(q *citronupstream.Request) { q.Wait = 5 * time.Second })
+		is.Equal(got.body, events(1, 4))
+		is.Equal(len(asked), 3)
+		is.Equal(len(r.engines.repaths), 1)
+		is.Equal(r.engines.repaths[0][1].Engine.ID, asked[2])
+	})
+}
+
+// Guards against a limit that is ended by an answer that is not the engine's own.
+func TestOnlyTheEnginesOwnAnswerEndsALimit(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		reply func() *citronupstream.Reply
+		ends  bool
+	}{
+		{"its own", func() *citronupstream.Reply { return reply(http.StatusOK, "ok") }, true},
+		{"unsigned", func() *citronupstream.Reply { r := reply(http.StatusOK, "ok"); r.Signed = false; return r }, false},
+		{"a refusal", func() *citronupstream.Reply { return shed("") }, false},
+		{"of another engine", func() *citronupstream.Reply { r := shed(""); r.Status = http.StatusMisdirectedRequest; return r }, false},
+		{"an invalid one", func() *citronupstream.Reply {
+			r := reply(http.StatusOK, "ok")
+			r.RateLimit = citronupstream.InvalidRateLimit("soon")
+			return r
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t, plain("p1", "a"))
+			r.limit(map[string]citronpermit.Decision{"p1": citronpermit.Granted{}})
+			time.Sleep(1100 * time.Millisecond) // a limit stands for a second at least
+			r.engines.answer = func(context.Context, int, citronupstream.Call) (*citronupstream.Reply, error) {
+				rep := c.reply()
+				if rep.RateLimit == nil {
+					rep.RateLimit = citronupstream.NoRateLimit{}
+				}
+				return rep, nil
+			}
+			r.ask("unsafe", time.Second)
+			is.Equal(!r.Limits.Of("p1").Limited, c.ends)
+		})
+	}
+}
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -178,8 +178,10 @@
 			return p, ""
 		}
 		switch {
-		case ok && ctx.Err() == nil && s.permits.denied < mostDenied:
+		case ok && ctx.Err() == nil:
 		case !ok && s.waitsForPermit():
+		case ok:
+			return nil, "the caller left"
 		case s.limitsUsedUp():
 			return nil, reasonLimited
 		case full:
@@ -232,7 +234,7 @@
 	if !s.begun {
 		return false
 	}
-	s.refused = 0
+	s.refused, s.permits = 0, permits{}
 	clear(s.avoid)
 	for s.f.Clock.Sleep(ctx, againPause) == nil {
 		if s.takeBudget() {
--- a/citronforward/whole.go
+++ b/citronforward/whole.go
@@ -55,6 +55,7 @@
 // whole serves a request whose answer comes in one piece.
 func (j *job) whole(ctx context.Context) {
 	var fallback *result
+	reason := "no engine answered"
 	for {
 		s := j.f.Current()
 		e, hops, ok := j.pick(s)
@@ -62,10 +63,13 @@
 			if j.waitsForPermit() {
 				continue
 			}
+			if j.limitsUsedUp() {
+				reason = reasonLimited
+			}
 			break
 		}
 		if !j.permitted(ctx, targets(e, hops)...) {
-			if ctx.Err() != nil || j.permits.denied >= mostDenied {
+			if ctx.Err() != nil {
 				break
 			}
 			continue
@@ -106,11 +110,7 @@
 		j.out.Answer(fallback.status, fallback.header, fallback.body)
 		return
 	}
-	if j.limitsUsedUp() {
-		j.giveUp(ctx, reasonLimited)
-		return
-	}
-	j.giveUp(ctx, "no engine answered")
+	j.giveUp(ctx, reason)
 }
 
 func (j *job) logAttempt(e *citronpool.Engine, res result, more ...any) {
