--- /dev/null
+++ b/citronlimit/gossip_test.go
@@ -0,0 +1,144 @@
+package citronlimit_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronclock"
+	"citrondeck.dev/citrondeck/citronlimit"
+	"citrondeck.dev/citrondeck/citronpeer"
+	"citrondeck.dev/citrondeck/citronupstream"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var listed = map[string]bool{"i-1": true, "i-2": true}
+
+func newBook(c citronclock.Clock) *citronlimit.Book {
+	b := citronlimit.NewBook(c)
+	b.Retain(listed)
+	return b
+}
+
+// Guards against a limit that comes and goes several times a second, and lets through
+// all that comes in between.
+func TestLimitStandsForASecondAtLeast(t *testing.T) {
+	is := is.New(t)
+	clock := citronclock.NewManual(time.Unix(0, 0))
+	b := newBook(clock)
+	hear := func(l citronupstream.RateLimit) { b.Heard("i-1", b.Of("i-1"), l) }
+	for range 20 {
+		hear(citronupstream.PerSecond(4))
+		clock.Advance(300 * time.Millisecond)
+		hear(citronupstream.NoRateLimit{})
+		is.True(b.Of("i-1").Limited)
+		clock.Advance(300 * time.Millisecond)
+	}
+	clock.Advance(500 * time.Millisecond)
+	hear(citronupstream.NoRateLimit{})
+	is.True(!b.Of("i-1").Limited)
+}
+
+// Guards against news that overtakes later news, and against a limit that outlives its
+// engine.
+func TestLaterRecordsWinInAnyOrder(t *testing.T) {
+	is := is.New(t)
+	clock := citronclock.NewManual(time.Unix(0, 0))
+	b := newBook(clock)
+	limited := citronpeer.Limit{Engine: "i-1", Limited: true, PerSecond: 4, Version: 1}
+	lifted := citronpeer.Limit{Engine: "i-1", Version: 2}
+	is.NoErr(b.Learn([]citronpeer.Limit{lifted}))
+	is.NoErr(b.Learn([]citronpeer.Limit{limited}))
+	is.True(!b.Of("i-1").Limited)
+	is.NoErr(b.Learn([]citronpeer.Limit{{Engine: "i-1", Limited: true, PerSecond: 4, Version: 2}}))
+	is.True(b.Of("i-1").Limited) // of one version the stricter counts
+	is.NoErr(b.Learn([]citronpeer.Limit{{Engine: "i-9", Limited: true, PerSecond: 4, Version: 2}}))
+	is.Equal(b.Limited(), 1) // i-9 is not in the list
+	b.Retain(map[string]bool{"i-2": true})
+	is.Equal(b.Of("i-1"), citronlimit.Record{})
+	is.Equal(b.Sum(), uint64(0))
+}
+
+func TestInvalidMessageIsNotTaken(t *testing.T) {
+	for _, l := range []citronpeer.Limit{
+		{Limited: true, PerSecond: 1, Version: 1},
+		{Engine: "i-1", Limited: true, PerSecond: -1, Version: 1},
+		{Engine: "i-1", Limited: true, PerSecond: math.NaN(), Version: 1},
+		{Engine: "i-1", Limited: true, PerSecond: math.Inf(1), Version: 1},
+		{Engine: "i-1", Limited: true, PerSecond: 1, Version: -1},
+		{Engine: "i-1", Limited: true, PerSecond: 1, Version: math.MaxInt64},
+	} {
+		is := is.New(t)
+		b := newBook(citronclock.Real{})
+		is.True(b.Learn([]citronpeer.Limit{{Engine: "i-2", Limited: true, PerSecond: 3, Version: 1}, l}) != nil)
+		is.Equal(b.Limited(), 0)
+	}
+}
+
+// Guards against nodes that never agree: whatever they hear and in whatever order they
+// tell each other, they end with the same records.
+func TestBooksAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := citronclock.NewManual(time.Unix(0, 0))
+		books := []*citronlimit.Book{newBook(clock), newBook(clock), newBook(clock)}
+		engines := []string{"i-1", "i-2"}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			b := rapid.SampledFrom(books).Draw(t, "book")
+			e := rapid.SampledFrom(engines).Draw(t, "engine")
+			clock.Advance(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				b.Heard(e, b.Of(e), citronupstream.PerSecond(rapid.SampledFrom([]float64{0, 1, 4}).Draw(t, "limit")))
+			case 1:
+				b.Heard(e, b.Of(e), citronupstream.NoRateLimit{})
+			case 2:
+				if err := rapid.SampledFrom(books).Draw(t, "other").Learn(b.All()); err != nil {
+					t.Fatal(err)
+				}
+			case 3:
+				if err := rapid.SampledFrom(books).Draw(t, "other").Learn(b.Recent()); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		for range books {
+			for _, b := range books {
+				for _, o := range books {
+					if err := o.Learn(b.All()); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+		}
+		for _, b := range books[1:] {
+			if b.Sum() != books[0].Sum() {
+				t.Fatalf("%v and %v", books[0].All(), b.All())
+			}
+		}
+	})
+}
+
+func FuzzLearn(f *testing.F) {
+	text, err := cbor.Marshal([]citronpeer.Limit{{Engine: "i-1", Limited: true, PerSecond: 2.5, Version: 3}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(text)
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var told []citronpeer.Limit
+		if cbor.Unmarshal(text, &told) != nil {
+			return
+		}
+		b := newBook(citronclock.Real{})
+		if err := b.Learn(told); err != nil && len(b.All()) > 0 {
+			t.Fatal("an invalid message was taken")
+		}
+		for _, l := range b.All() {
+			if math.IsNaN(l.PerSecond) || l.PerSecond < 0 {
+				t.Fatalf("limit of %g", l.PerSecond)
+			}
+		}
+	})
+}
