--- a/citronsoak/engine_test.go
+++ b/citronsoak/engine_test.go
@@ -86,6 +86,8 @@
 	leaving, ended          bool
 	// gone is when its entry went without a word; zero while it is there.
 	gone time.Time
+	// limit is the rate limit that it names.
+	limit limit
 	// restart brings another engine in the place of one that a request crashed.
 	restart func()
 }
@@ -231,6 +233,7 @@
 		return
 	}
 	h.Set("X-Server-Stamp", e.id)
+	e.limit.arrived(h, r)
 	e.runs.add(id)
 	e.runs.arrived(id, e.id, e.sinceGone())
 	if e.kind == "" {
--- a/citronsoak/soak_test.go
+++ b/citronsoak/soak_test.go
@@ -62,6 +62,8 @@
 	counts map[string]int
 	// crashing: a request that crashes engines comes again and again.
 	crashing bool
+	// limiting: engines name rate limits.
+	limiting bool
 	// returning: the store comes back from older copies.
 	returning bool
 }
@@ -190,6 +192,9 @@
 	if w.crashing {
 		all.Go(func() { w.crashEngines(end) })
 	}
+	if w.limiting {
+		all.Go(func() { w.nameLimits(rand.New(rand.NewPCG(seed, 3000)), end) })
+	}
 	if w.returning {
 		all.Go(func() { w.returns(rand.New(rand.NewPCG(seed, 2000)), end) })
 	}
@@ -390,6 +395,7 @@
 	req.Header.Set("X-Attempt-Id", id)
 	req.Header.Set("X-Deadline-Ms", fmt.Sprint(callTime.Milliseconds()))
 	req.Header.Set("X-Token-Counts", "10,32")
+	req.Header.Set(headerSender, n.sender())
 	req.GetBody = nil // the caller's own client must not send it twice
 	res, err := hc.Do(req)
 	if err != nil {
