--- a/citronsoak/limit_test.go
+++ b/citronsoak/limit_test.go
@@ -1,6 +1,7 @@
 package citronsoak_test
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -12,8 +13,8 @@
 )
 
 const (
-	// headerSender names the process that a request was sent to, and whether it had no
-	// trouble for long enough to be bound by limits. Nodes pass it on to engines.
+	// headerSender names the process that a request was sent to, and whether it has run
+	// for long enough to be bound by limits. Nodes pass it on to engines.
 	headerSender = "X-Soak-Sender"
 	// Of the requests that come from processes which got an engine's limit toldAfter ago
 	// or before, the engine gets one and a half times what the limit allows and
@@ -21,6 +22,9 @@
 	toldAfter   = 500 * time.Millisecond
 	limitWindow = 4 * time.Second
 	limitSlack  = 5
+	// limitExcuse is how long a process is excused after it was started or stood still; a
+	// store out of reach excuses none.
+	limitExcuse = time.Second
 	// limitPause is the time between two engines that name limits.
 	limitPause = time.Second
 )
@@ -94,7 +98,7 @@
 func (n *node) sender() string {
 	life, _ := n.state()
 	s := fmt.Sprintf("%s-%d", n.name, life)
-	if n.inTouch(contact) {
+	if n.ran(limitExcuse) {
 		s += " bound"
 	}
 	return s
@@ -117,6 +121,26 @@
 	}
 }
 
+// pressCallers is how many callers ask without a pause.
+const pressCallers = 8
+
+// pressOn has callers ask the plain service without a pause until ctx ends.
+func (w *world) pressOn(ctx context.Context) {
+	var all sync.WaitGroup
+	for c := range pressCallers {
+		all.Go(func() {
+			hc := &http.Client{Timeout: callTime, Transport: &http.Transport{}}
+			for i := 0; ctx.Err() == nil; i++ {
+				n := w.nodes[(c+i)%len(w.nodes)]
+				id := fmt.Sprintf("press-%d-%d", c, i)
+				w.check(n, "/safe/", id, w.ask(hc, n, "/safe/", id))
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	all.Wait()
+}
+
 // checkLimits fails for each engine that got more than its limit allows.
 func (w *world) checkLimits() {
 	w.mu.Lock()
--- a/citronsoak/nodes_test.go
+++ b/citronsoak/nodes_test.go
@@ -26,7 +26,9 @@
 	// away: a fault is at work here. trouble is when one last was.
 	away    bool
 	trouble time.Time
-	log     *os.File
+	// paused is when its process was last killed, stopped or frozen.
+	paused time.Time
+	log    *os.File
 }
 
 // grace is the time between SIGTERM and SIGKILL that the settings tell.
@@ -140,6 +142,7 @@
 	defer n.mu.Unlock()
 	n.away = away
 	n.trouble = time.Now()
+	n.paused = n.trouble
 }
 
 // troubled notes that the node's link to the store was harmed until now.
@@ -156,6 +159,13 @@
 	return !n.away && time.Since(n.trouble) > d
 }
 
+// ran reports whether its process has run for so long.
+func (n *node) ran(d time.Duration) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.away && time.Since(n.paused) > d
+}
+
 // state is the process that runs and whether a fault is at work.
 func (n *node) state() (life int, away bool) {
 	n.mu.Lock()
--- a/citronsoak/soak_test.go
+++ b/citronsoak/soak_test.go
@@ -193,6 +193,7 @@
 		all.Go(func() { w.crashEngines(end) })
 	}
 	if w.limiting {
+		all.Go(func() { w.pressOn(ctx) })
 		all.Go(func() { w.nameLimits(rand.New(rand.NewPCG(seed, 3000)), end) })
 	}
 	if w.returning {
