An engine whose limit has ended gets its requests again at once

Found by the new test of a limit that changes: 2 to 4 s after its end the engine got 27 requests of a load of 120, as nodes that had been denied a permit left it alone for up to 3 s.

--- a/citronlimit/book.go
+++ b/citronlimit/book.go
@@ -50,7 +50,7 @@
 	records atomic.Pointer[map[string]Record]
 	// sum is the checksum of records.
 	sum     atomic.Uint64
-	changed func()
+	changed func(eased []string)
 
 	mu sync.Mutex
 	// listed are the engines of the list.
@@ -62,14 +62,14 @@
 
 // NewBook returns a book in which no upstream is limited.
 func NewBook(clock citronclock.Clock) *Book {
-	b := &Book{clock: clock, changed: func() {}, changedAt: map[string]time.Time{}, heldSince: map[string]time.Time{}}
+	b := &Book{clock: clock, changed: func([]string) {}, changedAt: map[string]time.Time{}, heldSince: map[string]time.Time{}}
 	b.records.Store(&map[string]Record{})
 	return b
 }
 
-// Notify has f called when there is news for other nodes. It is set before the book is
-// used.
-func (b *Book) Notify(f func()) { b.changed = f }
+// Notify has f called when there is news for other nodes, with the engines that take
+// more than before. It is set before the book is used, and must not wait.
+func (b *Book) Notify(f func(eased []string)) { b.changed = f }
 
 // Of returns what is known of an engine.
 func (b *Book) Of(engine string) Record { return (*b.records.Load())[engine] }
@@ -129,7 +129,11 @@
 	}
 	now := b.clock.Now()
 	next := maps.Clone(*b.records.Load())
+	var eased []string
 	for engine, r := range newer {
+		if next[engine].stricter(r) {
+			eased = append(eased, engine)
+		}
 		next[engine] = r
 		b.changedAt[engine] = now
 		if r.Limited {
@@ -137,7 +141,7 @@
 		}
 	}
 	b.replace(next)
-	b.changed()
+	b.changed(eased)
 }
 
 func (b *Book) replace(records map[string]Record) {
--- a/citronnode/limit_test.go
+++ b/citronnode/limit_test.go
@@ -15,6 +15,8 @@
 	"citrondeck.dev/citrondeck/citronforward"
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronpath"
+	"citrondeck.dev/citrondeck/citronpeer"
+	"citrondeck.dev/citrondeck/citronpermit"
 	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citrontable"
 	"citrondeck.dev/citrondeck/citronupstream"
@@ -195,7 +197,7 @@
 		fw := m.forwarder(u)
 		nodes.Go(func() {
 			time.Sleep(pause * time.Duration(i) / time.Duration(len(f.nodes)))
-			for n := 0; time.Now().Before(end); n++ {
+			for n := 0; time.Now().Before(end) && !m.stopped.Load(); n++ {
 				calls.Go(func() {
 					fw.Serve(context.Background(), &citronupstream.Request{
 						ID: fmt.Sprintf("%s-%d", m.name, n), Method: "POST", Host: "h", Path: "/x", Target: "/x", Header: http.Header{}, Received: time.Now(), Wait: 2 * time.Second,
@@ -261,3 +263,115 @@
 		})
 	}
 }
+
+// limitedAt is how many nodes know a limit of an engine.
+func (f *fleet) limitedAt(engine string) int {
+	n := 0
+	for _, m := range f.nodes {
+		if m.Limits().Of(engine).Limited {
+			n++
+		}
+	}
+	return n
+}
+
+// heardWithin is the time in which all nodes hear of a limit that one was told.
+const heardWithin = 500 * time.Millisecond
+
+// Guards against nodes that each have to be told a limit by the upstream in need, and
+// against a limit that stands at nodes which send the upstream nothing any more.
+func TestAllNodesHearOfALimitAndOfItsEnd(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.apps(45, 1)
+	hear := func(m *member, l citronupstream.RateLimit) { m.Limits().Heard("i-0", m.Limits().Of("i-0"), l) }
+	timed := func(what string, nodes int) time.Duration {
+		from := time.Now()
+		eventually(t, what, func() bool { return f.limitedAt("i-0") == nodes })
+		return time.Since(from)
+	}
+	hear(f.nodes[7], citronupstream.PerSecond(4))
+	told := timed("all know the limit", len(f.nodes))
+	time.Sleep(time.Second) // a limit stands for so long at least
+	hear(f.nodes[20], citronupstream.NoRateLimit{})
+	ended := timed("all know its end", 0)
+	t.Logf("45 nodes: told within %v, of the end within %v", told, ended)
+	is.True(told < heardWithin)
+	is.True(ended < heardWithin)
+	hear(f.nodes[0], citronupstream.PerSecond(4))
+	f.add("late", "z1")
+	eventually(t, "a node that starts knows it", func() bool { return f.limitedAt("i-0") == len(f.nodes) })
+}
+
+// Guards against an upstream that gets nothing, or more than it takes, after the node
+// that dealt out its permits has ended.
+func TestPermitsGoOnAfterTheirDealerEnded(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t)
+	f.apps(9, 2)
+	const perSecond = 4
+	u := newLimitedUpstreams(map[string]float64{"i-0": perSecond})
+	from := time.Now()
+	end := from.Add(13 * time.Second)
+	var members []citronpeer.Member
+	for _, m := range f.nodes {
+		members = append(members, citronpeer.Member{Name: m.name, Zone: m.zone})
+	}
+	dealer, _ := citronpermit.Owner("i-0", "z0", members)
+	time.AfterFunc(4*time.Second, func() {
+		for _, m := range f.nodes {
+			if m.name == dealer.Name {
+				m.stop()
+			}
+		}
+	})
+	out := f.surge(u, 120, end)
+	late := u.got("i-0", end.Add(-4*time.Second), end)
+	t.Logf("most in 4 s: %d of %d; %d in the last 4 s; answers %v", u.most("i-0"), allowedInWindow(perSecond), late, out.byStatus)
+	is.True(u.most("i-0") <= allowedInWindow(perSecond))
+	is.True(late >= perSecond) // a new dealer begins with half of the limit
+}
+
+// Guards against callers that are held until their deadline, or told to come back at
+// once, while all upstreams of a service are limited.
+func TestRequestsBeyondAllLimitsAreRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t)
+	f.apps(9, 3)
+	const perSecond = 2.5
+	u := newLimitedUpstreams(map[string]float64{"i-0": perSecond, "i-1": perSecond, "i-2": perSecond})
+	from := time.Now()
+	end := from.Add(10 * time.Second)
+	out := f.surge(u, 60, end)
+	served, settled := 0, from.Add(6*time.Second)
+	for _, id := range []string{"i-0", "i-1", "i-2"} {
+		is.True(u.most(id) <= allowedInWindow(perSecond))
+		served += u.got(id, settled, end)
+	}
+	could := 3 * perSecond * end.Sub(settled).Seconds()
+	t.Logf("%d of %.0f used in the last 4 s; answers %v, told to come back after %v at the soonest", served, could, out.byStatus, out.earliest)
+	is.True(float64(served) >= leastUsed*could-1)
+	is.Equal(len(out.byStatus), 2) // served or refused
+	is.True(out.count(http.StatusServiceUnavailable) > 0)
+	is.True(out.earliest > 100*time.Millisecond)
+}
+
+// Guards against a limit that is lowered or ends, and is kept to as it was before.
+func TestNodesFollowALimitThatChanges(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t)
+	f.apps(9, 2)
+	u := newLimitedUpstreams(map[string]float64{"i-0": 20})
+	from := time.Now()
+	time.AfterFunc(4*time.Second, func() { u.limit("i-0", 1) })
+	time.AfterFunc(9*time.Second, func() { u.limit("i-0", -1) })
+	f.surge(u, 120, from.Add(13*time.Second))
+	lowered := u.got("i-0", from.Add(5*time.Second), from.Add(9*time.Second))
+	freed := u.got("i-0", from.Add(11*time.Second), from.Add(13*time.Second))
+	t.Logf("%d in 4 s at 1 a second, %d in 2 s without a limit", lowered, freed)
+	is.True(lowered <= allowedInWindow(1))
+	is.True(freed >= 60) // half of the load
+}
--- a/citronnode/limits.go
+++ b/citronnode/limits.go
@@ -25,6 +25,21 @@
 // Limits are the rate limits of engines that this node knows.
 func (n *Node) Limits() *citronlimit.Book { return n.limits }
 
+// limitsChanged has other nodes hear of limits, and traffic use the engines again that
+// take more than before.
+func (n *Node) limitsChanged(eased []string) {
+	n.tell()
+	t := n.snap.Load().traffic
+	if t == nil {
+		return
+	}
+	for _, id := range eased {
+		if e, ok := t.View.ByID(id); ok {
+			e.Throttle(n.clock.Now(), 0)
+		}
+	}
+}
+
 // learnLimits takes what another node told. Nothing is taken of an invalid message.
 func (n *Node) learnLimits(ctx context.Context, from string, told []citronpeer.Limit) {
 	if err := n.limits.Learn(told); err != nil {
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -184,7 +184,7 @@
 		configs:    newConfigInbox(src.DecodeConfig),
 	}
 	n.limits, n.dealt = citronlimit.NewBook(clock), citronpermit.NewDealer()
-	n.limits.Notify(n.tell)
+	n.limits.Notify(n.limitsChanged)
 	n.quarantine = citronquarantine.New(set.Name, clock)
 	n.quarantine.Notify(func() {
 		n.tell()
--- a/citronnode/rig_test.go
+++ b/citronnode/rig_test.go
@@ -267,6 +267,8 @@
 	zone   string
 	budget *citronbudget.Budget
 	stop   context.CancelFunc
+	// stopped: its process has ended.
+	stopped atomic.Bool
 }
 
 func newFleet(t testing.TB) *fleet {
@@ -306,6 +308,7 @@
 	var once sync.Once
 	m.stop = func() {
 		once.Do(func() {
+			m.stopped.Store(true)
 			cancel()
 			<-done
 			unplug()
