A milder limit counts when its second is over, without another answer

A limit stands for a second after it was last named, and its end had to come by an answer after that: at one request a second up to another second. The end that was heard meanwhile is now put in force by the clock.

--- a/citronlimit/book.go
+++ b/citronlimit/book.go
@@ -58,11 +58,13 @@
 	// changedAt is when a record last changed here, for what is news; heldSince is
 	// when a limit was last named, for holdFor.
 	changedAt, heldSince map[string]time.Time
+	// easing are milder records that count once holdFor is over.
+	easing map[string]Record
 }
 
 // NewBook returns a book in which no upstream is limited.
 func NewBook(clock citronclock.Clock) *Book {
-	b := &Book{clock: clock, changed: func([]string) {}, changedAt: map[string]time.Time{}, heldSince: map[string]time.Time{}}
+	b := &Book{clock: clock, changed: func([]string) {}, changedAt: map[string]time.Time{}, heldSince: map[string]time.Time{}, easing: map[string]Record{}}
 	b.records.Store(&map[string]Record{})
 	return b
 }
@@ -109,19 +111,40 @@
 	known, now := b.Of(engine), b.clock.Now()
 	if next.Limited && !known.stricter(next) {
 		b.heldSince[engine] = now
+		delete(b.easing, engine)
 	}
+	next.Version = known.Version + 1
 	switch {
 	case known.same(next):
 		return known, false
 	case next.stricter(known):
-	case before.Version != known.Version || now.Sub(b.heldSince[engine]) < holdFor:
+	case before.Version != known.Version:
+		return known, false
+	case now.Sub(b.heldSince[engine]) < holdFor:
+		b.easing[engine] = next
 		return known, false
 	}
-	next.Version = known.Version + 1
 	b.set(map[string]Record{engine: next})
 	return next, true
 }
 
+// Tick puts the milder records in force whose limits have stood for long enough.
+func (b *Book) Tick() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now, due := b.clock.Now(), map[string]Record{}
+	for engine, r := range b.easing {
+		switch {
+		case r.Version != b.Of(engine).Version+1:
+			delete(b.easing, engine)
+		case now.Sub(b.heldSince[engine]) >= holdFor:
+			due[engine] = r
+			delete(b.easing, engine)
+		}
+	}
+	b.set(due)
+}
+
 // set puts newer records in force, and has other nodes hear of them.
 func (b *Book) set(newer map[string]Record) {
 	if len(newer) == 0 {
@@ -150,4 +173,5 @@
 	gone := func(engine string, _ time.Time) bool { _, ok := records[engine]; return !ok }
 	maps.DeleteFunc(b.changedAt, gone)
 	maps.DeleteFunc(b.heldSince, gone)
+	maps.DeleteFunc(b.easing, func(engine string, _ Record) bool { _, ok := records[engine]; return !ok })
 }
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -233,6 +233,7 @@
 	c.self.Leads = c.n.leads.Load()
 	c.self.Watching = c.n.answered.Load() == followed
 	c.noteStarts(ctx)
+	c.n.limits.Tick()
 	c.tellGoals()
 	c.self.Load = c.n.loads.Sums()
 	c.self.Sent = map[string]citronpeer.Sent{}
