Older API: an engine that says it leaves gets no further request from its entry

What an engine says of its leaving is now noted with the engine itself for two seconds, for all requests of the entry.

--- a/citronentry/serve.go
+++ b/citronentry/serve.go
@@ -198,7 +198,7 @@
 }
 
 func (a *api) picker(r *request) citronroute.Picker {
-	return citronroute.Picker{Snapshot: r.snap, Zone: a.e.set.Zone}
+	return citronroute.Picker{Snapshot: r.snap, Zone: a.e.set.Zone, Now: a.e.clock.Now()}
 }
 
 // verdict is what a failed call says of its back end and of the call.
@@ -229,6 +229,9 @@
 
 // tell reports a back end to the control goroutine.
 func (a *api) tell(b *citronroute.Backend, why citronroute.Reason) {
+	if why == citronroute.Leaving {
+		b.SaidLeaving(a.e.clock.Now())
+	}
 	select {
 	case a.e.reports <- report{backend: b.Spec.Name, reason: why}:
 	default: // the control loop is behind; the next failure reports again
--- a/citronroute/backend.go
+++ b/citronroute/backend.go
@@ -50,6 +50,9 @@
 	// requests happen to be at this instant.
 	bound   atomic.Int64
 	probing atomic.Bool
+	// saidLeaving is when a call was last told that it is leaving, in Unix
+	// nanoseconds; zero: never.
+	saidLeaving atomic.Int64
 
 	mu         sync.Mutex
 	calls      map[*call]struct{}
@@ -65,6 +68,18 @@
 // Inflight is the number of calls this entry has in flight at b.
 func (b *Backend) Inflight() int64 { return b.inflight.Load() }
 
+// leavingMemory is how long the word of a back end that it leaves counts by itself. The
+// control goroutine, which may be behind, has it in the snapshots by then.
+const leavingMemory = 2 * time.Second
+
+// SaidLeaving keeps requests from a back end that has just told one that it leaves.
+func (b *Backend) SaidLeaving(now time.Time) { b.saidLeaving.Store(now.UnixNano()) }
+
+func (a *activity) isLeaving(now time.Time) bool {
+	at := a.saidLeaving.Load()
+	return at != 0 && now.Sub(time.Unix(0, at)) < leavingMemory
+}
+
 // Bind notes that a request's chain runs through b; Unbind ends that.
 func (b *Backend) Bind() { b.bound.Add(1) }
 
--- a/citronroute/snapshot.go
+++ b/citronroute/snapshot.go
@@ -103,6 +103,8 @@
 type Picker struct {
 	Snapshot *Snapshot
 	Zone     string
+	// Now is when the choice is made.
+	Now      time.Time
 	excluded map[string]bool
 }
 
@@ -118,7 +120,10 @@
 	if p.excluded[name] || p.Snapshot.Avoid[name] != "" {
 		return nil
 	}
-	return p.Snapshot.Backends[name]
+	if b := p.Snapshot.Backends[name]; b != nil && !b.isLeaving(p.Now) {
+		return b
+	}
+	return nil
 }
 
 // Chain picks engines whose ranges cover [from, layers) exactly once and
