--- a/citronnode/sources.go
+++ b/citronnode/sources.go
@@ -86,16 +86,43 @@
 // first find out which of them are to watch, and callers be refused meanwhile although
 // the store is back.
 func (n *Node) readFirst(ctx context.Context, prefix string, config bool) {
+	failed := false
 	for ctx.Err() == nil && !n.has(config) {
 		if n.rank() < firstReaders {
 			if _, err := n.read(ctx, prefix, config); err == nil {
+				if failed {
+					n.tellAwaited(ctx, config)
+				}
 				return
 			}
+			failed = true
 		}
 		_ = n.clock.Sleep(ctx, firstAgain/2+rand.N(firstAgain/2))
 	}
 }
 
+// awaitedPoll is how often, and awaitedPolls how many times, a node looks whether what it
+// read is in force. The store may hold nothing, or what cannot be read.
+const (
+	awaitedPoll  = 2 * time.Millisecond
+	awaitedPolls = 50
+)
+
+// tellAwaited tells other nodes at once of a document that they wait for, too. By the
+// rounds of gossip it would reach them one after the other while callers are refused.
+func (n *Node) tellAwaited(ctx context.Context, config bool) {
+	for i := 0; i < awaitedPolls && !n.has(config); i++ {
+		_ = n.clock.Sleep(ctx, awaitedPoll)
+	}
+	if !n.has(config) {
+		return
+	}
+	members := n.snap.Load().members
+	for _, m := range members[:min(len(members), announceTo)] {
+		go n.fetch(ctx, m.Peer)
+	}
+}
+
 // has reports whether the node has a configuration, or a list.
 func (n *Node) has(config bool) bool {
 	s := n.snap.Load()
