--- a/citronnode/spread_test.go
+++ b/citronnode/spread_test.go
@@ -1,11 +1,16 @@
 package citronnode_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
+	"citrondeck.dev/citrondeck/citronlimit"
+	"citrondeck.dev/citrondeck/citronpeer"
+	"citrondeck.dev/citrondeck/citronpermit"
 	"citrondeck.dev/citrondeck/citronquarantine"
+	"citrondeck.dev/citrondeck/citronupstream"
 )
 
 // spreadSizes are the fleets for which the spreading of news is measured.
@@ -76,3 +81,60 @@
 		})
 	}
 }
+
+// BenchmarkLimitSpreads gives the time until all nodes know a rate limit that one of
+// them was told, and what is sent meanwhile.
+func BenchmarkLimitSpreads(b *testing.B) {
+	for _, size := range spreadSizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			f, m := fleetOf(b, size)
+			f.engine(appEngine("limited"))
+			eventually(b, "all know the engine", func() bool { return f.usableAt("limited") == size })
+			m.bytes.Store(0)
+			b.ResetTimer()
+			for i := range b.N {
+				n := f.nodes[i%size]
+				n.Limits().Heard("limited", n.Limits().Of("limited"), citronupstream.PerSecond(1000-float64(i)))
+				version := n.Limits().Of("limited").Version
+				eventually(b, "all nodes know the limit", func() bool {
+					for _, o := range f.nodes {
+						if o.Limits().Of("limited").Version < version {
+							return false
+						}
+					}
+					return true
+				})
+			}
+			b.ReportMetric(float64(m.bytes.Load())/1024/float64(size)/float64(b.N), "KB/node")
+		})
+	}
+}
+
+// BenchmarkPermit gives the time in which a node gets a permit from another, over a
+// connection of the loopback interface, and the processor time of both.
+func BenchmarkPermit(b *testing.B) {
+	f := newFleet(b)
+	f.config("1")
+	f.engine(appEngine("limited"))
+	f.add("a", "z1")
+	f.add("b", "z1")
+	f.untilAllKnowAll()
+	eventually(b, "all know the engine", func() bool { return f.usableAt("limited") == 2 })
+	f.nodes[0].Limits().Heard("limited", citronlimit.Record{}, citronupstream.PerSecond(1e9))
+	eventually(b, "both know the limit", func() bool { return f.limitedAt("limited") == 2 })
+	e, _ := f.nodes[0].Traffic().View.ByID("limited")
+	asker := f.nodes[0]
+	for _, m := range f.nodes {
+		if dealer, _ := citronpermit.Owner("limited", e.Zone, []citronpeer.Member{{Name: "a", Zone: "z1"}, {Name: "b", Zone: "z1"}}); m.name != dealer.Name {
+			asker = m
+		}
+	}
+	cpu := processorTime()
+	b.ResetTimer()
+	for range b.N {
+		if _, granted := asker.Permit(context.Background(), e, time.Second).(citronpermit.Granted); !granted {
+			b.Fatal("no permit")
+		}
+	}
+	b.ReportMetric(float64((processorTime()-cpu).Microseconds())/float64(b.N), "cpu-us/op")
+}
