A change of the list of engines costs by what changed

With 3,000 engines of which ten change a second a node of an idle fleet spent 72 ms a second, 30 ms with 1,000 (BenchmarkFleetInChange, which has these sizes now). By profile a third of it sorted all engines and built the view of them anew at each change, and a sixth looked at all of them in each tick for deaths, starts and entries that lapse.

Ways weighed: a persistent map from a library (each reader pays by depth; engines are read a thousand times for each change), a copy on write by zone (most changes touch one engine), and patched copies (chosen: a copy of 3,000 pointers or values is a few ten microseconds). Property tests: patched engines, passed entries and views equal those built from nothing, after any changes, and readers' own never change.

--- a/citronlimit/book.go
+++ b/citronlimit/book.go
@@ -53,8 +53,8 @@
 	changed func(eased []string)
 
 	mu sync.Mutex
-	// listed are the engines of the list.
-	listed map[string]bool
+	// listed reports whether an engine is in the list.
+	listed func(engine string) bool
 	// changedAt is when a record last changed here, for what is news; heldSince is
 	// when a limit was last named, for holdFor.
 	changedAt, heldSince map[string]time.Time
@@ -64,7 +64,7 @@
 
 // NewBook returns a book in which no upstream is limited.
 func NewBook(clock citronclock.Clock) *Book {
-	b := &Book{clock: clock, changed: func([]string) {}, changedAt: map[string]time.Time{}, heldSince: map[string]time.Time{}, easing: map[string]Record{}}
+	b := &Book{clock: clock, changed: func([]string) {}, listed: func(string) bool { return false }, changedAt: map[string]time.Time{}, heldSince: map[string]time.Time{}, easing: map[string]Record{}}
 	b.records.Store(&map[string]Record{})
 	return b
 }
--- a/citronlimit/gossip.go
+++ b/citronlimit/gossip.go
@@ -69,7 +69,7 @@
 		if err != nil {
 			return err
 		}
-		if b.listed[l.Engine] && r.supersedes(b.Of(l.Engine)) {
+		if b.listed(l.Engine) && r.supersedes(b.Of(l.Engine)) {
 			newer[l.Engine] = r
 		}
 	}
@@ -78,12 +78,15 @@
 }
 
 // Retain forgets engines that are not in the list of engines.
-func (b *Book) Retain(listed map[string]bool) {
+func (b *Book) Retain(listed func(engine string) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.listed = listed
+	if len(*b.records.Load()) == 0 {
+		return
+	}
 	next := maps.Clone(*b.records.Load())
-	maps.DeleteFunc(next, func(engine string, _ Record) bool { return !listed[engine] })
+	maps.DeleteFunc(next, func(engine string, _ Record) bool { return !listed(engine) })
 	if len(next) < len(*b.records.Load()) {
 		b.replace(next)
 	}
--- a/citronlimit/gossip_test.go
+++ b/citronlimit/gossip_test.go
@@ -14,7 +14,7 @@
 	"pgregory.net/rapid"
 )
 
-var listed = map[string]bool{"i-1": true, "i-2": true}
+func listed(engine string) bool { return engine == "i-1" || engine == "i-2" }
 
 func newBook(c citronclock.Clock) *citronlimit.Book {
 	b := citronlimit.NewBook(c)
@@ -58,7 +58,7 @@
 	is.True(b.Of("i-1").Limited) // of one version the stricter counts
 	is.NoErr(b.Learn([]citronpeer.Limit{{Engine: "i-9", Limited: true, PerSecond: 4, Version: 2}}))
 	is.Equal(b.Limited(), 1) // i-9 is not in the list
-	b.Retain(map[string]bool{"i-2": true})
+	b.Retain(func(engine string) bool { return engine == "i-2" })
 	is.Equal(b.Of("i-1"), citronlimit.Record{})
 	is.Equal(b.Sum(), uint64(0))
 }
--- /dev/null
+++ b/citronlist/index_test.go
@@ -0,0 +1,127 @@
+package citronlist
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"testing"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronclock"
+	"citrondeck.dev/citrondeck/citronkv"
+	"citrondeck.dev/citrondeck/citronmodel"
+	"citrondeck.dev/citrondeck/citrontable"
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Guards against engines that are used as they were before a change: whatever comes and
+// goes, the engines that are patched equal those that are built from nothing.
+func TestPatchedEnginesEqualThoseBuiltAnew(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := citronclock.NewManual(time.Unix(1000, 0))
+		services := []map[string]citrontable.Service{nil, {"a": {}}, {"a": {}, "b": {}}}
+		l := New(Settings{
+			Prefix: "e/", Clock: clock, Log: slog.New(slog.DiscardHandler), Ended: func(citronmodel.Engine) {},
+			Decode: func(key string, text []byte) (citronmodel.Engine, error) {
+				if text[0] == '!' {
+					return citronmodel.Engine{}, errors.New("of another writer")
+				}
+				id, v := key[2:], int(text[1]-'0')
+				return citronmodel.Engine{ID: fmt.Sprintf("%s@%d", id, v/4), Instance: id, Born: int64(v / 4), Service: string(text[0]), Addr: fmt.Sprint(v % 3), Slots: v}, nil
+			},
+		})
+		ctx := context.Background()
+		revision, used := int64(0), services[0]
+		key := rapid.Custom(func(t *rapid.T) string { return fmt.Sprintf("e/i%02d", rapid.IntRange(0, 30).Draw(t, "i")) })
+		value := rapid.SampledFrom([]string{"a0", "a1", "a4", "b2", "b5", "c1", "!"})
+		var prev []citronmodel.Engine
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			base := l.Revision()
+			revision++
+			next := citronkv.RevisionOf(0, revision)
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
+			case 0:
+				var items []citronkv.Item
+				for i := range rapid.IntRange(0, 30).Draw(t, "n") {
+					items = append(items, citronkv.Item{Key: fmt.Sprintf("e/i%02d", i), Value: []byte(value.Draw(t, "v")), Revision: next})
+				}
+				l.TakeWhole(ctx, items, next, true)
+			case 1:
+				l.TakeChanges(ctx, []citronkv.Item{{Key: key.Draw(t, "k"), Deleted: true, Revision: next}}, base, next, true)
+			case 2:
+				l.StartedAnew(ctx, key.Draw(t, "k")[2:], 9)
+			case 3:
+				clock.Advance(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+				l.Tick(ctx, rapid.Bool().Draw(t, "away"))
+			case 4:
+				used = rapid.SampledFrom(services).Draw(t, "services")
+			default:
+				l.TakeChanges(ctx, []citronkv.Item{{Key: key.Draw(t, "k"), Value: []byte(value.Draw(t, "v")), Revision: next}}, base, next, true)
+			}
+			got := l.Engines(used)
+			fresh := *l
+			fresh.index = newIndex()
+			want := fresh.Engines(used)
+			if fmt.Sprint(got) != fmt.Sprint(want) {
+				t.Fatalf("patched\n%v\nbuilt anew\n%v", got, want)
+			}
+			for key, e := range l.entries {
+				if l.index.lapsed[key] == e.lapsed.IsZero() || l.index.reborn[key] != (e.engine.Born > e.entryBorn) {
+					t.Fatalf("entry %s is indexed as lapsed %t, reborn %t", key, l.index.lapsed[key], l.index.reborn[key])
+				}
+			}
+			if got, want := passed(l), present(l); got != want {
+				t.Fatalf("passed on\n%s\nin the list\n%s", got, want)
+			}
+			prev = got
+		}
+		if again := l.Engines(used); len(again) > 0 && &again[0] != &prev[0] {
+			t.Fatal("nothing has changed, and there is another slice")
+		}
+	})
+}
+
+// passed are the entries that are passed on, present those that are there.
+func passed(l *List) string {
+	var out []string
+	for _, it := range l.Passed().items {
+		out = append(out, fmt.Sprint(it))
+	}
+	slices.Sort(out)
+	return fmt.Sprint(out)
+}
+
+func present(l *List) string {
+	var out []string
+	for _, e := range l.entries {
+		if e.lapsed.IsZero() {
+			out = append(out, fmt.Sprint(e.item))
+		}
+	}
+	slices.Sort(out)
+	return fmt.Sprint(out)
+}
+
+func TestReadersKeepTheEnginesThatTheyHave(t *testing.T) {
+	is := is.New(t)
+	l := New(Settings{
+		Prefix: "e/", Clock: citronclock.Real{}, Log: slog.New(slog.DiscardHandler), Ended: func(citronmodel.Engine) {},
+		Decode: func(key string, text []byte) (citronmodel.Engine, error) {
+			return citronmodel.Engine{ID: key, Addr: key, Slots: len(text)}, nil
+		},
+	})
+	var items []citronkv.Item
+	for i := range 20 {
+		items = append(items, citronkv.Item{Key: fmt.Sprintf("e/%02d", i), Value: []byte("x"), Revision: citronkv.RevisionOf(0, 1)})
+	}
+	ctx := context.Background()
+	l.TakeWhole(ctx, items, citronkv.RevisionOf(0, 1), true)
+	before := l.Engines(nil)
+	two := citronkv.RevisionOf(0, 2)
+	l.TakeChanges(ctx, []citronkv.Item{{Key: "e/07", Value: []byte("xyz"), Revision: two}}, citronkv.RevisionOf(0, 1), two, true)
+	is.Equal(l.Engines(nil)[7].Slots, 3)
+	is.Equal(before[7].Slots, 1)
+}
--- a/citronlist/lapse.go
+++ b/citronlist/lapse.go
@@ -43,9 +43,9 @@
 	l.away = away
 	now := l.set.Clock.Now()
 	l.forgetOvertaken(now)
-	for key, e := range l.entries {
-		if !e.lapsed.IsZero() && now.Sub(e.lapsed) > citronhealth.LapseGrace {
-			delete(l.entries, key)
+	for key := range l.index.lapsed {
+		if e := l.entries[key]; now.Sub(e.lapsed) > citronhealth.LapseGrace {
+			l.discard(key)
 			if l.byAddr[e.engine.Addr] == key {
 				delete(l.byAddr, e.engine.Addr)
 			}
@@ -91,13 +91,14 @@
 	l.cause = l.whyKept(now)
 	turned := []string{}
 	l.kept = 0
-	for key, e := range l.entries {
-		if e.lapsed.IsZero() || e.spoiled {
+	for key := range l.index.lapsed {
+		e := l.entries[key]
+		if e.spoiled {
 			continue
 		}
 		if keep := l.keeps(e, now); keep != e.kept {
 			e.kept = keep
-			l.entries[key] = e
+			l.store(key, e)
 			l.changed()
 			turned = append(turned, e.engine.ID)
 		}
--- a/citronlist/list.go
+++ b/citronlist/list.go
@@ -14,14 +14,12 @@
 	"log/slog"
 	"maps"
 	"slices"
-	"sort"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronclock"
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronkv"
 	"citrondeck.dev/citrondeck/citronmodel"
-	"citrondeck.dev/citrondeck/citrontable"
 )
 
 // Settings of a list.
@@ -45,6 +43,7 @@
 	set Settings
 	// entries are the listed engines by key.
 	entries  map[string]entry
+	index    index
 	revision citronkv.Revision
 	// version counts the changes of what Engines returns.
 	version int
@@ -101,7 +100,7 @@
 	if set.DrainWithin <= 0 {
 		set.DrainWithin = usualDrain
 	}
-	return &List{set: set, entries: map[string]entry{}, byAddr: map[string]string{}, rejected: map[string]citronkv.Revision{}, overtaken: map[string][]past{}}
+	return &List{set: set, entries: map[string]entry{}, index: newIndex(), byAddr: map[string]string{}, rejected: map[string]citronkv.Revision{}, overtaken: map[string][]past{}}
 }
 
 // Revision is that of the newest list taken, zero before the first.
@@ -213,7 +212,7 @@
 		l.overtake(old.item)
 	}
 	delete(l.rejected, it.Key)
-	l.entries[it.Key] = now
+	l.store(it.Key, now)
 	l.byAddr[e.Addr] = it.Key
 }
 
@@ -230,7 +229,7 @@
 		l.drop(ctx, it.Key, e, it.Revision)
 		e = l.entries[it.Key]
 		e.spoiled = true
-		l.entries[it.Key] = e
+		l.store(it.Key, e)
 	}
 }
 
@@ -252,7 +251,7 @@
 	l.end(ctx, other.engine, e.ID)
 	l.overtake(other.item)
 	l.note(citronkv.Item{Key: key, Revision: it.Revision, Deleted: true})
-	delete(l.entries, key)
+	l.discard(key)
 	return false
 }
 
@@ -274,29 +273,13 @@
 		l.overtake(e.item)
 	}
 	e.lapsed = l.set.Clock.Now()
-	l.entries[key] = e
+	l.store(key, e)
 	if !e.uncopied {
 		l.vanished = append(l.vanished, e.lapsed)
 	}
 	citronevent.Log(ctx, l.set.Log, citronevent.EnginesChanged, "engine", e.engine.ID, "peer", e.engine.Addr, "missing", true)
 }
 
-// Engines returns the engines of the services that are configured; without a
-// configuration all of them.
-func (l *List) Engines(services map[string]citrontable.Service) []citronmodel.Engine {
-	out := make([]citronmodel.Engine, 0, len(l.entries))
-	for _, listed := range l.entries {
-		e := listed.engine
-		if _, known := services[e.Service]; services != nil && !known {
-			continue // of another writer, or not yet configured
-		}
-		e.Leaving = e.Leaving || listed.spoiled || !listed.lapsed.IsZero() && !listed.kept
-		out = append(out, e)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
-	return out
-}
-
 // mostNames bounds the engines named in a log line.
 const mostNames = 5
 
--- a/citronlist/passed.go
+++ b/citronlist/passed.go
@@ -31,11 +31,7 @@
 	if !revision.IsZero() && !p.since.After(revision) {
 		doc.Base = revision
 		items = nil
-		for _, it := range slices.Concat(p.items, p.removed) {
-			if it.Revision.After(revision) {
-				items = append(items, it)
-			}
-		}
+		items = append(laterThan(revision, p.items), laterThan(revision, p.removed)...)
 		// An entry that lapsed and came back stands in both.
 		slices.SortFunc(items, func(a, b citronkv.Item) int { return a.Revision.Compare(b.Revision) })
 	}
@@ -44,24 +40,24 @@
 	return doc, errors.Wrap(err, "encode the list")
 }
 
+func laterThan(revision citronkv.Revision, items []citronkv.Item) []citronkv.Item {
+	var later []citronkv.Item
+	for i := range items {
+		if items[i].Revision.After(revision) {
+			later = append(later, items[i])
+		}
+	}
+	return later
+}
+
 // Passed returns the list as it is passed on.
 func (l *List) Passed() Passed {
 	if l.passed == nil {
-		l.passed = &Passed{Revision: l.revision, items: l.items(), removed: l.removed, since: l.removedSince}
+		l.passed = &Passed{Revision: l.revision, items: l.passedItems(), removed: l.removed, since: l.removedSince}
 	}
 	return *l.passed
 }
 
-func (l *List) items() []citronkv.Item {
-	items := make([]citronkv.Item, 0, len(l.entries))
-	for _, e := range l.entries {
-		if e.lapsed.IsZero() {
-			items = append(items, e.item)
-		}
-	}
-	return items
-}
-
 // mostRemoved bounds the removals that are remembered; a node that has not
 // heard of so many gets the whole list.
 const mostRemoved = 200
--- a/citronlist/starts.go
+++ b/citronlist/starts.go
@@ -14,7 +14,7 @@
 	}
 	old := e.engine
 	e.engine = old.Reborn(born)
-	l.entries[key] = e
+	l.store(key, e)
 	l.version++
 	l.end(ctx, old, e.engine.ID)
 }
@@ -23,10 +23,9 @@
 // started later than their entries tell.
 func (l *List) Starts() map[string]int64 {
 	starts := map[string]int64{}
-	for _, e := range l.entries {
-		if e.engine.Born > e.entryBorn {
-			starts[e.engine.Instance] = e.engine.Born
-		}
+	for key := range l.index.reborn {
+		e := l.entries[key].engine
+		starts[e.Instance] = e.Born
 	}
 	return starts
 }
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -331,8 +331,10 @@
 	if c.changed || c.listVersion != c.list.Version() {
 		c.changed, c.listVersion = false, c.list.Version()
 		s.engines = c.list.Engines(c.services())
-		c.view = citronpool.Build(s.engines, c.view)
-		c.n.limits.Retain(c.view.IDs())
+		if c.view == nil || !sameEngines(s.engines, old.engines) {
+			c.view = citronpool.Build(s.engines, c.view)
+			c.n.limits.Retain(c.view.Has)
+		}
 	}
 	if c.table != nil {
 		s.traffic = &citronforward.State{Table: c.table, View: c.view, ListRevision: c.list.Revision(), Others: s.others}
@@ -341,6 +343,12 @@
 	c.n.snap.Store(s)
 }
 
+// sameEngines reports whether a and b are one slice: the list returns the same while
+// nothing has changed.
+func sameEngines(a, b []citronmodel.Engine) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 // services are those of the configuration, nil without one.
 func (c *control) services() map[string]citrontable.Service {
 	if c.table == nil {
--- a/citronnode/fleet_test.go
+++ b/citronnode/fleet_test.go
@@ -244,11 +244,17 @@
 // BenchmarkFleetInChange gives the same while engines of the list change ten times
 // a second, as when layers are placed.
 func BenchmarkFleetInChange(b *testing.B) {
-	const size, every = 100, 100 * time.Millisecond
+	for _, c := range []struct{ nodes, engines int }{{100, 200}, {30, 1000}, {30, 3000}} {
+		b.Run(fmt.Sprintf("%d nodes %d engines", c.nodes, c.engines), func(b *testing.B) { fleetInChange(b, c.nodes, c.engines) })
+	}
+}
+
+func fleetInChange(b *testing.B, size, count int) {
+	const every = 100 * time.Millisecond
 	f := newFleet(b)
 	f.net = newMesh()
 	f.config("1")
-	all := engines(200)
+	all := engines(count)
 	for _, e := range all {
 		f.engine(e)
 	}
@@ -265,7 +271,7 @@
 		time.Sleep(every)
 	}
 	spent := processorTime() - cpu
-	b.ReportMetric(float64(spent.Milliseconds())/size/time.Since(from).Seconds(), "ms/s/node")
+	b.ReportMetric(float64(spent.Milliseconds())/float64(size)/time.Since(from).Seconds(), "ms/s/node")
 }
 
 // Guards against callers being sent to a node long after its death: nodes that start
--- a/citronpool/pool.go
+++ b/citronpool/pool.go
@@ -30,6 +30,9 @@
 
 // State is what this node saw of one incarnation of an engine.
 type State struct {
+	id string
+	// troubles is where it is noted that the engine was found dead or started anew.
+	troubles *troubles
 	inflight atomic.Int64
 	tokens   atomic.Int64
 	// avoidUntil is when the engine may get new work again, deadSince when
@@ -62,6 +65,8 @@
 	misplacedUntil atomic.Int64
 }
 
+func newState(id string, t *troubles) *State { return &State{id: id, troubles: t} }
+
 // Begin counts a request of so many tokens; the result ends it.
 func (s *State) Begin(tokens int) func() {
 	s.inflight.Add(1)
@@ -111,6 +116,7 @@
 func (s *State) Dead(now time.Time) {
 	s.Failed(now)
 	s.deadSince.Store(since(now))
+	s.troubles.note(s)
 }
 
 // Suspect leaves alone for a moment an engine that another node has found
@@ -146,7 +152,7 @@
 // and held is gone.
 func (s *State) StartedAnew(born int64, now time.Time) {
 	s.laterStart.Store(born)
-	s.Replace(now)
+	s.Replace(now) // notes it
 }
 
 // Replace marks an engine in whose place something else is. Unlike one that
@@ -238,106 +244,6 @@
 	return !e.Leaving && !e.Replaced() && e.avoidUntil.Load() <= at && e.misplacedUntil.Load() <= at
 }
 
-// View is the list of engines at one moment.
-type View struct {
-	// ByService holds the engines of each service.
-	ByService map[string][]*Engine
-	byAddr    map[string]*Engine
-	byID      map[string]*Engine
-}
-
-// Build makes a view of engines; an engine that prev knows keeps its State.
-func Build(engines []citronmodel.Engine, prev *View) *View {
-	v := &View{ByService: map[string][]*Engine{}, byAddr: map[string]*Engine{}, byID: map[string]*Engine{}}
-	for _, e := range engines {
-		p := &Engine{Engine: e, State: &State{}}
-		if prev != nil && prev.byID[e.ID] != nil {
-			old := prev.byID[e.ID]
-			switch {
-			case old.Layers == e.Layers:
-				p.State = old.State
-			case !old.Replaced():
-				p.State = old.State
-				p.Placed()
-				p.refusals.Store(0)
-			} // else its entry is of its next start, which does not tell when it was
-		}
-		v.ByService[e.Service] = append(v.ByService[e.Service], p)
-		v.byAddr[e.Addr] = p
-		v.byID[e.ID] = p
-	}
-	for _, service := range v.ByService {
-		countCopies(service)
-	}
-	return v
-}
-
-// countCopies sets how often the layers of each engine are held in its zone.
-func countCopies(engines []*Engine) {
-	held := map[string]map[int]int{}
-	for _, e := range engines {
-		if held[e.Zone] == nil {
-			held[e.Zone] = map[int]int{}
-		}
-		for l := e.Layers.From; l < e.Layers.To && !e.Leaving; l++ {
-			held[e.Zone][l]++
-		}
-	}
-	for _, e := range engines {
-		sum := 0
-		for l := e.Layers.From; l < e.Layers.To; l++ {
-			sum += held[e.Zone][l]
-		}
-		e.Copies = 1
-		if n := e.Layers.Len(); n > 0 {
-			e.Copies = max(1, float64(sum)/float64(n))
-		}
-	}
-}
-
-// Dead returns the ids of engines that were found dead after a moment.
-func (v *View) Dead(after time.Time) []string {
-	var out []string
-	for id, e := range v.byID {
-		if e.DeadSince().After(after) {
-			out = append(out, id)
-		}
-	}
-	return out
-}
-
-// StartedAnew returns the engines that are known to have started anew.
-func (v *View) StartedAnew() []*Engine {
-	var out []*Engine
-	for _, e := range v.byID {
-		if e.LaterStart() > 0 {
-			out = append(out, e)
-		}
-	}
-	return out
-}
-
-// IDs returns the ids of all engines.
-func (v *View) IDs() map[string]bool {
-	out := make(map[string]bool, len(v.byID))
-	for id := range v.byID {
-		out[id] = true
-	}
-	return out
-}
-
-// ByAddr returns the engine at an address.
-func (v *View) ByAddr(addr string) (*Engine, bool) {
-	e, ok := v.byAddr[addr]
-	return e, ok
-}
-
-// ByID returns the engine with an id.
-func (v *View) ByID(id string) (*Engine, bool) {
-	e, ok := v.byID[id]
-	return e, ok
-}
-
 // Loads counts the tokens of this node's requests by the zone whose engines
 // run them. Nodes tell each other these sums: a node that knew only its own
 // requests would send more to a zone that the others have filled.
--- /dev/null
+++ b/citronpool/view_test.go
@@ -0,0 +1,115 @@
+package citronpool_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronmodel"
+	"citrondeck.dev/citrondeck/citronpool"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// content is what a view says of its engines.
+func content(v *citronpool.View, addrs, ids []string) string {
+	out := ""
+	for _, name := range []string{"a", "b"} {
+		for _, e := range v.ByService[name] {
+			out += fmt.Sprintf("%+v copies %.2f\n", e.Engine, e.Copies)
+			if found, ok := v.ByID(e.ID); !ok || found != e {
+				out += "not found by its id\n"
+			}
+		}
+	}
+	for _, addr := range addrs {
+		if e, ok := v.ByAddr(addr); ok {
+			out += addr + ": " + e.ID + "\n"
+		}
+	}
+	for _, id := range ids {
+		_, ok := v.ByID(id)
+		out += fmt.Sprintln(id, ok, v.Has(id))
+	}
+	return out
+}
+
+// Guards against requests that are sent by what the list said before a change, and
+// against engines whose counts are lost by one.
+func TestSharedViewEqualsOneBuiltAnew(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		addrs := []string{"x:1", "x:2", "x:3", "x:4"}
+		var ids []string
+		for i := range 8 {
+			ids = append(ids, fmt.Sprintf("i%d", i))
+		}
+		now := map[string]citronmodel.Engine{}
+		var v *citronpool.View
+		inflight := map[string]int64{}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			id := rapid.SampledFrom(ids).Draw(t, "id")
+			from := rapid.IntRange(0, 6).Draw(t, "from")
+			if rapid.IntRange(0, 4).Draw(t, "what") == 0 {
+				delete(now, id)
+				delete(inflight, id)
+			} else {
+				now[id] = citronmodel.Engine{
+					ID: id, Service: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "service"), Addr: rapid.SampledFrom(addrs).Draw(t, "addr"),
+					Zone: rapid.SampledFrom([]string{"z1", "z2"}).Draw(t, "zone"), Leaving: rapid.Bool().Draw(t, "leaving"),
+					Layers: citronmodel.Span{From: from, To: from + rapid.IntRange(0, 4).Draw(t, "layers")},
+				}
+			}
+			var engines []citronmodel.Engine
+			for _, e := range now {
+				engines = append(engines, e)
+			}
+			slices.SortFunc(engines, func(a, b citronmodel.Engine) int { return int(a.ID[1]) - int(b.ID[1]) })
+			before := ""
+			if v != nil {
+				before = content(v, addrs, ids)
+			}
+			next := citronpool.Build(engines, v)
+			if v != nil && content(v, addrs, ids) != before {
+				t.Fatal("the view that readers have has changed")
+			}
+			if got, want := content(next, addrs, ids), content(citronpool.Build(engines, nil), addrs, ids); got != want {
+				t.Fatalf("shared\n%s\nbuilt anew\n%s", got, want)
+			}
+			v = next
+			for id, n := range inflight {
+				if e, ok := v.ByID(id); ok && e.Inflight() != n {
+					t.Fatalf("%s has %d requests, counted %d", id, n, e.Inflight())
+				}
+			}
+			if e, ok := v.ByID(id); ok {
+				e.Begin(1)
+				inflight[id] = e.Inflight()
+			}
+		}
+	})
+}
+
+// Guards against engines in trouble that nobody is told of, or for ever.
+func TestEnginesInTroubleAreFound(t *testing.T) {
+	is := is.New(t)
+	engines := []citronmodel.Engine{{ID: "i1", Addr: "x:1"}, {ID: "i2", Addr: "x:2"}, {ID: "i3", Addr: "x:3"}}
+	v := citronpool.Build(engines, nil)
+	now := time.Now()
+	one, _ := v.ByID("i1")
+	two, _ := v.ByID("i2")
+	one.Dead(now)
+	two.StartedAnew(7, now)
+	dead := v.Dead(now.Add(-time.Second))
+	slices.Sort(dead)
+	is.Equal(dead, []string{"i1", "i2"})
+	is.Equal(len(v.StartedAnew()), 1)
+	is.Equal(len(v.Dead(now.Add(time.Second))), 0)
+	one.Answered(now, now.Add(time.Millisecond))
+	is.Equal(v.Dead(now.Add(-time.Second)), []string{"i2"})
+	one.Dead(now) // once more, after it was forgotten
+	is.Equal(len(v.Dead(now.Add(-time.Second))), 2)
+	v = citronpool.Build(engines[:1], v)
+	is.Equal(v.Dead(now.Add(-time.Second)), []string{"i1"})
+	is.Equal(len(v.StartedAnew()), 0)
+}
