Failing test: a refused connection is taken for the end of an engine that lives on

An engine that is leaving refused connections while its streams went on; a request that ran there went to a third engine where its route allows two.

--- /dev/null
+++ b/citronforward/refused_test.go
@@ -0,0 +1,62 @@
+package citronforward_test
+
+import (
+	"context"
+	"io"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"citrondeck.dev/citrondeck/citronforward"
+	"citrondeck.dev/citrondeck/citronmodel"
+	"citrondeck.dev/citrondeck/citronpool"
+	"citrondeck.dev/citrondeck/citronprobe"
+	"citrondeck.dev/citrondeck/citronupstream"
+	"github.com/matryer/is"
+)
+
+// Guards against a third engine that runs a request beside two that are well: a leaving
+// engine refuses connections while the streams that it has go on.
+func TestRefusedConnectionIsNoEndWhileStreamsGoOn(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, engine("m1", "a", 0, 8), engine("m2", "a", 0, 8), engine("m3", "b", 0, 8))
+	state := r.Current()
+	current := state
+	r.Current = func() *citronforward.State { return current }
+	r.engines.answer = func(_ context.Context, n int, c citronupstream.Call) (*citronupstream.Reply, error) {
+		if n == 0 {
+			rep := reply(200, "")
+			rep.Body = breaking{strings.NewReader(events(1, 1)), errReset}
+			return rep, nil
+		}
+		if n > 1 {
+			return reply(200, events(4, 4)), nil
+		}
+		var engines []citronmodel.Engine
+		for _, e := range state.View.ByService["model"] {
+			next := e.Engine
+			next.Leaving = e.ID == c.Engine.ID
+			engines = append(engines, next)
+		}
+		leaving := *state
+		leaving.View = citronpool.Build(engines, state.View)
+		current = &leaving
+		body, w := io.Pipe()
+		go func() {
+			_, _ = io.WriteString(w, events(2, 2))
+			time.Sleep(50 * time.Millisecond)
+			citronprobe.Dead(c.Engine, syscall.ECONNREFUSED, time.Now())
+			_, _ = io.WriteString(w, events(3, 3))
+			time.Sleep(2200 * time.Millisecond) // past the time to move
+			_, _ = io.WriteString(w, events(4, 4))
+			_ = w.Close()
+		}()
+		rep := reply(200, "")
+		rep.Body = body
+		return rep, nil
+	}
+	got := r.ask("stream", 5*time.Second, func(q *citronupstream.Request) { q.Received = time.Now().Add(4 * time.Second) })
+	is.Equal(got.body, events(1, 4))
+	is.Equal(len(r.engines.seen()), 2)
+}
