An engine that refuses connections has not ended while its streams go on

A refused connection marked the engine as ended for good, and runs on ended engines do not count. An event of a stream now takes the mark back; a run that breaks off has the engine asked anew, as before.

Evidence: in a replay with logs an engine refuses three nodes at 26.49 and 26.86 s and ends streams of theirs at 26.65 to 26.77 s. The test moved to a third engine in 0.2 s before; after, the stream ends on the second.

--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -441,6 +441,7 @@
 		return 0, false
 	}
 	now := s.f.Clock.Now()
+	s.path[0].Engine.Lives()
 	if s.run.firstEvent.IsZero() {
 		s.admittedAlong()
 	}
--- a/citronpool/pool.go
+++ b/citronpool/pool.go
@@ -188,7 +188,16 @@
 
 // Ended reports whether the engine's process is known to have ended. An
 // engine that only does not answer may still run what it was sent.
-func (s *State) Ended() bool { return s.ended.Load() }
+func (s *State) Ended() bool { return s.ended.Load() || s.Replaced() }
+
+// Lives notes that the engine sends something. One that refuses connections has not
+// ended for that: it may be leaving, and end what it runs.
+func (s *State) Lives() {
+	if s.ended.Load() && !s.Replaced() {
+		s.ended.Store(false)
+		s.deadSince.Store(0)
+	}
+}
 
 // DeadSince is when the engine was last found dead; zero if it answered
 // since.
