A stream waits for a permit no longer than its caller would

It waited for up to half of its time, ten seconds of twenty, while callers leave a stream without a first event after a few times its target: they would have left, and the permit been lost. It waits for two targets now and is refused after that. TestRequestIsRefusedAtOnceIfNoPermitComesInTime asks for it.

--- a/citronforward/limit.go
+++ b/citronforward/limit.go
@@ -19,6 +19,7 @@
 	"citrondeck.dev/citrondeck/citronpath"
 	"citrondeck.dev/citrondeck/citronpermit"
 	"citrondeck.dev/citrondeck/citronpool"
+	"citrondeck.dev/citrondeck/citrontable"
 	"citrondeck.dev/citrondeck/citronupstream"
 )
 
@@ -27,6 +28,10 @@
 	// permitShare is the part of the time that a caller has left which may go into
 	// waiting for a permit.
 	permitShare = 0.5
+	// permitTargets is how many times the target for its first event a stream may wait
+	// for a permit: callers leave one that is silent for a few of these, and the prompt
+	// has to be read in the rest.
+	permitTargets = 2
 	// mostDenied is how many engines may deny a request a permit before it keeps to those
 	// that name no limit.
 	mostDenied = 8
@@ -82,7 +87,11 @@
 	if !j.permits.patient {
 		return 0
 	}
-	return time.Duration(permitShare * float64(max(0, j.left())))
+	patience := time.Duration(permitShare * float64(max(0, j.left())))
+	if j.route.Kind == citrontable.Streaming && j.route.Target > 0 {
+		patience = min(patience, permitTargets*j.route.Target)
+	}
+	return patience
 }
 
 // deniedBy has this node leave an engine alone whose limit is used up.
--- a/citronforward/limit_test.go
+++ b/citronforward/limit_test.go
@@ -63,12 +63,17 @@
 			is := is.New(t)
 			r := newRig(t, plain("p1", "a"), plain("p2", "b"), engine("m1", "a", 0, 8))
 			r.engines.answer = answersOK
-			r.limit(map[string]citronpermit.Decision{"p1": deniedForLong, "p2": deniedForLong, "m1": deniedForLong})
+			busy := citronpermit.Denied{Free: 30 * time.Second, Again: time.Millisecond}
+			asked := r.limit(map[string]citronpermit.Decision{"p1": busy, "p2": busy, "m1": busy})
 			from := time.Now()
 			c := r.ask(route, 4*time.Second)
 			is.True(c.refused)
 			is.Equal(c.status, http.StatusServiceUnavailable)
-			is.True(c.retryAfter > deniedForLong.Free-time.Second) // some of it has passed
+			is.True(c.retryAfter > busy.Free-time.Second) // some of it has passed
+			is.True(route != "stream" || len(asked["m1"]) == 2) // the second can wait
+			for _, patience := range asked["m1"] {
+				is.True(patience <= 200*time.Millisecond) // callers leave a silent stream
+			}
 			is.True(time.Since(from) < 300*time.Millisecond)
 			is.Equal(len(r.engines.seen()), 0)
 		})
