--- a/citronforward/limit_test.go
+++ b/citronforward/limit_test.go
@@ -69,7 +69,7 @@
 			c := r.ask(route, 4*time.Second)
 			is.True(c.refused)
 			is.Equal(c.status, http.StatusServiceUnavailable)
-			is.True(c.retryAfter > busy.Free-time.Second) // some of it has passed
+			is.True(c.retryAfter > busy.Free-time.Second)       // some of it has passed
 			is.True(route != "stream" || len(asked["m1"]) == 2) // the second can wait
 			for _, patience := range asked["m1"] {
 				is.True(patience <= 200*time.Millisecond) // callers leave a silent stream
