Test of priorities: steps far enough apart that callers see their order

In 25 runs of the old test beside sixteen busy processes one failed; beside 24, under the race detector, it hung, as the first step had run before the second was sent.

--- a/citronengine/contract_test.go
+++ b/citronengine/contract_test.go
@@ -121,7 +121,9 @@
 // first, whenever it arrived.
 func TestPriorityGoesFirst(t *testing.T) {
 	is := is.New(t)
-	e, cl := start(t, citronengine.Settings{Name: "e", To: 4, Capacity: 20})
+	// One token each quarter of a second: what the engine answers in turn also reaches
+	// callers in turn, on a busy machine too.
+	e, cl := start(t, citronengine.Settings{Name: "e", To: 4, Capacity: 4})
 	ctx := context.Background()
 	// The first step takes what credit there is and more, so that the
 	// next two wait together.
