--- a/citronforward/refused_test.go
+++ b/citronforward/refused_test.go
@@ -60,3 +60,28 @@
 	is.Equal(got.body, events(1, 4))
 	is.Equal(len(r.engines.seen()), 2)
 }
+
+// Guards against a third engine that runs a request after two that were cut off: they
+// reset what they have and refuse connections as if they had ended, and live on.
+func TestRunOnAnEngineThatRefusesConnectionsCounts(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, engine("m1", "a", 0, 8), engine("m2", "a", 0, 8), engine("m3", "b", 0, 8))
+	r.engines.answer = func(_ context.Context, n int, _ citronupstream.Call) (*citronupstream.Reply, error) {
+		body, w := io.Pipe()
+		go func() {
+			_, _ = io.WriteString(w, events(2*n+1, 2*n+1))
+			time.Sleep(600 * time.Millisecond) // so that it is not held for what ends engines
+			_, _ = io.WriteString(w, events(2*n+2, 2*n+2))
+			_ = w.CloseWithError(errReset)
+		}()
+		rep := reply(200, "")
+		rep.Body = body
+		return rep, nil
+	}
+	r.engines.report = func(string) (citronupstream.Report, error) {
+		return citronupstream.Report{}, syscall.ECONNREFUSED
+	}
+	got := r.ask("stream", 5*time.Second)
+	is.True(got.aborted)
+	is.Equal(len(r.engines.seen()), 2)
+}
