Only what is in an engine's place proves that it has ended

An engine that is cut off resets its streams and refuses connections, and its entry lapses, just as if it had crashed; the run there was not counted.

A run is not counted now only if the engine has been replaced: another start of it, or another entry at its address. A refusal still moves streams at once and still counts against requests that crash engines.

--- a/citronforward/crash_test.go
+++ b/citronforward/crash_test.go
@@ -35,6 +35,18 @@
 	}
 }
 
+// restarting has another start of each engine that crashed answer in its place.
+func (r *rig) restarting() {
+	report := r.engines.report
+	r.engines.report = func(addr string) (citronupstream.Report, error) {
+		rep, err := report(addr)
+		if err != nil {
+			return citronupstream.Report{Holds: &citronmodel.Span{}}, nil
+		}
+		return rep, nil
+	}
+}
+
 func fourEngines() []citronmodel.Engine {
 	return []citronmodel.Engine{engine("m1", "a", 0, 8), engine("m2", "a", 0, 8), engine("m3", "a", 0, 8), engine("m4", "a", 0, 8)}
 }
@@ -99,11 +111,13 @@
 
 // Guards against holding a crash against the requests that had long been running
 // on the engine: one of them that is sent on to an engine that crashes too, and to
-// a third, is served in the end.
+// a third, is served in the end. Each engine is back at once, so that it is certain that
+// the one before it has ended.
 func TestStreamThatRanWellIsNotSuspect(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, fourEngines()...)
 	r.crashing("")
+	r.restarting()
 	crash := r.engines.answer
 	r.engines.answer = func(ctx context.Context, n int, c citronupstream.Call) (*citronupstream.Reply, error) {
 		switch n {
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -268,9 +268,11 @@
 	return s.within(crashesUsed, !s.suspect()) && s.within(attemptsUsed, runs < max(1, s.route.MaxAttempts))
 }
 
-// firstEnded reports whether the first engine's process has ended. That its
-// entry is gone proves nothing: some engines serve on after that.
-func (s *streamJob) firstEnded() bool { return s.path[0].Engine.Ended() }
+// firstEnded reports whether it is certain that the first engine's process has ended:
+// something else is in its place. That its entry is gone proves nothing, as some engines
+// serve on after that; nor does a refused connection, as one that is cut off resets what
+// it has and refuses what comes.
+func (s *streamJob) firstEnded() bool { return s.path[0].Engine.Replaced() }
 
 // mayResume is canResume with the budget, unless it is paid already. If the
 // limit is reached, the first engine is asked whether it has ended.
