--- a/citronnode/limit_test.go
+++ b/citronnode/limit_test.go
@@ -331,7 +331,7 @@
 	for _, m := range f.nodes {
 		members = append(members, citronpeer.Member{Name: m.name, Zone: m.zone})
 	}
-	dealer, _ := citronpermit.Owner("i-0", "z0", members)
+	dealer, _ := citronpermit.DealerFor("i-0", "z0", members)
 	time.AfterFunc(4*time.Second, func() {
 		for _, m := range f.nodes {
 			if m.name == dealer.Name {
--- a/citronnode/limits.go
+++ b/citronnode/limits.go
@@ -56,19 +56,19 @@
 	if !r.Limited {
 		return citronpermit.Granted{}
 	}
-	owner, ok := n.dealer(e.ID, e.Zone)
+	dealer, ok := n.dealer(e.ID, e.Zone)
 	switch {
 	case !ok:
 		return citronpermit.Denied{Free: permitLost, Again: permitLost}
-	case owner.Name == n.set.Name:
-		return n.dealt.Deal(e.ID, r.PerSecond, patience, n.clock.Now())
+	case dealer.Name == n.set.Name:
+		return n.permits.Deal(e.ID, r.PerSecond, patience, n.clock.Now())
 	}
-	p, err := n.peers.AskPermit(ctx, owner.Peer, citronpeer.PermitRequest{Node: n.set.Name, Limit: r.Wire(e.ID), PatienceMS: patience.Milliseconds()}, permitTimeout)
+	p, err := n.peers.AskPermit(ctx, dealer.Peer, citronpeer.PermitRequest{Node: n.set.Name, Limit: r.Wire(e.ID), PatienceMS: patience.Milliseconds()}, permitTimeout)
 	if err != nil {
-		citronevent.Log(ctx, n.log, citronevent.PermitFailed, "engine", e.ID, "peer", owner.Peer, "err", err)
+		citronevent.Log(ctx, n.log, citronevent.PermitFailed, "engine", e.ID, "peer", dealer.Peer, "err", err)
 		return citronpermit.Denied{Free: permitLost, Again: permitLost}
 	}
-	n.learnLimits(ctx, owner.Name, []citronpeer.Limit{p.Limit})
+	n.learnLimits(ctx, dealer.Name, []citronpeer.Limit{p.Limit})
 	wait := time.Duration(p.WaitMS) * time.Millisecond
 	if p.Granted {
 		return citronpermit.Granted{After: wait}
@@ -80,7 +80,7 @@
 func (n *Node) dealer(engine, zone string) (citronpeer.Member, bool) {
 	s := n.snap.Load()
 	nodes := append([]citronpeer.Member{s.self}, s.members...)
-	return citronpermit.Owner(engine, zone, nodes)
+	return citronpermit.DealerFor(engine, zone, nodes)
 }
 
 // Permit implements citronpeer.PermitDealer.
@@ -110,11 +110,11 @@
 	if !ok {
 		return citronpermit.Denied{Free: permitLost, Again: permitLost}
 	}
-	if owner, ok := n.dealer(engine, e.Zone); !ok || owner.Name != n.set.Name {
+	if dealer, ok := n.dealer(engine, e.Zone); !ok || dealer.Name != n.set.Name {
 		return citronpermit.Denied{Free: permitLost, Again: permitLost}
 	}
 	if !known.Limited {
 		return citronpermit.Granted{}
 	}
-	return n.dealt.Deal(engine, known.PerSecond, time.Duration(q.PatienceMS)*time.Millisecond, n.clock.Now())
+	return n.permits.Deal(engine, known.PerSecond, time.Duration(q.PatienceMS)*time.Millisecond, n.clock.Now())
 }
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -107,10 +107,10 @@
 	loans *citronloan.Borrower
 	// quarantine is what is known of requests that crash engines.
 	quarantine *citronquarantine.Ledger
-	// limits are the rate limits that engines name, dealt the permits for those
-	// engines that have fallen to this node.
-	limits *citronlimit.Book
-	dealt  *citronpermit.Dealer
+	// limits are the rate limits that engines name. permits deals out permits for the
+	// engines for which this node is the dealer.
+	limits  *citronlimit.Book
+	permits *citronpermit.Dealer
 	// limitsRejected counts what other nodes told of limits and was invalid, and
 	// limitsRejectedFrom holds the names of those nodes.
 	limitsRejected     atomic.Int64
@@ -183,7 +183,7 @@
 		barredNews: make(chan struct{}, 1),
 		configs:    newConfigInbox(src.DecodeConfig),
 	}
-	n.limits, n.dealt = citronlimit.NewBook(clock), citronpermit.NewDealer()
+	n.limits, n.permits = citronlimit.NewBook(clock), citronpermit.NewDealer()
 	n.limits.Notify(n.limitsChanged)
 	n.quarantine = citronquarantine.New(set.Name, clock)
 	n.quarantine.Notify(func() {
--- a/citronnode/spread_test.go
+++ b/citronnode/spread_test.go
@@ -125,7 +125,7 @@
 	e, _ := f.nodes[0].Traffic().View.ByID("limited")
 	asker := f.nodes[0]
 	for _, m := range f.nodes {
-		if dealer, _ := citronpermit.Owner("limited", e.Zone, []citronpeer.Member{{Name: "a", Zone: "z1"}, {Name: "b", Zone: "z1"}}); m.name != dealer.Name {
+		if dealer, _ := citronpermit.DealerFor("limited", e.Zone, []citronpeer.Member{{Name: "a", Zone: "z1"}, {Name: "b", Zone: "z1"}}); m.name != dealer.Name {
 			asker = m
 		}
 	}
--- a/citronpermit/owner.go
+++ b/citronpermit/choose.go
@@ -5,9 +5,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Owner returns the node that deals out permits for an engine: one of the engine's zone,
+// DealerFor returns the node that deals out permits for an engine: one of the engine's zone,
 // whose nodes send it most, if any is there, and rather one that has processor time.
-func Owner(engine, zone string, nodes []citronpeer.Member) (citronpeer.Member, bool) {
+func DealerFor(engine, zone string, nodes []citronpeer.Member) (citronpeer.Member, bool) {
 	var best citronpeer.Member
 	var most draw
 	found := false
--- a/citronpermit/model_test.go
+++ b/citronpermit/model_test.go
@@ -164,7 +164,7 @@
 
 // ask has a node ask for a permit.
 func (f *fleet) ask(node int, perSecond float64, now time.Time) bool {
-	owner, ok := citronpermit.Owner(engineID, "z0", f.view(node, now))
+	owner, ok := citronpermit.DealerFor(engineID, "z0", f.view(node, now))
 	if !ok {
 		return false
 	}
@@ -173,7 +173,7 @@
 	if !lives || now.Before(f.frozen[at]) {
 		return false
 	}
-	if own, ok := citronpermit.Owner(engineID, "z0", f.view(at, now)); !ok || own.Name != owner.Name {
+	if own, ok := citronpermit.DealerFor(engineID, "z0", f.view(at, now)); !ok || own.Name != owner.Name {
 		return false
 	}
 	_, granted := f.dealers[at].Deal(engineID, perSecond, 0, now).(citronpermit.Granted)
