--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -69,6 +69,9 @@
 	LimitChanged       Event = 510
 	LimitInvalid       Event = 511
 	LimitHeld          Event = 512
+	CooldownAsked      Event = 513
+	CooldownInvalid    Event = 514
+	CooldownIgnored    Event = 515
 
 	TableApplied     Event = 600
 	TableRejected    Event = 601
@@ -154,6 +157,9 @@
 	LimitChanged:        {slog.LevelInfo, "limit.named", "an engine's response set, changed or removed (limited=false) its rate limit; gives the requests per second that it accepts from all nodes together"},
 	LimitInvalid:        {slog.LevelWarn, "limit.invalid", "an engine's response carried a malformed rate limit, which was ignored; only the first one from each engine is logged"},
 	LimitHeld:           {slog.LevelInfo, "limit.held", "a request could not be sent to a rate-limited engine at once: it waits for its permit (outcome=waits), or was denied one (outcome=denied) and tries again, there or at another engine, or is refused; only the first denial of each request is logged"},
+	CooldownAsked:       {slog.LevelInfo, "cooldown.asked", "an engine refused a request and asked this node for a cool-down: no requests for a time (wait, in nanoseconds); only refusals that lengthen the time are logged"},
+	CooldownInvalid:     {slog.LevelWarn, "cooldown.invalid", "an engine refused a request with a cool-down that cannot be read, which was ignored; only the first one from each engine is logged"},
+	CooldownIgnored:     {slog.LevelWarn, "cooldown.ignored", "a request was sent to an engine during its cool-down; gives how much of it was left (left)"},
 	AnswerSampled:       {slog.LevelInfo, "answer.sampled", "a request was answered in full, or a stream's request with an engine's failure response; only a sample of these is logged"},
 
 	TableApplied:     {slog.LevelInfo, "table.applied", "a node activated a new version of the configuration"},
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -101,6 +101,8 @@
 	// invalidLimits holds the IDs of the engines whose invalid rate limit has been
 	// logged, so that each is logged only once.
 	invalidLimits sync.Map
+	// invalidCooldowns does the same for invalid cool-downs.
+	invalidCooldowns sync.Map
 	// completed counts the unary requests that succeeded, and the streams that were
 	// completed or ended by an engine's failure response.
 	completed atomic.Int64
--- a/citronforward/limit.go
+++ b/citronforward/limit.go
@@ -208,9 +208,11 @@
 	if before.Limited {
 		f.Metrics.LimitedSends.Inc()
 	}
+	f.checkCooldown(ctx, c)
 	reply, err := f.Upstream.Send(ctx, c)
 	if err == nil {
 		f.noteRateLimit(ctx, c, before, reply)
+		f.noteCooldown(ctx, c, reply)
 	}
 	return reply, err
 }
--- a/citronforward/metrics.go
+++ b/citronforward/metrics.go
@@ -13,6 +13,9 @@
 	LimitedSends     prometheus.Counter
 	InvalidLimits    prometheus.Counter
 	Permits          *prometheus.CounterVec
+	Cooldowns        prometheus.Counter
+	CooldownSends    prometheus.Counter
+	InvalidCooldowns prometheus.Counter
 	TimeToFirstEvent prometheus.Histogram
 	LongestPause     prometheus.Histogram
 	UnaryDuration    prometheus.Histogram
@@ -34,10 +37,13 @@
 		LimitedSends:     prometheus.NewCounter(prometheus.CounterOpts{Name: "citrondeck_limited_sends_total", Help: "Requests sent to engines that name a rate limit."}),
 		Permits:          prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citrondeck_permits_total", Help: "Permits asked for to send to engines that name a rate limit, by result."}, []string{"result"}),
 		InvalidLimits:    prometheus.NewCounter(prometheus.CounterOpts{Name: "citrondeck_invalid_limits_total", Help: "Answers with a rate limit that cannot be read."}),
+		Cooldowns:        prometheus.NewCounter(prometheus.CounterOpts{Name: "citrondeck_cooldowns_total", Help: "Refusals that asked for a cool-down of their engine."}),
+		CooldownSends:    prometheus.NewCounter(prometheus.CounterOpts{Name: "citrondeck_cooldown_sends_total", Help: "Requests sent to an engine during its cool-down."}),
+		InvalidCooldowns: prometheus.NewCounter(prometheus.CounterOpts{Name: "citrondeck_invalid_cooldowns_total", Help: "Refusals with a cool-down that cannot be read."}),
 		TimeToFirstEvent: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_first_event_seconds", Help: "Time to the first event of a stream.", Buckets: latencyBuckets}),
 		LongestPause:     prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_pause_seconds", Help: "Longest pause between events of a stream.", Buckets: latencyBuckets}),
 		UnaryDuration:    prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_answer_seconds", Help: "Time to a whole answer.", Buckets: latencyBuckets}),
 	}
-	r.MustRegister(m.Requests, m.Refusals, m.Attempts, m.Repairs, m.RetriesDenied, m.Crashes, m.LimitedSends, m.InvalidLimits, m.Permits, m.TimeToFirstEvent, m.LongestPause, m.UnaryDuration)
+	r.MustRegister(m.Requests, m.Refusals, m.Attempts, m.Repairs, m.RetriesDenied, m.Crashes, m.LimitedSends, m.InvalidLimits, m.Permits, m.Cooldowns, m.CooldownSends, m.InvalidCooldowns, m.TimeToFirstEvent, m.LongestPause, m.UnaryDuration)
 	return m
 }
--- a/citronnode/status.go
+++ b/citronnode/status.go
@@ -33,6 +33,8 @@
 	// the rejected messages of other nodes about limits.
 	Limited        int
 	LimitsRejected int64
+	// Cooling counts the engines that have asked this node for a cool-down.
+	Cooling int
 	// Watching reports that the node watches the store and the store answers. Leads
 	// reports that the node holds the lease under which layers are placed, or is the
 	// acting leader. Places reports that the node places layers.
@@ -54,6 +56,11 @@
 		out.ListAge = now.Sub(s.listAt)
 	}
 	for _, e := range s.engines {
+		if s.traffic != nil {
+			if seen, ok := s.traffic.View.ByID(e.ID); ok && seen.CoolingFor(now) > 0 {
+				out.Cooling++
+			}
+		}
 		if e.Leaving {
 			out.Leaving++
 		} else {
--- a/citronpool/pool.go
+++ b/citronpool/pool.go
@@ -68,6 +68,8 @@
 	// misplacedUntil is when the engine may be used again after it reported
 	// that it doesn't hold the layers in the list.
 	misplacedUntil atomic.Int64
+	// cooldownUntil is when the cool-down ends that the engine asked this node for.
+	cooldownUntil atomic.Int64
 }
 
 func newState(id string, failed *failedStates) *State { return &State{id: id, failedStates: failed} }
--- a/citronstat/node.go
+++ b/citronstat/node.go
@@ -30,6 +30,7 @@
 	gauge("suspects", "Requests under which engines have ended.", func(s citronnode.Status) float64 { return float64(s.Suspects) })
 	gauge("requests_barred", "Requests that are not sent to engines because they crash them.", func(s citronnode.Status) float64 { return float64(s.Quarantined) })
 	gauge("limited_engines", "Engines that name a rate limit.", func(s citronnode.Status) float64 { return float64(s.Limited) })
+	gauge("cooling_engines", "Engines that have asked this node for a cool-down.", func(s citronnode.Status) float64 { return float64(s.Cooling) })
 	gauge("limits_rejected", "Messages of other nodes about rate limits of which nothing was taken.", func(s citronnode.Status) float64 { return float64(s.LimitsRejected) })
 	gauge("suspects_rejected", "Messages of other nodes about suspects of which nothing was taken.", func(s citronnode.Status) float64 { return float64(s.SuspectsRejected) })
 	gauge("watching", "1 while the node watches the store and the store answers.", func(s citronnode.Status) float64 { return toFloat(s.Watching) })
--- a/citronupstream/upstream.go
+++ b/citronupstream/upstream.go
@@ -86,6 +86,9 @@
 	// RateLimit is the rate limit that the response declares. It is nil if
 	// nothing is known about it.
 	RateLimit RateLimit
+	// Cooldown is the cool-down that a refusal asks for. It is nil if nothing is known
+	// about it.
+	Cooldown Cooldown
 }
 
 // Errors returned by Engines.Send. After any error but ErrNotSent, it is unknown
