--- a/citronnode/limit_test.go
+++ b/citronnode/limit_test.go
@@ -191,10 +191,20 @@
 	Services: []citrontable.WeightedService{{Service: "app", Weight: 1}},
 }}, []citrontable.Service{{Name: "app"}}, nil, citrontable.Limits{})
 
+// upstreams are fake upstreams that several nodes send requests to.
+type upstreams interface {
+	// reachedFrom returns the upstreams as the named node reaches them.
+	reachedFrom(node string) citronupstream.Engines
+}
+
+func (u *limitedUpstreams) reachedFrom(node string) citronupstream.Engines {
+	return nodeUpstreams{u, node}
+}
+
 // forwarder returns the forwarder of a node in front of the given upstreams.
-func (m *member) forwarder(u *limitedUpstreams) *citronforward.Forwarder {
+func (m *member) forwarder(u upstreams) *citronforward.Forwarder {
 	return &citronforward.Forwarder{
-		Zone: m.zone, Clock: citronclock.Real{}, Log: slog.New(slog.DiscardHandler), Upstream: nodeUpstreams{u, m.name}, Budget: m.budget, Loads: &citronpool.ZoneLoads{},
+		Zone: m.zone, Clock: citronclock.Real{}, Log: slog.New(slog.DiscardHandler), Upstream: u.reachedFrom(m.name), Budget: m.budget, Loads: &citronpool.ZoneLoads{},
 		Current: func() *citronforward.State {
 			s := m.Traffic()
 			return &citronforward.State{Table: appTable, View: s.View, OtherNodesCache: s.OtherNodesCache}
@@ -205,7 +215,7 @@
 
 // generateLoad sends requests to all nodes, perSecond in total, until end, and returns
 // the responses.
-func (f *fleet) generateLoad(u *limitedUpstreams, perSecond float64, end time.Time) *answers {
+func (f *fleet) generateLoad(u upstreams, perSecond float64, end time.Time) *answers {
 	out := &answers{byStatus: map[int]int{}}
 	var calls, nodes sync.WaitGroup
 	pause := time.Duration(float64(time.Second) * float64(len(f.nodes)) / perSecond)
@@ -228,6 +238,11 @@
 	return out
 }
 
+// startedApp returns the n-th upstream that startApps starts.
+func startedApp(n int) citronmodel.Engine {
+	return citronmodel.Engine{ID: fmt.Sprintf("i-%d", n), Service: "app", Addr: fmt.Sprintf("10.0.0.%d:1", n), Zone: fmt.Sprintf("z%d", n%3)}
+}
+
 // startApps starts the given numbers of nodes and of upstreams of the plain service,
 // spread over three zones.
 func (f *fleet) startApps(nodes, upstreams int) {
@@ -235,7 +250,7 @@
 	f.net = newMesh()
 	f.putConfig("1")
 	for i := range upstreams {
-		f.putEngine(citronmodel.Engine{ID: fmt.Sprintf("i-%d", i), Service: "app", Addr: fmt.Sprintf("10.0.0.%d:1", i), Zone: fmt.Sprintf("z%d", i%3)})
+		f.putEngine(startedApp(i))
 	}
 	for i := range nodes {
 		f.addNode(fmt.Sprintf("z%d-n%03d", i%3, i), fmt.Sprintf("z%d", i%3))
