citronforward: no request to an engine during the cool-down that it asked for

Cause: nothing read Retry-After of a refusal. A node avoided the engine for 150 ms of its own, a value that a success, a failure or a refusal naming another engine overwrites, and the second pass over a plain service's engines does not look at it at all.

The fix: what an engine asks for is recorded with the state of its incarnation, when the response's header arrives; it only ends by its time, on the monotonic clock, and survives the entry's going and coming back. One gate before each send (first attempts, retries, streams that are resumed on or moved to an engine) checks it, with leaving and replaced engines; the choice of engines and paths uses the same predicate. A request that only engines in their cool-down could run waits once for the first that ends, for up to half of the time left, or is refused at once with the time at which it ends, spread. Budget is no longer used for a retry that no engine could get. Reports and orders are not requests and still pass.

--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -71,7 +71,7 @@
 	LimitHeld          Event = 512
 	CooldownAsked      Event = 513
 	CooldownInvalid    Event = 514
-	CooldownIgnored    Event = 515
+	CooldownHeld       Event = 515
 
 	TableApplied     Event = 600
 	TableRejected    Event = 601
@@ -159,7 +159,7 @@
 	LimitHeld:           {slog.LevelInfo, "limit.held", "a request could not be sent to a rate-limited engine at once: it waits for its permit (outcome=waits), or was denied one (outcome=denied) and tries again, there or at another engine, or is refused; only the first denial of each request is logged"},
 	CooldownAsked:       {slog.LevelInfo, "cooldown.asked", "an engine refused a request and asked this node for a cool-down: no requests for a time (wait, in nanoseconds); only refusals that lengthen the time are logged"},
 	CooldownInvalid:     {slog.LevelWarn, "cooldown.invalid", "an engine refused a request with a cool-down that cannot be read, which was ignored; only the first one from each engine is logged"},
-	CooldownIgnored:     {slog.LevelWarn, "cooldown.ignored", "a request was sent to an engine during its cool-down; gives how much of it was left (left)"},
+	CooldownHeld:        {slog.LevelInfo, "cooldown.held", "a request was not sent to an engine because of its cool-down: it tries another engine (outcome=passed over), waits for the end (outcome=waits), or is refused (outcome=refused); gives the time (wait, in nanoseconds)"},
 	AnswerSampled:       {slog.LevelInfo, "answer.sampled", "a request was answered in full, or a stream's request with an engine's failure response; only a sample of these is logged"},
 
 	TableApplied:     {slog.LevelInfo, "table.applied", "a node activated a new version of the configuration"},
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -154,6 +154,8 @@
 	retryAfter time.Duration
 	// permits tracks the permits that this request has asked for.
 	permits permits
+	// cooldown tracks the cool-downs that hold this request back.
+	cooldown cooldownWait
 	// reachedLimit is the limit that prevented the last retry, if any.
 	reachedLimit retryLimit
 	// cachedFingerprint is the request's fingerprint, nil until it is first needed.
--- a/citronforward/limit.go
+++ b/citronforward/limit.go
@@ -12,7 +12,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronevent"
@@ -26,13 +25,13 @@
 
 const (
 	reasonLimited = "upstreams' rate limits are used up"
-	// maxPermitWaitShare is the share of the caller's remaining time that a request may
-	// spend waiting for a permit.
-	maxPermitWaitShare = 0.5
-	// maxPermitWaitTargets bounds how long a stream may wait for a permit, in multiples
-	// of its target time to the first event. Callers leave a stream that sends nothing
-	// for a few of these, and the prompt has to be read in the remaining time.
-	maxPermitWaitTargets = 2
+	// maxWaitShare is the share of the caller's remaining time that a request may spend
+	// waiting for a permit or the end of a cool-down.
+	maxWaitShare = 0.5
+	// maxWaitTargets bounds such a wait of a stream, in multiples of its target time to
+	// the first event. Callers leave a stream that sends nothing for a few of these, and
+	// the prompt has to be read in the remaining time.
+	maxWaitTargets = 2
 	// maxDenials is the number of denied permits after which a request uses only
 	// engines without a rate limit.
 	maxDenials = 8
@@ -52,6 +51,9 @@
 // takePermits takes a permit for each of the given engines that has a rate limit. It
 // reports whether the request may be sent to all of them.
 func (j *job) takePermits(ctx context.Context, engines ...*citronpool.Engine) bool {
+	if j.f.checkGate(ctx, j.ID, engines...) != nil {
+		return false // no permit is taken in vain
+	}
 	for _, e := range engines {
 		if j.f.Limits.Get(e.ID).Limited && !j.takePermit(ctx, e) {
 			return false
@@ -93,9 +95,14 @@
 	if !j.permits.mayWait {
 		return 0
 	}
-	maxWait := time.Duration(maxPermitWaitShare * float64(max(0, j.timeLeft())))
+	return j.maxWait()
+}
+
+// maxWait returns how long the request may wait for a permit or the end of a cool-down.
+func (j *job) maxWait() time.Duration {
+	maxWait := time.Duration(maxWaitShare * float64(max(0, j.timeLeft())))
 	if j.route.Kind == citrontable.Streaming && j.route.TargetLatency > 0 {
-		maxWait = min(maxWait, maxPermitWaitTargets*j.route.TargetLatency)
+		maxWait = min(maxWait, maxWaitTargets*j.route.TargetLatency)
 	}
 	return maxWait
 }
@@ -202,27 +209,9 @@
 	return !denied
 }
 
-// send sends a call and records the rate limit that the response announces.
-func (f *Forwarder) send(ctx context.Context, c citronupstream.Call) (*citronupstream.Reply, error) {
-	before := f.Limits.Get(c.Engine.ID)
-	if before.Limited {
-		f.Metrics.LimitedSends.Inc()
-	}
-	f.checkCooldown(ctx, c)
-	reply, err := f.Upstream.Send(ctx, c)
-	if err == nil {
-		f.noteRateLimit(ctx, c, before, reply)
-		f.noteCooldown(ctx, c, reply)
-	}
-	return reply, err
-}
-
 // noteRateLimit records the rate limit in a response. Only a response signed by the
 // engine itself can end a limit.
 func (f *Forwarder) noteRateLimit(ctx context.Context, c citronupstream.Call, before citronlimit.Record, reply *citronupstream.Reply) {
-	if reply.Status == http.StatusMisdirectedRequest {
-		return
-	}
 	switch l := reply.RateLimit.(type) {
 	case citronupstream.NoRateLimit:
 		if !reply.FromEngine {
--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -272,7 +272,7 @@
 			// engine before it. Marking it dead would move all its streams
 			// and assign its layers to other engines. Those would have to
 			// load them in turn, until most engines of the zone are lost.
-			if h.Engine.Usable(now) {
+			if h.Engine.Healthy(now) && h.Engine.ThrottledFor(now) == 0 {
 				h.Engine.RecordFailure(now)
 			}
 			return w.replace(i, reasonStalled)
@@ -336,7 +336,7 @@
 // request, so it first takes a permit for each of them that has a rate limit.
 func (s *streamJob) repath(ctx context.Context, p citronpath.Path, added []*citronpool.Engine) error {
 	for _, e := range added {
-		if !s.f.takeMovePermit(ctx, e) {
+		if s.f.checkGate(ctx, s.ID, e) != nil || !s.f.takeMovePermit(ctx, e) {
 			return &citronupstream.HopError{Addr: e.Addr}
 		}
 	}
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -121,6 +121,8 @@
 	callerLeft
 	// runRefused means that the engines did not run the request.
 	runRefused
+	// runHeld means that the request was not sent, because an engine does not admit it.
+	runHeld
 	// runBroken means that the run ended early. The stream may be resumed on
 	// another path.
 	runBroken
@@ -179,6 +181,8 @@
 		return v, "out of time"
 	case runRefused:
 		return v, "engines are full"
+	case runHeld:
+		return v, reasonCooling
 	default:
 		return v, "stream broke off"
 	}
@@ -194,15 +198,13 @@
 		}
 		switch {
 		case ok && ctx.Err() == nil:
-		case !ok && s.beginPermitWait():
+		case !ok && (s.beginPermitWait() || !full && s.waitForCooldown(ctx)):
 		case ok:
 			return nil, "the caller left"
-		case s.rateLimitsExhausted():
-			return nil, reasonLimited
 		case full:
-			return nil, "engines' cache is full"
+			return nil, s.heldReason("engines' cache is full")
 		default:
-			return nil, "no path runs all layers"
+			return nil, s.heldReason("no path runs all layers")
 		}
 	}
 }
@@ -215,11 +217,17 @@
 	case callerLeft:
 		s.runs++ // the engines may have started to run the request
 		return false
+	case runHeld:
+		return true
 	case noPath:
 		return !s.isQuarantined() && s.waitForCapacity(ctx)
 	case runRefused:
 		s.refused++
 		s.retryAfter = retryBusy
+		if !s.engineLeft() {
+			s.heldReason("")
+			return s.waitForCapacity(ctx)
+		}
 		if s.mayTryNextEngine() {
 			return true
 		}
@@ -250,10 +258,10 @@
 	if !s.begun {
 		return false
 	}
-	s.refused, s.permits = 0, permits{}
+	s.refused, s.permits, s.cooldown = 0, permits{}, cooldownWait{}
 	clear(s.avoid)
 	for s.f.Clock.Sleep(ctx, capacityRetryInterval) == nil {
-		if s.takeBudget() {
+		if s.engineLeft() && s.takeBudget() {
 			return true
 		}
 	}
@@ -388,6 +396,9 @@
 	}
 	first := s.path[0].Engine
 	res := s.classifyError(first, err)
+	if res.outcome == held {
+		return runHeld
+	}
 	s.f.Metrics.Attempts.WithLabelValues(res.outcome.String()).Inc()
 	s.logRun(first, res)
 	s.avoid[first.ID] = true
--- a/citronforward/unary.go
+++ b/citronforward/unary.go
@@ -30,9 +30,13 @@
 	notRun
 	// unknown: the engine may have run the request.
 	unknown
+	// held: the request was not sent, because the engine does not admit it.
+	held
 )
 
-func (o outcome) String() string { return [...]string{"answered", "failed", "notRun", "unknown"}[o] }
+func (o outcome) String() string {
+	return [...]string{"answered", "failed", "notRun", "unknown", "held"}[o]
+}
 
 // result is the outcome of one call, with the response if there is one.
 type result struct {
@@ -60,12 +64,10 @@
 		s := j.f.Current()
 		e, hops, ok := j.pickEngine(s)
 		if !ok {
-			if j.beginPermitWait() {
+			if j.beginPermitWait() || j.waitForCooldown(ctx) {
 				continue
 			}
-			if j.rateLimitsExhausted() {
-				reason = reasonLimited
-			}
+			reason = j.heldReason(reason)
 			break
 		}
 		if !j.takePermits(ctx, targetEngines(e, hops)...) {
@@ -76,6 +78,9 @@
 		}
 		began := j.f.Clock.Now()
 		res := j.attempt(ctx, e, hops)
+		if res.outcome == held {
+			continue
+		}
 		j.f.Metrics.Attempts.WithLabelValues(res.outcome.String()).Inc()
 		if res.outcome == answered {
 			j.markSuccessful()
@@ -85,10 +90,19 @@
 			return
 		}
 		j.logAttempt(e, res)
-		j.avoid[e.ID] = true
+		if e.CoolingFor(j.f.Clock.Now()) == 0 {
+			j.avoid[e.ID] = true
+		}
 		if res.outcome == notRun {
 			j.refused++
-			if ctx.Err() != nil || j.isQuarantined() || !j.mayTryNextEngine() {
+			if ctx.Err() != nil || j.isQuarantined() {
+				break
+			}
+			if !j.engineLeft() {
+				reason = j.heldReason(reason)
+				break
+			}
+			if !j.mayTryNextEngine() {
 				break
 			}
 			continue
@@ -161,6 +175,8 @@
 // of it left this node.
 func (j *job) classifyError(e *citronpool.Engine, err error) result {
 	switch {
+	case isHeld(err):
+		return result{outcome: held, err: err}
 	case errors.Is(err, citronupstream.ErrNotSent):
 		citronprobe.RecordDead(e, err, j.f.Clock.Now())
 		return result{outcome: notRun, err: err}
@@ -196,7 +212,9 @@
 		e.RecordFailure(now)
 		return
 	}
-	e.Avoid(now, busyPause)
+	if e.CoolingFor(now) == 0 { // otherwise the engine itself said how long
+		e.Avoid(now, busyPause)
+	}
 }
 
 const (
@@ -226,7 +244,7 @@
 		// The second pass accepts engines that recently failed other requests: such an
 		// engine is better than none.
 		for _, e := range s.View.ByService[j.service.Name] {
-			if j.avoid[e.ID] || e.Leaving || (!lenient && !e.Healthy(now)) || (!j.permits.mayWait && e.ThrottledFor(now) > 0) {
+			if _, open := e.Admission(now).(citronpool.Open); !open || j.avoid[e.ID] || (!lenient && !e.Healthy(now)) || (!j.permits.mayWait && e.ThrottledFor(now) > 0) {
 				continue
 			}
 			if c := plainCost(e, j.f.Zone); best == nil || c < bestCost {
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -250,6 +250,7 @@
 		c.self.Sent[service] = citronpeer.Sent(u)
 	}
 	if c.view != nil {
+		c.view.ForgetEnded(now)
 		dead := c.view.DeadAfter(now.Add(-deadReportAge))
 		if len(dead) > len(c.self.Dead) {
 			c.n.notifyLeader()
--- a/citronpath/path.go
+++ b/citronpath/path.go
@@ -57,6 +57,8 @@
 	// CanWait is true if the request can wait for an engine whose rate limit
 	// is used up.
 	CanWait bool
+	// CoolingWithin is how long the request can wait for the end of engines' cool-downs.
+	CoolingWithin time.Duration
 	// Avoid holds the IDs of engines that this request must not use.
 	Avoid map[string]bool
 	// FirstID, if set, is the ID of the engine that must be the first hop.
@@ -216,7 +218,13 @@
 
 // usable reports whether the request may run on an engine.
 func (q Query) usable(e *citronpool.Engine) bool {
-	return e.Usable(q.Now) || (q.CanWait || q.CurrentPath.Has(e.ID)) && e.Healthy(q.Now)
+	switch {
+	case !e.Healthy(q.Now):
+		return false
+	case q.CurrentPath.Has(e.ID):
+		return true
+	}
+	return (q.CanWait || e.ThrottledFor(q.Now) == 0) && e.CoolingFor(q.Now) <= q.CoolingWithin
 }
 
 // search walks the layer boundaries in ascending order. For each boundary and
--- a/citronpool/pool.go
+++ b/citronpool/pool.go
@@ -36,8 +36,11 @@
 	// failedStates is the registry to which the state is added when the
 	// engine is found dead or restarted.
 	failedStates *failedStates
-	inflight     atomic.Int64
-	tokens       atomic.Int64
+	// retained is the registry to which the state is added when the engine asks for a
+	// cool-down.
+	retained *retainedStates
+	inflight atomic.Int64
+	tokens   atomic.Int64
 	// avoidUntil is when the engine may receive new work again. deadSince is
 	// when it was last found dead, zero if it is not dead.
 	avoidUntil atomic.Int64
@@ -68,12 +71,10 @@
 	// misplacedUntil is when the engine may be used again after it reported
 	// that it doesn't hold the layers in the list.
 	misplacedUntil atomic.Int64
-	// cooldownUntil is when the cool-down ends that the engine asked this node for.
-	cooldownUntil atomic.Int64
+	// cooldown is the last cool-down that the engine asked this node for, or nil.
+	cooldown atomic.Pointer[cooldown]
 }
 
-func newState(id string, failed *failedStates) *State { return &State{id: id, failedStates: failed} }
-
 // Begin counts a request with the given number of tokens as in flight. The
 // returned function ends it and may be called more than once.
 func (s *State) Begin(tokens int) func() {
@@ -264,11 +265,11 @@
 
 // Usable reports whether the engine may receive new work now.
 func (e *Engine) Usable(now time.Time) bool {
-	return e.ThrottledFor(now) == 0 && e.Healthy(now)
+	return e.ThrottledFor(now) == 0 && e.CoolingFor(now) == 0 && e.Healthy(now)
 }
 
 // Healthy reports whether the engine is healthy: it may receive new work as soon
-// as its rate limit allows it.
+// as its rate limit allows it and its cool-down has ended.
 func (e *Engine) Healthy(now time.Time) bool {
 	at := sinceEpoch(now)
 	return !e.Leaving && !e.Replaced() && e.avoidUntil.Load() <= at && e.misplacedUntil.Load() <= at
--- a/citronpool/view.go
+++ b/citronpool/view.go
@@ -16,15 +16,16 @@
 	byAddr       map[string]*Engine
 	byID         map[string]*Engine
 	failedStates *failedStates
+	retained     *retainedStates
 }
 
 // Build returns a view of the given engines, which are sorted by ID. An engine that is
 // in prev keeps its State. The previous view prev may be nil.
 func Build(engines []citronmodel.Engine, prev *View) *View {
 	if prev == nil {
-		prev = &View{failedStates: &failedStates{}}
+		prev = &View{failedStates: &failedStates{}, retained: &retainedStates{}}
 	}
-	v := &View{ByService: map[string][]*Engine{}, failedStates: prev.failedStates}
+	v := &View{ByService: map[string][]*Engine{}, failedStates: prev.failedStates, retained: prev.retained}
 	for _, e := range engines {
 		v.ByService[e.Service] = append(v.ByService[e.Service], prev.nextEngine(e))
 	}
@@ -41,10 +42,11 @@
 
 // nextEngine returns the engine for the next view. It reuses the Engine if its entry is
 // unchanged, otherwise its State. A replaced engine whose layers change gets a new State.
+// An engine that is new in the list gets its retained State, if there is one.
 func (v *View) nextEngine(e citronmodel.Engine) *Engine {
 	old := v.byID[e.ID]
 	if old == nil {
-		return &Engine{Engine: e, State: newState(e.ID, v.failedStates)}
+		return &Engine{Engine: e, State: v.stateOf(e.ID)}
 	}
 	if old.Engine == e {
 		return old
@@ -56,7 +58,7 @@
 		p.ClearMisplaced()
 		p.refusalPauses.Store(0)
 	default: // the entry belongs to the next incarnation, which doesn't report its start time
-		p.State = newState(e.ID, v.failedStates)
+		p.State = v.newState(e.ID)
 	}
 	return p
 }
