--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -72,6 +72,7 @@
 	CooldownAsked      Event = 513
 	CooldownInvalid    Event = 514
 	CooldownHeld       Event = 515
+	EngineLeaving      Event = 516
 
 	TableApplied     Event = 600
 	TableRejected    Event = 601
@@ -160,6 +161,7 @@
 	CooldownAsked:       {slog.LevelInfo, "cooldown.asked", "an engine refused a request and asked this node for a cool-down: no requests for a time (wait, in nanoseconds); only refusals that lengthen the time are logged"},
 	CooldownInvalid:     {slog.LevelWarn, "cooldown.invalid", "an engine refused a request with a cool-down that cannot be read, which was ignored; only the first one from each engine is logged"},
 	CooldownHeld:        {slog.LevelInfo, "cooldown.held", "a request was not sent to an engine because of its cool-down: it tries another engine (outcome=passed over), waits for the end (outcome=waits), or is refused (outcome=refused); gives the time (wait, in nanoseconds)"},
+	EngineLeaving:       {slog.LevelInfo, "engine.leaving", "an engine's response stated for the first time that it is leaving; tells whether its entry in the list that the request was sent by says so too (listed)"},
 	AnswerSampled:       {slog.LevelInfo, "answer.sampled", "a request was answered in full, or a stream's request with an engine's failure response; only a sample of these is logged"},
 
 	TableApplied:     {slog.LevelInfo, "table.applied", "a node activated a new version of the configuration"},
--- a/citronforward/gate.go
+++ b/citronforward/gate.go
@@ -74,10 +74,22 @@
 	if err == nil && reply.Status != http.StatusMisdirectedRequest { // 421 comes from another engine
 		f.noteRateLimit(ctx, c, before, reply)
 		f.noteCooldown(ctx, c, reply)
+		f.noteLeaving(ctx, c, reply)
 	}
 	return reply, err
 }
 
+// noteLeaving records that an engine says it is leaving.
+func (f *Forwarder) noteLeaving(ctx context.Context, c citronupstream.Call, reply *citronupstream.Reply) {
+	if !reply.Leaving {
+		return
+	}
+	f.Metrics.LeavingAnswers.Inc()
+	if c.Engine.MarkLeaving() {
+		citronevent.Log(ctx, f.Log, citronevent.EngineLeaving, "engine", c.Engine.ID, "peer", c.Engine.Addr, "request", c.ID, "list", f.Current().ListRevision.String(), "listed", c.Engine.Leaving)
+	}
+}
+
 // logCooldownHeld logs that a request was not sent to an engine because of its cool-down.
 func (f *Forwarder) logCooldownHeld(ctx context.Context, request string, e *citronpool.Engine, outcome string, left any) {
 	citronevent.Log(ctx, f.Log, citronevent.CooldownHeld, "request", request, "engine", e.ID, "peer", e.Addr, "outcome", outcome, "wait", left)
--- a/citronforward/metrics.go
+++ b/citronforward/metrics.go
@@ -15,6 +15,7 @@
 	Permits            *prometheus.CounterVec
 	Cooldowns          prometheus.Counter
 	CooldownStragglers prometheus.Counter
+	LeavingAnswers     prometheus.Counter
 	InvalidCooldowns   prometheus.Counter
 	TimeToFirstEvent   prometheus.Histogram
 	LongestPause       prometheus.Histogram
@@ -39,11 +40,12 @@
 		InvalidLimits:      prometheus.NewCounter(prometheus.CounterOpts{Name: "citrondeck_invalid_limits_total", Help: "Answers with a rate limit that cannot be read."}),
 		Cooldowns:          prometheus.NewCounter(prometheus.CounterOpts{Name: "citrondeck_cooldowns_total", Help: "Refusals that asked for a cool-down of their engine."}),
 		CooldownStragglers: prometheus.NewCounter(prometheus.CounterOpts{Name: "citrondeck_cooldown_stragglers_total", Help: "Requests that were on their way when their engine asked for a cool-down."}),
+		LeavingAnswers:     prometheus.NewCounter(prometheus.CounterOpts{Name: "citrondeck_leaving_answers_total", Help: "Responses whose engine says that it is leaving."}),
 		InvalidCooldowns:   prometheus.NewCounter(prometheus.CounterOpts{Name: "citrondeck_invalid_cooldowns_total", Help: "Refusals with a cool-down that cannot be read."}),
 		TimeToFirstEvent:   prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_first_event_seconds", Help: "Time to the first event of a stream.", Buckets: latencyBuckets}),
 		LongestPause:       prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_pause_seconds", Help: "Longest pause between events of a stream.", Buckets: latencyBuckets}),
 		UnaryDuration:      prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_answer_seconds", Help: "Time to a whole answer.", Buckets: latencyBuckets}),
 	}
-	r.MustRegister(m.Requests, m.Refusals, m.Attempts, m.Repairs, m.RetriesDenied, m.Crashes, m.LimitedSends, m.InvalidLimits, m.Permits, m.Cooldowns, m.CooldownStragglers, m.InvalidCooldowns, m.TimeToFirstEvent, m.LongestPause, m.UnaryDuration)
+	r.MustRegister(m.Requests, m.Refusals, m.Attempts, m.Repairs, m.RetriesDenied, m.Crashes, m.LimitedSends, m.InvalidLimits, m.Permits, m.Cooldowns, m.CooldownStragglers, m.InvalidCooldowns, m.LeavingAnswers, m.TimeToFirstEvent, m.LongestPause, m.UnaryDuration)
 	return m
 }
--- a/citronpool/pool.go
+++ b/citronpool/pool.go
@@ -73,6 +73,8 @@
 	misplacedUntil atomic.Int64
 	// cooldown is the last cool-down that the engine asked this node for, or nil.
 	cooldown atomic.Pointer[cooldown]
+	// saysLeaving is set once a response of the engine has stated that it is leaving.
+	saysLeaving atomic.Bool
 }
 
 // Begin counts a request with the given number of tokens as in flight. The
--- a/citronupstream/upstream.go
+++ b/citronupstream/upstream.go
@@ -89,6 +89,8 @@
 	// Cooldown is the cool-down that a refusal asks for. It is nil if nothing is known
 	// about it.
 	Cooldown Cooldown
+	// Leaving is true if the response states that its upstream is leaving.
+	Leaving bool
 }
 
 // Errors returned by Engines.Send. After any error but ErrNotSent, it is unknown
@@ -116,6 +118,8 @@
 	// AcceptedOrders is the number of orders that the engine has accepted since it
 	// started.
 	AcceptedOrders int64
+	// Leaving is true if the response with the report states that the engine is leaving.
+	Leaving bool
 }
 
 // Engines sends calls to engines, asks for their state and changes the paths of
