An engine that says it is leaving gets no new work, whatever the list says

Cause: the same as of the requests during a cool-down: what an upstream says in one answer was not kept. The only source that a node knew was the list, which is silent while the store is down, late, or restored from an older copy.

The fix: the statement is recorded with the engine's state at once, where the gate and the choice of engines read it. Each tick the list of engines takes it over, keyed by incarnation: there it outlives later entries, the entry's going and coming back, and a restored store, and running streams and placement treat the engine like one whose entry says that it leaves. Reports are read for it too. A later answer without it proves nothing.

--- a/citronforward/gate.go
+++ b/citronforward/gate.go
@@ -3,8 +3,8 @@
 // The gate that every request passes before it is sent to an engine, and the notices in
 // responses that it goes by.
 //
-// An engine may say in any response what binds the requests that follow: a rate limit, or a
-// cool-down. Each notice is recorded with the engine's state or in a registry, before the
+// An engine may say in any response what binds the requests that follow: a rate limit, a
+// cool-down, or that it is leaving. Each notice is recorded with the engine's state or in a registry, before the
 // response is used in any other way, and the gate checks what was recorded. First attempts,
 // retries, and streams that are resumed on or moved to an engine all pass it, so a notice
 // cannot be missed on one of these ways.
--- a/citronlist/index.go
+++ b/citronlist/index.go
@@ -99,12 +99,19 @@
 	return true
 }
 
+// leaving reports whether the engine is leaving as far as its entry tells: the entry says
+// so, was overwritten, or is missing and not retained.
+func (e entry) leaving() bool {
+	return e.engine.Leaving || e.overwritten || !e.missingSince.IsZero() && !e.retained
+}
+
 // effectiveEngine returns the engine of an entry as other parts of the node see it: an
-// engine whose entry was overwritten, or is missing and not retained, is marked as
-// leaving. The second result reports whether the engine's service is configured.
-func (e entry) effectiveEngine(services map[string]citrontable.Service) (citronmodel.Engine, bool) {
+// engine is marked as leaving if its entry or the engine itself says so. The second result
+// reports whether the engine's service is configured.
+func (l *List) effectiveEngine(e entry, services map[string]citrontable.Service) (citronmodel.Engine, bool) {
 	out := e.engine
-	out.Leaving = out.Leaving || e.overwritten || !e.missingSince.IsZero() && !e.retained
+	_, saysLeaving := l.leaving[out.ID]
+	out.Leaving = saysLeaving || e.leaving()
 	_, configured := services[out.Service]
 	return out, configured || services == nil
 }
@@ -116,7 +123,7 @@
 	clear(x.idByKey)
 	x.engines = make([]citronmodel.Engine, 0, len(l.entries))
 	for key, listed := range l.entries {
-		if e, ok := listed.effectiveEngine(services); ok {
+		if e, ok := l.effectiveEngine(listed, services); ok {
 			x.engines = append(x.engines, e)
 			x.idByKey[key] = e.ID
 		}
@@ -137,7 +144,7 @@
 		listed, ok := l.entries[key]
 		var e citronmodel.Engine
 		if ok {
-			e, ok = listed.effectiveEngine(x.engineServices)
+			e, ok = l.effectiveEngine(listed, x.engineServices)
 		}
 		if id, had := x.idByKey[key]; had {
 			at, _ := findEngine(x.engines, id)
--- a/citronlist/list.go
+++ b/citronlist/list.go
@@ -4,6 +4,7 @@
 //
 //	full list, changes -> applyEntry, markMissing -> Engines -> traffic, placement
 //	engine reports     -> restarts.go --^     |
+//	engine responses   -> leaving.go ---------+
 //	store outages      -> retain.go ----------+-> Snapshot -> other nodes
 //
 // The higher revision wins, whichever source it comes from. A List must be used by one
@@ -64,6 +65,9 @@
 	// node last found that the store was restored from an older copy (see era.go).
 	superseded map[string][]supersededEntry
 	restoredAt time.Time
+	// leaving holds the statements of engines that they are leaving, by engine ID (see
+	// leaving.go).
+	leaving map[string]leavingStatement
 	// eraStart is the revision of the first list of the current era.
 	eraStart citronkv.Revision
 	// firstOfEra is true while the first list of an era is being applied.
@@ -105,7 +109,7 @@
 	if set.DrainWithin <= 0 {
 		set.DrainWithin = defaultDrain
 	}
-	return &List{set: set, entries: map[string]entry{}, index: newIndex(), byAddr: map[string]string{}, rejected: map[string]citronkv.Revision{}, superseded: map[string][]supersededEntry{}}
+	return &List{set: set, entries: map[string]entry{}, index: newIndex(), byAddr: map[string]string{}, rejected: map[string]citronkv.Revision{}, superseded: map[string][]supersededEntry{}, leaving: map[string]leavingStatement{}}
 }
 
 // Revision returns the revision of the latest update applied, or zero before the first.
--- a/citronlist/retain.go
+++ b/citronlist/retain.go
@@ -47,6 +47,7 @@
 	l.outage = outage
 	now := l.set.Clock.Now()
 	l.forgetSuperseded(now)
+	l.forgetLeaving(now)
 	for key := range l.index.missing {
 		if e := l.entries[key]; now.Sub(e.missingSince) > citronhealth.ExpiryGrace {
 			l.deleteEntry(key)
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -206,6 +206,15 @@
 	c.self.Starts = starts
 }
 
+// announceLeaving tells other nodes which engines said that they are leaving.
+func (c *control) announceLeaving() {
+	leaving := c.list.AnnouncedLeaving()
+	if len(leaving) > len(c.self.LeavingEngines) {
+		c.n.notifyLeader()
+	}
+	c.self.LeavingEngines = leaving
+}
+
 // applyConfig puts a decoded configuration into effect unless it is not newer than the
 // active one.
 func (c *control) applyConfig(ctx context.Context, d decodedConfig) {
@@ -242,6 +251,7 @@
 	c.self.Leads = c.n.leads.Load()
 	c.self.Watching = c.n.watchedPrefixes.Load() == followedPrefixes
 	c.recordRestarts(ctx)
+	c.announceLeaving()
 	c.n.limits.Tick()
 	c.publishTargets()
 	c.self.Load = c.n.loads.ZoneTotals()
@@ -250,7 +260,11 @@
 		c.self.Sent[service] = citronpeer.Sent(u)
 	}
 	if c.view != nil {
-		c.view.ForgetEnded(now)
+		for _, id := range c.view.TakeLeaving(now) {
+			if c.list.RecordLeaving(ctx, id, true) {
+				c.n.notifyPeers()
+			}
+		}
 		dead := c.view.DeadAfter(now.Add(-deadReportAge))
 		if len(dead) > len(c.self.Dead) {
 			c.n.notifyLeader()
--- a/citronnode/limit_test.go
+++ b/citronnode/limit_test.go
@@ -240,7 +240,8 @@
 
 // startedApp returns the n-th upstream that startApps starts.
 func startedApp(n int) citronmodel.Engine {
-	return citronmodel.Engine{ID: fmt.Sprintf("i-%d", n), Service: "app", Addr: fmt.Sprintf("10.0.0.%d:1", n), Zone: fmt.Sprintf("z%d", n%3)}
+	id := fmt.Sprintf("i-%d", n)
+	return citronmodel.Engine{ID: id, Instance: id, Service: "app", Addr: fmt.Sprintf("10.0.0.%d:1", n), Zone: fmt.Sprintf("z%d", n%3)}
 }
 
 // startApps starts the given numbers of nodes and of upstreams of the plain service,
--- a/citronnode/members.go
+++ b/citronnode/members.go
@@ -146,6 +146,9 @@
 		if e.Zone == c.self.Zone {
 			others.Add(e.Load, e.Sent)
 		}
+		for _, id := range e.LeavingEngines {
+			c.list.RecordLeaving(context.Background(), id, false)
+		}
 	}
 	own := others.Clone()
 	own.Add(c.self.Load, c.self.Sent)
--- a/citronpeer/peer.go
+++ b/citronpeer/peer.go
@@ -57,6 +57,9 @@
 	// These engines are known to have started later than their entries in the
 	// store say.
 	Starts map[string]int64 `json:"starts,omitempty"`
+	// LeavingEngines are the IDs of engines that told the node that they are leaving,
+	// although their entries in the list do not say so.
+	LeavingEngines []string `json:"leavingEngines,omitempty"`
 }
 
 // Gauges are the frequently changing values of a member.
--- a/citronplace/client.go
+++ b/citronplace/client.go
@@ -20,6 +20,8 @@
 	// StartMS is the start time of the engine in Unix milliseconds, or zero if
 	// the engine does not report it.
 	StartMS int64
+	// Leaving is true if the engine states that it is leaving.
+	Leaving bool
 }
 
 // ErrRefused means that the engine did not accept an order.
--- a/citronplacer/placer.go
+++ b/citronplacer/placer.go
@@ -340,7 +340,9 @@
 		return
 	}
 	if err == nil {
-		p.detectRestart(e, st, now)
+		if !p.detectRestart(e, st, now) {
+			p.detectLeaving(e, st)
+		}
 		return
 	}
 	if now.Sub(start) > limit+maxOverrun {
@@ -378,6 +380,18 @@
 	return true
 }
 
+// detectLeaving reports whether an engine says that it is leaving. If so, it marks the
+// engine in the node's view, from which the list of engines takes it.
+func (p *Placer) detectLeaving(e citronmodel.Engine, st citronplace.EngineState) bool {
+	if !st.Leaving {
+		return false
+	}
+	if seen, ok := p.Current().View.ByID(e.ID); ok {
+		seen.MarkLeaving()
+	}
+	return true
+}
+
 // missedBefore records that an engine didn't answer and reports whether it also missed
 // the previous check within missedCheckTTL.
 //
@@ -424,6 +438,9 @@
 // order was meant for the layers that it held before.
 var errRestarted = errors.New("engine has restarted since its list entry was written")
 
+// errLeaving means that the engine said that it is leaving.
+var errLeaving = errors.New("engine says that it is leaving")
+
 // sendOrder asks the engine for its state and sends the order unless the engine has
 // restarted, is busy or already holds the layers.
 func (p *Placer) sendOrder(ctx context.Context, e citronmodel.Engine, o citronplace.Order) error {
@@ -434,6 +451,9 @@
 	if p.detectRestart(e, st, p.Clock.Now()) {
 		return errRestarted
 	}
+	if p.detectLeaving(e, st) {
+		return errLeaving
+	}
 	if st.Busy {
 		return errBusy
 	}
--- a/citronpool/admission.go
+++ b/citronpool/admission.go
@@ -30,7 +30,7 @@
 	switch {
 	case e.Replaced():
 		return Ended{}
-	case e.Leaving:
+	case e.Leaving || e.saysLeaving.Load():
 		return Leaving{}
 	case left > 0:
 		return CoolingDown{Left: left}
--- a/citronpool/pool.go
+++ b/citronpool/pool.go
@@ -274,7 +274,7 @@
 // as its rate limit allows it and its cool-down has ended.
 func (e *Engine) Healthy(now time.Time) bool {
 	at := sinceEpoch(now)
-	return !e.Leaving && !e.Replaced() && e.avoidUntil.Load() <= at && e.misplacedUntil.Load() <= at
+	return !e.Leaving && !e.saysLeaving.Load() && !e.Replaced() && e.avoidUntil.Load() <= at && e.misplacedUntil.Load() <= at
 }
 
 // ZoneLoads counts, for each zone, the tokens of this node's requests that run on
--- a/citronpool/retained.go
+++ b/citronpool/retained.go
@@ -1,12 +1,9 @@
 package citronpool
 
-import (
-	"sync"
-	"time"
-)
+import "sync"
 
 // retainedStates holds the states of engines whose own statements bind this node, by ID:
-// cool-downs. They outlive the list of engines, because an entry may go and come back, for
+// cool-downs, and that they are leaving, until TakeLeaving returns it. They outlive the list of engines, because an entry may go and come back, for
 // example when the store is restored from an older copy, while the engine keeps running.
 // All views share one instance.
 type retainedStates struct{ states sync.Map }
@@ -31,16 +28,3 @@
 	v.retained.states.Delete(id)
 	return &State{id: id, failedStates: v.failedStates, retained: v.retained}
 }
-
-// ForgetEnded drops retained states that no longer bind this node.
-func (v *View) ForgetEnded(now time.Time) {
-	v.retained.states.Range(func(id, value any) bool {
-		if s := value.(*State); s.CoolingFor(now) == 0 {
-			v.retained.states.CompareAndDelete(id, value)
-			if s.CoolingFor(now) > 0 {
-				v.retained.add(s) // a cool-down began between the check and the removal
-			}
-		}
-		return true
-	})
-}
--- a/citronprobe/probe.go
+++ b/citronprobe/probe.go
@@ -97,6 +97,9 @@
 // address. The report is then that of a later incarnation, which has lost the layers and
 // the requests of the earlier one. A report of an earlier incarnation is ignored.
 func RecordReport(e *citronpool.Engine, r citronupstream.Report, now time.Time) {
+	if r.Leaving && (r.StartMS == e.StartMS || r.StartMS == 0 || e.StartMS == 0) {
+		e.MarkLeaving()
+	}
 	startsKnown := r.StartMS != 0 && e.StartMS != 0
 	switch {
 	case startsKnown && r.StartMS > e.StartMS:
