--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -73,6 +73,7 @@
 	CooldownInvalid    Event = 514
 	CooldownHeld       Event = 515
 	EngineLeaving      Event = 516
+	HeaderUnknown      Event = 517
 
 	TableApplied     Event = 600
 	TableRejected    Event = 601
@@ -162,6 +163,7 @@
 	CooldownInvalid:     {slog.LevelWarn, "cooldown.invalid", "an engine refused a request with a cool-down that cannot be read, which was ignored; only the first one from each engine is logged"},
 	CooldownHeld:        {slog.LevelInfo, "cooldown.held", "a request was not sent to an engine because of its cool-down: it tries another engine (outcome=passed over), waits for the end (outcome=waits), or is refused (outcome=refused); gives the time (wait, in nanoseconds)"},
 	EngineLeaving:       {slog.LevelInfo, "engine.leaving", "an engine's response stated for the first time that it is leaving; tells whether its entry in the list that the request was sent by says so too (listed)"},
+	HeaderUnknown:       {slog.LevelWarn, "header.unknown", "an engine's response had a header that this version does not know (name) and only passes on; it may be something that engines expect nodes to act on; only the first response with each name is logged, and a limited number of names"},
 	AnswerSampled:       {slog.LevelInfo, "answer.sampled", "a request was answered in full, or a stream's request with an engine's failure response; only a sample of these is logged"},
 
 	TableApplied:     {slog.LevelInfo, "table.applied", "a node activated a new version of the configuration"},
