--- a/citronforward/cooldown.go
+++ b/citronforward/cooldown.go
@@ -27,7 +27,7 @@
 	switch d := reply.Cooldown.(type) {
 	case citronupstream.CooldownFor:
 		f.Metrics.Cooldowns.Inc()
-		if wait := time.Duration(d); c.Engine.CoolDown(f.Clock.Now(), wait) {
+		if wait := time.Duration(d); f.newest(c.Engine).CoolDown(f.Clock.Now(), wait) {
 			citronevent.Log(ctx, f.Log, citronevent.CooldownAsked, "engine", c.Engine.ID, "peer", c.Engine.Addr, "request", c.ID, "wait", wait)
 		}
 	case citronupstream.InvalidCooldown:
--- a/citronforward/gate.go
+++ b/citronforward/gate.go
@@ -39,11 +39,9 @@
 // checkGate returns a *heldError if one of the engines does not admit a request now. It
 // uses the newest state of each engine: it may have changed since the engine was chosen.
 func (f *Forwarder) checkGate(ctx context.Context, request string, engines ...*citronpool.Engine) error {
-	now, view := f.Clock.Now(), f.Current().View
+	now := f.Clock.Now()
 	for _, e := range engines {
-		if current, ok := view.ByID(e.ID); ok {
-			e = current
-		}
+		e = f.newest(e)
 		switch a := e.Admission(now).(type) {
 		case citronpool.Open:
 		case citronpool.CoolingDown:
@@ -56,6 +54,15 @@
 	return nil
 }
 
+// newest returns the engine with the ID of e from the newest list, or e if it is not in
+// there. An engine may have been out of the list since e was chosen and have another state.
+func (f *Forwarder) newest(e *citronpool.Engine) *citronpool.Engine {
+	if current, ok := f.Current().View.ByID(e.ID); ok {
+		return current
+	}
+	return e
+}
+
 // send sends a call, unless an engine of its path does not admit it, and records the
 // notices in the response.
 func (f *Forwarder) send(ctx context.Context, c citronupstream.Call) (*citronupstream.Reply, error) {
@@ -85,7 +92,7 @@
 		return
 	}
 	f.Metrics.LeavingAnswers.Inc()
-	if c.Engine.MarkLeaving() {
+	if f.newest(c.Engine).MarkLeaving() {
 		citronevent.Log(ctx, f.Log, citronevent.EngineLeaving, "engine", c.Engine.ID, "peer", c.Engine.Addr, "request", c.ID, "list", f.Current().ListRevision.String(), "listed", c.Engine.Leaving)
 	}
 }
