citronsoak: engines ask for cool-downs and leave without saying so in their entries

The soak's engines now refuse for a while with Retry-After, or say Server-Leaving in their answers while their entry says that they are in service, beside rate limits and all other faults; engines check what they get.

--- a/citronsoak/engine_test.go
+++ b/citronsoak/engine_test.go
@@ -98,6 +98,9 @@
 	removedAt time.Time
 	// limit is the rate limit that the engine announces.
 	limit limit
+	// notices are the cool-downs that the engine asks for, and whether it says that it is
+	// leaving.
+	notices notices
 	// restart starts a replacement after a request has crashed the engine.
 	restart func()
 }
@@ -251,6 +254,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if e.notices.recordArrival(h, r) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	h.Set("X-Server-Stamp", e.id)
 	e.limit.recordArrival(h, r)
 	e.runs.recordRun(id)
--- a/citronsoak/soak_test.go
+++ b/citronsoak/soak_test.go
@@ -69,6 +69,8 @@
 	crashing bool
 	// limiting enables engines that announce rate limits.
 	limiting bool
+	// noticing enables engines that ask for cool-downs or say that they are leaving.
+	noticing bool
 	// restoring enables restoring the store from older copies.
 	restoring bool
 }
@@ -214,6 +216,9 @@
 		all.Go(func() { w.sendLoad(ctx) })
 		all.Go(func() { w.announceLimits(rand.New(rand.NewPCG(seed, 3000)), end) })
 	}
+	if w.noticing {
+		all.Go(func() { w.giveNotices(rand.New(rand.NewPCG(seed, 4000)), end) })
+	}
 	if w.restoring {
 		all.Go(func() { w.restoreStore(rand.New(rand.NewPCG(seed, 2000)), end) })
 	}
