citronledger: keys of different customers never collide

What a caller could get: another customer's recorded answer. Service, customer and idempotency key were joined with slashes, and names may hold slashes: customer a with key b/k and customer a/b with key k shared a claim.

Evidence: TestClaimsOfDifferentCustomersAreDistinct failed (two of seven claims found the key taken). The fix escapes the separator in the two names; the idempotency key is the rest. Keys of names without a slash or a percent sign are as before, so claims of an older build are still found.

--- a/citronledger/ledger.go
+++ b/citronledger/ledger.go
@@ -15,6 +15,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"strings"
 	"sync"
 	"time"
 
@@ -134,8 +135,13 @@
 	}
 }
 
+// nameEscaper escapes the separator of a key's parts.
+var nameEscaper = strings.NewReplacer("%", "%25", "/", "%2F")
+
+// key returns the key of a claim. The idempotency key is the rest of it and needs no
+// escaping.
 func key(service, customer, idempotencyKey string) string {
-	return "idem/" + service + "/" + customer + "/" + idempotencyKey
+	return "idem/" + nameEscaper.Replace(service) + "/" + nameEscaper.Replace(customer) + "/" + idempotencyKey
 }
 
 // Claim creates the key or returns the record that the key already holds. If
