--- a/citronpath/path.go
+++ b/citronpath/path.go
@@ -187,6 +187,9 @@
 // false if there is none, for example because one of the layers is held by no
 // usable engine.
 func Choose(engines []*citronpool.Engine, q Query) (Path, bool) {
+	if q.Spec.Layers <= 0 {
+		return nil, false
+	}
 	usable := make([]candidate, 0, len(engines))
 	isBoundary := make([]bool, q.Spec.Layers+1)
 	isBoundary[0], isBoundary[q.Spec.Layers] = true, true
--- a/citronpath/path_test.go
+++ b/citronpath/path_test.go
@@ -222,3 +222,12 @@
 		citronpath.Choose(es, q)
 	}
 }
+
+// Guards against an empty path, or a panic, for a model without layers.
+func TestModelWithoutLayersHasNoPath(t *testing.T) {
+	is := is.New(t)
+	for _, layers := range []int{0, -1} {
+		_, ok := citronpath.Choose(nil, citronpath.Query{Spec: citronmodel.Spec{Layers: layers}, Now: time.Now()})
+		is.True(!ok)
+	}
+}
