--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -550,7 +550,7 @@
 // request and failed. The response is forwarded unless the request may be retried or
 // the caller already has part of a stream.
 func (s *streamJob) handleEngineFailure(ctx context.Context, reply *citronupstream.Reply) runOutcome {
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes))
+	body, err := readAnswer(reply.Body)
 	if err != nil && ctx.Err() != nil {
 		return callerLeft
 	}
--- a/citronforward/unary.go
+++ b/citronforward/unary.go
@@ -155,7 +155,7 @@
 		j.noteRefusal(e, reply)
 		return result{outcome: notRun, status: reply.Status}
 	}
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes))
+	body, err := readAnswer(reply.Body)
 	if err != nil {
 		return j.classifyError(e, errors.Wrap(err, "read response"))
 	}
@@ -171,6 +171,19 @@
 	return res
 }
 
+// errAnswerTooLarge means that a response has a longer body than a node passes on.
+var errAnswerTooLarge = errors.New("response body is too large")
+
+// readAnswer reads the body of a response that is passed on as a whole. A body over
+// maxAnswerBytes is an error: a part of it must not be taken for the whole.
+func readAnswer(r io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		return nil, errors.Wrapf(errAnswerTooLarge, "limit of %d bytes", maxAnswerBytes)
+	}
+	return body, err
+}
+
 // classifyError classifies a failed call. A call is known not to have run only if no byte
 // of it left this node.
 func (j *job) classifyError(e *citronpool.Engine, err error) result {
@@ -180,8 +193,8 @@
 	case errors.Is(err, citronupstream.ErrNotSent):
 		citronprobe.RecordDead(e, err, j.f.Clock.Now())
 		return result{outcome: notRun, err: err}
-	case errors.Is(err, context.Canceled):
-		return result{outcome: unknown, err: err} // the caller canceled the request
+	case errors.Is(err, context.Canceled), errors.Is(err, errAnswerTooLarge):
+		return result{outcome: unknown, err: err} // the engine is not at fault
 	default:
 		e.RecordFailure(j.f.Clock.Now())
 		return result{outcome: unknown, err: err}
--- a/citronforward/unary_test.go
+++ b/citronforward/unary_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -170,3 +171,31 @@
 	is.Equal(got.status, http.StatusServiceUnavailable)
 	is.True(got.retryAfter > 0)
 }
+
+// Guards against an answer that is cut at the buffer's limit and looks complete.
+func TestAnswerOverTheLimitIsNotCut(t *testing.T) {
+	for _, c := range []struct {
+		name, route string
+		status      int
+	}{{"success", "unsafe", http.StatusOK}, {"failure", "unsafe", http.StatusInternalServerError}, {"failure of a stream", "stream", http.StatusBadRequest}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newTestForwarder(t, plainEngine("p1", "a"), modelEngine("m1", "a", 0, 8))
+			r.engines.answer = func(context.Context, int, citronupstream.Call) (*citronupstream.Reply, error) {
+				return reply(c.status, strings.Repeat("x", 8<<20+1)), nil
+			}
+			got := r.ask(c.route, 2*time.Second)
+			is.True(got.refused)
+			is.Equal(got.status, http.StatusBadGateway) // the request ran, so the caller must not be told otherwise
+			is.Equal(got.body, "")
+		})
+	}
+	t.Run("at the limit", func(t *testing.T) {
+		is := is.New(t)
+		r := newTestForwarder(t, plainEngine("p1", "a"))
+		r.engines.answer = func(context.Context, int, citronupstream.Call) (*citronupstream.Reply, error) {
+			return reply(http.StatusOK, strings.Repeat("x", 8<<20)), nil
+		}
+		is.Equal(len(r.ask("unsafe", 2*time.Second).body), 8<<20)
+	})
+}
