citronnode: a started node finds out whether those said to watch the store are alive

What callers would see: requests sent to engines that left over two seconds ago. KNOWN-RED: TestLeavingEngineIsNotMistakenForOutage, case 'the store rejects one node, and the others have just started', failed now and then beside load, with the leaving engine still in use.

The ones that started took the third node's word for two seconds that they still watch, and in any case watched only after three exchanges in a row told them of no more nodes, of which those with the killed ones fail. Nobody read the list meanwhile. An outage was not assumed: no node kept entries (Retained 0).

The fix: a node that has run for 0.8 s and is among the first it knows of checks the nodes that claim to watch; one whose address refuses the connection does not count, and if none is left the node watches although it may not know all others yet.

--- a/citronnode/harness_test.go
+++ b/citronnode/harness_test.go
@@ -212,6 +212,8 @@
 	bytes    atomic.Int64
 	// dropExchanges makes all exchanges between nodes fail. Updates still arrive.
 	dropExchanges atomic.Bool
+	// delay, if set, returns the delay of the next message in one direction.
+	delay func() time.Duration
 }
 
 func newMesh() *mesh { return &mesh{handlers: map[string]http.Handler{}} }
@@ -237,12 +239,29 @@
 	if h == nil || m.dropExchanges.Load() && strings.HasSuffix(r.URL.Path, "/Exchange") {
 		return nil, errors.Wrap(syscall.ECONNREFUSED, "dial")
 	}
+	if err := m.delayMessage(r.Context()); err != nil {
+		return nil, err
+	}
 	w := httptest.NewRecorder()
 	h.ServeHTTP(w, r)
+	if err := m.delayMessage(r.Context()); err != nil {
+		return nil, err
+	}
 	m.bytes.Add(max(0, r.ContentLength) + int64(w.Body.Len()))
 	return w.Result(), nil
 }
 
+// delayMessage waits for the delay of a message, or until ctx ends.
+func (m *mesh) delayMessage(ctx context.Context) error {
+	if m.delay == nil {
+		return nil
+	}
+	m.mu.Lock()
+	d := m.delay()
+	m.mu.Unlock()
+	return citronclock.Real{}.Sleep(ctx, d)
+}
+
 // fleet is a set of nodes that share one store.
 type fleet struct {
 	t      testing.TB
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -103,6 +103,8 @@
 	// set once it does.
 	stabilizer    stabilizer
 	hasStabilized atomic.Bool
+	// reach holds the nodes that refuse connections.
+	reach reach
 	// loans borrows retry budget from other nodes.
 	loans *citronloan.Borrower
 	// quarantine holds what is known about requests that crash engines.
--- a/citronnode/sources.go
+++ b/citronnode/sources.go
@@ -208,7 +208,7 @@
 	count := 0
 	s := n.snap.Load()
 	for _, m := range s.members {
-		if m.Watching && m.Before(s.self) {
+		if n.watches(m) && m.Before(s.self) {
 			count++
 		}
 	}
@@ -223,7 +223,7 @@
 // Shortly after startup a node knows no other nodes and would consider itself the first:
 // all nodes that start at once would watch, although a few of them are enough for all.
 func (n *Node) mayWatch(ctx context.Context) bool {
-	if !n.stabilized() {
+	if !n.stabilized() && !n.storeUnwatched(ctx) {
 		_ = n.clock.Sleep(ctx, stabilizePoll)
 		return false
 	}
