citronnode: the rate limit of nodes together is tested on fake time

Cause, shown by a trial on fake time: with one first answer of i-0 that takes a second, 0 of 16 (and of 10, of 80) are used, as a node then prefers the other upstreams for good; a starved machine gives such a first answer. The test means to ask whether permits are used, with i-0 the fastest, and measured the machine. It now runs on fake time with messages between nodes delayed by up to 20 ms (four seeds a case instead of one run); its bounds are unchanged.

For fake time, which begins before the process, zero timestamps of an engine's state are read as unset instead of as the start of the process.

--- a/citronnode/harness_test.go
+++ b/citronnode/harness_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -262,6 +263,18 @@
 	return citronclock.Real{}.Sleep(ctx, d)
 }
 
+// maxMessageDelay is the longest delay of a message between nodes in a healthy network.
+const maxMessageDelay = 20 * time.Millisecond
+
+// delayMessages connects the nodes by a network that delays each message by a random time up
+// to maxMessageDelay. The test must run on fake time.
+func (f *fleet) delayMessages(seed uint64) {
+	f.t.Cleanup(func() { time.Sleep(5 * time.Second) }) // messages on their way must arrive
+	net, random := newMesh(), rand.New(rand.NewPCG(seed, 1))
+	net.delay = func() time.Duration { return time.Duration(random.Int64N(int64(maxMessageDelay))) }
+	f.net = net
+}
+
 // fleet is a set of nodes that share one store.
 type fleet struct {
 	t      testing.TB
--- a/citronnode/limit_test.go
+++ b/citronnode/limit_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronclock"
@@ -248,7 +249,9 @@
 // spread over three zones.
 func (f *fleet) startApps(nodes, upstreams int) {
 	f.t.Helper()
-	f.net = newMesh()
+	if _, ok := f.net.(*mesh); !ok {
+		f.net = newMesh()
+	}
 	f.putConfig("1")
 	for i := range upstreams {
 		f.putEngine(startedApp(i))
@@ -273,29 +276,36 @@
 
 // Guards against nodes that together send an upstream more than the rate limit that it
 // declared, or that leave much of the limit unused. Requests beyond the limit must be
-// served by the other upstreams.
+// served by the other upstreams. The fleet runs on fake time with random delays of messages:
+// on a starved machine, the nodes would measure how slow the machine is and not which
+// upstream is the fastest.
 func TestNodesTogetherKeepUpstreamRateLimit(t *testing.T) {
 	for _, c := range []struct {
 		nodes     int
 		perSecond float64
 	}{{1, 4}, {9, 2.5}, {9, 20}, {45, 0.5}} {
-		t.Run(fmt.Sprintf("%d nodes, %g a second", c.nodes, c.perSecond), func(t *testing.T) {
-			t.Parallel()
-			is := is.New(t)
-			f := newFleet(t)
-			f.startApps(c.nodes, 3)
-			u := newLimitedUpstreams(map[string]float64{"i-0": c.perSecond})
-			from := time.Now()
-			end := from.Add(9 * time.Second)
-			out := f.generateLoad(u, 150, end)
-			settled := from.Add(5 * time.Second)
-			used, usable := u.countBetween("i-0", settled, end), c.perSecond*end.Sub(settled).Seconds()
-			t.Logf("max in 4 s: %d, allowed %d; after 5 s: %d of %.0f used; answers %v", u.maxInWindow("i-0"), allowedInWindow(c.perSecond), used, usable, out.byStatus)
-			is.True(u.maxInWindow("i-0") <= allowedInWindow(c.perSecond))
-			is.True(float64(used) >= minUtilization*usable-1) // only complete requests count
-			is.Equal(len(out.byStatus), 1)                    // the other upstreams serve the rest
-			is.True(out.count(http.StatusOK) > 0)
-		})
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprintf("%d nodes, %g a second, seed %d", c.nodes, c.perSecond, seed), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					f := newFleet(t)
+					f.delayMessages(seed)
+					f.startApps(c.nodes, 3)
+					u := newLimitedUpstreams(map[string]float64{"i-0": c.perSecond})
+					from := time.Now()
+					end := from.Add(9 * time.Second)
+					out := f.generateLoad(u, 150, end)
+					settled := from.Add(5 * time.Second)
+					used, usable := u.countBetween("i-0", settled, end), c.perSecond*end.Sub(settled).Seconds()
+					t.Logf("max in 4 s: %d, allowed %d; after 5 s: %d of %.0f used; answers %v", u.maxInWindow("i-0"), allowedInWindow(c.perSecond), used, usable, out.byStatus)
+					is.True(u.maxInWindow("i-0") <= allowedInWindow(c.perSecond))
+					is.True(float64(used) >= minUtilization*usable-1) // only complete requests count
+					is.Equal(len(out.byStatus), 1)                    // the other upstreams serve the rest
+					is.True(out.count(http.StatusOK) > 0)
+				})
+			})
+		}
 	}
 }
 
--- a/citronnode/unwatched_test.go
+++ b/citronnode/unwatched_test.go
@@ -2,15 +2,11 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
 )
 
-// maxMessageDelay is the longest delay of a message between nodes in a healthy network.
-const maxMessageDelay = 20 * time.Millisecond
-
 // Guards against a fleet in which no node watches the store for seconds, so that an engine
 // that leaves keeps getting requests. The two nodes that watched are killed, two others start,
 // and the store rejects the third. The new ones learn from it that the killed ones watch, and
@@ -19,11 +15,8 @@
 	for seed := range uint64(30) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				t.Cleanup(func() { time.Sleep(5 * time.Second) }) // messages on their way must arrive
-				f, net := newFleet(t), newMesh()
-				random := rand.New(rand.NewPCG(seed, 1))
-				net.delay = func() time.Duration { return time.Duration(random.Int64N(int64(maxMessageDelay))) }
-				f.net = net
+				f := newFleet(t)
+				f.delayMessages(seed)
 				f.putConfig("1")
 				for _, e := range engines(12) {
 					f.putEngine(e)
--- a/citronpool/pool.go
+++ b/citronpool/pool.go
@@ -262,7 +262,11 @@
 // ThrottledFor returns how much longer the engine is avoided because of its
 // rate limit.
 func (s *State) ThrottledFor(now time.Time) time.Duration {
-	return max(0, time.Duration(s.throttledUntil.Load()-sinceEpoch(now)))
+	until, at := s.throttledUntil.Load(), sinceEpoch(now)
+	if !isAfter(until, at) {
+		return 0
+	}
+	return time.Duration(until - at)
 }
 
 // Usable reports whether the engine may receive new work now.
@@ -274,9 +278,12 @@
 // as its rate limit allows it and its cool-down has ended.
 func (e *Engine) Healthy(now time.Time) bool {
 	at := sinceEpoch(now)
-	return !e.Leaving && !e.saysLeaving.Load() && !e.Replaced() && e.avoidUntil.Load() <= at && e.misplacedUntil.Load() <= at
+	return !e.Leaving && !e.saysLeaving.Load() && !e.Replaced() && !isAfter(e.avoidUntil.Load(), at) && !isAfter(e.misplacedUntil.Load(), at)
 }
 
+// isAfter reports whether the stored timestamp until is set and after at.
+func isAfter(until, at int64) bool { return until != 0 && until > at }
+
 // ZoneLoads counts, for each zone, the tokens of this node's requests that run on
 // engines of the zone. Nodes exchange these zone totals: a node that knew only
 // its own requests would send more to a zone that other nodes have filled.
--- a/citronpool/refusal.go
+++ b/citronpool/refusal.go
@@ -49,7 +49,7 @@
 	at := sinceEpoch(now)
 	s.accusedAt.Store(at)
 	until := s.avoidUntil.Load()
-	if until > at {
+	if isAfter(until, at) {
 		return false
 	}
 	before := s.refusalPauses.Load()
@@ -70,7 +70,7 @@
 // reports whether the request was sent after the last refusal. Older requests
 // prove nothing: a leaving engine finishes them and still refuses new ones.
 func (s *State) RecordAdmission(sent time.Time) bool {
-	if sinceEpoch(sent) <= s.accusedAt.Load() {
+	if accused := s.accusedAt.Load(); accused != 0 && sinceEpoch(sent) <= accused {
 		return false
 	}
 	s.refusalPauses.Store(0)
