citronpool: one slow answer does not rule an engine out for good

What callers would see: a plain service's engine that gets no requests while the others queue them, because it was slow once.

Cause: the first answer is the whole average of response times, and without further requests the average never changes. Evidence: TestUpstreamIsUsedAgainAfterOneSlowAnswer (fake time: 150 ms once and 5 ms after that, beside an engine with 40 ms) failed: after a minute the slower one still got all requests.

The fix: what the average exceeds the assumed 15 ms by halves in ten seconds without an answer, and a new answer is averaged with the aged value. An engine that is slow throughout gets a request of a node about every ten seconds.

--- a/citronforward/unary.go
+++ b/citronforward/unary.go
@@ -230,14 +230,10 @@
 	}
 }
 
-const (
-	// assumedLatency is the latency assumed for an engine that has not answered yet.
-	assumedLatency = 15 * time.Millisecond
-	// otherZoneCost is added to the cost of engines in other zones. At latencies around
-	// assumedLatency, they are selected only if the engines of this zone take about one
-	// and a half times as long or already have a request running.
-	otherZoneCost = 8 * time.Millisecond
-)
+// otherZoneCost is added to the cost of engines in other zones. At latencies around 15 ms,
+// they are selected only if the engines of this zone take about one and a half times as long
+// or already have a request running.
+const otherZoneCost = 8 * time.Millisecond
 
 // pickEngine returns the engine that is expected to answer first. For a model it
 // returns the first engine of a path, and the path.
@@ -260,7 +256,7 @@
 			if _, open := e.Admission(now).(citronpool.Open); !open || j.avoid[e.ID] || (!lenient && !e.Healthy(now)) || (!j.permits.mayWait && e.ThrottledFor(now) > 0) {
 				continue
 			}
-			if c := plainCost(e, j.f.Zone); best == nil || c < bestCost {
+			if c := plainCost(e, j.f.Zone, now); best == nil || c < bestCost {
 				best, bestCost = e, c
 			}
 		}
@@ -273,12 +269,8 @@
 
 // plainCost estimates how long an engine of a plain service takes to answer, queueing
 // included.
-func plainCost(e *citronpool.Engine, zone string) time.Duration {
-	l := e.Latency()
-	if l == 0 {
-		l = assumedLatency
-	}
-	c := l * time.Duration(1+e.Inflight())
+func plainCost(e *citronpool.Engine, zone string, now time.Time) time.Duration {
+	c := e.Latency(now) * time.Duration(1+e.Inflight())
 	if e.Zone != zone {
 		c += otherZoneCost
 	}
--- a/citronpool/pool.go
+++ b/citronpool/pool.go
@@ -5,6 +5,7 @@
 package citronpool
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,8 +47,9 @@
 	avoidUntil atomic.Int64
 	failures   atomic.Int64
 	deadSince  atomic.Int64
-	// latency is a moving average of response times in microseconds.
-	latency atomic.Int64
+	// latency is a moving average of response times in microseconds, and latencyAt when
+	// the last of them was measured.
+	latency, latencyAt atomic.Int64
 	// slowdown is the ratio of the engine's actual to its declared times in
 	// hundredths, as the engine reported it at slowAt.
 	slowdown, slowAt atomic.Int64
@@ -240,17 +242,36 @@
 		s.avoidUntil.Store(0)
 	}
 	took := now.Sub(sent)
-	old := s.latency.Load()
-	if old == 0 {
-		s.latency.Store(took.Microseconds())
-		return
+	if s.latency.Load() > 0 {
+		old := s.Latency(now)
+		took = old + (took-old)/latencyWeight
 	}
-	s.latency.Store(old + (took.Microseconds()-old)/latencyWeight)
+	s.latency.Store(took.Microseconds())
+	s.latencyAt.Store(sinceEpoch(now))
 }
 
-// Latency returns the moving average of the engine's response times.
-func (s *State) Latency() time.Duration {
-	return time.Duration(s.latency.Load()) * time.Microsecond
+const (
+	// assumedLatency is the latency assumed for an engine that has not answered yet.
+	assumedLatency = 15 * time.Millisecond
+	// latencyHalfLife is the time in which the average of an engine that gets no requests
+	// loses half of what it exceeds assumedLatency by. Without that, one slow answer would
+	// keep all requests away from the engine for as long as the others are faster.
+	latencyHalfLife = 10 * time.Second
+)
+
+// Latency returns the moving average of the engine's response times, which approaches
+// assumedLatency while there are none.
+func (s *State) Latency(now time.Time) time.Duration {
+	l := time.Duration(s.latency.Load()) * time.Microsecond
+	if l == 0 {
+		return assumedLatency
+	}
+	excess := l - assumedLatency
+	if excess <= 0 {
+		return l
+	}
+	age := time.Duration(sinceEpoch(now) - s.latencyAt.Load())
+	return assumedLatency + time.Duration(float64(excess)*math.Exp2(-age.Seconds()/latencyHalfLife.Seconds()))
 }
 
 // Throttle avoids the engine for the given time because its rate limit is used
