citronlist: a copy older than sixteen heartbeats does not bring a leaving engine back

What callers would see: requests to an engine that left, after the store returned from a copy that is more than 19 s old. Engines write their entries at every heartbeat, and only the last 16 writes of an entry were known as outdated, so the write in the copy was taken for a new one.

Now 64 writes are remembered, which is more than a minute of heartbeats, the time for which they are kept at all. By calculation that is at most 2 KB an engine (32 bytes a write).

--- a/citronlist/era.go
+++ b/citronlist/era.go
@@ -26,7 +26,7 @@
 const (
 	// maxSuperseded is the maximum number of superseded entries remembered per engine;
 	// supersededMaxAge is how long they are remembered.
-	maxSuperseded    = 16
+	maxSuperseded    = 64
 	supersededMaxAge = time.Minute
 )
 
--- a/citronlist/era_test.go
+++ b/citronlist/era_test.go
@@ -187,3 +187,24 @@
 		}
 	})
 }
+
+// Guards against sending work to an engine that left, because the restored copy is older than
+// the last few heartbeats, each of which wrote the engine's entry again.
+func TestCopyOlderThanManyHeartbeatsDoesNotReviveEngine(t *testing.T) {
+	is := is.New(t)
+	const heartbeat = 1200 * time.Millisecond
+	clock := citronclock.NewManual(time.Unix(0, 0))
+	l := listWithEngines(t, clock, 10, 2*time.Second)
+	copied := inEra(1, entryItem(0, 1, nil), entryItem(1, 2, nil))
+	count := int64(10)
+	for range int(supersededMaxAge/heartbeat) - 1 {
+		count++
+		clock.Advance(heartbeat)
+		is.True(l.ApplyChanges(t.Context(), []citronkv.Item{entryItem(0, count, nil)}, citronkv.RevisionOf(0, count-1), citronkv.RevisionOf(0, count), true))
+	}
+	is.True(l.ApplyChanges(t.Context(), []citronkv.Item{entryItem(0, count+1, leaving)}, citronkv.RevisionOf(0, count), citronkv.RevisionOf(0, count+1), true))
+	is.True(!l.usedIDs()["0"])
+	is.True(l.ApplyFull(t.Context(), copied, citronkv.RevisionOf(1, 4), true))
+	is.True(!l.usedIDs()["0"])
+	is.True(l.usedIDs()["1"])
+}
