citronbudget: what other nodes sent leaves the window when they send no more

What callers would see: retries denied with the budget unused. A service that no other node names any more kept the usage that they had told last, also an hour later. Evidence: TestUsageOfOthersEnds failed. It is now dropped one window after the last update that named the service: at once would let a node that loses the others for a moment spend what they spent.

--- a/citronbudget/budget.go
+++ b/citronbudget/budget.go
@@ -58,8 +58,10 @@
 	// slot is the number of the current bucket since the Unix epoch.
 	slot    int64
 	buckets [bucketsPerWindow + 1]Usage
-	// others is what the other nodes have sent, as of their last update.
-	others Usage
+	// others is what the other nodes have sent, as of their last update, which arrived at
+	// othersAt.
+	others   Usage
+	othersAt time.Time
 	// allowance is the number of retries that this node may still use in this
 	// interval. loans are the retries that other nodes lent it.
 	allowance float64
@@ -158,7 +160,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for service, u := range others {
-		b.windowAt(service, now).others = u
+		w := b.windowAt(service, now)
+		w.others, w.othersAt = u, now
+	}
+	for service, w := range b.windows {
+		if _, known := others[service]; !known && now.Sub(w.othersAt) > b.limits.Window {
+			b.windowAt(service, now).others = Usage{} // all of it has left the window
+		}
 	}
 	b.nodes, b.updateAge = max(1, nodes), updateAge
 	if now.Sub(b.allocated) < allocationInterval {
--- a/citronbudget/budget_test.go
+++ b/citronbudget/budget_test.go
@@ -229,3 +229,17 @@
 	b.AddLoan("s", citronbudget.Loan{Retries: 1000, Until: at.Add(time.Hour)}, at)
 	is.True(!b.TakeRetry("s", at.Add(time.Second))) // no node can lend for that long
 }
+
+// Guards against retries that are denied for good, because what other nodes sent for a service
+// still counts after they have stopped sending or have gone.
+func TestUsageOfOthersEnds(t *testing.T) {
+	is := is.New(t)
+	b := citronbudget.New(limits)
+	at := time.Unix(1000, 0)
+	b.CountRequest("s", at)
+	b.UpdateOthers(map[string]citronbudget.Usage{"s": {Requests: 100, Retries: 10_000}}, updateAge, 2, at)
+	is.True(!b.TakeRetry("s", at))
+	at = at.Add(time.Hour)
+	b.UpdateOthers(nil, updateAge, 1, at)
+	is.True(b.TakeRetry("s", at))
+}
