citronpool: a shorter pause does not replace a longer one

What an engine would see: requests during the pause that a node had chosen for it, 300 ms where it was 1.2 s, when a failure of another request was recorded meanwhile. RecordFailure, Avoid and AvoidBriefly now only lengthen the time; a success of a request that was sent after the last refusal still ends it.

--- a/citronpool/pool.go
+++ b/citronpool/pool.go
@@ -117,12 +117,19 @@
 	if n < 5 {
 		wait = min(maxAvoid, initialAvoid<<(n-1))
 	}
-	s.avoidUntil.Store(sinceEpoch(now.Add(wait)))
+	s.Avoid(now, wait)
 }
 
-// Avoid avoids the engine for the given time without counting a failure.
+// Avoid avoids the engine for the given time, or for as long as it is avoided already,
+// without counting a failure.
 func (s *State) Avoid(now time.Time, wait time.Duration) {
-	s.avoidUntil.Store(sinceEpoch(now.Add(wait)))
+	until := sinceEpoch(now.Add(wait))
+	for {
+		known := s.avoidUntil.Load()
+		if known != 0 && until <= known || s.avoidUntil.CompareAndSwap(known, until) {
+			return
+		}
+	}
 }
 
 // MarkDead marks an engine that no longer responds. Requests that run through it
@@ -135,11 +142,7 @@
 
 // AvoidBriefly avoids the engine for initialAvoid because another node found it
 // dead.
-func (s *State) AvoidBriefly(now time.Time) {
-	if until := sinceEpoch(now.Add(initialAvoid)); s.avoidUntil.Load() < until {
-		s.avoidUntil.Store(until)
-	}
-}
+func (s *State) AvoidBriefly(now time.Time) { s.Avoid(now, initialAvoid) }
 
 // slowReportTTL is how long a report of slowness is used. Engines are not asked
 // regularly, but only on an occasion such as a stalled path through them.
--- a/citronpool/refusal_test.go
+++ b/citronpool/refusal_test.go
@@ -74,3 +74,18 @@
 	is.True(e.Accused(now))
 	is.True(e.Usable(now.Add(160 * time.Millisecond)))
 }
+
+// Guards against an engine that is used again too early, because a shorter pause for another
+// reason replaced a longer one.
+func TestShorterPauseDoesNotReplaceLongerOne(t *testing.T) {
+	is := is.New(t)
+	v := citronpool.Build([]citronmodel.Engine{{ID: "i1", Service: "app", Addr: "x:1"}}, nil)
+	e, _ := v.ByID("i1")
+	now := time.Now()
+	e.Avoid(now, 1200*time.Millisecond)
+	e.RecordFailure(now) // 300 ms
+	e.Avoid(now, time.Millisecond)
+	e.AvoidBriefly(now)
+	is.True(!e.Usable(now.Add(1100 * time.Millisecond)))
+	is.True(e.Usable(now.Add(1200 * time.Millisecond)))
+}
