citronlimit: a started node takes limits whose versions are high

What an engine would see: too many requests from nodes that start, once one engine of the fleet has changed its limit 1,048,576 times: they reject every message that holds its record, and with it the limits of all other engines. Evidence: TestStartedNodeTakesLimitWithHighVersion failed. A first record of an engine may now have any version up to 2^40; later ones keep the bound of 2^20 ahead of the known one, so a false first version is superseded by the next answer.

--- a/citronlimit/gossip.go
+++ b/citronlimit/gossip.go
@@ -24,6 +24,10 @@
 	// known one. Without this bound a faulty node could send the highest possible
 	// version, and no later record could supersede that one.
 	maxVersionStep = 1 << 20
+	// maxFirstVersion is the same for the first record of an engine that a node receives. It
+	// leaves room for later versions, so that a false one is superseded by the engine's next
+	// response.
+	maxFirstVersion = 1 << 40
 )
 
 // supersedes reports whether r replaces o. Two nodes that learn of a change at the same
@@ -48,8 +52,13 @@
 		return r, errors.New("rate limit has an empty engine ID")
 	case math.IsNaN(l.PerSecond) || math.IsInf(l.PerSecond, 0) || l.PerSecond < 0:
 		return r, errors.Newf("rate limit of %g requests per second is not a finite, non-negative number", l.PerSecond)
-	case l.Version < 0 || l.Version > reg.Get(l.Engine).Version+maxVersionStep:
-		return r, errors.Newf("rate limit has version %d, which is negative or more than %d ahead of the known version", l.Version, maxVersionStep)
+	}
+	highest := int64(maxFirstVersion)
+	if known := reg.Get(l.Engine).Version; known > 0 {
+		highest = known + maxVersionStep
+	}
+	if l.Version < 0 || l.Version > highest {
+		return r, errors.Newf("rate limit has version %d, want 0 to %d", l.Version, highest)
 	}
 	return r, nil
 }
--- a/citronlimit/gossip_test.go
+++ b/citronlimit/gossip_test.go
@@ -154,3 +154,17 @@
 		}
 	})
 }
+
+// Guards against a node that starts and takes no limits at all, because one engine has changed
+// its limit more often than maxVersionStep.
+func TestStartedNodeTakesLimitWithHighVersion(t *testing.T) {
+	is := is.New(t)
+	reg := citronlimit.NewRegistry(citronclock.Real{})
+	reg.Retain(func(string) bool { return true })
+	is.NoErr(reg.Merge([]citronpeer.Limit{{Engine: "e0", Limited: true, PerSecond: 2, Version: 1<<20 + 5}, {Engine: "e1", Limited: true, PerSecond: 4, Version: 1}}))
+	is.True(reg.Get("e0").Limited && reg.Get("e1").Limited)
+	is.NoErr(reg.Merge([]citronpeer.Limit{{Engine: "e0", Version: 1<<20 + 6}}))
+	is.True(!reg.Get("e0").Limited)
+	is.True(reg.Merge([]citronpeer.Limit{{Engine: "e0", Version: 1 << 40}}) != nil) // too far ahead of the known one
+	is.True(reg.Merge([]citronpeer.Limit{{Engine: "e2", Version: 1<<40 + 1}}) != nil)
+}
