citronquarantine: a record with old crashes does not spoil a message

What engines would see: crashes under requests that other nodes had quarantined. Evidence: TestRecordWithOldCrashesIsMerged failed. The limit is now that of eight crashes, each at the end of the record's life after the one before.

--- a/citronquarantine/ledger_test.go
+++ b/citronquarantine/ledger_test.go
@@ -278,3 +278,24 @@
 	is.Equal(len(l.Recent()), 0)
 	is.Equal(len(l.All()), 1)
 }
+
+// Guards against a node that takes no records at all from another, because one request has
+// crashed engines for so long that its first crash is older than a record is kept after its
+// last one.
+func TestRecordWithOldCrashesIsMerged(t *testing.T) {
+	is := is.New(t)
+	l, clock := newLedger("n1")
+	p := request(1)
+	crash(l, p, 0, 2)
+	for i, wait := range []time.Duration{9 * time.Minute, 10 * time.Minute, 11 * time.Minute, 13 * time.Minute, 17 * time.Minute, 25 * time.Minute} {
+		clock.Advance(wait)
+		crash(l, p, 2+i, 1)
+	}
+	crash(l, request(2), 100, 3)
+	is.Equal(len(l.All()), 2)
+	other := citronquarantine.New("n2", clock)
+	_, err := other.Merge(l.All())
+	is.NoErr(err)
+	_, quarantined := other.Admit(request(2)).(citronquarantine.Quarantined)
+	is.True(quarantined)
+}
--- a/citronquarantine/record.go
+++ b/citronquarantine/record.go
@@ -26,10 +26,10 @@
 	clearedRetention = time.Minute
 	// MaxCrashes is the maximum number of crashes in a record.
 	MaxCrashes = 8
-	// MaxCrashAge is the maximum age of a crash in a record that Ledger.Merge accepts. A
-	// record expires at most this long after its last crash; its earlier crashes may be
-	// older.
-	MaxCrashAge = maxQuarantine + retention
+	// MaxCrashAge is the maximum age of a crash in a record that Ledger.Merge accepts. Each
+	// crash keeps a record for at most maxQuarantine + retention, so that is also the most
+	// by which each crash can be older than the next.
+	MaxCrashAge = MaxCrashes * (maxQuarantine + retention)
 )
 
 // Crash is the end of an engine under a run of a request that had not yet run successfully.
