citronquarantine: a clearance lives as long as the records that it clears

What callers would see: a request refused as one that crashes engines although it has run successfully since. A record whose crashes were all refuted expired a minute after the last crash, at once if it was cleared later; the uncleared record of a node that had not heard of it then quarantined the request again everywhere. Evidence: TestClearanceOutlivesUnclearedRecords (cleared two minutes after the crash, the other node back after five more) failed. Cleared records are now kept as long as if no crash were refuted, which is a bound that all nodes agree on; the number of records is bounded as before.

--- a/citronquarantine/ledger_test.go
+++ b/citronquarantine/ledger_test.go
@@ -299,3 +299,27 @@
 	_, quarantined := other.Admit(request(2)).(citronquarantine.Quarantined)
 	is.True(quarantined)
 }
+
+// Guards against a request that is quarantined again after a successful run cleared it: the
+// record that says so must live as long as the uncleared one of a node that does not know it.
+func TestClearanceOutlivesUnclearedRecords(t *testing.T) {
+	is := is.New(t)
+	l, clock := newLedger("n1")
+	other := citronquarantine.New("n2", clock)
+	p := request(1)
+	crash(l, p, 0, 3)
+	_, err := other.Merge(l.All())
+	is.NoErr(err)
+	clock.Advance(2 * time.Minute)
+	l.RecordSuccess(p)
+	clock.Advance(5 * time.Minute)
+	_, err = l.Merge(other.All()) // n2 was cut off all the while
+	is.NoErr(err)
+	crash(l, p, 3, 1)
+	_, quarantined := l.QuarantinedFor(p)
+	is.True(!quarantined)
+	clock.Advance(time.Hour)
+	l.All()
+	known, _ := l.Count()
+	is.Equal(known, 0)
+}
--- a/citronquarantine/record.go
+++ b/citronquarantine/record.go
@@ -18,12 +18,10 @@
 	initialQuarantine = time.Minute
 	maxQuarantine     = 32 * time.Minute
 	// retention is how long a record is kept after the quarantine ends, or after the
-	// last crash if the request is not quarantined. clearedRetention is how long after
-	// the last crash it is kept once all crashes are refuted, so that the other nodes
-	// learn that the request is cleared. If the request is cleared later than that, the
-	// record expires at once.
-	retention        = 10 * time.Minute
-	clearedRetention = time.Minute
+	// last crash if the request is not quarantined. A record whose crashes are all refuted
+	// is kept for as long as if none were: other nodes may not know it yet, and their
+	// records would quarantine the request again.
+	retention = 10 * time.Minute
 	// MaxCrashes is the maximum number of crashes in a record.
 	MaxCrashes = 8
 	// MaxCrashAge is the maximum age of a crash in a record that Ledger.Merge accepts. Each
@@ -148,19 +146,25 @@
 // quarantinedUntil returns the time at which the quarantine ends. It is zero if the
 // request has too few crashes for a quarantine.
 func (r Record) quarantinedUntil() time.Time {
-	n := r.ActiveCrashes()
-	if n < quarantineThreshold {
+	return r.quarantineEnd(r.ActiveCrashes())
+}
+
+// quarantineEnd returns the time at which the quarantine of a request with the given
+// number of crashes ends, or zero if they are too few.
+func (r Record) quarantineEnd(crashes int) time.Time {
+	if crashes < quarantineThreshold {
 		return time.Time{}
 	}
-	return r.lastCrash().Add(min(maxQuarantine, initialQuarantine<<(n-quarantineThreshold)))
+	return r.lastCrash().Add(min(maxQuarantine, initialQuarantine<<(crashes-quarantineThreshold)))
 }
 
 // expiresAt returns the time at which the record is no longer needed.
 func (r Record) expiresAt() time.Time {
-	if r.ActiveCrashes() == 0 {
-		return r.lastCrash().Add(clearedRetention)
+	crashes := r.ActiveCrashes()
+	if crashes == 0 {
+		crashes = len(r.crashes)
 	}
-	if until := r.quarantinedUntil(); !until.IsZero() {
+	if until := r.quarantineEnd(crashes); !until.IsZero() {
 		return until.Add(retention)
 	}
 	return r.lastCrash().Add(retention)
