citrongate: the gate before each send is a package of its own

The bound on the names of unknown headers leaves platform/ for citronstat. No behaviour changes; all tests of citronforward, platform, citronstat and citroncli pass.

--- a/citroncli/node.go
+++ b/citroncli/node.go
@@ -143,7 +143,11 @@
 func reportUnknownHeaders(ctx context.Context, engines *platform.EngineClient, log *slog.Logger, registry *prometheus.Registry) {
 	names := prometheus.NewCounter(prometheus.CounterOpts{Name: "citrondeck_unknown_headers_total", Help: "Names of headers in engines' answers that the node does not know."})
 	registry.MustRegister(names)
+	var known citronstat.NameSet
 	engines.OnUnknownHeader(func(name string) {
+		if !known.Add(name) {
+			return
+		}
 		names.Inc()
 		citronevent.Log(ctx, log, citronevent.HeaderUnknown, "name", name)
 	})
--- a/citronforward/cooldown.go
+++ b/citronforward/cooldown.go
@@ -9,7 +9,7 @@
 	"math/rand/v2"
 	"time"
 
-	"citrondeck.dev/citrondeck/citronevent"
+	"citrondeck.dev/citrondeck/citrongate"
 	"citrondeck.dev/citrondeck/citronpath"
 	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citronupstream"
@@ -22,22 +22,6 @@
 	cooldownSpread = 300 * time.Millisecond
 )
 
-// noteCooldown records the cool-down that a response asks for.
-func (f *Forwarder) noteCooldown(ctx context.Context, c citronupstream.Call, reply *citronupstream.Reply) {
-	switch d := reply.Cooldown.(type) {
-	case citronupstream.CooldownFor:
-		f.Metrics.Cooldowns.Inc()
-		if wait := time.Duration(d); f.newest(c.Engine).CoolDown(f.Clock.Now(), wait) {
-			citronevent.Log(ctx, f.Log, citronevent.CooldownAsked, "engine", c.Engine.ID, "peer", c.Engine.Addr, "request", c.ID, "wait", wait)
-		}
-	case citronupstream.InvalidCooldown:
-		f.Metrics.InvalidCooldowns.Inc()
-		if _, logged := f.invalidCooldowns.LoadOrStore(c.Engine.ID, true); !logged {
-			citronevent.Log(ctx, f.Log, citronevent.CooldownInvalid, "engine", c.Engine.ID, "peer", c.Engine.Addr, "request", c.ID, "text", string(d))
-		}
-	}
-}
-
 // soonestCooldownEnd returns the engine that the request has to wait for longest if it
 // waits for the end of cool-downs, and for how long. ok is false if no engine or path could
 // run the request even then.
@@ -85,12 +69,12 @@
 	j.cooldown.endsIn = left + rand.N(cooldownSpread)
 	spare := j.maxWait() - left
 	if j.cooldown.waited || spare <= 0 {
-		j.f.logCooldownHeld(ctx, j.ID, e, "refused", left)
+		j.f.openGate().LogHeld(ctx, j.ID, e, citrongate.Refused, left)
 		return false
 	}
 	j.cooldown.waited = true
 	wait := left + rand.N(min(spare, cooldownSpread))
-	j.f.logCooldownHeld(ctx, j.ID, e, "waits", wait)
+	j.f.openGate().LogHeld(ctx, j.ID, e, citrongate.Waits, wait)
 	return j.f.Clock.Sleep(ctx, wait) == nil
 }
 
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -28,6 +28,7 @@
 	"citrondeck.dev/citrondeck/citronbudget"
 	"citrondeck.dev/citrondeck/citronclock"
 	"citrondeck.dev/citrondeck/citronevent"
+	"citrondeck.dev/citrondeck/citrongate"
 	"citrondeck.dev/citrondeck/citronkv"
 	"citrondeck.dev/citrondeck/citronlimit"
 	"citrondeck.dev/citrondeck/citronpermit"
@@ -97,17 +98,26 @@
 	// maxWait is how long the request can wait for the permit.
 	Permit func(ctx context.Context, e *citronpool.Engine, maxWait time.Duration) citronpermit.Decision
 
-	probes citronprobe.Prober
-	// invalidLimits holds the IDs of the engines whose invalid rate limit has been
-	// logged, so that each is logged only once.
-	invalidLimits sync.Map
-	// invalidCooldowns does the same for invalid cool-downs.
-	invalidCooldowns sync.Map
+	probes   citronprobe.Prober
+	gateOnce sync.Once
+	// gate sends all calls to engines. It is created on first use.
+	gate *citrongate.Gate
 	// completed counts the unary requests that succeeded, and the streams that were
 	// completed or ended by an engine's failure response.
 	completed atomic.Int64
 }
 
+// openGate returns the gate through which all calls are sent.
+func (f *Forwarder) openGate() *citrongate.Gate {
+	f.gateOnce.Do(func() {
+		f.gate = &citrongate.Gate{
+			Upstream: f.Upstream, Limits: f.Limits, Clock: f.Clock, Log: f.Log, Metrics: f.Metrics.Gate,
+			View: func() *citronpool.View { return f.Current().View },
+		}
+	})
+	return f.gate
+}
+
 // sampleEvery is the sampling interval of the log: one in sampleEvery completed requests is
 // logged.
 const sampleEvery = 50
--- a/citronforward/limit.go
+++ b/citronforward/limit.go
@@ -15,12 +15,10 @@
 	"time"
 
 	"citrondeck.dev/citrondeck/citronevent"
-	"citrondeck.dev/citrondeck/citronlimit"
 	"citrondeck.dev/citrondeck/citronpath"
 	"citrondeck.dev/citrondeck/citronpermit"
 	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citrontable"
-	"citrondeck.dev/citrondeck/citronupstream"
 )
 
 const (
@@ -51,7 +49,7 @@
 // takePermits takes a permit for each of the given engines that has a rate limit. It
 // reports whether the request may be sent to all of them.
 func (j *job) takePermits(ctx context.Context, engines ...*citronpool.Engine) bool {
-	if j.f.checkGate(ctx, j.ID, engines...) != nil {
+	if j.f.openGate().Check(ctx, j.ID, engines...) != nil {
 		return false // no permit is taken in vain
 	}
 	for _, e := range engines {
@@ -167,24 +165,6 @@
 	return true
 }
 
-// targetEngines returns the engines that receive a request: those of its path, or e if
-// it has none.
-func targetEngines(e *citronpool.Engine, p citronpath.Path) []*citronpool.Engine {
-	if len(p) == 0 {
-		return []*citronpool.Engine{e}
-	}
-	return pathEngines(p)
-}
-
-// pathEngines returns the engines of a path.
-func pathEngines(p citronpath.Path) []*citronpool.Engine {
-	out := make([]*citronpool.Engine, len(p))
-	for i, h := range p {
-		out[i] = h.Engine
-	}
-	return out
-}
-
 // addedEngines returns the engines of a path that the stream does not run on yet.
 func (s *streamJob) addedEngines(p citronpath.Path) []*citronpool.Engine {
 	var out []*citronpool.Engine
@@ -208,23 +188,3 @@
 	}
 	return !denied
 }
-
-// noteRateLimit records the rate limit in a response. Only a response signed by the
-// engine itself can end a limit.
-func (f *Forwarder) noteRateLimit(ctx context.Context, c citronupstream.Call, before citronlimit.Record, reply *citronupstream.Reply) {
-	switch l := reply.RateLimit.(type) {
-	case citronupstream.NoRateLimit:
-		if !reply.FromEngine {
-			return
-		}
-	case citronupstream.InvalidRateLimit:
-		f.Metrics.InvalidLimits.Inc()
-		if _, logged := f.invalidLimits.LoadOrStore(c.Engine.ID, true); !logged {
-			citronevent.Log(ctx, f.Log, citronevent.LimitInvalid, "engine", c.Engine.ID, "peer", c.Engine.Addr, "request", c.ID, "text", string(l))
-		}
-		return
-	}
-	if r, changed := f.Limits.Observe(c.Engine.ID, before, reply.RateLimit); changed {
-		citronevent.Log(ctx, f.Log, citronevent.LimitChanged, "engine", c.Engine.ID, "peer", c.Engine.Addr, "request", c.ID, "limited", r.Limited, "perSecond", r.PerSecond, "version", r.Version)
-	}
-}
--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -336,7 +336,7 @@
 // request, so it first takes a permit for each of them that has a rate limit.
 func (s *streamJob) repath(ctx context.Context, p citronpath.Path, added []*citronpool.Engine) error {
 	for _, e := range added {
-		if s.f.checkGate(ctx, s.ID, e) != nil || !s.f.takeMovePermit(ctx, e) {
+		if s.f.openGate().Check(ctx, s.ID, e) != nil || !s.f.takeMovePermit(ctx, e) {
 			return &citronupstream.HopError{Addr: e.Addr}
 		}
 	}
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"citrondeck.dev/citrondeck/citronevent"
+	"citrondeck.dev/citrondeck/citrongate"
 	"citrondeck.dev/citrondeck/citronpath"
 	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citronupstream"
@@ -193,7 +194,7 @@
 func (s *streamJob) permittedPath(ctx context.Context) (citronpath.Path, string) {
 	for {
 		p, full, ok := s.awaitCapacity(ctx)
-		if ok && s.takePermits(ctx, pathEngines(p)...) {
+		if ok && s.takePermits(ctx, citrongate.Engines(nil, p)...) {
 			return p, ""
 		}
 		switch {
@@ -356,7 +357,7 @@
 	replies := make(chan sendResult, 1)
 	call := citronupstream.Call{Request: s.Request, Engine: s.path[0].Engine, EnginePath: s.path, Customer: s.customer, TimeLeft: s.timeLeft(), AfterEvent: s.lastEventID, NoRetry: !s.route.Idempotent(), Urgent: s.begun}
 	go func() {
-		reply, err := s.f.send(ctx, call)
+		reply, err := s.f.openGate().Send(ctx, call)
 		replies <- sendResult{reply, err}
 	}()
 	for {
--- a/citronforward/unary.go
+++ b/citronforward/unary.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"citrondeck.dev/citrondeck/citronevent"
+	"citrondeck.dev/citrondeck/citrongate"
 	"citrondeck.dev/citrondeck/citronpath"
 	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citronprobe"
@@ -70,7 +71,7 @@
 			reason = j.heldReason(reason)
 			break
 		}
-		if !j.takePermits(ctx, targetEngines(e, hops)...) {
+		if !j.takePermits(ctx, citrongate.Engines(e, hops)...) {
 			if ctx.Err() != nil {
 				break
 			}
@@ -145,7 +146,7 @@
 	}
 	defer e.Begin(j.Tokens())()
 	begin := j.f.Clock.Now()
-	reply, err := j.f.send(ctx, citronupstream.Call{Request: j.Request, Engine: e, EnginePath: hops, Customer: j.customer, TimeLeft: j.timeLeft(), NoRetry: !j.route.Idempotent()})
+	reply, err := j.f.openGate().Send(ctx, citronupstream.Call{Request: j.Request, Engine: e, EnginePath: hops, Customer: j.customer, TimeLeft: j.timeLeft(), NoRetry: !j.route.Idempotent()})
 	if err != nil {
 		return j.classifyError(e, err)
 	}
@@ -188,7 +189,7 @@
 // of it left this node.
 func (j *job) classifyError(e *citronpool.Engine, err error) result {
 	switch {
-	case isHeld(err):
+	case citrongate.IsHeld(err):
 		return result{outcome: held, err: err}
 	case errors.Is(err, citronupstream.ErrNotSent):
 		citronprobe.RecordDead(e, err, j.f.Clock.Now())
