citronnode: a drain ends before the kill, counted from its start

What callers would see: a stream cut by the kill of a node that still drains. The end of the drain was computed after the announcement to other nodes, which takes 150 ms, so 250 of the 400 ms before the kill were left. Evidence: TestDrainEndsBeforeTheKill (fake time) failed.

--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -285,7 +285,7 @@
 	n.leaving.Store(true)
 	n.announce(ctx)
 	citronevent.Log(ctx, n.log, citronevent.DrainStarted, "inflight", n.running.Load())
-	end := n.clock.Now().Add(n.settings.Grace - killMargin)
+	end := begin.Add(n.settings.Grace - killMargin)
 	_ = n.clock.Sleep(ctx, time.Duration(float64(n.settings.Grace)*drainServeShare))
 	for n.running.Load() > 0 && n.clock.Now().Before(end) && ctx.Err() == nil {
 		_ = n.clock.Sleep(ctx, drainPollInterval)
