citronforward: a stream whose time is up is not logged as left by its caller

What operators saw: 'the caller left' for streams whose deadline passed while they waited for a permit. Evidence: TestStreamOutOfTimeIsNotLoggedAsLeft failed on the code before.

--- a/citronforward/forwarder_test.go
+++ b/citronforward/forwarder_test.go
@@ -79,14 +79,15 @@
 	body       string
 	aborted    bool
 	refused    bool
+	reason     string
 }
 
 func (c *caller) Answer(status int, _ http.Header, body []byte) {
 	c.status, c.body = status, string(body)
 }
 
-func (c *caller) Refuse(status int, after time.Duration, _ string) {
-	c.status, c.retryAfter, c.refused = status, after, true
+func (c *caller) Refuse(status int, after time.Duration, reason string) {
+	c.status, c.retryAfter, c.refused, c.reason = status, after, true, reason
 }
 func (c *caller) Begin(status int, _ http.Header) { c.status = status }
 func (c *caller) Event(text []byte) error         { c.body += string(text); return nil }
--- a/citronforward/limit_test.go
+++ b/citronforward/limit_test.go
@@ -208,3 +208,12 @@
 		})
 	}
 }
+
+// Guards against a log that blames the caller for a stream whose time was up while it waited
+// for a permit.
+func TestStreamOutOfTimeIsNotLoggedAsLeft(t *testing.T) {
+	is := is.New(t)
+	r := newTestForwarder(t, modelEngine("m1", "a", 0, 8))
+	r.setRateLimits(map[string]citronpermit.Decision{"m1": citronpermit.Granted{Wait: 10 * time.Second}})
+	is.Equal(r.ask("stream", 200*time.Millisecond).reason, "out of time")
+}
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -176,10 +176,7 @@
 	s.run = run{sent: s.f.Clock.Now()}
 	switch v := s.send(ctx); v {
 	case callerLeft:
-		if errors.Is(ctx.Err(), context.Canceled) {
-			return v, "the caller left"
-		}
-		return v, "out of time"
+		return v, endReason(ctx)
 	case runRefused:
 		return v, "engines are full"
 	case runHeld:
@@ -189,6 +186,14 @@
 	}
 }
 
+// endReason returns why the request has ended with its context.
+func endReason(ctx context.Context) string {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return "the caller left"
+	}
+	return "out of time"
+}
+
 // permittedPath returns a path with free capacity for which the stream has taken all
 // permits it needs, or the reason why there is none.
 func (s *streamJob) permittedPath(ctx context.Context) (citronpath.Path, string) {
@@ -201,7 +206,7 @@
 		case ok && ctx.Err() == nil:
 		case !ok && (s.beginPermitWait() || !full && s.waitForCooldown(ctx)):
 		case ok:
-			return nil, "the caller left"
+			return nil, endReason(ctx)
 		case full:
 			return nil, s.heldReason("engines' cache is full")
 		default:
