--- a/citroncli/node.go
+++ b/citroncli/node.go
@@ -79,7 +79,7 @@
 	loads := &citronpool.ZoneLoads{}
 	engines := platform.NewEngineClient()
 	registry := prometheus.NewRegistry()
-	reportUnknownHeaders(ctx, engines, log, registry)
+	engines.OnUnknownHeader(citronstat.UnknownHeaders(ctx, log, registry))
 	node := citronnode.New(citronnode.Settings{
 		Name: settings.Name, Zone: settings.Zone, Front: settings.Front, Peer: settings.Peer, Seeds: settings.Seeds, Cores: settings.Cores,
 		LeaseTTL: max(leaderLease, settings.MinLeaseTTL), Grace: settings.Grace, Heartbeat: settings.Heartbeat, DrainWithin: settings.DrainWithin,
@@ -137,18 +137,3 @@
 		}
 	}
 }
-
-// reportUnknownHeaders logs and counts the names of headers in engines' responses that this
-// version does not know.
-func reportUnknownHeaders(ctx context.Context, engines *platform.EngineClient, log *slog.Logger, registry *prometheus.Registry) {
-	names := prometheus.NewCounter(prometheus.CounterOpts{Name: "citrondeck_unknown_headers_total", Help: "Names of headers in engines' answers that the node does not know."})
-	registry.MustRegister(names)
-	var known citronstat.NameSet
-	engines.OnUnknownHeader(func(name string) {
-		if !known.Add(name) {
-			return
-		}
-		names.Inc()
-		citronevent.Log(ctx, log, citronevent.HeaderUnknown, "name", name)
-	})
-}
--- a/citronforward/cooldown.go
+++ b/citronforward/cooldown.go
@@ -60,7 +60,7 @@
 
 // waitForCooldown waits for the end of the cool-down of an engine that can run the
 // request. A request waits only once, and not for longer than maxWait. If it does not
-// wait, waitForCooldown returns false, and refuseForCooldown gives the reason.
+// wait, waitForCooldown returns false, and heldReason gives the reason.
 func (j *job) waitForCooldown(ctx context.Context) bool {
 	e, left, ok := j.soonestCooldownEnd()
 	if !ok {
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -231,7 +231,7 @@
 		s.refused++
 		s.retryAfter = retryBusy
 		if !s.engineLeft() {
-			s.heldReason("")
+			_ = s.heldReason("") // only for retryAfter: attempt has given the reason
 			return s.waitForCapacity(ctx)
 		}
 		if s.mayTryNextEngine() {
--- a/citrongate/gate.go
+++ b/citrongate/gate.go
@@ -21,6 +21,7 @@
 	"log/slog"
 	"net/http"
 	"sync"
+	"time"
 
 	"citrondeck.dev/citrondeck/citronclock"
 	"citrondeck.dev/citrondeck/citronevent"
@@ -139,6 +140,6 @@
 )
 
 // LogHeld logs that a request was not sent to an engine because of its cool-down.
-func (g *Gate) LogHeld(ctx context.Context, request string, e *citronpool.Engine, o Outcome, wait any) {
+func (g *Gate) LogHeld(ctx context.Context, request string, e *citronpool.Engine, o Outcome, wait time.Duration) {
 	citronevent.Log(ctx, g.Log, citronevent.CooldownHeld, "request", request, "engine", e.ID, "peer", e.Addr, "outcome", string(o), "wait", wait)
 }
--- a/citronpool/cooldown.go
+++ b/citronpool/cooldown.go
@@ -25,7 +25,7 @@
 			next.since = known.since // one cool-down that has become longer
 		}
 		if s.cooldown.CompareAndSwap(known, next) {
-			s.retained.add(s)
+			s.noticed.add(s)
 			return true
 		}
 	}
--- a/citronpool/leaving.go
+++ b/citronpool/leaving.go
@@ -9,16 +9,16 @@
 	if !s.saysLeaving.CompareAndSwap(false, true) {
 		return false
 	}
-	s.retained.add(s)
+	s.noticed.add(s)
 	return true
 }
 
 // TakeLeaving returns the IDs of the engines that said that they are leaving since the last
-// call, for the list of engines, which keeps them. It drops retained states that no longer
+// call, for the list of engines, which keeps them. It drops states whose notices no longer
 // bind this node.
 func (v *View) TakeLeaving(now time.Time) []string {
 	var ids []string
-	v.retained.states.Range(func(id, value any) bool {
+	v.noticed.states.Range(func(id, value any) bool {
 		s := value.(*State)
 		taken := s.saysLeaving.Load()
 		if taken {
@@ -27,9 +27,9 @@
 		if s.CoolingFor(now) > 0 {
 			return true
 		}
-		v.retained.states.CompareAndDelete(id, value)
+		v.noticed.states.CompareAndDelete(id, value)
 		if s.CoolingFor(now) > 0 || s.saysLeaving.Load() != taken {
-			v.retained.add(s) // it changed between the check and the removal
+			v.noticed.add(s) // it changed between the check and the removal
 		}
 		return true
 	})
--- a/citronpool/pool.go
+++ b/citronpool/pool.go
@@ -37,9 +37,9 @@
 	// failedStates is the registry to which the state is added when the
 	// engine is found dead or restarted.
 	failedStates *failedStates
-	// retained is the registry to which the state is added when the engine asks for a
-	// cool-down.
-	retained *retainedStates
+	// noticed is the registry to which the state is added when the engine asks for a
+	// cool-down or says that it is leaving.
+	noticed  *noticedStates
 	inflight atomic.Int64
 	tokens   atomic.Int64
 	// avoidUntil is when the engine may receive new work again. deadSince is
@@ -47,8 +47,8 @@
 	avoidUntil atomic.Int64
 	failures   atomic.Int64
 	deadSince  atomic.Int64
-	// latency is a moving average of response times in microseconds, and latencyAt when
-	// the last of them was measured.
+	// latency is a moving average of response times in microseconds, latencyAt the time of
+	// the last response in it.
 	latency, latencyAt atomic.Int64
 	// slowdown is the ratio of the engine's actual to its declared times in
 	// hundredths, as the engine reported it at slowAt.
--- a/citronpool/view.go
+++ b/citronpool/view.go
@@ -16,16 +16,16 @@
 	byAddr       map[string]*Engine
 	byID         map[string]*Engine
 	failedStates *failedStates
-	retained     *retainedStates
+	noticed      *noticedStates
 }
 
 // Build returns a view of the given engines, which are sorted by ID. An engine that is
 // in prev keeps its State. The previous view prev may be nil.
 func Build(engines []citronmodel.Engine, prev *View) *View {
 	if prev == nil {
-		prev = &View{failedStates: &failedStates{}, retained: &retainedStates{}}
+		prev = &View{failedStates: &failedStates{}, noticed: &noticedStates{}}
 	}
-	v := &View{ByService: map[string][]*Engine{}, failedStates: prev.failedStates, retained: prev.retained}
+	v := &View{ByService: map[string][]*Engine{}, failedStates: prev.failedStates, noticed: prev.noticed}
 	for _, e := range engines {
 		v.ByService[e.Service] = append(v.ByService[e.Service], prev.nextEngine(e))
 	}
@@ -42,7 +42,7 @@
 
 // nextEngine returns the engine for the next view. It reuses the Engine if its entry is
 // unchanged, otherwise its State. A replaced engine whose layers change gets a new State.
-// An engine that is new in the list gets its retained State, if there is one.
+// An engine that is new in the list gets its State with notices, if there is one.
 func (v *View) nextEngine(e citronmodel.Engine) *Engine {
 	old := v.byID[e.ID]
 	if old == nil {
--- a/citronstat/names.go
+++ b/citronstat/names.go
@@ -1,19 +1,25 @@
 package citronstat
 
-import "sync"
+import (
+	"context"
+	"log/slog"
+	"sync"
 
-// maxNames is the maximum number of names that a NameSet holds.
+	"citrondeck.dev/citrondeck/citronevent"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// maxNames is the maximum number of names that a nameSet holds.
 const maxNames = 64
 
-// NameSet collects names that come from outside, up to a fixed number. Its zero value is
-// empty. It is safe for concurrent use.
-type NameSet struct {
+// nameSet collects names that come from outside, up to maxNames. Its zero value is empty.
+type nameSet struct {
 	mu    sync.Mutex
 	names map[string]bool
 }
 
-// Add adds a name, and reports whether it is new and the set was not full.
-func (s *NameSet) Add(name string) bool {
+// add adds a name, and reports whether it is new and the set was not full.
+func (s *nameSet) add(name string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.names[name] || len(s.names) >= maxNames {
@@ -25,3 +31,17 @@
 	s.names[name] = true
 	return true
 }
+
+// UnknownHeaders returns a function that logs and counts the names of headers in engines'
+// responses that this version does not know, each name once and a limited number of them.
+func UnknownHeaders(ctx context.Context, log *slog.Logger, r prometheus.Registerer) func(name string) {
+	names := prometheus.NewCounter(prometheus.CounterOpts{Name: "citrondeck_unknown_headers_total", Help: "Names of headers in engines' answers that the node does not know."})
+	r.MustRegister(names)
+	var known nameSet
+	return func(name string) {
+		if known.add(name) {
+			names.Inc()
+			citronevent.Log(ctx, log, citronevent.HeaderUnknown, "name", name)
+		}
+	}
+}
--- a/citronstat/names_test.go
+++ b/citronstat/names_test.go
@@ -1,25 +1,28 @@
 package citronstat_test
 
 import (
+	"bytes"
+	"context"
 	"fmt"
+	"log/slog"
 	"testing"
 
 	"citrondeck.dev/citrondeck/citronstat"
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 )
 
-// Guards against a log line for every response with an unknown header, and against a set that
-// grows with invented names.
-func TestNameSetIsBounded(t *testing.T) {
+// Guards against a log line for every response with an unknown header, and against a log and a
+// set that grow with invented names.
+func TestUnknownHeadersAreLoggedOnce(t *testing.T) {
 	is := is.New(t)
-	var s citronstat.NameSet
-	is.True(s.Add("a"))
-	is.True(!s.Add("a"))
-	added := 0
+	var log bytes.Buffer
+	report := citronstat.UnknownHeaders(context.Background(), slog.New(slog.NewTextHandler(&log, nil)), prometheus.NewRegistry())
+	report("a")
+	report("a")
+	is.Equal(bytes.Count(log.Bytes(), []byte("header.unknown")), 1)
 	for i := range 200 {
-		if s.Add(fmt.Sprint(i)) {
-			added++
-		}
+		report(fmt.Sprint(i))
 	}
-	is.Equal(added, 63)
+	is.Equal(bytes.Count(log.Bytes(), []byte("header.unknown")), 64)
 }
