--- a/citronpath/path.go
+++ b/citronpath/path.go
@@ -69,6 +69,8 @@
 	// OthersTokens is the cache, in tokens, that requests of other nodes use in each
 	// zone. OwnTokens is the same for the requests of this node.
 	OthersTokens, OwnTokens map[string]int64
+	// Tokens is the cache, in tokens, that the request needs. ChooseWithin counts it in.
+	Tokens int
 	// ZoneCost is the additional cost of starting in each zone other than
 	// Zone. Nodes that all see the same best zone would send all requests there
 	// until the next load update. A cost drawn at random for each request
