--- a/citronpath/spillover_test.go
+++ b/citronpath/spillover_test.go
@@ -147,8 +147,8 @@
 	refusedBefore, all, fullestBefore := replayHalvedZone(before)
 	refused, _, fullest := replayHalvedZone(spill)
 	t.Logf("of %d streams, cheapest path only: %d refused, fullest zone %.2f; with spillover: %d refused, fullest zone %.2f", all, refusedBefore, fullestBefore, refused, fullest)
-	is.True(refusedBefore > all/50)         // the previous rule refuses although there is free capacity
-	is.True(refused*5 < refusedBefore)      // spillover uses it
+	is.True(refusedBefore > all/50)               // the previous rule refuses although there is free capacity
+	is.True(refused*5 < refusedBefore)            // spillover uses it
 	is.True(fullest <= spillLimit+replayOverfill) // no zone is overfilled
 }
 
