--- a/citronmodel/model.go
+++ b/citronmodel/model.go
@@ -42,6 +42,10 @@
 	// that is generating tokens, plus ContextMSPerK for each 1000 cached tokens.
 	// PromptTokensPerS is the prompt processing rate in tokens per second.
 	StepMS, PerSeqMS, ContextMSPerK, PromptTokensPerS float64
+	// PromptChunk is the number of prompt tokens that an engine processes in one step at
+	// most. While requests generate tokens, an engine starts new work only after each pass
+	// of StepsPerPass steps. Zero means undeclared for both.
+	PromptChunk, StepsPerPass int
 	// LoadTime is the time to load the whole model. MaxConcurrentLoads is the number of
 	// concurrent loads beyond which each load slows down.
 	LoadTime           time.Duration
