citronforward: observe first events and output for the forecast

The forecast had no outcomes to learn from. A new stream's run now gets a forecast when it is sent, which is compared with its first event, or with the time until its caller left if that is longer than forecast. Complete streams report their number of events. The histogram citrondeck_forecast_ratio exports the actual time divided by its forecast.

--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -28,6 +28,7 @@
 	"citrondeck.dev/citrondeck/citronbudget"
 	"citrondeck.dev/citrondeck/citronclock"
 	"citrondeck.dev/citrondeck/citronevent"
+	"citrondeck.dev/citrondeck/citronforecast"
 	"citrondeck.dev/citrondeck/citrongate"
 	"citrondeck.dev/citrondeck/citronkv"
 	"citrondeck.dev/citrondeck/citronlimit"
@@ -76,6 +77,8 @@
 	Upstream citronupstream.Engines
 	Budget   *citronbudget.Budget
 	Loads    *citronpool.ZoneLoads
+	// Forecast learns from the outcomes of this node's streams.
+	Forecast citronforecast.Model
 	// Current returns the newest state, or nil before the first one.
 	Current func() *State
 	Metrics *Metrics
--- a/citronforward/metrics.go
+++ b/citronforward/metrics.go
@@ -1,6 +1,8 @@
 package citronforward
 
 import (
+	"math"
+
 	"citrondeck.dev/citrondeck/citrongate"
 	"github.com/prometheus/client_golang/prometheus"
 )
@@ -18,12 +20,17 @@
 	TimeToFirstEvent prometheus.Histogram
 	LongestPause     prometheus.Histogram
 	UnaryDuration    prometheus.Histogram
+	ForecastError    prometheus.Histogram
 }
 
 // latencyBuckets spans 5 ms, as for a cached response, to 20 s. Requests may have later
 // deadlines than that: defaultWait is 30 s.
 var latencyBuckets = prometheus.ExponentialBuckets(0.005, 2, 13)
 
+// forecastBuckets spans the ratios that the forecast can correct, with two buckets for each
+// doubling around 1.
+var forecastBuckets = prometheus.ExponentialBuckets(0.125, math.Sqrt2, 13)
+
 // NewMetrics returns metrics that are registered with r.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
@@ -38,7 +45,8 @@
 		TimeToFirstEvent: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_first_event_seconds", Help: "Time to the first event of a stream.", Buckets: latencyBuckets}),
 		LongestPause:     prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_pause_seconds", Help: "Longest pause between events of a stream.", Buckets: latencyBuckets}),
 		UnaryDuration:    prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_answer_seconds", Help: "Time to a whole answer.", Buckets: latencyBuckets}),
+		ForecastError:    prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_forecast_ratio", Help: "Actual time to the first event of a run, divided by its forecast.", Buckets: forecastBuckets}),
 	}
-	r.MustRegister(m.Requests, m.Refusals, m.Attempts, m.Repairs, m.RetriesDenied, m.Crashes, m.Permits, m.TimeToFirstEvent, m.LongestPause, m.UnaryDuration)
+	r.MustRegister(m.Requests, m.Refusals, m.Attempts, m.Repairs, m.RetriesDenied, m.Crashes, m.Permits, m.TimeToFirstEvent, m.LongestPause, m.UnaryDuration, m.ForecastError)
 	return m
 }
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -77,6 +77,8 @@
 	maxPauseAfter  string
 	firstEventTook time.Duration
 	pathChanges    int
+	// events is the number of events forwarded to the caller.
+	events int
 	// budgetCharged is true if the retry budget has already been charged for the
 	// next run.
 	budgetCharged bool
@@ -99,6 +101,8 @@
 	firstEvent, lastEvent time.Time
 	// relayed is set once the request has been passed on to another node.
 	relayed *atomic.Bool
+	// forecast is the forecast of the first event when the request was sent.
+	forecast firstEventForecast
 }
 
 // WithEvent returns the run updated for an event that was forwarded at the given
@@ -176,9 +180,10 @@
 		return noPath, reasonQuarantined
 	}
 	s.bind(p)
-	s.run = run{sent: s.f.Clock.Now(), relayed: &atomic.Bool{}}
+	s.run = run{sent: s.f.Clock.Now(), relayed: &atomic.Bool{}, forecast: s.forecastFirstEvent()}
 	switch v := s.send(ctx); v {
 	case callerLeft:
+		s.observeNoFirstEvent()
 		return v, endReason(ctx)
 	case runRefused:
 		return v, "engines are full"
@@ -497,6 +502,7 @@
 	s.path[0].Engine.RecordAlive()
 	if s.run.firstEvent.IsZero() {
 		s.markAdmitted()
+		s.observeFirstEvent(now)
 	}
 	if !s.begun {
 		s.begun = true
@@ -512,6 +518,7 @@
 	if ev.id != "" {
 		s.lastEventID = ev.id
 	}
+	s.events++
 	s.lastEventAt = now
 	s.run = s.run.WithEvent(now)
 	if s.run.eventSpan() >= minSuccessfulRun {
@@ -544,6 +551,7 @@
 		if !s.begun {
 			return runBroken // an empty stream is not a valid response
 		}
+		s.observeOutput()
 		s.path[0].Engine.RecordResponse(s.pathSince, s.f.Clock.Now())
 		s.markSuccessful()
 		return runFinished
