Streams of services with several priorities tell engines their urgency

Cause: calls carried only a flag for streams that had begun, so engines admitted new streams of urgent and less urgent routes in the order of arrival.

Change: citronupstream.Call has an urgency level instead of the flag. Streams that have begun keep 1; new streams get 3 and up by the rank of their priority among the distinct priorities of their service's streaming routes (citrontable.Table.PriorityLevel), or none if these are all equal, as before. A customer's priority overrides the route's. Priorities under 0 or over 1,000 are clamped and logged once per version (priority.clamped) instead of taking effect.

Result: tests of citrontable, citronforward (urgency and streams), platform, citronrelay, citronreach and citronnode (priority and versions) pass. No load was run.

--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -142,7 +142,9 @@
 	route    citrontable.Route
 	service  citrontable.Service
 	customer string
-	deadline time.Time
+	// priorityLevel and priorityLevels are the result of citrontable.Table.PriorityLevel.
+	priorityLevel, priorityLevels int
+	deadline                      time.Time
 	// zoneJitter is a random extra cost per zone, drawn once for this request.
 	zoneJitter map[string]float64
 	// avoid holds the IDs of engines that this request must not use, for example because
@@ -309,14 +311,16 @@
 		return nil, false
 	}
 	j := &job{Request: r, f: f, out: out, version: s.Table.Version, route: route, avoid: map[string]bool{}, zoneJitter: drawZoneJitter(s), retryAfter: retryNoEngine}
+	var customer citrontable.Customer
 	if s.Table.NeedsKey(route) {
 		c, ok := s.Table.Customer(r.APIKey)
 		if !ok {
 			f.refuse(r, out, http.StatusUnauthorized, -1, "unknown key")
 			return nil, false
 		}
-		j.customer = c.Name
+		j.customer, customer = c.Name, c
 	}
+	j.priorityLevel, j.priorityLevels = s.Table.PriorityLevel(route, customer)
 	if limit := s.Table.Limits.MaxBodyBytes; limit > 0 && int64(len(r.Body)) > limit {
 		f.refuse(r, out, http.StatusRequestEntityTooLarge, -1, "body is over the limit")
 		return nil, false
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -363,7 +363,7 @@
 	defer cancel()
 	w := newWatch(ctx, s)
 	replies := make(chan sendResult, 1)
-	call := citronupstream.Call{Request: s.Request, Engine: s.path[0].Engine, EnginePath: s.path, Customer: s.customer, TimeLeft: s.timeLeft(), AfterEvent: s.lastEventID, NoRetry: !s.route.Idempotent(), Urgent: s.begun, OnRelay: relayedSetter(s.run)}
+	call := citronupstream.Call{Request: s.Request, Engine: s.path[0].Engine, EnginePath: s.path, Customer: s.customer, TimeLeft: s.timeLeft(), AfterEvent: s.lastEventID, NoRetry: !s.route.Idempotent(), Urgency: s.urgency(), OnRelay: relayedSetter(s.run)}
 	go func() {
 		reply, err := s.f.Gate().Send(ctx, call)
 		replies <- sendResult{reply, err}
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -228,6 +228,9 @@
 	c.configChanged = true
 	c.n.notifyPeers()
 	citronevent.Log(ctx, c.n.log, citronevent.TableApplied, "version", d.table.Version, "source", d.source)
+	for _, p := range d.table.ClampedPriorities() {
+		citronevent.Log(ctx, c.n.log, citronevent.PriorityClamped, "version", d.table.Version, "route", p.Route, "customer", p.Customer, "priority", p.Value, "used", p.Used)
+	}
 }
 
 // heardRecently is how long after something arrived from an engine another node's word that it
--- a/citronreach/engines.go
+++ b/citronreach/engines.go
@@ -209,7 +209,7 @@
 
 // relaySend asks helpers, one after the other, to make a call.
 func (g *Engines) relaySend(ctx context.Context, c citronupstream.Call, began time.Time) (*citronupstream.Reply, error) {
-	relayed := citronrelay.Call{From: g.Node, Engine: c.Engine.ID, Path: newHops(c.EnginePath), Request: c.Request, Customer: c.Customer, AfterEvent: c.AfterEvent, NoRetry: c.NoRetry, Urgent: c.Urgent}
+	relayed := citronrelay.Call{From: g.Node, Engine: c.Engine.ID, Path: newHops(c.EnginePath), Request: c.Request, Customer: c.Customer, AfterEvent: c.AfterEvent, NoRetry: c.NoRetry, Urgency: c.Urgency}
 	return askHelpers(ctx, g, c.Engine.Addr, func(ctx context.Context, h citronhelper.Helper) (*citronupstream.Reply, error) {
 		if c.OnRelay != nil {
 			c.OnRelay()
--- a/citronreach/serve.go
+++ b/citronreach/serve.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return citronupstream.Call{}, err
 	}
-	return citronupstream.Call{Request: c.Request, Engine: first, EnginePath: path, Customer: c.Customer, TimeLeft: c.TimeLeft, AfterEvent: c.AfterEvent, NoRetry: c.NoRetry, Urgent: c.Urgent, DirectOnly: true}, nil
+	return citronupstream.Call{Request: c.Request, Engine: first, EnginePath: path, Customer: c.Customer, TimeLeft: c.TimeLeft, AfterEvent: c.AfterEvent, NoRetry: c.NoRetry, Urgency: c.Urgency, DirectOnly: true}, nil
 }
 
 // engine returns the engine with an ID, or declines the call if this node does not know it.
--- a/citronrelay/relay.go
+++ b/citronrelay/relay.go
@@ -53,12 +53,12 @@
 	// Request holds what the engine gets of the caller's request. Its times and its API key
 	// are not sent.
 	Request *citronupstream.Request
-	// Customer, TimeLeft, AfterEvent, NoRetry and Urgent are as in citronupstream.Call.
+	// Customer, TimeLeft, AfterEvent, NoRetry and Urgency are as in citronupstream.Call.
 	Customer   string
 	TimeLeft   time.Duration
 	AfterEvent string
 	NoRetry    bool
-	Urgent     bool
+	Urgency    int
 }
 
 // Order is an order to hold a layer range, to be given by a helper.
--- a/citronrelay/relay_test.go
+++ b/citronrelay/relay_test.go
@@ -56,7 +56,7 @@
 	return citronrelay.Call{
 		From: "n1", Engine: "i-1", Path: []citronrelay.Hop{{Engine: "i-1", Span: citronmodel.Span{To: 4}}, {Engine: "i-2", Span: citronmodel.Span{From: 4, To: 8}}},
 		Request:  &citronupstream.Request{ID: "r1", Method: "POST", Host: "h", Path: "/x", Target: "/x?y", Header: http.Header{"A": {"b", "c"}}, Body: []byte("body")},
-		Customer: "c", TimeLeft: 1500 * time.Millisecond, AfterEvent: "3", NoRetry: true, Urgent: true,
+		Customer: "c", TimeLeft: 1500 * time.Millisecond, AfterEvent: "3", NoRetry: true, Urgency: 4,
 	}
 }
 
--- a/citronrelay/send.go
+++ b/citronrelay/send.go
@@ -47,7 +47,7 @@
 	TimeLeftMS int64        `json:"timeLeftMs"`
 	AfterEvent string       `json:"afterEvent,omitempty"`
 	NoRetry    bool         `json:"noRetry,omitempty"`
-	Urgent     bool         `json:"urgent,omitempty"`
+	Urgency    int          `json:"urgency,omitempty"`
 }
 
 func newHopMessages(path []Hop) []hopMessage {
@@ -70,13 +70,13 @@
 	r := c.Request
 	return &callMessage{
 		From: c.From, Engine: c.Engine, Path: newHopMessages(c.Path), ID: r.ID, Method: r.Method, Host: r.Host, URLPath: r.Path, Target: r.Target, Header: r.Header, Body: r.Body,
-		Customer: c.Customer, TimeLeftMS: c.TimeLeft.Milliseconds(), AfterEvent: c.AfterEvent, NoRetry: c.NoRetry, Urgent: c.Urgent,
+		Customer: c.Customer, TimeLeftMS: c.TimeLeft.Milliseconds(), AfterEvent: c.AfterEvent, NoRetry: c.NoRetry, Urgency: c.Urgency,
 	}
 }
 
 func (m *callMessage) call() Call {
 	return Call{
-		From: m.From, Engine: m.Engine, Path: hops(m.Path), Customer: m.Customer, TimeLeft: time.Duration(m.TimeLeftMS) * time.Millisecond, AfterEvent: m.AfterEvent, NoRetry: m.NoRetry, Urgent: m.Urgent,
+		From: m.From, Engine: m.Engine, Path: hops(m.Path), Customer: m.Customer, TimeLeft: time.Duration(m.TimeLeftMS) * time.Millisecond, AfterEvent: m.AfterEvent, NoRetry: m.NoRetry, Urgency: m.Urgency,
 		Request: &citronupstream.Request{ID: m.ID, Method: m.Method, Host: m.Host, Path: m.URLPath, Target: m.Target, Header: m.Header, Body: m.Body},
 	}
 }
--- a/citrontable/table.go
+++ b/citrontable/table.go
@@ -45,8 +45,9 @@
 	// late. MaxEventGap is the maximum time between two events of a stream before it
 	// counts as late.
 	Timeout, TargetLatency, MaxEventGap time.Duration
-	Priority                            int
-	Services                            []WeightedService
+	// Priority orders streams: 0 is the most urgent, MaxPriority the least.
+	Priority int
+	Services []WeightedService
 	// MaxAttempts is the maximum number of runs of an idempotent request.
 	MaxAttempts int
 	// Public routes need no API key.
@@ -114,6 +115,8 @@
 	// requireKeys is true if the configuration lists customers. Requests on
 	// routes that are not public must then carry an API key.
 	requireKeys bool
+	priorities  map[string][]int // by service, see rankPriorities
+	clamped     []ClampedPriority
 }
 
 // New returns a table with the given content.
@@ -122,6 +125,8 @@
 		Version: version, Limits: limits, requireKeys: len(customers) > 0,
 		Services: map[string]Service{}, routes: map[string][]Route{}, customersByKey: map[string]Customer{},
 	}
+	routes, customers = t.clampRoutes(routes), t.clampCustomers(customers)
+	t.priorities = rankPriorities(routes)
 	for _, s := range services {
 		t.Services[s.Name] = s
 	}
--- a/citronupstream/upstream.go
+++ b/citronupstream/upstream.go
@@ -49,6 +49,9 @@
 	return r.PromptTokens + out
 }
 
+// MaxUrgency is the Urgency of the least urgent calls.
+const MaxUrgency = 9
+
 // Call is a request that is sent to one engine, or to the first engine of a path.
 type Call struct {
 	*Request
@@ -66,8 +69,9 @@
 	// NoRetry is true if the transport must not retry the call and must not reuse
 	// a connection of an earlier call.
 	NoRetry bool
-	// Urgent is true if the engine should run the call before others.
-	Urgent bool
+	// Urgency is the order in which engines admit waiting calls: 1 is first, MaxUrgency
+	// last. Zero leaves it to the engine.
+	Urgency int
 	// DirectOnly is true if the call must not be passed on to another node, because it came
 	// from one.
 	DirectOnly bool
