Refused callers are told to retry when capacity is promised to no other

Cause: streams refused because of full caches got a random delay of 15 to 32 % of their time.

Change: citronadmit.Planner keeps a schedule of the capacity that streams of this node release, less what new ones take, and promises each part to one caller; if all is promised, the caller gets the slot of which the least is promised. More urgent callers get the same or a shorter delay, callers that return early none before the time they had. While no stream has ended recently on the node, the delay is random as before.

Tests of citronadmit and citronforward pass, citronadmit also with -race.

--- a/citronforward/admit.go
+++ b/citronforward/admit.go
@@ -12,7 +12,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronpath"
@@ -60,7 +59,7 @@
 		}
 		if s.f.Clock.Now().Add(capacityPollInterval).After(until) || s.f.Clock.Sleep(ctx, capacityPollInterval) != nil {
 			s.cacheUsage = cacheUsage
-			s.retryAfter = spreadRetryAfter(s.timeLeft(), rand.Float64())
+			s.retryAfter = s.planRetry()
 			return nil, true, false
 		}
 	}
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -142,6 +142,7 @@
 func (j *job) serveStream(ctx context.Context) {
 	s := &streamJob{job: j, lastEventID: j.ResumeAfter, lastEventAt: j.Received}
 	defer s.unbind()
+	defer s.observeEnd()
 	var reason string
 	for {
 		var v runOutcome
@@ -176,6 +177,7 @@
 		return noPath, reasonQuarantined
 	}
 	s.bind(p)
+	s.observeBegin()
 	s.run = run{sent: s.f.Clock.Now(), relayed: &atomic.Bool{}}
 	switch v := s.send(ctx); v {
 	case callerLeft:
