Losses are counted by route, customer and zone too

The lines of late, broken and refused requests carry route, customer and the zone of the node (nodeZone), refusals also the priority level; sampled answers the customer and tokens.

--- a/citroncli/explain.go
+++ b/citroncli/explain.go
@@ -18,9 +18,10 @@
 	Engine  string `help:"Engine id: its life in the fleet." xor:"subject" required:""`
 	Print   string `help:"Fingerprint of a request, as the log gives it: what became of it under all its ids." xor:"subject" required:""`
 	Version int64  `help:"Configuration version: when each node put it in force." xor:"subject" required:""`
-	Losses  bool   `help:"Which requests were late, refused or broken off: a table by cause, zone and time." xor:"subject" required:""`
-	// Window applies only with Losses.
+	Losses  bool   `help:"Which requests were late, refused or broken off: a table by cause (or --by), zone and time." xor:"subject" required:""`
+	// Window and By apply only with Losses.
 	Window time.Duration `help:"With --losses: the spans of time to count." default:"2s"`
+	By     string        `help:"With --losses: what to group by: ${enum}. Zone is that of the node that was asked." enum:"cause,route,customer,zone" default:"cause"`
 	Logs   []string      `arg:"" optional:"" type:"existingfile" help:"Log files of the nodes; none: standard input."`
 }
 
@@ -49,7 +50,7 @@
 		if c.Window <= 0 {
 			return errors.Newf("--window is %v, want a positive duration", c.Window)
 		}
-		return citronexplain.Losses(g.Out, citronexplain.LossOptions{Window: c.Window}, logs...)
+		return citronexplain.Losses(g.Out, citronexplain.LossOptions{Window: c.Window, By: citronexplain.Grouping(c.By)}, logs...)
 	}
 	subject := citronexplain.Subject{Request: c.Request, Engine: c.Engine, Fingerprint: c.Print, Version: c.Version}
 	return citronexplain.Explain(g.Out, subject, logs...)
--- a/citronexplain/losses.go
+++ b/citronexplain/losses.go
@@ -20,13 +20,48 @@
 	// Window is the length of the consecutive time spans for which losses are
 	// counted separately.
 	Window time.Duration
+	// By is what losses are grouped by. The zero value stands for ByCause.
+	By Grouping
+}
+
+// Grouping is a property of losses by which they are counted.
+type Grouping string
+
+// Groupings. ByRoute and ByCustomer use the names in the configuration. ByZone is the zone
+// of the node that the caller asked.
+const (
+	ByCause    Grouping = "cause"
+	ByRoute    Grouping = "route"
+	ByCustomer Grouping = "customer"
+	ByZone     Grouping = "zone"
+)
+
+// key returns the group of a loss, or a dash if its log line does not name it.
+func (g Grouping) key(x loss) string {
+	key := x.cause
+	switch g {
+	case ByRoute:
+		key = x.route
+	case ByCustomer:
+		key = x.customer
+	case ByZone:
+		key = x.nodeZone
+	}
+	if key == "" {
+		return "-"
+	}
+	return key
 }
 
 // loss is one request that was not served in time.
 type loss struct {
 	cause string
-	// zone is the zone of the first engine on a late stream's path. It is empty
-	// for other losses, whose log lines name no zone.
+	// end is how the request ended: late, refused or broken off.
+	end string
+	// route, customer and nodeZone are empty if the log line does not name them.
+	route, customer, nodeZone string
+	// zone is the zone of the first engine on a late stream's path, that of the node for
+	// other losses.
 	zone string
 	at   time.Time
 	// pause is the longest pause between events of a late stream. silent is how
@@ -35,14 +70,14 @@
 	pause, silent time.Duration
 }
 
-// causeStats summarizes the losses of one cause. windows counts them by the
-// index of their window, zones by their zone.
-type causeStats struct {
-	cause         string
+// groupStats summarizes the losses of one group. windows counts them by the index of
+// their window, parts by their zone if the group is a cause, otherwise by how they ended.
+type groupStats struct {
+	key           string
 	count         int
 	pause, silent *hdrhistogram.Histogram
 	windows       map[int]int
-	zones         map[string]int
+	parts         map[string]int
 }
 
 // The histograms hold milliseconds.
@@ -52,7 +87,7 @@
 )
 
 // Losses reads logs and writes a table of the requests that were not served in
-// time, by cause. It returns an error if the logs show none.
+// time, by cause or another property. It returns an error if the logs show none.
 func Losses(out io.Writer, o LossOptions, logs ...io.Reader) error {
 	all, err := readLogs(logs)
 	if err != nil {
@@ -62,8 +97,12 @@
 	if len(lost) == 0 {
 		return errors.Newf("none of %d log lines reports a request that was late, refused or broken off", len(all))
 	}
-	rows := groupByCause(lost, lost[0].at, o.Window)
-	if _, err := fmt.Fprintf(out, "%-44s %6s %9s %9s  %s\n", "cause", "count", "pause ms", "silent ms", "by zone; by "+o.Window.String()); err != nil {
+	by, parts := o.By, "how it ended"
+	if by == "" || by == ByCause {
+		by, parts = ByCause, "zone"
+	}
+	rows := group(lost, by, lost[0].at, o.Window)
+	if _, err := fmt.Fprintf(out, "%-44s %6s %9s %9s  %s\n", by, "count", "pause ms", "silent ms", "by "+parts+"; by "+o.Window.String()); err != nil {
 		return errors.Wrap(err, "write losses")
 	}
 	for _, r := range rows {
@@ -100,23 +139,26 @@
 // loss returns the loss that the line reports, if any. firstMoves has for each
 // request the line that reports the first change of its path.
 func (l line) loss(firstMoves map[string]line) (loss, bool) {
-	x := loss{at: l.at, zone: str(l.fields["zone"]), pause: -1, silent: -1}
+	x := loss{at: l.at, route: str(l.fields["route"]), customer: str(l.fields["customer"]), nodeZone: str(l.fields["nodeZone"]), zone: str(l.fields["zone"]), pause: -1, silent: -1}
+	if x.zone == "" {
+		x.zone = x.nodeZone
+	}
 	switch l.name {
 	case "stream.late":
-		x.pause = l.duration("pause")
+		x.end, x.pause = "late", l.duration("pause")
 		x.cause = "late: first event or pause"
 		if m, ok := firstMoves[str(l.fields["request"])]; ok {
 			x.cause = fmt.Sprintf("late: part %v, %v", m.fields["reason"], m.fields["way"])
 			x.silent = m.duration("silent")
 		}
 	case "stream.broken":
-		x.cause = "broken: " + l.reason()
+		x.end, x.cause = "broken", "broken: "+l.reason()
 	case "forward.refused":
 		status := str(l.fields["status"])
 		if strings.HasPrefix(status, "4") {
 			return x, false // 4xx: the configuration does not allow the request
 		}
-		x.cause = status + ": " + l.reason()
+		x.end, x.cause = "refused", status+": "+l.reason()
 	default:
 		return x, false
 	}
@@ -142,33 +184,36 @@
 	return time.Duration(ns)
 }
 
-// groupByCause counts losses by cause, the most frequent first. Windows start at
-// begin.
-func groupByCause(lost []loss, begin time.Time, window time.Duration) []*causeStats {
-	by := map[string]*causeStats{}
+// group counts losses by group, the most frequent first. Windows start at begin.
+func group(lost []loss, by Grouping, begin time.Time, window time.Duration) []*groupStats {
+	groups := map[string]*groupStats{}
 	for _, x := range lost {
-		c := by[x.cause]
+		key, part := by.key(x), x.end
+		if by == ByCause {
+			part = x.zone
+		}
+		c := groups[key]
 		if c == nil {
-			c = &causeStats{
-				cause: x.cause, windows: map[int]int{}, zones: map[string]int{},
+			c = &groupStats{
+				key: key, windows: map[int]int{}, parts: map[string]int{},
 				pause: hdrhistogram.New(1, maxRecordedMS, significantDigits), silent: hdrhistogram.New(1, maxRecordedMS, significantDigits),
 			}
-			by[x.cause] = c
+			groups[key] = c
 		}
 		c.count++
 		c.windows[int(x.at.Sub(begin)/window)]++
-		if x.zone != "" {
-			c.zones[x.zone]++
+		if part != "" {
+			c.parts[part]++
 		}
 		record(c.pause, x.pause)
 		record(c.silent, x.silent)
 	}
-	rows := make([]*causeStats, 0, len(by))
-	for _, c := range by {
+	rows := make([]*groupStats, 0, len(groups))
+	for _, c := range groups {
 		rows = append(rows, c)
 	}
 	sort.Slice(rows, func(i, j int) bool {
-		return rows[i].count > rows[j].count || rows[i].count == rows[j].count && rows[i].cause < rows[j].cause
+		return rows[i].count > rows[j].count || rows[i].count == rows[j].count && rows[i].key < rows[j].key
 	})
 	return rows
 }
@@ -181,8 +226,8 @@
 }
 
 // print writes one row of the table.
-func (c *causeStats) print(out io.Writer) error {
-	_, err := fmt.Fprintf(out, "%-44s %6d %9s %9s  %s; %s\n", c.cause, c.count, formatMedian(c.pause), formatMedian(c.silent), formatZones(c.zones), formatWindows(c.windows))
+func (c *groupStats) print(out io.Writer) error {
+	_, err := fmt.Fprintf(out, "%-44s %6d %9s %9s  %s; %s\n", c.key, c.count, formatMedian(c.pause), formatMedian(c.silent), formatParts(c.parts), formatWindows(c.windows))
 	return err
 }
 
@@ -194,9 +239,9 @@
 	return fmt.Sprint(h.ValueAtQuantile(50))
 }
 
-// formatZones returns the count of each zone, sorted by name, or a dash if there
-// is none.
-func formatZones(counts map[string]int) string {
+// formatParts returns the count of each part, sorted by name, or a dash if there is
+// none.
+func formatParts(counts map[string]int) string {
 	names := make([]string, 0, len(counts))
 	for name := range counts {
 		names = append(names, name)
--- a/citronexplain/losses_test.go
+++ b/citronexplain/losses_test.go
@@ -43,3 +43,40 @@
 	is.True(citronexplain.Losses(&out, citronexplain.LossOptions{Window: time.Second}, strings.NewReader("nothing\n")) != nil)
 	is.Equal(out.String(), "")
 }
+
+// Guards against losses that are counted for another route, customer or zone, or that are
+// left out because their lines do not name one. The zone is that of the node, not that of
+// the engine.
+func TestLossesByRouteCustomerAndZone(t *testing.T) {
+	line := func(rest string) string {
+		return `{"time":"2026-01-01T00:00:01Z","level":"INFO","node":"n1","event":1,` + rest + "}\n"
+	}
+	log := line(`"msg":"stream.late","request":"a","route":"chat","customer":"x","nodeZone":"z1","zone":"z2","pause":290000000`) +
+		line(`"msg":"forward.refused","request":"b","route":"chat","customer":"y","nodeZone":"z1","status":503,"reason":"r"`) +
+		line(`"msg":"stream.broken","request":"c","route":"digest","customer":"y","nodeZone":"z2","reason":"r"`) +
+		line(`"msg":"forward.refused","request":"d","status":503,"reason":"this node has no configuration yet"`)
+	for by, want := range map[citronexplain.Grouping]string{
+		citronexplain.ByRoute: `route                                         count  pause ms silent ms  by how it ended; by 2s
+chat                                              2       290         -  late 1 refused 1; 2
+-                                                 1         -         -  refused 1; 1
+digest                                            1         -         -  broken 1; 1
+`,
+		citronexplain.ByCustomer: `customer                                      count  pause ms silent ms  by how it ended; by 2s
+y                                                 2         -         -  broken 1 refused 1; 2
+-                                                 1         -         -  refused 1; 1
+x                                                 1       290         -  late 1; 1
+`,
+		citronexplain.ByZone: `zone                                          count  pause ms silent ms  by how it ended; by 2s
+z1                                                2       290         -  late 1 refused 1; 2
+-                                                 1         -         -  refused 1; 1
+z2                                                1         -         -  broken 1; 1
+`,
+	} {
+		t.Run(string(by), func(t *testing.T) {
+			is := is.New(t)
+			var out strings.Builder
+			is.NoErr(citronexplain.Losses(&out, citronexplain.LossOptions{Window: 2 * time.Second, By: by}, strings.NewReader(log)))
+			is.Equal(out.String(), want)
+		})
+	}
+}
--- a/citronforward/crash.go
+++ b/citronforward/crash.go
@@ -45,7 +45,7 @@
 	}
 	switch v := j.f.Quarantine.Admit(j.fingerprint()).(type) {
 	case citronquarantine.Quarantined:
-		j.f.refuse(j.Request, j.out, http.StatusServiceUnavailable, v.RetryAfter, reasonQuarantined, "service", j.service.Name, "customer", j.customer, "print", j.fingerprint(), "crashes", v.Crashes)
+		j.f.refuse(j.Request, j.out, http.StatusServiceUnavailable, v.RetryAfter, reasonQuarantined, "service", j.service.Name, "route", j.route.Name, "customer", j.customer, "print", j.fingerprint(), "crashes", v.Crashes)
 		return end, false
 	case citronquarantine.TrialRun:
 		return v.End, true
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -126,7 +126,7 @@
 // logSample logs the first of every sampleEvery completed requests.
 func (j *job) logSample(args ...any) {
 	if j.f.completed.Add(1)%sampleEvery == 1 {
-		citronevent.Log(context.Background(), j.f.Log, citronevent.AnswerSampled, append([]any{"request", j.ID, "route", j.route.Name, "version", j.version, "list", j.list.String(), "took", j.f.Clock.Now().Sub(j.Received)}, args...)...)
+		citronevent.Log(context.Background(), j.f.Log, citronevent.AnswerSampled, append([]any{"request", j.ID, "route", j.route.Name, "customer", j.customer, "tokens", j.Tokens(), "version", j.version, "list", j.list.String(), "took", j.f.Clock.Now().Sub(j.Received)}, args...)...)
 	}
 }
 
@@ -300,7 +300,7 @@
 	if st.OtherNodeServing {
 		after = 0
 	}
-	j.f.refuse(j.Request, j.out, http.StatusServiceUnavailable, after, "this node is stopping")
+	j.f.refuse(j.Request, j.out, http.StatusServiceUnavailable, after, "this node is stopping", "service", j.service.Name, "route", j.route.Name, "customer", j.customer, "priorityLevel", j.priorityLevel)
 	return true
 }
 
@@ -346,7 +346,7 @@
 // no retry delay; more holds further keys and values for the log line.
 func (f *Forwarder) refuse(r *citronupstream.Request, out Sink, status int, after time.Duration, reason string, more ...any) {
 	f.Metrics.Refusals.WithLabelValues(reason).Inc()
-	args := []any{"request", r.ID, "status", status, "reason", reason, "retryAfter", after, "held", f.Clock.Now().Sub(r.Received), "version", f.version()}
+	args := []any{"request", r.ID, "status", status, "reason", reason, "retryAfter", after, "held", f.Clock.Now().Sub(r.Received), "nodeZone", f.Zone, "version", f.version()}
 	citronevent.Log(context.Background(), f.Log, citronevent.ForwardRefused, append(args, more...)...)
 	out.Refuse(status, after, reason)
 }
@@ -371,7 +371,7 @@
 		}
 		after = -1
 	}
-	j.f.refuse(j.Request, j.out, status, after, reason, "service", j.service.Name, "customer", j.customer, "print", j.fingerprint(), "runs", j.runs+j.runsOnEndedEngines, "refused", j.refused, "limit", j.reachedLimit, "used", math.Round(100*j.cacheUsage)/100)
+	j.f.refuse(j.Request, j.out, status, after, reason, "service", j.service.Name, "route", j.route.Name, "customer", j.customer, "priorityLevel", j.priorityLevel, "print", j.fingerprint(), "runs", j.runs+j.runsOnEndedEngines, "refused", j.refused, "limit", j.reachedLimit, "used", math.Round(100*j.cacheUsage)/100)
 }
 
 // timeLeft returns the time until the deadline, negative if it has passed.
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -156,7 +156,7 @@
 		}
 	}
 	if s.begun {
-		citronevent.Log(ctx, j.f.Log, citronevent.StreamBroken, "request", j.ID, "reason", reason, "print", j.fingerprint(), "lastEvent", s.lastEventID, "runs", j.runs, "limit", j.reachedLimit, "left", j.timeLeft())
+		citronevent.Log(ctx, j.f.Log, citronevent.StreamBroken, "request", j.ID, "route", j.route.Name, "customer", j.customer, "nodeZone", j.f.Zone, "reason", reason, "print", j.fingerprint(), "lastEvent", s.lastEventID, "runs", j.runs, "limit", j.reachedLimit, "left", j.timeLeft())
 		j.out.Abort()
 		return
 	}
@@ -284,7 +284,7 @@
 func (s *streamJob) recordFinished(ctx context.Context) {
 	s.f.Metrics.LongestPause.Observe(s.maxPause.Seconds())
 	if s.firstEventTook > s.route.TargetLatency || s.maxPause > s.route.MaxEventGap {
-		citronevent.Log(ctx, s.f.Log, citronevent.StreamLate, "request", s.ID, "first", s.firstEventTook, "pause", s.maxPause, "afterEvent", s.maxPauseAfter, "moves", s.pathChanges, "runs", s.runs+1, "engine", s.path[0].Engine.ID, "zone", s.path[0].Engine.Zone)
+		citronevent.Log(ctx, s.f.Log, citronevent.StreamLate, "request", s.ID, "route", s.route.Name, "customer", s.customer, "nodeZone", s.f.Zone, "first", s.firstEventTook, "pause", s.maxPause, "afterEvent", s.maxPauseAfter, "moves", s.pathChanges, "runs", s.runs+1, "engine", s.path[0].Engine.ID, "zone", s.path[0].Engine.Zone)
 	}
 	s.logSample("first", s.firstEventTook, "pause", s.maxPause, "moves", s.pathChanges, "runs", s.runs+1, "engine", s.path[0].Engine.ID)
 }
