The soak checks that no kind of stream and no customer is starved

Cause: nothing checked from the callers' side that urgent streams are not served less often than less urgent ones, or that customers are served alike.

Change: the soak has a second, less urgent route of streams and three customers. No load beyond the capacity is made, so the check finds only gross faults of order and admission.

--- a/citronsoak/doc.go
+++ b/citronsoak/doc.go
@@ -1,7 +1,8 @@
 // Package citronsoak is a randomized soak test of real node processes. It starts
 // them on loopback with a fake store and fake engines, and injects faults from
 // outside by signals and by a proxy in front of the store. From what callers and
-// engines observe, it checks that the nodes keep their guarantees. All
+// engines observe, it checks that the nodes keep their guarantees and that no kind of
+// stream or customer is starved. All
 // code is in the test files. TestSoak injects random faults; the other tests add
 // a request that crashes engines, a store that is restored from older copies, and
 // engines that announce rate limits.
--- a/citronsoak/soak_test.go
+++ b/citronsoak/soak_test.go
@@ -65,6 +65,8 @@
 	notRun []string
 	// counts holds the number of answers of each kind, for the log.
 	counts map[string]int
+	// shares holds how many streams were served, by path and by the customer's key.
+	shares map[string]share
 	// crashing enables sending a request that crashes engines.
 	crashing bool
 	// limiting enables engines that announce rate limits.
@@ -91,7 +93,9 @@
 //   - a non-idempotent request runs at most once, and never if its caller was told that
 //     it did not run;
 //   - a stream has no gap and no duplicate event;
-//   - no process reverts to an older configuration.
+//   - no process reverts to an older configuration;
+//   - more urgent streams are served as often as less urgent ones, and no customer's less
+//     than half as often as all.
 //
 // After the last fault, every node must serve every kind of request again. Last, the
 // leader is frozen, and no node may send requests to an engine whose entry was removed
@@ -121,7 +125,7 @@
 	store := newStore(ctx)
 	hs := httptest.NewServer(store)
 	t.Cleanup(hs.CloseClientConnections)
-	w := &world{t: t, store: store.kv, runs: &runLog{counts: map[string]int{}}, engines: map[string][]*engine{}, newestServed: map[string]int64{}, counts: map[string]int{}}
+	w := &world{t: t, store: store.kv, runs: &runLog{counts: map[string]int{}}, engines: map[string][]*engine{}, newestServed: map[string]int64{}, counts: map[string]int{}, shares: map[string]share{}}
 	for _, o := range options {
 		o(w)
 	}
@@ -188,11 +192,14 @@
 		}
 	}
 	routes := []any{route("/safe/", "safe", "app", 2), route("/once/", "unsafe", "app", 1), route("/stream/", "streaming", "model", 2)}
+	later := route(lessUrgentStream, "streaming", "model", 2)
+	later["priority"] = 2
+	routes = append(routes, later)
 	for i := int64(1); i <= v; i++ {
 		routes = append(routes, route(fmt.Sprintf("/v%d/", i), "safe", "app", 2))
 	}
 	text, err := json.Marshal(map[string]any{
-		"version": v, "routes": routes, "limits": map[string]any{},
+		"version": v, "routes": routes, "limits": map[string]any{}, "tenants": customers(),
 		"services": []any{map[string]any{"name": "app"}, map[string]any{"name": "model", "engine": map[string]any{
 			"slotCount": 64, "kvTokenBytes": 1000, "step_ms": 1, "layers": 4, "layerMb": 100, "models": []any{map[string]any{"loadS": 0.1}},
 			"kinds": []any{map[string]any{"name": "card", "mb": 1000, "pace": 1, "readX": 1}},
@@ -245,7 +252,8 @@
 	cancel()
 	all.Wait()
 	w.checkNotRun()
-	w.t.Logf("seed %d: %v", seed, w.counts)
+	w.checkShares()
+	w.t.Logf("seed %d: %v; %v", seed, w.counts, w.shares)
 }
 
 const (
@@ -414,6 +422,9 @@
 		n := w.nodes[r.IntN(len(w.nodes))]
 		version := w.version.Load()
 		path := []string{"/safe/", "/once/", "/stream/", fmt.Sprintf("/v%d/", 1+r.Int64N(version))}[r.IntN(4)]
+		if path == "/stream/" && i%2 == 1 {
+			path = lessUrgentStream
+		}
 		id := fmt.Sprintf("c%d-%d", caller, i)
 		process, _ := n.state()
 		seen := w.newestVersion(n, process)
@@ -440,6 +451,7 @@
 	}
 	req.Host = "h"
 	req.Header.Set("X-Attempt-Id", id)
+	req.Header.Set("X-Credential", customerKey(id))
 	req.Header.Set("X-Deadline-Ms", fmt.Sprint(callTimeout.Milliseconds()))
 	req.Header.Set("X-Token-Counts", "10,32")
 	req.Header.Set(headerSender, n.senderHeader())
@@ -466,6 +478,7 @@
 func (w *world) checkAnswer(n *node, path, id string, a answer) {
 	w.mu.Lock()
 	w.counts[fmt.Sprintf("%.5s %d cut=%t", path, a.status, a.truncated)]++
+	w.recordShare(path, id, a)
 	if strings.HasPrefix(path, "/once/") && a.status == http.StatusServiceUnavailable {
 		w.notRun = append(w.notRun, id)
 	}
