--- a/citronadmit/retry.go
+++ b/citronadmit/retry.go
@@ -61,9 +61,9 @@
 // of the capacity. Tokens are the unit of capacity.
 //
 // Each caller is promised the latest capacity that its time allows: the surge in which it
-// was refused is then most likely over. In a replay of surges, promising the earliest
-// capacity made up to twice as many callers be refused, because those that returned during
-// the surge took the place of new ones. If all capacity is promised, the caller gets the
+// was refused is then most likely over. In trials with a replay of surges, promising the
+// earliest capacity let more callers be refused in all, because those that returned during
+// the surge took the place of new ones, or were refused again. If all capacity is promised, the caller gets the
 // time to which the least is promised. A Planner is safe for concurrent use; its memory is
 // bounded.
 type Planner struct {
