--- a/citronentry/serve.go
+++ b/citronentry/serve.go
@@ -181,7 +181,7 @@
 	cust, _ := r.snap.Customer(r.Customer)
 	deadline, _ := ctx.Deadline()
 	release, err := e.gate(r.snap, r.svc).Acquire(ctx, citronadmit.Request{
-		Customer: r.Customer, Weight: cust.Share, Priority: r.Priority, Deadline: deadline,
+		Customer: r.Customer, Weight: cust.Share, Priority: rank(r.Priority), Deadline: deadline,
 	})
 	if err == nil {
 		return release, nil
@@ -196,6 +196,11 @@
 	return nil, refusal("overloaded", "the service has more requests than it can carry; this attempt was not run", retryAfter)
 }
 
+// rank converts the priority that a caller of this API states, of which higher values are
+// admitted first, to that of citronadmit, of which lower values are. The complement
+// reverses the order of all integers; the negation would keep the lowest one in place.
+func rank(priority int) int { return ^priority }
+
 // route sends the request to its back ends. once is set only if the service is
 // not idempotent; only plain services use it.
 func (a *api) route(ctx context.Context, r *request, once *onceCall) (*deck.SubmitResult, error) {
