citronforward: streams wait for capacity in order of priority and fair share

Streams that found the engines full polled independently of each other, so which of them was admitted was a matter of chance, and bursts of a less urgent kind delayed a more urgent one. They now wait in one line per service, with a wait derived from the forecast, headroom for more urgent levels and a second choice among paths with free capacity before any wait. The existing tests of the touched packages pass.

--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -76,6 +76,7 @@
 	HeaderUnknown      Event = 517
 	RequestRelayed     Event = 518
 	RelayFailed        Event = 519
+	StreamDelayed      Event = 530
 
 	TableApplied     Event = 600
 	TableRejected    Event = 601
@@ -152,7 +153,7 @@
 	UpstreamFrozen:      {slog.LevelWarn, "upstream.frozen", "a back end answered neither its calls in flight nor two probes; its calls were canceled, except those of non-idempotent plain services, which continue"},
 	RequestOverloaded:   {slog.LevelWarn, "request.overloaded", "a request was rejected before anything was sent: its service had no free capacity, at once or while the caller waited"},
 	StageMoved:          {slog.LevelInfo, "stage.moved", "a stage of a request was moved, with its KV cache, off an engine that is leaving"},
-	ForwardRefused:      {slog.LevelWarn, "forward.refused", "the node itself answered a request with an error; gives the reason and how long the request was held"},
+	ForwardRefused:      {slog.LevelWarn, "forward.refused", "the node itself answered a request with an error; gives the reason and how long the request was held, and for a stream that asked for capacity its priority and level, the utilization of its cheapest path (used), up to which it is admitted (usedLimit), and the forecast time to its first event, zero if unknown"},
 	AttemptFailed:       {slog.LevelWarn, "attempt.failed", "a call to an engine did not succeed: it was refused, ended early, or got an error or an invalid response; gives the outcome and what is known about the cause"},
 	StreamBroken:        {slog.LevelWarn, "stream.broken", "a stream ended before its last event, because the caller left, the time was up or the stream could not be resumed; gives the reason"},
 	HopReplaced:         {slog.LevelWarn, "part.replaced", "an engine on a running stream's path died, stalled, is leaving, was named by another engine as the cause of a refusal and answered no probe (accused), or is no longer reached by this node although others reach it (unreached); the stream starts to move to another path"},
@@ -171,6 +172,7 @@
 	HeaderUnknown:       {slog.LevelWarn, "header.unknown", "an engine's response had a header that this version does not know (name) and only passes on; it may be something that engines expect nodes to act on; only the first response with each name is logged, and a limited number of names"},
 	RequestRelayed:      {slog.LevelInfo, "request.relayed", "a request was sent to an engine through another node (through), because this node's own link to the engine is broken; gives the status of the engine's response"},
 	RelayFailed:         {slog.LevelWarn, "relay.failed", "a request was not answered through another node (through): that node declined it, could not reach the engine either, or the request may have run; gives the cause"},
+	StreamDelayed:       {slog.LevelInfo, "stream.delayed", "the engines of a stream's cheapest path had no free capacity: it was admitted after a wait (outcome=waited), or on a path of another zone (outcome=spilled); gives its priority, its level among the priorities of its service's streams, the utilization (used), up to which it is admitted (usedLimit), and the forecast time to its first event, zero if unknown; only one in ten is logged"},
 	AnswerSampled:       {slog.LevelInfo, "answer.sampled", "a request was answered in full, or a stream's request with an engine's failure response; only a sample of these is logged"},
 
 	TableApplied:     {slog.LevelInfo, "table.applied", "a node activated a new version of the configuration"},
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -18,7 +18,6 @@
 import (
 	"context"
 	"log/slog"
-	"math"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -31,6 +30,8 @@
 	"citrondeck.dev/citrondeck/citrongate"
 	"citrondeck.dev/citrondeck/citronkv"
 	"citrondeck.dev/citrondeck/citronlimit"
+	"citrondeck.dev/citrondeck/citronmodel"
+	"citrondeck.dev/citrondeck/citronpath"
 	"citrondeck.dev/citrondeck/citronpermit"
 	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citronprobe"
@@ -98,6 +99,13 @@
 	// maxWait is how long the request can wait for the permit.
 	Permit func(ctx context.Context, e *citronpool.Engine, maxWait time.Duration) citronpermit.Decision
 
+	// FirstEvent, if set, returns the forecast time from sending a request over a path to
+	// its first event, zero if it is not known or too uncertain to refuse a request by.
+	FirstEvent func(r *citronupstream.Request, p citronpath.Path, spec citronmodel.Spec, now time.Time) time.Duration
+
+	// admissions holds the admission state of each service, *admissionState by name.
+	admissions sync.Map
+
 	probes   citronprobe.Prober
 	gateOnce sync.Once
 	// gate sends all calls to engines. It is created on first use.
@@ -105,6 +113,8 @@
 	// completed counts the unary requests that succeeded, and the streams that were
 	// completed or ended by an engine's failure response.
 	completed atomic.Int64
+	// delayed counts the streams that waited for capacity or spilled over.
+	delayed atomic.Int64
 }
 
 // Gate returns the gate through which all calls of this node are sent.
@@ -142,6 +152,8 @@
 	route    citrontable.Route
 	service  citrontable.Service
 	customer string
+	// level is the level of the request's priority. It is set for streams only.
+	level    citrontable.Level
 	deadline time.Time
 	// zoneJitter is a random extra cost per zone, drawn once for this request.
 	zoneJitter map[string]float64
@@ -159,6 +171,8 @@
 	// cacheUsage is the cache usage of the fullest engine on the best path, set if the
 	// request is refused because of it.
 	cacheUsage float64
+	// admission holds what the newest decision about admission was based on.
+	admission admissionRecord
 	// retryAfter is the delay that a refusal tells the caller to wait before it
 	// retries.
 	retryAfter time.Duration
@@ -309,8 +323,9 @@
 		return nil, false
 	}
 	j := &job{Request: r, f: f, out: out, version: s.Table.Version, route: route, avoid: map[string]bool{}, zoneJitter: drawZoneJitter(s), retryAfter: retryNoEngine}
+	var c citrontable.Customer
 	if s.Table.NeedsKey(route) {
-		c, ok := s.Table.Customer(r.APIKey)
+		c, ok = s.Table.Customer(r.APIKey)
 		if !ok {
 			f.refuse(r, out, http.StatusUnauthorized, -1, "unknown key")
 			return nil, false
@@ -326,6 +341,9 @@
 	if !ok {
 		j.service = citrontable.Service{Name: name}
 	}
+	if route.Kind == citrontable.Streaming {
+		j.level = s.Table.Level(name, route, c)
+	}
 	wait := r.CallerTimeout
 	if wait <= 0 {
 		wait = defaultWait
@@ -366,7 +384,7 @@
 		}
 		after = -1
 	}
-	j.f.refuse(j.Request, j.out, status, after, reason, "service", j.service.Name, "customer", j.customer, "print", j.fingerprint(), "runs", j.runs+j.runsOnEndedEngines, "refused", j.refused, "limit", j.reachedLimit, "used", math.Round(100*j.cacheUsage)/100)
+	j.f.refuse(j.Request, j.out, status, after, reason, append(j.admissionArgs(), "service", j.service.Name, "customer", j.customer, "print", j.fingerprint(), "runs", j.runs+j.runsOnEndedEngines, "refused", j.refused, "limit", j.reachedLimit, "used", roundShare(j.cacheUsage))...)
 }
 
 // timeLeft returns the time until the deadline, negative if it has passed.
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -141,6 +141,7 @@
 // complete or no further run is allowed.
 func (j *job) serveStream(ctx context.Context) {
 	s := &streamJob{job: j, lastEventID: j.ResumeAfter, lastEventAt: j.Received}
+	defer s.tryWaiting()
 	defer s.unbind()
 	var reason string
 	for {
@@ -211,9 +212,9 @@
 		case ok:
 			return nil, endReason(ctx)
 		case full:
-			return nil, s.heldReason("engines' cache is full")
+			return nil, s.heldReason(s.admission.reason)
 		default:
-			return nil, s.heldReason("no path runs all layers")
+			return nil, s.heldReason(reasonNoPath)
 		}
 	}
 }
@@ -332,6 +333,11 @@
 	}
 	s.path = p
 	s.pathSince = s.f.Clock.Now()
+	s.reserve(p)
+}
+
+// reserve adds the stream to the load of a path's engines and zones until unbind.
+func (s *streamJob) reserve(p citronpath.Path) {
 	ends := make([]func(), 0, 2*len(p))
 	zones := map[string]bool{}
 	for _, h := range p {
--- a/citrontable/table.go
+++ b/citrontable/table.go
@@ -114,6 +114,9 @@
 	// requireKeys is true if the configuration lists customers. Requests on
 	// routes that are not public must then carry an API key.
 	requireKeys bool
+	// priorities holds the priorities of the streams of each service that has more than
+	// one, see streamPriorities.
+	priorities map[string][]int
 }
 
 // New returns a table with the given content.
@@ -136,6 +139,7 @@
 			t.customersByKey[k] = c
 		}
 	}
+	t.priorities = t.streamPriorities(routes, customers)
 	return t
 }
 
