--- a/citronadmit/admit.go
+++ b/citronadmit/admit.go
@@ -1,16 +1,23 @@
-// Package citronadmit implements admission control for one service at one entry.
+// Package citronadmit implements admission control for one service at one node.
 // It decides whether a request is admitted now, waits in a queue or is rejected
 // immediately.
 //
 // In a surge more requests arrive than the engines can serve. Forwarding all of
 // them fills the queue of every engine, so all requests become late and urgent
-// ones wait behind the rest. An entry therefore limits the number of requests in
-// flight to a window. The others wait in a queue that is ordered by priority and,
-// within a priority, by weighted fair queueing over customers, so that a large
-// customer's burst cannot starve a small customer. A request that is not expected
-// to finish before its deadline or that finds the queue full of requests ahead of it
-// is rejected immediately with a time after which a retry is useful. If the queue is
-// full, the last request in it makes room for one ahead of it and is rejected.
+// ones wait behind the rest. The requests that cannot be served now therefore wait
+// in a Queue that is ordered by priority and, within a priority, by weighted fair
+// queueing over customers, so that a large customer's burst cannot starve a small
+// customer.
+//
+// A Gate, used by the older API, limits the number of requests in flight to a
+// window. A request that is not expected to finish before its deadline or that
+// finds the queue full of requests ahead of it is rejected immediately with a time
+// after which a retry is useful. If the queue is full, the last request in it makes
+// room for one ahead of it and is rejected.
+//
+// A Line, used for streams, has no window: each waiting request decides by Decide
+// whether the engines have capacity for it, with headroom for more urgent ones that
+// is derived from their Demand.
 package citronadmit
 
 import (
