citronadmit: the test of the line's order is free of a data race

The test wrote the number of free slots without synchronization with the line's goroutines; the code under test is unchanged. go test -race passes.

--- a/citronadmit/line_test.go
+++ b/citronadmit/line_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -203,14 +204,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		l := citronadmit.NewLine(citronclock.Real{})
-		free, admitted := 0, []string{}
+		// The line's lock guards admitted. The test sets free without it.
+		var free atomic.Int32
+		admitted := []string{}
 		start := func(ctx context.Context, name string, priority int, restricted bool) {
 			go func() {
 				_, _ = l.Await(ctx, citronadmit.Request{Customer: name, Priority: priority}, restricted, func() citronadmit.Decision {
-					if free == 0 || restricted {
+					if free.Load() == 0 || restricted {
 						return citronadmit.Wait{Until: time.Now().Add(time.Hour)}
 					}
-					free--
+					free.Add(-1)
 					admitted = append(admitted, name)
 					return citronadmit.Admit{}
 				})
@@ -226,13 +229,13 @@
 		cancel()
 		synctest.Wait()
 		is.Equal(l.Len(), 3)
-		free = 1
+		free.Store(1)
 		start(t.Context(), "newcomer", 1, false)
 		is.Equal(admitted, []string{"first"})
-		free = 1
+		free.Store(1)
 		l.Free()
 		synctest.Wait()
-		free = 1
+		free.Store(1)
 		time.Sleep(25 * time.Millisecond) // capacity became free without notice
 		synctest.Wait()
 		is.Equal(admitted, []string{"first", "newcomer", "less urgent"})
