citronforward: probe an accused engine at once, replace all engines of a path that do not answer

Cause: a stalled stream probed an accused engine only after 70 ms of silence and moved 60 ms later, and only the first accused engine of its path was replaced. Change: the accusation itself starts the shared probe if streams of this node run through the engine; if it does not answer within 10 ms, the engines that follow it on the paths of this node's streams are probed too. A stream that has been silent for 70 ms uses the outcomes and excludes all engines that do not answer. A check that takes place more than 20 ms late draws no conclusion.

--- a/citroncli/node.go
+++ b/citroncli/node.go
@@ -94,6 +94,7 @@
 		Current: node.Traffic, Metrics: citronforward.NewMetrics(registry), Stopping: node.Stopping, Accuse: node.Accuse, Borrow: node.Borrow, Quarantine: node.Quarantine(), Limits: node.Limits(), Permit: node.Permit, DrainWithin: settings.DrainWithin,
 	}
 	node.RelayThrough(forwarder.Gate())
+	node.ProbeAccusedThrough(forwarder.ProbeAccused)
 	ingress := &platform.Ingress{Forwarder: forwarder, Leaving: node.Leaving, Track: node.Track, MaxBodyBytes: maxBody}
 
 	bg, end := context.WithCancel(context.Background())
--- a/citronforward/accused.go
+++ b/citronforward/accused.go
@@ -6,76 +6,189 @@
 // When an engine dies at peak load and stops responding, the engine before it refuses
 // new requests at once and names it. Streams that already run through the dead engine
 // just stall. Neither sign alone proves that the engine is dead: it may be full or be
-// unloading layers, and a stream pauses now and then. If an accused engine does not
-// answer a probe while the stream stalls, the stream is moved, long before its stall
-// alone would cause a move. If no other engine in the zone holds the layers, a stream
-// that has begun or is late still waits before it moves to another zone
-// (mayWaitForZone).
+// unloading layers, and a stream pauses now and then. So an accused engine through which
+// streams of this node run is probed at once. By the time that its streams have stalled
+// for stallCheckDelay, the answer or its absence is known. If there is none, the streams
+// are moved, long before their stall alone would cause a move. If no other engine in the
+// zone holds the layers, a stream that has begun or is late still waits before it moves
+// to another zone (mayWaitForZone).
+//
+// Adjacent engines may fail together. No engine is left that could accuse any but the
+// first of them, so the engines that follow an accused one on the paths of this node's
+// streams are probed too if it does not answer promptly.
 
-import "time"
+import (
+	"context"
+	"sync"
+	"time"
 
-// accusedProbeTimeout is how long an accused engine may take to answer a probe while a
-// stream through it is stalled. It is also the maximum age of another stream's probe
-// whose result is used instead.
-const accusedProbeTimeout = 60 * time.Millisecond
+	"citrondeck.dev/citrondeck/citronpath"
+	"citrondeck.dev/citrondeck/citronpool"
+	"citrondeck.dev/citrondeck/citronprobe"
+)
 
-// accusedProbe is a probe of an accused engine.
-type accusedProbe struct {
-	engine  string
-	askedAt time.Time
-	answer  chan error
-	// cleared reports that the engine answered: it is full or is unloading layers, but
-	// not dead.
-	cleared bool
-}
+const (
+	// accusedProbeTimeout is how long an accused engine may take to answer a probe
+	// before the stalled streams through it are moved. It is also the maximum age of
+	// another stream's probe whose result is used instead.
+	accusedProbeTimeout = 60 * time.Millisecond
+	// nextProbeDelay is how long an engine may take to answer before the next engines
+	// on the paths of this node's streams are probed. Healthy engines answer within a few
+	// milliseconds, so few probes are sent in vain.
+	nextProbeDelay = 10 * time.Millisecond
+	// maxCheckDelay is how much later than planned a check may take place to draw a
+	// conclusion from a missing answer. A later check means that this node was paused,
+	// and answers may not have been read yet.
+	maxCheckDelay = 20 * time.Millisecond
+)
 
-// accusedHop probes the first accused engine on the path of a stalled stream. It returns
-// the index of that engine's hop if the probe fails or is not answered in time, and -1
-// otherwise.
-func (w *watch) accusedHop(now time.Time, silence time.Duration) int {
-	if silence < stallCheckDelay {
-		w.accused = nil // the stream resumed; a later stall needs a new probe
-		return -1
+// ProbeAccused probes an engine that has been accused, unless none of this node's requests
+// runs through it. It does not block. The result is shared: further accusations within
+// citronprobe.MaxReportAge cause no further probe if wasAccused is true. It is false for an
+// engine that was not accused before; an earlier probe says nothing about it.
+func (f *Forwarder) ProbeAccused(e *citronpool.Engine, wasAccused bool) {
+	if e.Inflight() == 0 {
+		return
 	}
-	if w.accused == nil {
-		w.probeAccused(now)
-		return -1
+	maxAge := accusedProbeTimeout
+	if wasAccused {
+		maxAge = citronprobe.MaxReportAge
 	}
-	if w.accused.cleared {
-		return -1
+	go f.probeChain(e, maxAge)
+}
+
+// probeChain probes an engine. If it does not answer within nextProbeDelay, the engines
+// that follow it on the paths of this node's streams are probed as well.
+func (f *Forwarder) probeChain(e *citronpool.Engine, maxAge time.Duration) {
+	if o, ok := f.probes.Last(e.Addr); ok && o.DoneAt.IsZero() {
+		maxAge = citronprobe.MaxReportAge // share the unanswered probe
 	}
+	answer := make(chan error, 1)
+	go func() { answer <- f.probe(context.Background(), e, maxAge) }()
+	timer := time.NewTimer(nextProbeDelay)
+	defer timer.Stop()
 	select {
-	case err := <-w.accused.answer:
-		w.accused.cleared = err == nil
+	case err := <-answer:
 		if err == nil {
-			return -1
+			return
 		}
-	default:
-		if now.Sub(w.accused.askedAt) <= accusedProbeTimeout {
-			return -1
+	case <-timer.C:
+	}
+	for _, next := range f.links.after(e.ID) {
+		go f.probeChain(next, citronprobe.MaxReportAge)
+	}
+}
+
+// pathLinks counts, for each two adjacent engines, the streams of this node whose paths
+// contain them. Its zero value is ready to use.
+type pathLinks struct {
+	mu    sync.Mutex
+	count map[pathLink]int
+}
+
+// pathLink is a pair of adjacent engines of a path.
+type pathLink struct {
+	from string
+	to   *citronpool.Engine
+}
+
+// add adds n to the number of streams on path p.
+func (l *pathLinks) add(p citronpath.Path, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.count == nil {
+		l.count = map[pathLink]int{}
+	}
+	for i := 1; i < len(p); i++ {
+		k := pathLink{p[i-1].Engine.ID, p[i].Engine}
+		l.count[k] += n
+		if l.count[k] == 0 {
+			delete(l.count, k)
 		}
 	}
-	return w.hopIndex(w.accused.engine)
 }
 
-// hopIndex returns the index of the hop that the engine runs, or -1.
-func (w *watch) hopIndex(id string) int {
-	for i, h := range w.s.path {
-		if h.Engine.ID == id {
-			return i
+// after returns the engines that follow the engine with the given ID on some path.
+func (l *pathLinks) after(id string) []*citronpool.Engine {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []*citronpool.Engine
+	for k := range l.count {
+		if k.from == id {
+			out = append(out, k.to)
 		}
 	}
-	return -1
+	return out
 }
 
-// probeAccused probes the first accused engine of the path, if there is one.
-func (w *watch) probeAccused(now time.Time) {
-	for _, h := range w.s.path {
-		if h.Engine.Accused(now) {
-			answer := make(chan error, 1)
-			w.accused = &accusedProbe{engine: h.Engine.ID, askedAt: now, answer: answer}
-			go func() { answer <- w.s.f.probe(w.ctx, h.Engine, accusedProbeTimeout) }()
-			return
+// answerState is what the newest probe of an engine says about it.
+type answerState int
+
+const (
+	// alive: the engine has answered since the stream stalled, or was not probed.
+	alive answerState = iota
+	// undecided: the engine has not answered yet.
+	undecided
+	// silent: the engine has not answered within accusedProbeTimeout or the probe failed.
+	silent
+)
+
+// accusedHops returns the indices of the hops of a stalled stream whose engines are
+// accused, or follow an accused engine, and do not answer. It returns none while it is
+// undecided whether one of them answers. since is when the stream last made progress.
+func (w *watch) accusedHops(now, since time.Time) []int {
+	if now.Sub(since) < stallCheckDelay {
+		clear(w.accused) // the stream resumed; a later stall is judged anew
+		return nil
+	}
+	var bad []int
+	path := w.s.path
+	for i := 0; i < len(path); i++ {
+		e := path[i].Engine
+		if !w.accused[e.ID] && !e.Accused(now) {
+			continue
+		}
+		w.accused[e.ID] = true
+		state := w.answerOf(e, now, since, true)
+		for state == silent {
+			bad = append(bad, i)
+			if i++; i == len(path) {
+				break
+			}
+			state = w.answerOf(path[i].Engine, now, since, w.accused[path[i].Engine.ID])
+		}
+		if state == undecided {
+			return nil
 		}
 	}
+	if w.late {
+		return nil // this node was paused, so answers may not have been read yet
+	}
+	return bad
+}
+
+// answerOf returns what the newest probe of an engine says about it. If the engine is
+// accused and no probe tells whether it answers during this stall, it is probed.
+func (w *watch) answerOf(e *citronpool.Engine, now, since time.Time, accused bool) answerState {
+	o, ok := w.s.f.probes.Last(e.Addr)
+	switch {
+	case ok && o.DoneAt.IsZero():
+		left := accusedProbeTimeout - now.Sub(o.StartedAt)
+		if left < 0 {
+			return silent
+		}
+		if left < stalledCheckInterval {
+			w.setTimer(left + time.Millisecond)
+		}
+		return undecided
+	case ok && o.Err != nil && o.DoneAt.After(since.Add(-checkInterval)):
+		return silent // events may have been on their way when the probe failed
+	case ok && o.Err == nil && o.StartedAt.After(since):
+		return alive
+	case accused:
+		w.s.f.ProbeAccused(e, false)
+		return undecided
+	default:
+		return alive
+	}
 }
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -99,6 +99,7 @@
 	Permit func(ctx context.Context, e *citronpool.Engine, maxWait time.Duration) citronpermit.Decision
 
 	probes   citronprobe.Prober
+	links    pathLinks
 	gateOnce sync.Once
 	// gate sends all calls to engines. It is created on first use.
 	gate *citrongate.Gate
--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -107,9 +107,13 @@
 	// badHop is the hop to be replaced, reason the reason for it.
 	badHop citronpath.Hop
 	reason string
-	// accused is the probe of an accused engine: one that another engine named as
-	// the cause of a refused request.
-	accused *accusedProbe
+	// accused holds the IDs of the engines on the path that were accused during the
+	// current stall: those that another engine named as the cause of a refused request.
+	accused map[string]bool
+	// timerDue is when timer fires next. late reports that this check took place more
+	// than maxCheckDelay after that.
+	timerDue time.Time
+	late     bool
 	// switchZoneAt is when the stream moves to another zone.
 	switchZoneAt time.Time
 	// leavingSince is when a leaving engine was first seen on the path.
@@ -132,7 +136,7 @@
 
 // newWatch returns a watch for a run of s that ends with ctx.
 func newWatch(ctx context.Context, s *streamJob) *watch {
-	w := &watch{s: s, ctx: ctx, timer: citronclock.NewTimer(checkInterval), probeResults: make(chan probeResult, 1), repathResults: make(chan repathResult, 1)}
+	w := &watch{s: s, ctx: ctx, timer: citronclock.NewTimer(checkInterval), timerDue: s.f.Clock.Now().Add(checkInterval), accused: map[string]bool{}, probeResults: make(chan probeResult, 1), repathResults: make(chan repathResult, 1)}
 	context.AfterFunc(ctx, func() { w.timer.Stop() })
 	return w
 }
@@ -142,14 +146,21 @@
 
 // onTick checks the path after tick has fired.
 func (w *watch) onTick() action {
-	w.timer.Reset(stalledCheckInterval)
+	w.late = w.s.f.Clock.Now().Sub(w.timerDue) > maxCheckDelay
+	w.setTimer(stalledCheckInterval)
 	return w.check()
 }
 
+// setTimer makes the timer fire after d.
+func (w *watch) setTimer(d time.Duration) {
+	w.timer.Reset(d)
+	w.timerDue = w.s.f.Clock.Now().Add(d)
+}
+
 // onEvent restarts the timer after an event was forwarded. It checks the path if
 // the last check is long enough ago.
 func (w *watch) onEvent() action {
-	w.timer.Reset(stallCheckDelay)
+	w.setTimer(stallCheckDelay)
 	if w.s.lastEventAt.Sub(w.checkedAt) < checkInterval {
 		return keepRun
 	}
@@ -188,16 +199,16 @@
 		since = w.s.pathSince
 	}
 	pause := now.Sub(since)
-	if bad := w.accusedHop(now, pause); bad >= 0 {
-		return w.replace(bad, reasonAccused)
+	if bad := w.accusedHops(now, since); len(bad) > 0 {
+		return w.replace(reasonAccused, bad...)
 	}
 	if pause > checkInterval*3 {
 		if bad := w.deadHop(since); bad >= 0 {
-			return w.replace(bad, reasonDead)
+			return w.replace(reasonDead, bad)
 		}
 	}
 	if bad := w.leavingHop(now); bad >= 0 {
-		return w.replace(bad, reasonLeaving)
+		return w.replace(reasonLeaving, bad)
 	}
 	limit := probeAfter
 	if !w.s.begun {
@@ -258,11 +269,11 @@
 			return keepRun
 		}
 		citronprobe.RecordDead(first, r.err, now)
-		return w.replace(0, reasonDead)
+		return w.replace(reasonDead, 0)
 	}
 	citronprobe.RecordReport(first, r.report, now)
 	if first.Ended() {
-		return w.replace(0, reasonDead)
+		return w.replace(reasonDead, 0)
 	}
 	if r.report.Relayed && !w.s.run.relayed.Load() {
 		return w.reconnect()
@@ -281,23 +292,28 @@
 			if h.Engine.Healthy(now) && h.Engine.ThrottledFor(now) == 0 {
 				h.Engine.RecordFailure(now)
 			}
-			return w.replace(i, reasonStalled)
+			return w.replace(reasonStalled, i)
 		}
 	}
 	return keepRun
 }
 
-// replace removes a hop from the path. It uses a new path behind the same first
-// engine if the zone has one, and otherwise a new run in another zone.
-func (w *watch) replace(bad int, reason string) action {
+// replace removes one or more hops from the path, given in ascending order, and all hops
+// whose engines are known to be dead. It uses a new path behind the same first engine if
+// the zone has one, and otherwise a new run in another zone.
+func (w *watch) replace(reason string, bad ...int) action {
 	s := w.s
-	s.avoid[s.path[bad].Engine.ID] = true
+	for _, i := range bad {
+		s.avoid[s.path[i].Engine.ID] = true
+	}
 	s.avoidDeadEngines()
-	w.badHop, w.reason = s.path[bad], reason
-	if s.path[bad].Engine.Ended() {
-		s.noteCrash(w.ctx, s.path[bad].Engine, s.run.sent)
+	w.badHop, w.reason = s.path[bad[0]], reason
+	for _, i := range bad {
+		if s.path[i].Engine.Ended() {
+			s.noteCrash(w.ctx, s.path[i].Engine, s.run.sent)
+		}
 	}
-	if bad == 0 {
+	if bad[0] == 0 {
 		return w.resume()
 	}
 	return w.reroute()
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -332,7 +332,9 @@
 	}
 	s.path = p
 	s.pathSince = s.f.Clock.Now()
-	ends := make([]func(), 0, 2*len(p))
+	ends := make([]func(), 0, 2*len(p)+1)
+	s.f.links.add(p, 1)
+	ends = append(ends, func() { s.f.links.add(p, -1) })
 	zones := map[string]bool{}
 	for _, h := range p {
 		ends = append(ends, h.Engine.Begin(s.Tokens()))
@@ -426,6 +428,7 @@
 	first := s.path[0].Engine
 	if reply.NotExecuted {
 		_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, maxAnswerBytes)) // so that the connection can be reused
+		s.unbind() // the refused request does not count as running at the accused engine
 		s.noteRefusal(first, reply)
 		s.f.Metrics.Attempts.WithLabelValues(notRun.String()).Inc()
 		s.logAttempt(first, result{outcome: notRun, status: reply.Status, err: errors.Newf("engine did not run the request, accused engine: %q", reply.AccusedAddr)})
--- a/citronforward/unary.go
+++ b/citronforward/unary.go
@@ -214,12 +214,13 @@
 	now := j.f.Clock.Now()
 	if accused, ok := j.f.Current().View.ByAddr(reply.AccusedAddr); reply.AccusedAddr != "" && ok {
 		j.avoid[accused.ID] = true
+		wasAccused := accused.Accused(now)
 		if accused.Accuse(now) && j.f.Accuse != nil {
 			j.f.Accuse(accused)
 		}
 		// The accused engine may be full or dead. Streams that run through it need to
 		// know which, so probe it.
-		go func() { _ = j.f.probe(context.Background(), accused, citronprobe.MaxReportAge) }()
+		j.f.ProbeAccused(accused, wasAccused)
 		return
 	}
 	if reply.Status == http.StatusMisdirectedRequest {
--- a/citronnode/accuse.go
+++ b/citronnode/accuse.go
@@ -50,7 +50,14 @@
 	} // a node that this message does not reach learns it from its own requests
 }
 
-// applyAccused marks the engines that another node accused.
+// ProbeAccusedThrough sets the function that probes an engine which another node accused,
+// if streams of this node run through it. wasAccused is true if the engine was accused
+// already. The function must not block. Without it, such an engine is not probed.
+func (n *Node) ProbeAccusedThrough(probe func(e *citronpool.Engine, wasAccused bool)) {
+	n.probeAccused.Store(&probe)
+}
+
+// applyAccused marks the engines that another node accused and probes them.
 func (n *Node) applyAccused(ids []string) {
 	t := n.snap.Load().traffic
 	if t == nil {
@@ -58,7 +65,12 @@
 	}
 	for _, id := range ids {
 		if e, ok := t.View.ByID(id); ok {
-			e.Accuse(n.clock.Now())
+			now := n.clock.Now()
+			wasAccused := e.Accused(now)
+			e.Accuse(now)
+			if probe := n.probeAccused.Load(); probe != nil {
+				(*probe)(e, wasAccused)
+			}
 		}
 	}
 }
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -106,6 +106,8 @@
 	// lastAccusation is when this node last reported an accused engine: an engine that
 	// another engine named as the cause of a refused request.
 	lastAccusation atomic.Pointer[time.Time]
+	// probeAccused probes an engine that another node accused (ProbeAccusedThrough).
+	probeAccused atomic.Pointer[func(e *citronpool.Engine, wasAccused bool)]
 	// configs holds the newest decoded configuration for the control loop.
 	configs configInbox
 	// pull fetches documents that other nodes have announced.
--- a/citronprobe/probe.go
+++ b/citronprobe/probe.go
@@ -36,10 +36,11 @@
 }
 
 // sharedProbe is one probe of an engine, whose result several streams may use.
-// report and err are set before done is closed.
+// report, err and doneAt are set before done is closed.
 type sharedProbe struct {
 	done   chan struct{}
 	at     time.Time
+	doneAt time.Time
 	report citronupstream.Report
 	err    error
 }
@@ -74,11 +75,38 @@
 	probeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 	defer cancel()
 	q.report, q.err = up.Report(probeCtx, addr)
-	if time.Since(q.at) > probeTimeout+maxOverrun {
+	q.doneAt = time.Now()
+	if q.doneAt.Sub(q.at) > probeTimeout+maxOverrun {
 		q.report, q.err = citronupstream.Report{}, nil
 	}
 }
 
+// Outcome is the state of an engine's newest probe.
+type Outcome struct {
+	// StartedAt and DoneAt are when the probe was sent and when it ended. DoneAt is zero
+	// while the probe is unanswered.
+	StartedAt, DoneAt time.Time
+	// Err says why the engine did not answer, nil if it did.
+	Err error
+}
+
+// Last returns the outcome of the newest probe of the engine at addr, and false if there
+// was none.
+func (p *Prober) Last(addr string) (Outcome, bool) {
+	p.mu.Lock()
+	q := p.byAddr[addr]
+	p.mu.Unlock()
+	if q == nil {
+		return Outcome{}, false
+	}
+	select {
+	case <-q.done:
+		return Outcome{StartedAt: q.at, DoneAt: q.doneAt, Err: q.err}, true
+	default:
+		return Outcome{StartedAt: q.at}, true
+	}
+}
+
 // Probe checks whether an engine is alive and records its report or, if there is
 // none, that the engine is dead. The error says why there is no report. If ctx has
 // ended, a failed probe is not recorded.
