citronmove: spread moved streams over the holders and hold back those that are late anyway

Cause: all streams of a failed engine moved to the cheapest holder at the same time. Streams that could no longer keep their pause delayed those that could. Change: the holder is drawn by a rendezvous hash weighted by prefill speed and free capacity, through citronpath.Query.MoveCost. A stream without slack waits for up to 600 ms, spread over the time that the holders need for the streams of all nodes. part.replaced gets engines and delay; citrondeck_move_pauses_total counts kept and missed pauses.

--- a/citronexplain/explain.go
+++ b/citronexplain/explain.go
@@ -217,7 +217,7 @@
 }
 
 // durations are the fields that print converts from nanoseconds.
-var durations = map[string]bool{"left": true, "held": true, "silent": true, "first": true, "pause": true, "took": true, "retryAfter": true, "age": true, "lapsed": true, "sent": true, "lasted": true, "wait": true}
+var durations = map[string]bool{"left": true, "held": true, "silent": true, "delay": true, "first": true, "pause": true, "took": true, "retryAfter": true, "age": true, "lapsed": true, "sent": true, "lasted": true, "wait": true}
 
 // print writes the line with its time since begin and its fields sorted by name.
 func (l line) print(out io.Writer, begin time.Time) error {
--- a/citronforward/accused_test.go
+++ b/citronforward/accused_test.go
@@ -188,3 +188,34 @@
 		is.Equal(s.probes.Load(), int64(0))
 	})
 }
+
+// Guards against streams that can no longer keep their allowed pause and delay, by all
+// moving at once, those that can. The engine is accused only after 200 ms of silence. If
+// other nodes have many streams in the zone, the move is held back, but by 600 ms at most.
+func TestHopelessMoveIsDelayed(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		otherTokens int64
+		min, max    time.Duration
+	}{
+		{"no streams of other nodes", 0, 260 * time.Millisecond, 290 * time.Millisecond},
+		{"many streams of other nodes", 60_000, 300 * time.Millisecond, 900 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newStall(t, modelEngine("m1", "a", 0, 4), modelEngine("m2", "a", 4, 8))
+				s.hung["m2:1"] = true
+				s.Current().OtherNodesCache["a"] = c.otherTokens
+				s.useList(10*time.Millisecond, modelEngine("m1", "a", 0, 4), modelEngine("m2", "a", 4, 8), modelEngine("m3", "a", 4, 8))
+				s.accuse("m2", 200*time.Millisecond)
+				begin := time.Now()
+				is.Equal(s.ask("stream", 5*time.Second).body, events(1, 4))
+				silence := s.movedAt.Sub(begin)
+				t.Log("silence before the move:", silence)
+				is.True(silence >= c.min && silence <= c.max)
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
--- a/citronforward/metrics.go
+++ b/citronforward/metrics.go
@@ -11,6 +11,7 @@
 	Refusals         *prometheus.CounterVec
 	Attempts         *prometheus.CounterVec
 	Repairs          *prometheus.CounterVec
+	MovePauses       *prometheus.CounterVec
 	RetriesDenied    prometheus.Counter
 	Crashes          prometheus.Counter
 	Permits          *prometheus.CounterVec
@@ -32,6 +33,7 @@
 		Refusals:         prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citrondeck_refusals_total", Help: "Answers of the node's own by reason."}, []string{"reason"}),
 		Attempts:         prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citrondeck_attempts_total", Help: "Calls to engines by outcome."}, []string{"outcome"}),
 		Repairs:          prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citrondeck_repairs_total", Help: "Streams moved while they ran, by way."}, []string{"way"}),
+		MovePauses:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citrondeck_move_pauses_total", Help: "Moves of streams that had begun, by whether the allowed pause between events was kept or missed."}, []string{"pause"}),
 		RetriesDenied:    prometheus.NewCounter(prometheus.CounterOpts{Name: "citrondeck_budget_spent_total", Help: "Repeats that the shared budget did not allow."}),
 		Crashes:          prometheus.NewCounter(prometheus.CounterOpts{Name: "citrondeck_run_crashes_total", Help: "Runs that had just begun when their engine ended."}),
 		Permits:          prometheus.NewCounterVec(prometheus.CounterOpts{Name: "citrondeck_permits_total", Help: "Permits asked for to send to engines that name a rate limit, by result."}, []string{"result"}),
@@ -39,6 +41,6 @@
 		LongestPause:     prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_pause_seconds", Help: "Longest pause between events of a stream.", Buckets: latencyBuckets}),
 		UnaryDuration:    prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_answer_seconds", Help: "Time to a whole answer.", Buckets: latencyBuckets}),
 	}
-	r.MustRegister(m.Requests, m.Refusals, m.Attempts, m.Repairs, m.RetriesDenied, m.Crashes, m.Permits, m.TimeToFirstEvent, m.LongestPause, m.UnaryDuration)
+	r.MustRegister(m.Requests, m.Refusals, m.Attempts, m.Repairs, m.MovePauses, m.RetriesDenied, m.Crashes, m.Permits, m.TimeToFirstEvent, m.LongestPause, m.UnaryDuration)
 	return m
 }
--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -116,6 +116,10 @@
 	late     bool
 	// switchZoneAt is when the stream moves to another zone.
 	switchZoneAt time.Time
+	// delay is how long the current move is held back, until delayedUntil, which is zero
+	// if that is not decided yet (move.go).
+	delay        time.Duration
+	delayedUntil time.Time
 	// leavingSince is when a leaving engine was first seen on the path.
 	leavingSince time.Time
 	// moveAt is when this stream moves away from a leaving engine.
@@ -161,6 +165,7 @@
 // the last check is long enough ago.
 func (w *watch) onEvent() action {
 	w.setTimer(stallCheckDelay)
+	w.delay, w.delayedUntil = 0, time.Time{}
 	if w.s.lastEventAt.Sub(w.checkedAt) < checkInterval {
 		return keepRun
 	}
@@ -191,7 +196,7 @@
 		// This node was paused, so the pause says nothing about the engines.
 		w.waitUntil = now.Add(probeAfter)
 	}
-	if now.Before(w.waitUntil) {
+	if now.Before(w.waitUntil) || now.Before(w.delayedUntil) {
 		return keepRun
 	}
 	since := w.s.lastEventAt
@@ -336,6 +341,7 @@
 	}
 	q := s.query(current, s.path[0].Engine.ID)
 	q.CurrentPath = s.path
+	q.MoveCost = w.moveCost(q)
 	p, ok := citronpath.Choose(current.View.ByService[s.service.Name], q)
 	if !ok || w.repaths >= maxRepaths {
 		return w.resume()
@@ -348,6 +354,9 @@
 			return w.startNewRun()
 		}
 	}
+	if p.OneZone() && w.isDelayed(q, p) { // otherwise mayWaitForZone has held it back already
+		return keepRun
+	}
 	w.logReplacement("repath")
 	w.repaths++
 	w.repathing = true
@@ -417,7 +426,7 @@
 // logReplacement logs the replacement of the bad hop by a repath or a resume.
 func (w *watch) logReplacement(way string) {
 	s := w.s
-	citronevent.Log(w.ctx, s.f.Log, citronevent.HopReplaced, "request", s.ID, "engine", w.badHop.Engine.ID, "peer", w.badHop.Engine.Addr, "from", w.badHop.Span.From, "to", w.badHop.Span.To, "reason", w.reason, "way", way, "lastEvent", s.lastEventID, "list", s.list.String(), "silent", s.f.Clock.Now().Sub(s.lastEventAt), "runs", s.runs+1)
+	citronevent.Log(w.ctx, s.f.Log, citronevent.HopReplaced, "request", s.ID, "engine", w.badHop.Engine.ID, "peer", w.badHop.Engine.Addr, "from", w.badHop.Span.From, "to", w.badHop.Span.To, "reason", w.reason, "way", way, "lastEvent", s.lastEventID, "list", s.list.String(), "silent", s.f.Clock.Now().Sub(s.lastEventAt), "runs", s.runs+1, "engines", w.replacedEngines(), "delay", w.delay)
 }
 
 // handleRepath handles the result of a repath.
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -71,6 +71,9 @@
 	// far.
 	lastEventAt time.Time
 	maxPause    time.Duration
+	// moved reports that the stream had begun when its path changed and that no event
+	// has arrived since.
+	moved bool
 	// maxPauseAfter is the ID of the event before the longest pause,
 	// firstEventTook the time from the request to the first event, pathChanges
 	// the number of times the path has changed.
@@ -329,6 +332,7 @@
 	s.unbind()
 	if s.path != nil {
 		s.pathChanges++
+		s.moved = s.begun
 	}
 	s.path = p
 	s.pathSince = s.f.Clock.Now()
@@ -428,7 +432,7 @@
 	first := s.path[0].Engine
 	if reply.NotExecuted {
 		_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, maxAnswerBytes)) // so that the connection can be reused
-		s.unbind() // the refused request does not count as running at the accused engine
+		s.unbind()                                                             // the refused request does not count as running at the accused engine
 		s.noteRefusal(first, reply)
 		s.f.Metrics.Attempts.WithLabelValues(notRun.String()).Inc()
 		s.logAttempt(first, result{outcome: notRun, status: reply.Status, err: errors.Newf("engine did not run the request, accused engine: %q", reply.AccusedAddr)})
@@ -509,6 +513,7 @@
 	} else if pause := now.Sub(s.lastEventAt); pause > s.maxPause {
 		s.maxPause, s.maxPauseAfter = pause, s.lastEventID
 	}
+	s.countMove(now)
 	if err := s.out.Event(ev.text); err != nil {
 		return callerLeft, true
 	}
@@ -523,6 +528,20 @@
 	return 0, false
 }
 
+// countMove counts whether the stream kept its allowed pause, at the first event after a
+// move.
+func (s *streamJob) countMove(now time.Time) {
+	if !s.moved {
+		return
+	}
+	s.moved = false
+	pause := "kept"
+	if now.Sub(s.lastEventAt) > s.route.MaxEventGap {
+		pause = "missed"
+	}
+	s.f.Metrics.MovePauses.WithLabelValues(pause).Inc()
+}
+
 // markAdmitted records that the engines of the path have admitted the stream.
 func (s *streamJob) markAdmitted() {
 	for _, h := range s.path {
--- a/citronpath/path.go
+++ b/citronpath/path.go
@@ -66,6 +66,9 @@
 	// CurrentPath is the current path of a running request. An engine that is not on
 	// it would first have to process all of the request's tokens so far.
 	CurrentPath Path
+	// MoveCost, if set, is an additional cost of engines that are not on CurrentPath. It
+	// spreads streams that are moved at the same time over the engines.
+	MoveCost func(*citronpool.Engine) float64
 	// OthersTokens is the cache, in tokens, that requests of other nodes use in each
 	// zone. OwnTokens is the same for the requests of this node.
 	OthersTokens, OwnTokens map[string]int64
@@ -301,6 +304,9 @@
 			return 0
 		}
 	}
+	if q.MoveCost != nil {
+		return newHopCost + q.MoveCost(e)
+	}
 	return newHopCost
 }
 
