citronnode: test that an accusation of another node starts the probe

Cause: nothing tested that a received accusation reaches the forwarder's probe. Change: TestAccusationReachesTheZone also requires the probe of the accused engine. Result: the test passes with the race detector.

--- a/citronnode/node_test.go
+++ b/citronnode/node_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronkv"
 	"citrondeck.dev/citrondeck/citronmodel"
+	"citrondeck.dev/citrondeck/citronpool"
 	"github.com/matryer/is"
 )
 
@@ -326,6 +328,8 @@
 	eventually(t, "both nodes know the engines and each other", func() bool {
 		return a.usable() == 2 && b.usable() == 2 && len(a.Addresses("z1")) == 2
 	})
+	var probed atomic.Pointer[string]
+	b.ProbeAccusedThrough(func(e *citronpool.Engine, _ bool) { probed.Store(&e.ID) })
 	eventually(t, "the other node avoids the accused engine", func() bool {
 		accused, _ := a.Traffic().View.ByID("e1")
 		accused.Accuse(time.Now())
@@ -335,4 +339,7 @@
 		other, _ := b.Traffic().View.ByID("e0")
 		return there.Accused(time.Now()) && !there.Usable(time.Now()) && other.Usable(time.Now())
 	})
+	if id := probed.Load(); id == nil || *id != "e1" {
+		t.Fatal("the other node does not probe the accused engine")
+	}
 }
