citronusage: nodes know the usage that engines report

Cause: a node estimated an engine's utilization from the total of its zone and the share of its own few streams. The guess exceeds the limit for new streams while engines have free capacity, and streams are refused. Engines report their usage, but nothing read it.

Reports of any probe are recorded as well. Each exchange and update between nodes carries at most 32 reports of at most 1.5 s, fullest first, a quarter of them in rotation. For 3 s, citronpath.Query.Utilization uses the estimate from the report: its share, scaled by the change of the zone's total, plus own tokens begun since and waiting prompts. Without a report it is computed as before. Impossible figures are counted, logged once for each engine and node, and not used.

--- a/citroncli/node.go
+++ b/citroncli/node.go
@@ -23,6 +23,7 @@
 	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citronserve"
 	"citrondeck.dev/citrondeck/citronstat"
+	"citrondeck.dev/citrondeck/citronusage"
 	"citrondeck.dev/citrondeck/platform"
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -32,6 +33,23 @@
 type nodeCmd struct {
 	Settings string `help:"Settings file in the platform's format (TOML)." env:"CITRONDECK_SETTINGS"`
 	Metrics  string `help:"Address for metrics as text, at /metrics; empty: none."`
+	// UsageInterval is zero unless engines are to be asked for their usage.
+	UsageInterval time.Duration `help:"How often to ask an engine for its usage, from 50ms to 3s; 0: never." default:"0"`
+}
+
+const (
+	// minUsageInterval is shorter than the time in which engines renew their reports, and
+	// maxUsageInterval is the age up to which a report is used.
+	minUsageInterval = 50 * time.Millisecond
+	maxUsageInterval = citronusage.FreshFor
+)
+
+// Validate is called by kong.
+func (c *nodeCmd) Validate() error {
+	if d := c.UsageInterval; d != 0 && (d < minUsageInterval || d > maxUsageInterval) {
+		return errors.Newf("--usage-interval is %v, want 0 or %v to %v", d, minUsageInterval, maxUsageInterval)
+	}
+	return nil
 }
 
 func init() {
@@ -83,7 +101,7 @@
 	engines.OnUnknownHeader(citronstat.UnknownHeaders(ctx, log, registry))
 	node := citronnode.New(citronnode.Settings{
 		Name: settings.Name, Zone: settings.Zone, Front: settings.Front, Peer: settings.Peer, Seeds: settings.Seeds, Cores: settings.Cores,
-		LeaseTTL: max(leaderLease, settings.MinLeaseTTL), Grace: settings.Grace, Heartbeat: settings.Heartbeat, DrainWithin: settings.DrainWithin,
+		LeaseTTL: max(leaderLease, settings.MinLeaseTTL), Grace: settings.Grace, Heartbeat: settings.Heartbeat, DrainWithin: settings.DrainWithin, UsageInterval: c.UsageInterval,
 	}, citronnode.Sources{
 		Store: citronstat.CountStore(platform.NewStore(settings.Store), registry), ConfigKey: platform.ConfigKey, EnginePrefix: platform.EnginePrefix,
 		DecodeConfig: platform.DecodeConfig, DecodeEngine: platform.DecodeEngine, Engines: engines,
--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -108,6 +108,7 @@
 	EnginesUnreached  Event = 627
 	EnginesReported   Event = 628
 	RelayServed       Event = 629
+	UsageRejected     Event = 640
 
 	// 400 to 403 are reserved.
 )
@@ -203,6 +204,7 @@
 	EnginesUnreached:  {slog.LevelWarn, "engines.unreached", "this node began (lost=true) or ceased (lost=false) to fail to connect to most of the engines that it tried in the last seconds; gives how many it tried (tried) and could not reach (unreached), and how many of those other nodes reach (broken)"},
 	EnginesReported:   {slog.LevelInfo, "engines.reported", "another node (peer) reported engines that it found dead, and this node begins to avoid them for a moment; gives how many (count) and names a few"},
 	RelayServed:       {slog.LevelInfo, "relay.served", "this node sent a request of another node (peer) to an engine; gives the status of the engine's response"},
+	UsageRejected:     {slog.LevelWarn, "usage.rejected", "an engine (engine) reported an impossible usage, or another node (peer) passed one on; it was not used, and only the first one from each engine and node is logged"},
 	SuspectsRejected:  {slog.LevelWarn, "suspects.rejected", "another node sent invalid records of requests that crash engines, and none of the records in that message was used, or the store holds an invalid record (peer=store); only the first message from each node and the first record in the store are logged"},
 
 	LedgerRetry: {slog.LevelWarn, "ledger.retry", "recording an outcome in the ledger, or releasing or undoing a claim, has not succeeded yet; it is retried for a limited time"},
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -330,11 +330,15 @@
 	if s.path != nil {
 		s.pathChanges++
 	}
+	previous := s.path
 	s.path = p
 	s.pathSince = s.f.Clock.Now()
 	ends := make([]func(), 0, 2*len(p))
 	zones := map[string]bool{}
 	for _, h := range p {
+		if !previous.Has(h.Engine.ID) {
+			h.Engine.RecordBegun(s.Tokens(), s.pathSince)
+		}
 		ends = append(ends, h.Engine.Begin(s.Tokens()))
 		if zone := h.Engine.Zone; !zones[zone] {
 			zones[zone] = true
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -375,6 +375,7 @@
 		s.engines = c.list.Engines(c.services())
 		if c.view == nil || !sameEngines(s.engines, old.engines) {
 			c.view = citronpool.Build(s.engines, c.view)
+			c.view.OnInvalidUsage(func(engine string, err error) { c.n.logInvalidUsage(context.Background(), "engine", engine, err) })
 			c.n.limits.Retain(c.view.Has)
 		}
 	}
--- a/citronnode/gossip.go
+++ b/citronnode/gossip.go
@@ -82,8 +82,8 @@
 	n.push(ctx, addr, n.snap.Load().update())
 }
 
-// push sends state to the node at addr, completed with the recent suspects and rate limits,
-// and merges what the node answers.
+// push sends state to the node at addr, completed with the recent suspects, rate limits and
+// usage reports, and merges what the node answers.
 func (n *Node) push(ctx context.Context, addr string, state citronpeer.GossipState) {
 	if state.Suspects == nil {
 		state.Suspects = n.recentSuspects()
@@ -91,6 +91,9 @@
 	if state.Limits == nil {
 		state.Limits = n.limits.Recent()
 	}
+	if state.Usage == nil {
+		state.Usage = n.recentUsage(nil)
+	}
 	theirs, err := n.peers.Update(ctx, addr, state)
 	n.refusals.Record(addr, err)
 	if err != nil {
@@ -180,6 +183,7 @@
 	s := n.snap.Load()
 	state := s.gossipState()
 	state.SuspectChecksum, state.LimitChecksum = n.quarantine.Checksum(), n.limits.Checksum()
+	state.Usage = n.recentUsage(nil)
 	theirs, err := n.peers.Exchange(ctx, addr, state)
 	n.stabilizer.RecordExchange(state.Digest, theirs.Digest, err)
 	n.refusals.Record(addr, err)
@@ -194,6 +198,7 @@
 	}
 	state = s.update()
 	state.Diff = s.roster.Requested(theirs.Missing)
+	state.Usage = noUsage
 	if !same {
 		state.Suspects = n.allSuspects()
 	}
@@ -240,7 +245,11 @@
 // this node's own.
 func (h peerHandler) Update(theirs citronpeer.GossipState) citronpeer.GossipState {
 	s := h.n.snap.Load()
-	return h.n.respond(s, s.update(), theirs)
+	state := s.update()
+	if len(theirs.Usage) == 0 {
+		state.Usage = noUsage
+	}
+	return h.n.respond(s, state, theirs)
 }
 
 // respond merges the message of another node and returns state, completed with the
@@ -254,6 +263,9 @@
 	if state.Limits == nil {
 		state.Limits = n.limits.Recent()
 	}
+	if state.Usage == nil {
+		state.Usage = n.recentUsage(theirs.Usage)
+	}
 	n.merge(ctx, theirs)
 	if theirs.From.Peer != "" && s.isBehind(theirs) {
 		n.pull.enqueue(ctx, n, theirs.From.Peer, theirs)
@@ -318,11 +330,12 @@
 // later lists as outdated. A node that has no list yet accepts one of any era.
 const maxErasAhead = 16
 
-// merge applies a message of another node: it merges suspects and rate limits, and passes
+// merge applies a message of another node: it merges suspects, rate limits and usage reports, and passes
 // members and documents on to the control loop.
 func (n *Node) merge(ctx context.Context, state citronpeer.GossipState) {
 	n.mergeSuspects(ctx, state.From.Name, state.Suspects)
 	n.mergeLimits(ctx, state.From.Name, state.Limits)
+	n.mergeUsage(ctx, state.From.Name, state.Usage)
 	n.sendToLoop(ctx, memberUpdate{from: state.From, diff: state.Diff, digest: state.Digest, zoneTotals: state.ZoneTotals})
 	if len(state.Config.Body) > 0 {
 		n.offerConfig(ctx, state.Config.Version, state.Config.Body, sourceNode)
--- a/citronnode/harness_test.go
+++ b/citronnode/harness_test.go
@@ -542,6 +542,8 @@
 	storeUnavailable atomic.Bool
 	// drainWithin is the DrainWithin setting of the nodes.
 	drainWithin time.Duration
+	// usageInterval is the UsageInterval setting of the nodes.
+	usageInterval time.Duration
 }
 
 type member struct {
@@ -582,7 +584,7 @@
 	}
 	m := &member{name: name, gate: &gatedStore{Server: f.store, unavailable: &f.storeUnavailable}, engines: &nodeEngines{nodeOrders: nodeOrders{f.orders, name}}, addr: addr, zone: zone, budget: citronbudget.New(citronbudget.Limits{Ratio: 0.2, Slack: 10, Window: 10 * time.Second})}
 	m.Node = citronnode.New(citronnode.Settings{
-		Name: name, Zone: zone, Front: "front-" + name, Peer: addr, Seeds: seeds, LeaseTTL: 600 * time.Millisecond, Grace: time.Second, DrainWithin: f.drainWithin,
+		Name: name, Zone: zone, Front: "front-" + name, Peer: addr, Seeds: seeds, LeaseTTL: 600 * time.Millisecond, Grace: time.Second, DrainWithin: f.drainWithin, UsageInterval: f.usageInterval,
 	}, citronnode.Sources{
 		Store: m.gate, ConfigKey: "config", EnginePrefix: "engines/",
 		DecodeConfig: decodeConfig, DecodeEngine: decodeEngine, Engines: m.engines,
--- a/citronnode/members.go
+++ b/citronnode/members.go
@@ -164,6 +164,9 @@
 		}
 	}
 	s.otherNodesCache = others.Load
+	if c.view != nil {
+		c.view.SetZoneTokens(others.Load, c.self.Load)
+	}
 	updateAge := 2 * c.members.MeanUpdateInterval()
 	for _, sum := range s.zoneTotals {
 		updateAge = max(updateAge, 2*c.members.MeanUpdateInterval()+time.Duration(sum.AgeMS)*time.Millisecond)
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -63,6 +63,9 @@
 	// DrainWithin is the time after which an engine that is leaving must not get new
 	// work from any node, or zero if it is unknown.
 	DrainWithin time.Duration
+	// UsageInterval is how often this node asks the engines that it observes for their
+	// usage, or zero if it does not.
+	UsageInterval time.Duration
 }
 
 // Sources tells where a node finds its documents and how to decode them.
@@ -128,6 +131,8 @@
 	// limitsRejectedFrom holds the names of the nodes that sent them.
 	limitsRejected     atomic.Int64
 	limitsRejectedFrom sync.Map
+	// invalidUsageFrom holds the engines and nodes from which invalid usage reports came.
+	invalidUsageFrom sync.Map
 	// quarantineChanged wakes the goroutine that saves quarantine records to the store.
 	quarantineChanged chan struct{}
 	// suspectsRejected counts the invalid messages of other nodes, and the invalid
@@ -270,6 +275,7 @@
 	tasks.Go(func() { n.lead(ctx) })
 	tasks.Go(func() { n.register(ctx) })
 	tasks.Go(func() { n.persistQuarantine(ctx) })
+	tasks.Go(func() { n.observeUsage(ctx) })
 }
 
 const (
--- a/citronnode/status.go
+++ b/citronnode/status.go
@@ -33,6 +33,11 @@
 	// the rejected messages of other nodes about limits.
 	Limited        int
 	LimitsRejected int64
+	// UsageFromEngines and UsageFromNodes count the reports of engines about their usage
+	// that were taken from the engines themselves and from other nodes. UsageRejected
+	// counts the invalid ones, and UsageFresh the engines with a fresh report.
+	UsageFromEngines, UsageFromNodes, UsageRejected int64
+	UsageFresh                                      int
 	// Cooling counts the engines that have asked this node for a cool-down.
 	Cooling int
 	// Partitioned reports that the node does not reach most engines that other nodes reach.
@@ -63,6 +68,10 @@
 	if !s.listAt.IsZero() {
 		out.ListAge = now.Sub(s.listAt)
 	}
+	if s.traffic != nil {
+		u := s.traffic.View.UsageTable().Counts(now)
+		out.UsageFromEngines, out.UsageFromNodes, out.UsageRejected, out.UsageFresh = u.FromEngines, u.FromNodes, u.Rejected, u.Fresh
+	}
 	for _, e := range s.engines {
 		if s.traffic != nil {
 			if seen, ok := s.traffic.View.ByID(e.ID); ok && seen.CoolingFor(now) > 0 {
--- a/citronpath/path.go
+++ b/citronpath/path.go
@@ -17,6 +17,7 @@
 
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronpool"
+	"citrondeck.dev/citrondeck/citronusage"
 )
 
 // Hop is one engine of a path and the layer range that it runs.
@@ -109,16 +110,37 @@
 // Utilization returns the share of an engine's capacity that running requests may need.
 // The capacity is limited by the engine's cache or by its request slots,
 // whichever is scarcer: small engines with few layers have cache for more
-// requests than they can run at once and would refuse the excess. The load from
-// other nodes is known only as a total per zone.
+// requests than they can run at once and would refuse the excess. If the engine has
+// reported its usage lately, the share is estimated from the report (citronusage).
+// Otherwise the load from other nodes is known only as a total per zone.
 func (q Query) Utilization(e *citronpool.Engine) float64 {
 	capacity := q.Spec.TokenCapacity(e.Kind, e.Layers.Len())
 	if capacity <= 0 {
 		return math.Inf(1)
 	}
+	if u, ok := e.Usage(q.Now); ok {
+		return citronusage.Estimate(q.load(e, u, capacity))
+	}
 	return (float64(e.Tokens()) + float64(q.OthersTokens[e.Zone])*q.trafficShare(e)) / capacity
 }
 
+// assumedRequestTokens is the number of tokens that a waiting request is assumed to need if
+// the service does not declare its usual requests.
+const assumedRequestTokens = 1000
+
+// load returns what the estimate of an engine's utilization from its report u is based on.
+func (q Query) load(e *citronpool.Engine, u citronpool.Usage, capacity float64) citronusage.Load {
+	l := citronusage.Load{
+		Report: u.Figures, CacheTokens: q.Spec.CacheTokens(e.Kind, e.Layers.Len()), Capacity: capacity, RequestTokens: assumedRequestTokens,
+		ZoneThen: u.Zone.Others + u.Zone.Own, OthersThen: u.Zone.Others, OthersNow: q.OthersTokens[e.Zone],
+		OwnSince: u.OwnSince, Own: e.Tokens(),
+	}
+	if q.Spec.MeanTokens > 0 {
+		l.RequestTokens = float64(q.Spec.MeanTokens)
+	}
+	return l
+}
+
 // priorTokens is the weight, in tokens, of the assumption that requests spread
 // evenly over the engines that hold the same layers. It equals the tokens of a
 // few requests. Once this node's own requests have more tokens, their observed
--- a/citronpeer/peer.go
+++ b/citronpeer/peer.go
@@ -226,6 +226,9 @@
 	// that the sender knows. It is set in exchanges.
 	Limits        []Limit
 	LimitChecksum uint64
+	// Usage are recent reports of engines about their usage, MaxUsageReports at most. A
+	// node of an earlier version ignores them.
+	Usage []UsageReport
 }
 
 // exchangeMessage is GossipState as it is encoded. Both have the same fields, so
@@ -244,6 +247,8 @@
 	SuspectChecksum uint64    `json:"suspectSum,omitempty"`
 	Limits          []Limit   `json:"limits,omitempty"`
 	LimitChecksum   uint64    `json:"limitSum,omitempty"`
+
+	Usage []UsageReport `json:"usage,omitempty"`
 }
 
 const (
--- a/citronpermit/choose.go
+++ b/citronpermit/choose.go
@@ -2,7 +2,13 @@
 
 import (
 	"citrondeck.dev/citrondeck/citronpeer"
-	"github.com/cespare/xxhash/v2"
+	"citrondeck.dev/citrondeck/citronrendezvous"
+)
+
+// Ranks of the nodes that could issue the permits for an engine. They add up.
+const (
+	rankStrong   = 1
+	rankSameZone = 2
 )
 
 // IssuerFor returns the node that issues the permits for an engine. Nodes in the engine's
@@ -11,35 +17,18 @@
 // hashing decides between nodes that are equal in both. It returns false if all nodes are
 // leaving.
 func IssuerFor(engine, zone string, nodes []citronpeer.Member) (citronpeer.Member, bool) {
-	var best citronpeer.Member
-	var bestRank rank
-	found := false
-	for _, m := range nodes {
-		if m.Leaving {
-			continue
+	top := citronrendezvous.Top(nodes, func(m citronpeer.Member) int {
+		rank := 0
+		switch {
+		case m.Leaving:
+			return -1
+		case m.Zone == zone:
+			rank += rankSameZone
 		}
-		r := rank{sameZone: m.Zone == zone, strong: !m.Weak, hash: xxhash.Sum64String(engine + "/" + m.Name)}
-		if !found || r.above(bestRank) {
-			best, bestRank, found = m, r, true
+		if !m.Weak {
+			rank += rankStrong
 		}
-	}
-	return best, found
-}
-
-// rank orders the nodes that could issue the permits for an engine.
-type rank struct {
-	sameZone, strong bool
-	hash             uint64
-}
-
-// above reports whether r ranks above o.
-func (r rank) above(o rank) bool {
-	switch {
-	case r.sameZone != o.sameZone:
-		return r.sameZone
-	case r.strong != o.strong:
-		return r.strong
-	default:
-		return r.hash > o.hash
-	}
+		return rank
+	})
+	return citronrendezvous.Choose(engine, top, func(m citronpeer.Member) string { return m.Name })
 }
--- a/citronpool/noticed.go
+++ b/citronpool/noticed.go
@@ -1,6 +1,10 @@
 package citronpool
 
-import "sync"
+import (
+	"sync"
+
+	"citrondeck.dev/citrondeck/citronusage"
+)
 
 // noticedStates holds the states of engines whose notices bind this node, by ID: those that
 // asked for a cool-down, and those that said they are leaving until TakeLeaving returns them.
@@ -27,5 +31,5 @@
 // newState returns the state of an engine about which nothing is known.
 func (v *View) newState(id string) *State {
 	v.noticed.states.Delete(id)
-	return &State{id: id, failedStates: v.failedStates, noticed: v.noticed}
+	return &State{id: id, failedStates: v.failedStates, noticed: v.noticed, usageID: citronusage.IDOf(id), board: v.board}
 }
--- a/citronpool/pool.go
+++ b/citronpool/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"citrondeck.dev/citrondeck/citronmodel"
+	"citrondeck.dev/citrondeck/citronusage"
 )
 
 // Engine is an engine from the list together with this node's own counters.
@@ -77,6 +78,13 @@
 	cooldown atomic.Pointer[cooldown]
 	// saysLeaving is set once a response of the engine has stated that it is leaving.
 	saysLeaving atomic.Bool
+	// usageID identifies the incarnation in reports of its usage, and usage is the last
+	// one, or nil. board is what all views share about usage. begun counts what this node
+	// has lately begun at the engine.
+	usageID citronusage.ID
+	usage   atomic.Pointer[Usage]
+	board   *usageBoard
+	begun   begunTokens
 }
 
 // Begin counts a request with the given number of tokens as in flight. The
@@ -93,6 +101,12 @@
 	}
 }
 
+// RecordBegun records when a request with the given number of tokens began at the engine,
+// so that it is added to what the engine reported before (Usage).
+func (s *State) RecordBegun(tokens int, now time.Time) {
+	s.begun.add(int64(tokens), sinceEpoch(now))
+}
+
 // Inflight returns the number of this node's requests at the engine.
 func (s *State) Inflight() int64 { return s.inflight.Load() }
 
--- a/citronpool/view.go
+++ b/citronpool/view.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"citrondeck.dev/citrondeck/citronmodel"
+	"citrondeck.dev/citrondeck/citronusage"
 )
 
 // View is an immutable snapshot of the list of engines. It shares unchanged parts
@@ -17,15 +18,18 @@
 	byID         map[string]*Engine
 	failedStates *failedStates
 	noticed      *noticedStates
+	board        *usageBoard
+	// byUsageID holds the IDs of the engines by their IDs in usage reports.
+	byUsageID map[citronusage.ID]string
 }
 
 // Build returns a view of the given engines, which are sorted by ID. An engine that is
 // in prev keeps its State. The previous view prev may be nil.
 func Build(engines []citronmodel.Engine, prev *View) *View {
 	if prev == nil {
-		prev = &View{failedStates: &failedStates{}, noticed: &noticedStates{}}
+		prev = &View{failedStates: &failedStates{}, noticed: &noticedStates{}, board: newUsageBoard()}
 	}
-	v := &View{ByService: map[string][]*Engine{}, failedStates: prev.failedStates, noticed: prev.noticed}
+	v := &View{ByService: map[string][]*Engine{}, failedStates: prev.failedStates, noticed: prev.noticed, board: prev.board}
 	for _, e := range engines {
 		v.ByService[e.Service] = append(v.ByService[e.Service], prev.nextEngine(e))
 	}
@@ -56,6 +60,7 @@
 	case old.Layers == e.Layers:
 	case !old.Replaced():
 		p.ClearMisplaced()
+		p.usage.Store(nil) // it describes the cache that other layers left free
 		p.refusalPauses.Store(0)
 	default: // the entry belongs to the next incarnation, which doesn't report its start time
 		p.State = v.newState(e.ID)
@@ -84,11 +89,12 @@
 	}
 	v.byID = make(map[string]*Engine, len(engines))
 	v.byAddr = make(map[string]*Engine, len(engines))
+	v.byUsageID = make(map[citronusage.ID]string, len(engines))
 	next := map[string]int{}
 	for _, e := range engines {
 		p := v.ByService[e.Service][next[e.Service]]
 		next[e.Service]++
-		v.byID[e.ID], v.byAddr[e.Addr] = p, p
+		v.byID[e.ID], v.byAddr[e.Addr], v.byUsageID[p.usageID] = p, p, e.ID
 	}
 }
 
@@ -113,7 +119,7 @@
 			}
 		}
 	}
-	v.byID, v.byAddr = prev.byID, prev.byAddr
+	v.byID, v.byAddr, v.byUsageID = prev.byID, prev.byAddr, prev.byUsageID
 	if len(changed) == 0 {
 		return true
 	}
--- a/citronprobe/probe.go
+++ b/citronprobe/probe.go
@@ -115,6 +115,9 @@
 		e.MarkReplaced(now)
 		return
 	}
+	if r.Usage != nil && !e.Layers.Empty() && (r.Layers == nil || r.Layers.Covers(e.Layers)) {
+		e.RecordUsage(*r.Usage, now)
+	}
 	if r.Slowdown > 0 { // zero if nothing is known of it
 		e.RecordSlowdown(r.Slowdown, now)
 	}
--- a/citronprobe/probe_test.go
+++ b/citronprobe/probe_test.go
@@ -8,6 +8,7 @@
 	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citronprobe"
 	"citrondeck.dev/citrondeck/citronupstream"
+	"citrondeck.dev/citrondeck/citronusage"
 	"github.com/matryer/is"
 )
 
@@ -39,9 +40,12 @@
 			v := citronpool.Build(list, nil)
 			e, _ := v.ByID("i-1@100")
 			now := time.Now()
+			c.report.Usage = &citronusage.Figures{Total: 1}
 			citronprobe.RecordReport(e, c.report, now)
 			is.Equal(e.Usable(now), c.usable)
 			is.Equal(e.Ended(), c.ended)
+			_, known := e.Usage(now) // only of the listed incarnation with the listed layers
+			is.Equal(known, c.usable && c.report.StartMS != 50)
 			is.Equal(len(v.Restarted()) > 0, c.report.StartMS > 100)
 			// A list with other layers for the engine is newer than the report and
 			// makes the engine usable again.
--- a/citronrelay/control.go
+++ b/citronrelay/control.go
@@ -7,6 +7,7 @@
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronplace"
 	"citrondeck.dev/citrondeck/citronupstream"
+	"citrondeck.dev/citrondeck/citronusage"
 	"citrondeck.dev/citrondeck/citronwire"
 )
 
@@ -33,6 +34,8 @@
 	To             int               `json:"to,omitempty"`
 	AcceptedOrders int64             `json:"acceptedOrders,omitempty"`
 	Leaving        bool              `json:"leaving,omitempty"`
+	// Usage holds the numbers of running and waiting requests and the used and total cache.
+	Usage *[4]int64 `json:"usage,omitempty"`
 }
 
 func newReportMessage(r citronupstream.Report, err error) *reportMessage {
@@ -40,6 +43,9 @@
 	if r.Layers != nil {
 		m.HasLayers, m.From, m.To = true, r.Layers.From, r.Layers.To
 	}
+	if u := r.Usage; u != nil {
+		m.Usage = &[4]int64{u.Running, u.Waiting, u.Used, u.Total}
+	}
 	return m
 }
 
@@ -48,6 +54,9 @@
 	if m.HasLayers {
 		r.Layers = &citronmodel.Span{From: m.From, To: m.To}
 	}
+	if u := m.Usage; u != nil {
+		r.Usage = &citronusage.Figures{Running: u[0], Waiting: u[1], Used: u[2], Total: u[3]}
+	}
 	return r
 }
 
--- a/citronrelay/relay_test.go
+++ b/citronrelay/relay_test.go
@@ -14,6 +14,7 @@
 	"citrondeck.dev/citrondeck/citronplace"
 	"citrondeck.dev/citrondeck/citronrelay"
 	"citrondeck.dev/citrondeck/citronupstream"
+	"citrondeck.dev/citrondeck/citronusage"
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -253,7 +254,9 @@
 func TestReportAndStateArriveUnchanged(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		is := is.New(t)
-		report := citronupstream.Report{Slowdown: rapid.Float64Range(0, 100).Draw(t, "slowdown"), StartMS: rapid.Int64().Draw(t, "start"), AcceptedOrders: rapid.Int64().Draw(t, "orders"), Leaving: rapid.Bool().Draw(t, "leaving")}
+		figures := rapid.Int64()
+		usage := &citronusage.Figures{Running: figures.Draw(t, "running"), Waiting: figures.Draw(t, "waiting"), Used: figures.Draw(t, "used"), Total: figures.Draw(t, "total")}
+		report := citronupstream.Report{Usage: usage, Slowdown: rapid.Float64Range(0, 100).Draw(t, "slowdown"), StartMS: rapid.Int64().Draw(t, "start"), AcceptedOrders: rapid.Int64().Draw(t, "orders"), Leaving: rapid.Bool().Draw(t, "leaving")}
 		if rapid.Bool().Draw(t, "hasLayers") {
 			report.Layers = &citronmodel.Span{From: rapid.Int().Draw(t, "from"), To: rapid.Int().Draw(t, "to")}
 		}
--- a/citronupstream/upstream.go
+++ b/citronupstream/upstream.go
@@ -13,6 +13,7 @@
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronpath"
 	"citrondeck.dev/citrondeck/citronpool"
+	"citrondeck.dev/citrondeck/citronusage"
 	"github.com/cockroachdb/errors"
 )
 
@@ -130,6 +131,8 @@
 	AcceptedOrders int64
 	// Leaving is true if the response with the report states that the engine is leaving.
 	Leaving bool
+	// Usage is the engine's usage, or nil if the engine does not report it.
+	Usage *citronusage.Figures
 	// Relayed is true if the report came through another node because this node's own link
 	// to the engine is broken.
 	Relayed bool
