Merge admission, spillover, forecast, engine usage, migration and retry delays

Cause: most of what callers lose under hard load are refusals on an estimate while engines have free cache, streams of dead engines that move late, and kinds of different urgency that are treated alike.

--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -76,6 +76,7 @@
 	HeaderUnknown      Event = 517
 	RequestRelayed     Event = 518
 	RelayFailed        Event = 519
+	StreamDelayed      Event = 530
 
 	TableApplied     Event = 600
 	TableRejected    Event = 601
@@ -108,6 +109,8 @@
 	EnginesUnreached  Event = 627
 	EnginesReported   Event = 628
 	RelayServed       Event = 629
+	PriorityClamped   Event = 639
+	UsageRejected     Event = 640
 
 	// 400 to 403 are reserved.
 )
@@ -152,12 +155,12 @@
 	UpstreamFrozen:      {slog.LevelWarn, "upstream.frozen", "a back end answered neither its calls in flight nor two probes; its calls were canceled, except those of non-idempotent plain services, which continue"},
 	RequestOverloaded:   {slog.LevelWarn, "request.overloaded", "a request was rejected before anything was sent: its service had no free capacity, at once or while the caller waited"},
 	StageMoved:          {slog.LevelInfo, "stage.moved", "a stage of a request was moved, with its KV cache, off an engine that is leaving"},
-	ForwardRefused:      {slog.LevelWarn, "forward.refused", "the node itself answered a request with an error; gives the reason and how long the request was held"},
+	ForwardRefused:      {slog.LevelWarn, "forward.refused", "the node itself answered a request with an error; gives the reason, how long the request was held and the zone of the node (nodeZone); if the request was valid also its route, customer and priority level (priorityLevel, 0 first); for a stream that asked for capacity also the utilization of its cheapest path (used), the utilization up to which it is admitted (usedLimit), and the forecast time to its first event, zero if unknown"},
 	AttemptFailed:       {slog.LevelWarn, "attempt.failed", "a call to an engine did not succeed: it was refused, ended early, or got an error or an invalid response; gives the outcome and what is known about the cause"},
-	StreamBroken:        {slog.LevelWarn, "stream.broken", "a stream ended before its last event, because the caller left, the time was up or the stream could not be resumed; gives the reason"},
-	HopReplaced:         {slog.LevelWarn, "part.replaced", "an engine on a running stream's path died, stalled, is leaving, was named by another engine as the cause of a refusal and answered no probe (accused), or is no longer reached by this node although others reach it (unreached); the stream starts to move to another path"},
+	StreamBroken:        {slog.LevelWarn, "stream.broken", "a stream ended before its last event, because the caller left, the time was up or the stream could not be resumed; gives the reason, the route, the customer and the zone of the node (nodeZone)"},
+	HopReplaced:         {slog.LevelWarn, "part.replaced", "an engine on a running stream's path died, stalled, is leaving, was named by another engine as the cause of a refusal and answered no probe (accused), or is no longer reached by this node although others reach it (unreached); the stream starts to move to another path; engines is how many engines are replaced and delay how long the move was held back for streams that could still keep their pause"},
 	RepathFailed:        {slog.LevelWarn, "repath.failed", "a running stream was not moved to another path behind its first engine: that engine did not do it, or a permit was denied"},
-	StreamLate:          {slog.LevelInfo, "stream.late", "a stream completed late: its first event or a pause between events took longer than its route's target; gives how often its path changed (moves)"},
+	StreamLate:          {slog.LevelInfo, "stream.late", "a stream completed late: its first event or a pause between events took longer than its route's target; gives how often its path changed (moves), the route, the customer and the zones of the node (nodeZone) and of the first engine (zone)"},
 	StreamAsked:         {slog.LevelInfo, "stream.asked", "the first engine of a stalled stream reported which requests wait for another engine"},
 	RunCrashed:          {slog.LevelWarn, "run.crashed", "an engine's process ended during a run of a request that had not run successfully yet; gives the request's fingerprint (print) and the number of crashes counted for it (crashes)"},
 	RequestQuarantined:  {slog.LevelWarn, "request.barred", "a request during which several engines crashed is quarantined: no engine gets it for a while; gives its fingerprint (print), the number of crashes and where this node learned of the last one (source): from its own run (own), from the node named, or from the store (store)"},
@@ -171,6 +174,7 @@
 	HeaderUnknown:       {slog.LevelWarn, "header.unknown", "an engine's response had a header that this version does not know (name) and only passes on; it may be something that engines expect nodes to act on; only the first response with each name is logged, and a limited number of names"},
 	RequestRelayed:      {slog.LevelInfo, "request.relayed", "a request was sent to an engine through another node (through), because this node's own link to the engine is broken; gives the status of the engine's response"},
 	RelayFailed:         {slog.LevelWarn, "relay.failed", "a request was not answered through another node (through): that node declined it, could not reach the engine either, or the request may have run; gives the cause"},
+	StreamDelayed:       {slog.LevelInfo, "stream.delayed", "the engines of a stream's cheapest path had no free capacity: it was admitted after a wait (outcome=waited), or on a path of another zone (outcome=spilled); gives its priority, its level among the priorities of its service's streams, the utilization (used), up to which it is admitted (usedLimit), and the forecast time to its first event, zero if unknown; only one in ten is logged"},
 	AnswerSampled:       {slog.LevelInfo, "answer.sampled", "a request was answered in full, or a stream's request with an engine's failure response; only a sample of these is logged"},
 
 	TableApplied:     {slog.LevelInfo, "table.applied", "a node activated a new version of the configuration"},
@@ -203,6 +207,8 @@
 	EnginesUnreached:  {slog.LevelWarn, "engines.unreached", "this node began (lost=true) or ceased (lost=false) to fail to connect to most of the engines that it tried in the last seconds; gives how many it tried (tried) and could not reach (unreached), and how many of those other nodes reach (broken)"},
 	EnginesReported:   {slog.LevelInfo, "engines.reported", "another node (peer) reported engines that it found dead, and this node begins to avoid them for a moment; gives how many (count) and names a few"},
 	RelayServed:       {slog.LevelInfo, "relay.served", "this node sent a request of another node (peer) to an engine; gives the status of the engine's response"},
+	PriorityClamped:   {slog.LevelWarn, "priority.clamped", "a priority in a new version of the configuration, of a route or a customer, is negative or too high (priority); the nearest valid one takes effect (used)"},
+	UsageRejected:     {slog.LevelWarn, "usage.rejected", "an engine (engine) reported an impossible usage, or another node (peer) passed one on; it was not used, and only the first one from each engine and node is logged"},
 	SuspectsRejected:  {slog.LevelWarn, "suspects.rejected", "another node sent invalid records of requests that crash engines, and none of the records in that message was used, or the store holds an invalid record (peer=store); only the first message from each node and the first record in the store are logged"},
 
 	LedgerRetry: {slog.LevelWarn, "ledger.retry", "recording an outcome in the ledger, or releasing or undoing a claim, has not succeeded yet; it is retried for a limited time"},
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -18,7 +18,6 @@
 import (
 	"context"
 	"log/slog"
-	"math"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -28,9 +27,12 @@
 	"citrondeck.dev/citrondeck/citronbudget"
 	"citrondeck.dev/citrondeck/citronclock"
 	"citrondeck.dev/citrondeck/citronevent"
+	"citrondeck.dev/citrondeck/citronforecast"
 	"citrondeck.dev/citrondeck/citrongate"
 	"citrondeck.dev/citrondeck/citronkv"
 	"citrondeck.dev/citrondeck/citronlimit"
+	"citrondeck.dev/citrondeck/citronmodel"
+	"citrondeck.dev/citrondeck/citronpath"
 	"citrondeck.dev/citrondeck/citronpermit"
 	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citronprobe"
@@ -76,6 +78,8 @@
 	Upstream citronupstream.Engines
 	Budget   *citronbudget.Budget
 	Loads    *citronpool.ZoneLoads
+	// Forecast learns from the outcomes of this node's streams.
+	Forecast citronforecast.Model
 	// Current returns the newest state, or nil before the first one.
 	Current func() *State
 	Metrics *Metrics
@@ -98,13 +102,24 @@
 	// maxWait is how long the request can wait for the permit.
 	Permit func(ctx context.Context, e *citronpool.Engine, maxWait time.Duration) citronpermit.Decision
 
+	// FirstEvent, if set, replaces Forecast for decisions about admission. It returns the
+	// forecast time from sending a request over a path to its first event, zero if unknown.
+	FirstEvent func(r *citronupstream.Request, p citronpath.Path, spec citronmodel.Spec, now time.Time) time.Duration
+
+	// admissions holds the admission state of each service, *admissionState by name.
+	admissions sync.Map
+
 	probes   citronprobe.Prober
+	retries  retryPlanners
+	links    pathLinks
 	gateOnce sync.Once
 	// gate sends all calls to engines. It is created on first use.
 	gate *citrongate.Gate
 	// completed counts the unary requests that succeeded, and the streams that were
 	// completed or ended by an engine's failure response.
 	completed atomic.Int64
+	// delayed counts the streams that waited for capacity or spilled over.
+	delayed atomic.Int64
 }
 
 // Gate returns the gate through which all calls of this node are sent.
@@ -125,7 +140,7 @@
 // logSample logs the first of every sampleEvery completed requests.
 func (j *job) logSample(args ...any) {
 	if j.f.completed.Add(1)%sampleEvery == 1 {
-		citronevent.Log(context.Background(), j.f.Log, citronevent.AnswerSampled, append([]any{"request", j.ID, "route", j.route.Name, "version", j.version, "list", j.list.String(), "took", j.f.Clock.Now().Sub(j.Received)}, args...)...)
+		citronevent.Log(context.Background(), j.f.Log, citronevent.AnswerSampled, append([]any{"request", j.ID, "route", j.route.Name, "customer", j.customer, "tokens", j.Tokens(), "version", j.version, "list", j.list.String(), "took", j.f.Clock.Now().Sub(j.Received)}, args...)...)
 	}
 }
 
@@ -142,7 +157,9 @@
 	route    citrontable.Route
 	service  citrontable.Service
 	customer string
-	deadline time.Time
+	// priorityLevel and priorityLevels are the result of citrontable.Table.PriorityLevel.
+	priorityLevel, priorityLevels int
+	deadline                      time.Time
 	// zoneJitter is a random extra cost per zone, drawn once for this request.
 	zoneJitter map[string]float64
 	// avoid holds the IDs of engines that this request must not use, for example because
@@ -159,6 +176,8 @@
 	// cacheUsage is the cache usage of the fullest engine on the best path, set if the
 	// request is refused because of it.
 	cacheUsage float64
+	// admission holds what the newest decision about admission was based on.
+	admission admissionRecord
 	// retryAfter is the delay that a refusal tells the caller to wait before it
 	// retries.
 	retryAfter time.Duration
@@ -297,7 +316,7 @@
 	if st.OtherNodeServing {
 		after = 0
 	}
-	j.f.refuse(j.Request, j.out, http.StatusServiceUnavailable, after, "this node is stopping")
+	j.f.refuse(j.Request, j.out, http.StatusServiceUnavailable, after, "this node is stopping", "service", j.service.Name, "route", j.route.Name, "customer", j.customer, "priorityLevel", j.priorityLevel)
 	return true
 }
 
@@ -309,14 +328,16 @@
 		return nil, false
 	}
 	j := &job{Request: r, f: f, out: out, version: s.Table.Version, route: route, avoid: map[string]bool{}, zoneJitter: drawZoneJitter(s), retryAfter: retryNoEngine}
+	var c citrontable.Customer
 	if s.Table.NeedsKey(route) {
-		c, ok := s.Table.Customer(r.APIKey)
+		c, ok = s.Table.Customer(r.APIKey)
 		if !ok {
 			f.refuse(r, out, http.StatusUnauthorized, -1, "unknown key")
 			return nil, false
 		}
 		j.customer = c.Name
 	}
+	j.priorityLevel, j.priorityLevels = s.Table.PriorityLevel(route, c)
 	if limit := s.Table.Limits.MaxBodyBytes; limit > 0 && int64(len(r.Body)) > limit {
 		f.refuse(r, out, http.StatusRequestEntityTooLarge, -1, "body is over the limit")
 		return nil, false
@@ -341,7 +362,7 @@
 // no retry delay; more holds further keys and values for the log line.
 func (f *Forwarder) refuse(r *citronupstream.Request, out Sink, status int, after time.Duration, reason string, more ...any) {
 	f.Metrics.Refusals.WithLabelValues(reason).Inc()
-	args := []any{"request", r.ID, "status", status, "reason", reason, "retryAfter", after, "held", f.Clock.Now().Sub(r.Received), "version", f.version()}
+	args := []any{"request", r.ID, "status", status, "reason", reason, "retryAfter", after, "held", f.Clock.Now().Sub(r.Received), "nodeZone", f.Zone, "version", f.version()}
 	citronevent.Log(context.Background(), f.Log, citronevent.ForwardRefused, append(args, more...)...)
 	out.Refuse(status, after, reason)
 }
@@ -366,7 +387,7 @@
 		}
 		after = -1
 	}
-	j.f.refuse(j.Request, j.out, status, after, reason, "service", j.service.Name, "customer", j.customer, "print", j.fingerprint(), "runs", j.runs+j.runsOnEndedEngines, "refused", j.refused, "limit", j.reachedLimit, "used", math.Round(100*j.cacheUsage)/100)
+	j.f.refuse(j.Request, j.out, status, after, reason, append(j.admissionArgs(), "service", j.service.Name, "route", j.route.Name, "customer", j.customer, "priorityLevel", j.priorityLevel, "print", j.fingerprint(), "runs", j.runs+j.runsOnEndedEngines, "refused", j.refused, "limit", j.reachedLimit, "used", roundShare(j.cacheUsage))...)
 }
 
 // timeLeft returns the time until the deadline, negative if it has passed.
--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -107,11 +107,19 @@
 	// badHop is the hop to be replaced, reason the reason for it.
 	badHop citronpath.Hop
 	reason string
-	// accused is the probe of an accused engine: one that another engine named as
-	// the cause of a refused request.
-	accused *accusedProbe
+	// accused holds the IDs of the engines on the path that were accused during the
+	// current stall: those that another engine named as the cause of a refused request.
+	accused map[string]bool
+	// timerDue is when timer fires next. late reports that this check took place more
+	// than maxCheckDelay after that.
+	timerDue time.Time
+	late     bool
 	// switchZoneAt is when the stream moves to another zone.
 	switchZoneAt time.Time
+	// delay is how long the current move is held back, until delayedUntil, which is zero
+	// if that is not decided yet (move.go).
+	delay        time.Duration
+	delayedUntil time.Time
 	// leavingSince is when a leaving engine was first seen on the path.
 	leavingSince time.Time
 	// moveAt is when this stream moves away from a leaving engine.
@@ -132,7 +140,7 @@
 
 // newWatch returns a watch for a run of s that ends with ctx.
 func newWatch(ctx context.Context, s *streamJob) *watch {
-	w := &watch{s: s, ctx: ctx, timer: citronclock.NewTimer(checkInterval), probeResults: make(chan probeResult, 1), repathResults: make(chan repathResult, 1)}
+	w := &watch{s: s, ctx: ctx, timer: citronclock.NewTimer(checkInterval), timerDue: s.f.Clock.Now().Add(checkInterval), accused: map[string]bool{}, probeResults: make(chan probeResult, 1), repathResults: make(chan repathResult, 1)}
 	context.AfterFunc(ctx, func() { w.timer.Stop() })
 	return w
 }
@@ -142,14 +150,22 @@
 
 // onTick checks the path after tick has fired.
 func (w *watch) onTick() action {
-	w.timer.Reset(stalledCheckInterval)
+	w.late = w.s.f.Clock.Now().Sub(w.timerDue) > maxCheckDelay
+	w.setTimer(stalledCheckInterval)
 	return w.check()
 }
 
+// setTimer makes the timer fire after d.
+func (w *watch) setTimer(d time.Duration) {
+	w.timer.Reset(d)
+	w.timerDue = w.s.f.Clock.Now().Add(d)
+}
+
 // onEvent restarts the timer after an event was forwarded. It checks the path if
 // the last check is long enough ago.
 func (w *watch) onEvent() action {
-	w.timer.Reset(stallCheckDelay)
+	w.setTimer(stallCheckDelay)
+	w.delay, w.delayedUntil = 0, time.Time{}
 	if w.s.lastEventAt.Sub(w.checkedAt) < checkInterval {
 		return keepRun
 	}
@@ -180,7 +196,7 @@
 		// This node was paused, so the pause says nothing about the engines.
 		w.waitUntil = now.Add(probeAfter)
 	}
-	if now.Before(w.waitUntil) {
+	if now.Before(w.waitUntil) || now.Before(w.delayedUntil) {
 		return keepRun
 	}
 	since := w.s.lastEventAt
@@ -188,16 +204,16 @@
 		since = w.s.pathSince
 	}
 	pause := now.Sub(since)
-	if bad := w.accusedHop(now, pause); bad >= 0 {
-		return w.replace(bad, reasonAccused)
+	if bad := w.accusedHops(now, since); len(bad) > 0 {
+		return w.replace(reasonAccused, bad...)
 	}
 	if pause > checkInterval*3 {
 		if bad := w.deadHop(since); bad >= 0 {
-			return w.replace(bad, reasonDead)
+			return w.replace(reasonDead, bad)
 		}
 	}
 	if bad := w.leavingHop(now); bad >= 0 {
-		return w.replace(bad, reasonLeaving)
+		return w.replace(reasonLeaving, bad)
 	}
 	limit := probeAfter
 	if !w.s.begun {
@@ -258,11 +274,11 @@
 			return keepRun
 		}
 		citronprobe.RecordDead(first, r.err, now)
-		return w.replace(0, reasonDead)
+		return w.replace(reasonDead, 0)
 	}
 	citronprobe.RecordReport(first, r.report, now)
 	if first.Ended() {
-		return w.replace(0, reasonDead)
+		return w.replace(reasonDead, 0)
 	}
 	if r.report.Relayed && !w.s.run.relayed.Load() {
 		return w.reconnect()
@@ -281,23 +297,28 @@
 			if h.Engine.Healthy(now) && h.Engine.ThrottledFor(now) == 0 {
 				h.Engine.RecordFailure(now)
 			}
-			return w.replace(i, reasonStalled)
+			return w.replace(reasonStalled, i)
 		}
 	}
 	return keepRun
 }
 
-// replace removes a hop from the path. It uses a new path behind the same first
-// engine if the zone has one, and otherwise a new run in another zone.
-func (w *watch) replace(bad int, reason string) action {
+// replace removes one or more hops from the path, given in ascending order, and all hops
+// whose engines are known to be dead. It uses a new path behind the same first engine if
+// the zone has one, and otherwise a new run in another zone.
+func (w *watch) replace(reason string, bad ...int) action {
 	s := w.s
-	s.avoid[s.path[bad].Engine.ID] = true
+	for _, i := range bad {
+		s.avoid[s.path[i].Engine.ID] = true
+	}
 	s.avoidDeadEngines()
-	w.badHop, w.reason = s.path[bad], reason
-	if s.path[bad].Engine.Ended() {
-		s.noteCrash(w.ctx, s.path[bad].Engine, s.run.sent)
+	w.badHop, w.reason = s.path[bad[0]], reason
+	for _, i := range bad {
+		if s.path[i].Engine.Ended() {
+			s.noteCrash(w.ctx, s.path[i].Engine, s.run.sent)
+		}
 	}
-	if bad == 0 {
+	if bad[0] == 0 {
 		return w.resume()
 	}
 	return w.reroute()
@@ -320,6 +341,7 @@
 	}
 	q := s.query(current, s.path[0].Engine.ID)
 	q.CurrentPath = s.path
+	q.MoveCost = w.moveCost(q)
 	p, ok := citronpath.Choose(current.View.ByService[s.service.Name], q)
 	if !ok || w.repaths >= maxRepaths {
 		return w.resume()
@@ -332,6 +354,9 @@
 			return w.startNewRun()
 		}
 	}
+	if p.OneZone() && w.isDelayed(q, p) { // otherwise mayWaitForZone has held it back already
+		return keepRun
+	}
 	w.logReplacement("repath")
 	w.repaths++
 	w.repathing = true
@@ -401,7 +426,7 @@
 // logReplacement logs the replacement of the bad hop by a repath or a resume.
 func (w *watch) logReplacement(way string) {
 	s := w.s
-	citronevent.Log(w.ctx, s.f.Log, citronevent.HopReplaced, "request", s.ID, "engine", w.badHop.Engine.ID, "peer", w.badHop.Engine.Addr, "from", w.badHop.Span.From, "to", w.badHop.Span.To, "reason", w.reason, "way", way, "lastEvent", s.lastEventID, "list", s.list.String(), "silent", s.f.Clock.Now().Sub(s.lastEventAt), "runs", s.runs+1)
+	citronevent.Log(w.ctx, s.f.Log, citronevent.HopReplaced, "request", s.ID, "engine", w.badHop.Engine.ID, "peer", w.badHop.Engine.Addr, "from", w.badHop.Span.From, "to", w.badHop.Span.To, "reason", w.reason, "way", way, "lastEvent", s.lastEventID, "list", s.list.String(), "silent", s.f.Clock.Now().Sub(s.lastEventAt), "runs", s.runs+1, "engines", w.replacedEngines(), "delay", w.delay)
 }
 
 // handleRepath handles the result of a repath.
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -71,12 +71,17 @@
 	// far.
 	lastEventAt time.Time
 	maxPause    time.Duration
+	// moved reports that the stream had begun when its path changed and that no event
+	// has arrived since.
+	moved bool
 	// maxPauseAfter is the ID of the event before the longest pause,
 	// firstEventTook the time from the request to the first event, pathChanges
 	// the number of times the path has changed.
 	maxPauseAfter  string
 	firstEventTook time.Duration
 	pathChanges    int
+	// events is the number of events forwarded to the caller.
+	events int
 	// budgetCharged is true if the retry budget has already been charged for the
 	// next run.
 	budgetCharged bool
@@ -99,6 +104,8 @@
 	firstEvent, lastEvent time.Time
 	// relayed is set once the request has been passed on to another node.
 	relayed *atomic.Bool
+	// forecast is the forecast of the first event when the request was sent.
+	forecast firstEventForecast
 }
 
 // WithEvent returns the run updated for an event that was forwarded at the given
@@ -141,7 +148,9 @@
 // complete or no further run is allowed.
 func (j *job) serveStream(ctx context.Context) {
 	s := &streamJob{job: j, lastEventID: j.ResumeAfter, lastEventAt: j.Received}
+	defer s.tryWaiting()
 	defer s.unbind()
+	defer s.observeEnd()
 	var reason string
 	for {
 		var v runOutcome
@@ -155,7 +164,7 @@
 		}
 	}
 	if s.begun {
-		citronevent.Log(ctx, j.f.Log, citronevent.StreamBroken, "request", j.ID, "reason", reason, "print", j.fingerprint(), "lastEvent", s.lastEventID, "runs", j.runs, "limit", j.reachedLimit, "left", j.timeLeft())
+		citronevent.Log(ctx, j.f.Log, citronevent.StreamBroken, "request", j.ID, "route", j.route.Name, "customer", j.customer, "nodeZone", j.f.Zone, "reason", reason, "print", j.fingerprint(), "lastEvent", s.lastEventID, "runs", j.runs, "limit", j.reachedLimit, "left", j.timeLeft())
 		j.out.Abort()
 		return
 	}
@@ -176,9 +185,11 @@
 		return noPath, reasonQuarantined
 	}
 	s.bind(p)
-	s.run = run{sent: s.f.Clock.Now(), relayed: &atomic.Bool{}}
+	s.observeBegin()
+	s.run = run{sent: s.f.Clock.Now(), relayed: &atomic.Bool{}, forecast: s.forecastFirstEvent()}
 	switch v := s.send(ctx); v {
 	case callerLeft:
+		s.observeNoFirstEvent()
 		return v, endReason(ctx)
 	case runRefused:
 		return v, "engines are full"
@@ -211,9 +222,9 @@
 		case ok:
 			return nil, endReason(ctx)
 		case full:
-			return nil, s.heldReason("engines' cache is full")
+			return nil, s.heldReason(s.admission.reason)
 		default:
-			return nil, s.heldReason("no path runs all layers")
+			return nil, s.heldReason(reasonNoPath)
 		}
 	}
 }
@@ -282,7 +293,7 @@
 func (s *streamJob) recordFinished(ctx context.Context) {
 	s.f.Metrics.LongestPause.Observe(s.maxPause.Seconds())
 	if s.firstEventTook > s.route.TargetLatency || s.maxPause > s.route.MaxEventGap {
-		citronevent.Log(ctx, s.f.Log, citronevent.StreamLate, "request", s.ID, "first", s.firstEventTook, "pause", s.maxPause, "afterEvent", s.maxPauseAfter, "moves", s.pathChanges, "runs", s.runs+1, "engine", s.path[0].Engine.ID, "zone", s.path[0].Engine.Zone)
+		citronevent.Log(ctx, s.f.Log, citronevent.StreamLate, "request", s.ID, "route", s.route.Name, "customer", s.customer, "nodeZone", s.f.Zone, "first", s.firstEventTook, "pause", s.maxPause, "afterEvent", s.maxPauseAfter, "moves", s.pathChanges, "runs", s.runs+1, "engine", s.path[0].Engine.ID, "zone", s.path[0].Engine.Zone)
 	}
 	s.logSample("first", s.firstEventTook, "pause", s.maxPause, "moves", s.pathChanges, "runs", s.runs+1, "engine", s.path[0].Engine.ID)
 }
@@ -329,10 +340,24 @@
 	s.unbind()
 	if s.path != nil {
 		s.pathChanges++
+		s.moved = s.begun
 	}
+	previous := s.path
 	s.path = p
 	s.pathSince = s.f.Clock.Now()
-	ends := make([]func(), 0, 2*len(p))
+	for _, h := range p {
+		if !previous.Has(h.Engine.ID) {
+			h.Engine.RecordBegun(s.Tokens(), s.pathSince)
+		}
+	}
+	s.reserve(p)
+}
+
+// reserve adds the stream to the load of a path's engines and zones until unbind.
+func (s *streamJob) reserve(p citronpath.Path) {
+	ends := make([]func(), 0, 2*len(p)+1)
+	s.f.links.add(p, 1)
+	ends = append(ends, func() { s.f.links.add(p, -1) })
 	zones := map[string]bool{}
 	for _, h := range p {
 		ends = append(ends, h.Engine.Begin(s.Tokens()))
@@ -363,7 +388,7 @@
 	defer cancel()
 	w := newWatch(ctx, s)
 	replies := make(chan sendResult, 1)
-	call := citronupstream.Call{Request: s.Request, Engine: s.path[0].Engine, EnginePath: s.path, Customer: s.customer, TimeLeft: s.timeLeft(), AfterEvent: s.lastEventID, NoRetry: !s.route.Idempotent(), Urgent: s.begun, OnRelay: relayedSetter(s.run)}
+	call := citronupstream.Call{Request: s.Request, Engine: s.path[0].Engine, EnginePath: s.path, Customer: s.customer, TimeLeft: s.timeLeft(), AfterEvent: s.lastEventID, NoRetry: !s.route.Idempotent(), Urgency: s.urgency(), OnRelay: relayedSetter(s.run)}
 	go func() {
 		reply, err := s.f.Gate().Send(ctx, call)
 		replies <- sendResult{reply, err}
@@ -426,6 +451,7 @@
 	first := s.path[0].Engine
 	if reply.NotExecuted {
 		_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, maxAnswerBytes)) // so that the connection can be reused
+		s.unbind()                                                             // the refused request does not count as running at the accused engine
 		s.noteRefusal(first, reply)
 		s.f.Metrics.Attempts.WithLabelValues(notRun.String()).Inc()
 		s.logAttempt(first, result{outcome: notRun, status: reply.Status, err: errors.Newf("engine did not run the request, accused engine: %q", reply.AccusedAddr)})
@@ -497,6 +523,7 @@
 	s.path[0].Engine.RecordAlive()
 	if s.run.firstEvent.IsZero() {
 		s.markAdmitted()
+		s.observeFirstEvent(now)
 	}
 	if !s.begun {
 		s.begun = true
@@ -506,12 +533,14 @@
 	} else if pause := now.Sub(s.lastEventAt); pause > s.maxPause {
 		s.maxPause, s.maxPauseAfter = pause, s.lastEventID
 	}
+	s.countMove(now)
 	if err := s.out.Event(ev.text); err != nil {
 		return callerLeft, true
 	}
 	if ev.id != "" {
 		s.lastEventID = ev.id
 	}
+	s.events++
 	s.lastEventAt = now
 	s.run = s.run.WithEvent(now)
 	if s.run.eventSpan() >= minSuccessfulRun {
@@ -520,6 +549,20 @@
 	return 0, false
 }
 
+// countMove counts whether the stream kept its allowed pause, at the first event after a
+// move.
+func (s *streamJob) countMove(now time.Time) {
+	if !s.moved {
+		return
+	}
+	s.moved = false
+	pause := "kept"
+	if now.Sub(s.lastEventAt) > s.route.MaxEventGap {
+		pause = "missed"
+	}
+	s.f.Metrics.MovePauses.WithLabelValues(pause).Inc()
+}
+
 // markAdmitted records that the engines of the path have admitted the stream.
 func (s *streamJob) markAdmitted() {
 	for _, h := range s.path {
@@ -544,6 +587,7 @@
 		if !s.begun {
 			return runBroken // an empty stream is not a valid response
 		}
+		s.observeOutput()
 		s.path[0].Engine.RecordResponse(s.pathSince, s.f.Clock.Now())
 		s.markSuccessful()
 		return runFinished
--- a/citronforward/unary.go
+++ b/citronforward/unary.go
@@ -214,12 +214,13 @@
 	now := j.f.Clock.Now()
 	if accused, ok := j.f.Current().View.ByAddr(reply.AccusedAddr); reply.AccusedAddr != "" && ok {
 		j.avoid[accused.ID] = true
+		wasAccused := accused.Accused(now)
 		if accused.Accuse(now) && j.f.Accuse != nil {
 			j.f.Accuse(accused)
 		}
 		// The accused engine may be full or dead. Streams that run through it need to
 		// know which, so probe it.
-		go func() { _ = j.f.probe(context.Background(), accused, citronprobe.MaxReportAge) }()
+		j.f.ProbeAccused(accused, wasAccused)
 		return
 	}
 	if reply.Status == http.StatusMisdirectedRequest {
@@ -288,8 +289,8 @@
 func (j *job) query(s *State, first string) citronpath.Query {
 	j.list = s.ListRevision
 	return citronpath.Query{
-		CanWait: j.permits.mayWait,
-		Spec:    *j.service.Model, Zone: j.f.Zone, Now: j.f.Clock.Now(), Avoid: j.avoid, FirstID: first, OthersTokens: s.OtherNodesCache, OwnTokens: j.f.Loads.ZoneTotals(), ZoneCost: j.zoneJitter,
+		CanWait: j.permits.mayWait, Tokens: j.Tokens(),
+		Spec: *j.service.Model, Zone: j.f.Zone, Now: j.f.Clock.Now(), Avoid: j.avoid, FirstID: first, OthersTokens: s.OtherNodesCache, OwnTokens: j.f.Loads.ZoneTotals(), ZoneCost: j.zoneJitter,
 	}
 }
 
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -228,6 +228,9 @@
 	c.configChanged = true
 	c.n.notifyPeers()
 	citronevent.Log(ctx, c.n.log, citronevent.TableApplied, "version", d.table.Version, "source", d.source)
+	for _, p := range d.table.ClampedPriorities() {
+		citronevent.Log(ctx, c.n.log, citronevent.PriorityClamped, "version", d.table.Version, "route", p.Route, "customer", p.Customer, "priority", p.Value, "used", p.Used)
+	}
 }
 
 // heardRecently is how long after something arrived from an engine another node's word that it
@@ -375,6 +378,7 @@
 		s.engines = c.list.Engines(c.services())
 		if c.view == nil || !sameEngines(s.engines, old.engines) {
 			c.view = citronpool.Build(s.engines, c.view)
+			c.view.OnInvalidUsage(func(engine string, err error) { c.n.logInvalidUsage(context.Background(), "engine", engine, err) })
 			c.n.limits.Retain(c.view.Has)
 		}
 	}
--- a/citronupstream/upstream.go
+++ b/citronupstream/upstream.go
@@ -13,6 +13,7 @@
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronpath"
 	"citrondeck.dev/citrondeck/citronpool"
+	"citrondeck.dev/citrondeck/citronusage"
 	"github.com/cockroachdb/errors"
 )
 
@@ -49,6 +50,9 @@
 	return r.PromptTokens + out
 }
 
+// MaxUrgency is the Urgency of the least urgent calls.
+const MaxUrgency = 9
+
 // Call is a request that is sent to one engine, or to the first engine of a path.
 type Call struct {
 	*Request
@@ -66,8 +70,9 @@
 	// NoRetry is true if the transport must not retry the call and must not reuse
 	// a connection of an earlier call.
 	NoRetry bool
-	// Urgent is true if the engine should run the call before others.
-	Urgent bool
+	// Urgency is the order in which engines admit waiting calls: 1 is first, MaxUrgency
+	// last. Zero leaves it to the engine.
+	Urgency int
 	// DirectOnly is true if the call must not be passed on to another node, because it came
 	// from one.
 	DirectOnly bool
@@ -130,6 +135,8 @@
 	AcceptedOrders int64
 	// Leaving is true if the response with the report states that the engine is leaving.
 	Leaving bool
+	// Usage is the engine's usage, or nil if the engine does not report it.
+	Usage *citronusage.Figures
 	// Relayed is true if the report came through another node because this node's own link
 	// to the engine is broken.
 	Relayed bool
