--- a/citronpath/path.go
+++ b/citronpath/path.go
@@ -116,7 +116,7 @@
 // The capacity is limited by the engine's cache or by its request slots,
 // whichever is scarcer: small engines with few layers have cache for more
 // requests than they can run at once and would refuse the excess. If the engine has
-// reported its usage lately, the share is estimated from the report (citronusage).
+// reported its usage lately, the share is estimated from the report (reportedUtilization).
 // Otherwise the load from other nodes is known only as a total per zone.
 func (q Query) Utilization(e *citronpool.Engine) float64 {
 	capacity := q.Spec.TokenCapacity(e.Kind, e.Layers.Len())
@@ -124,11 +124,25 @@
 		return math.Inf(1)
 	}
 	if u, ok := e.Usage(q.Now); ok {
-		return citronusage.Estimate(q.load(e, u, capacity))
+		return q.reportedUtilization(e, u)
 	}
 	return (float64(e.Tokens()) + float64(q.OthersTokens[e.Zone])*q.trafficShare(e)) / capacity
 }
 
+// reportedUtilization estimates the utilization of an engine from its report: that of the
+// scarcest of its cache, its prefill rate and, if it is the first hop, its request slots.
+// Only the first hop of a path needs a slot, and it holds the first layer.
+func (q Query) reportedUtilization(e *citronpool.Engine, u citronpool.Usage) float64 {
+	layers := e.Layers.Len()
+	l := q.load(e, u, q.Spec.CacheTokens(e.Kind, layers))
+	requests := l.Requests()
+	used := max(citronusage.Estimate(l), requests/q.Spec.PrefillCapacity(e.Kind, layers))
+	if e.Layers.From == 0 && q.Spec.Slots > 0 {
+		used = max(used, requests/float64(q.Spec.Slots))
+	}
+	return used
+}
+
 // assumedRequestTokens is the number of tokens that a waiting request is assumed to need if
 // the service does not declare its usual requests.
 const assumedRequestTokens = 1000
