citronforward: an engine that does not answer is accused, paths of silent streams are probed in the streams' rhythm

Cause: an engine that dies without a new request through it is named by no other engine. Change: a path is probed once its stream is silent for 1.5 times its longest pause, 140 to 270 ms; an engine that does not answer within 60 ms while the first engine of the path does is accused, so that all nodes move its streams.

--- a/citronforward/accused.go
+++ b/citronforward/accused.go
@@ -79,6 +79,26 @@
 	}
 }
 
+// accuseUnanswered accuses the engines of a path that do not answer the probes that have
+// just been sent within accusedProbeTimeout, so that all streams through them are moved: an
+// engine that stops responding is named by no other if no new request is sent through it. It
+// accuses none if the first engine does not answer, since this node may be cut off.
+func (f *Forwarder) accuseUnanswered(ctx context.Context, path citronpath.Path) {
+	if f.Clock.Sleep(ctx, accusedProbeTimeout) != nil {
+		return
+	}
+	if o, ok := f.probes.Last(path[0].Engine.Addr); !ok || o.DoneAt.IsZero() || o.Err != nil {
+		return
+	}
+	now := f.Clock.Now()
+	for _, h := range path[1:] {
+		o, ok := f.probes.Last(h.Engine.Addr)
+		if ok && o.DoneAt.IsZero() && now.Sub(o.StartedAt) >= accusedProbeTimeout && h.Engine.Accuse(now) && f.Accuse != nil {
+			f.Accuse(h.Engine)
+		}
+	}
+}
+
 // pathLinks counts, for each two adjacent engines, the streams of this node whose paths
 // contain them. Its zero value is ready to use.
 type pathLinks struct {
--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -40,8 +40,11 @@
 	// nodePauseThreshold is the time between two checks above which this node
 	// itself must have been paused.
 	nodePauseThreshold = 6 * checkInterval
-	// probeAfter is the pause between events after which the path is probed.
+	// probeAfter is the pause between events after which the path is probed at the latest.
 	probeAfter = 270 * time.Millisecond
+	// pauseFactor is the factor by which a pause must exceed the stream's longest one for
+	// the path to be probed before probeAfter.
+	pauseFactor = 1.5
 	// firstEventProbeAfter replaces probeAfter before the first event, which is
 	// sent only once the prompt has been processed.
 	firstEventProbeAfter = 500 * time.Millisecond
@@ -215,16 +218,22 @@
 	if bad := w.leavingHop(now); bad >= 0 {
 		return w.replace(reasonLeaving, bad)
 	}
-	limit := probeAfter
-	if !w.s.begun {
-		limit = firstEventProbeAfter
-	}
-	if pause > limit && !w.probing && now.Sub(w.probedAt) > probeInterval {
+	if pause > w.probeDelay() && !w.probing && now.Sub(w.probedAt) > probeInterval {
 		w.probePath(now)
 	}
 	return keepRun
 }
 
+// probeDelay returns the pause between events after which the path is probed. Events arrive
+// in a steady rhythm, so a pause well beyond the stream's longest one is probed early.
+func (w *watch) probeDelay() time.Duration {
+	if !w.s.begun {
+		return firstEventProbeAfter
+	}
+	usual := time.Duration(pauseFactor * float64(w.s.maxPause))
+	return min(probeAfter, max(2*stallCheckDelay, usual))
+}
+
 // deadHop returns the index of the first hop whose engine was found dead after since,
 // the time at which the stream last made progress, or at most checkInterval before it.
 // It returns -1 if there is none.
@@ -253,6 +262,7 @@
 		for _, h := range path[1:] {
 			wait.Go(func() { _ = w.s.f.probe(w.ctx, h.Engine, citronprobe.MaxReportAge) }) // Probe records the result in the engine's state
 		}
+		go w.s.f.accuseUnanswered(w.ctx, path)
 		r, err := w.s.f.probes.Report(w.ctx, w.s.f.Upstream, path[0].Engine.Addr, citronprobe.MaxReportAge)
 		wait.Wait()
 		w.probeResults <- probeResult{r, err}
