--- a/citrontable/priority.go
+++ b/citrontable/priority.go
@@ -1,11 +1,35 @@
 package citrontable
 
-import "sort"
+import (
+	"math"
+	"sort"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+)
 
 // MaxPriority is the highest priority value, that of the least urgent requests. Zero is
 // the most urgent.
 const MaxPriority = 1000
 
+// PriorityValue is a priority as a configuration in JSON holds it. Integers beyond the range of int32 are read as its nearest
+// bound: New replaces them by a valid priority, and they must not prevent the rest
+// of the configuration from taking effect.
+type PriorityValue int
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (p *PriorityValue) UnmarshalJSON(text []byte) error {
+	if string(text) == "null" {
+		return nil
+	}
+	f, err := strconv.ParseFloat(string(text), 64)
+	if err != nil && !errors.Is(err, strconv.ErrRange) || f != math.Trunc(f) {
+		return errors.Newf("priority is %s, want an integer", text)
+	}
+	*p = PriorityValue(max(math.MinInt32, min(math.MaxInt32, f)))
+	return nil
+}
+
 // ClampedPriority is a priority of the configuration that is out of range and was replaced
 // by the nearest valid one. Route or Customer names its owner.
 type ClampedPriority struct {
