--- a/citronnode/accuse.go
+++ b/citronnode/accuse.go
@@ -11,6 +11,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronpeer"
@@ -23,20 +25,65 @@
 	minAccuseGap = 20 * time.Millisecond
 )
 
+// accusations holds the accused engines that other nodes have not been told of. Its zero
+// value is ready to use.
+type accusations struct {
+	mu      sync.Mutex
+	pending []*citronpool.Engine
+	// scheduled is true while a round is to follow.
+	scheduled bool
+}
+
+// add adds an engine and reports whether the caller is to send a round now.
+func (a *accusations) add(e *citronpool.Engine) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !slices.ContainsFunc(a.pending, func(o *citronpool.Engine) bool { return o.ID == e.ID }) {
+		a.pending = append(a.pending, e)
+	}
+	first := !a.scheduled
+	a.scheduled = true
+	return first
+}
+
+// take returns the engines of the next round. Without any, no round follows.
+func (a *accusations) take() []*citronpool.Engine {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := a.pending
+	a.pending, a.scheduled = nil, len(out) > 0
+	return out
+}
+
 // Accuse tells the nodes of this node's zone, the nodes of the engine's zone and the
 // leader that a refusal named the engine. It does not block, because a request is being
-// answered. Accusations within minAccuseGap of the last one are dropped.
+// answered. Engines that are accused within minAccuseGap of the last round are named
+// together in the next one: adjacent engines that fail together are accused at once.
 func (n *Node) Accuse(e *citronpool.Engine) {
-	now := n.clock.Now()
-	last := n.lastAccusation.Load()
-	if last != nil && now.Sub(*last) < minAccuseGap || !n.lastAccusation.CompareAndSwap(last, &now) {
+	if n.accusations.add(e) {
+		n.sendAccusations()
+	}
+}
+
+// sendAccusations sends a round of accusations, if any are pending, and schedules the next.
+func (n *Node) sendAccusations() {
+	accused := n.accusations.take()
+	if len(accused) == 0 {
 		return
 	}
+	go func() {
+		_ = n.clock.Sleep(context.Background(), minAccuseGap)
+		n.sendAccusations()
+	}()
 	s := n.snap.Load()
 	update := s.update()
-	update.Accused = []string{e.ID}
+	zones := map[string]bool{n.settings.Zone: true}
+	for _, e := range accused {
+		update.Accused = append(update.Accused, e.ID)
+		zones[e.Zone] = true
+	}
 	for _, m := range s.members {
-		if m.Zone == n.settings.Zone || m.Zone == e.Zone || m.Leads {
+		if zones[m.Zone] || m.Leads {
 			go n.sendAccusation(m.Peer, update)
 		}
 	}
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -106,9 +106,7 @@
 	// updates wakes the gossip loop after a document has changed on this node. urgentUpdates
 	// does the same if the leader must be informed too.
 	updates, urgentUpdates chan struct{}
-	// lastAccusation is when this node last reported an accused engine: an engine that
-	// another engine named as the cause of a refused request.
-	lastAccusation atomic.Pointer[time.Time]
+	accusations            accusations
 	// probeAccused probes an engine that another node accused (ProbeAccusedThrough).
 	probeAccused atomic.Pointer[func(e *citronpool.Engine, wasAccused bool)]
 	// configs holds the newest decoded configuration for the control loop.
--- a/citronnode/node_test.go
+++ b/citronnode/node_test.go
@@ -343,3 +343,31 @@
 		t.Fatal("the other node does not probe the accused engine")
 	}
 }
+
+// Guards against accusations that are lost because another engine was accused within the
+// same 20 ms: engines that fail together are accused together, and the streams of other
+// nodes through the second one would stall until they find out by themselves.
+func TestEnginesAccusedTogetherReachTheZone(t *testing.T) {
+	f := newFleet(t)
+	f.putConfig("1")
+	for _, e := range engines(3) {
+		e.Zone = "z1"
+		f.putEngine(e)
+	}
+	a, b := f.addNode("a", "z1"), f.addNode("b", "z1")
+	eventually(t, "both nodes know the engines and each other", func() bool {
+		return a.usable() == 3 && b.usable() == 3 && len(a.Addresses("z1")) == 2
+	})
+	for _, id := range []string{"e0", "e1", "e2"} {
+		e, _ := a.Traffic().View.ByID(id)
+		a.Accuse(e)
+	}
+	eventually(t, "the other node knows all accused engines", func() bool {
+		for _, id := range []string{"e0", "e1", "e2"} {
+			if e, _ := b.Traffic().View.ByID(id); !e.Accused(time.Now()) {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/citronpath/path.go
+++ b/citronpath/path.go
@@ -116,31 +116,24 @@
 // The capacity is limited by the engine's cache or by its request slots,
 // whichever is scarcer: small engines with few layers have cache for more
 // requests than they can run at once and would refuse the excess. If the engine has
-// reported its usage lately, the share is estimated from the report (reportedUtilization).
-// Otherwise the load from other nodes is known only as a total per zone.
+// reported its usage lately, the share is estimated from the report (citronusage),
+// otherwise from this node's own requests (ownEstimate).
 func (q Query) Utilization(e *citronpool.Engine) float64 {
 	capacity := q.Spec.TokenCapacity(e.Kind, e.Layers.Len())
 	if capacity <= 0 {
 		return math.Inf(1)
 	}
 	if u, ok := e.Usage(q.Now); ok {
-		return q.reportedUtilization(e, u)
+		return citronusage.Estimate(q.load(e, u, capacity))
 	}
-	return (float64(e.Tokens()) + float64(q.OthersTokens[e.Zone])*q.trafficShare(e)) / capacity
+	return q.ownEstimate(e, capacity)
 }
 
-// reportedUtilization estimates the utilization of an engine from its report: that of the
-// scarcest of its cache, its prefill rate and, if it is the first hop, its request slots.
-// Only the first hop of a path needs a slot, and it holds the first layer.
-func (q Query) reportedUtilization(e *citronpool.Engine, u citronpool.Usage) float64 {
-	layers := e.Layers.Len()
-	l := q.load(e, u, q.Spec.CacheTokens(e.Kind, layers))
-	requests := l.Requests()
-	used := max(citronusage.Estimate(l), requests/q.Spec.PrefillCapacity(e.Kind, layers))
-	if e.Layers.From == 0 && q.Spec.Slots > 0 {
-		used = max(used, requests/float64(q.Spec.Slots))
-	}
-	return used
+// ownEstimate estimates the utilization of an engine from this node's own requests and the
+// totals of the zones. The cost of a path uses it even if there are reports: all nodes have
+// the same reports, and would send their requests to the same engines until the next ones.
+func (q Query) ownEstimate(e *citronpool.Engine, capacity float64) float64 {
+	return (float64(e.Tokens()) + float64(q.OthersTokens[e.Zone])*q.trafficShare(e)) / capacity
 }
 
 // assumedRequestTokens is the number of tokens that a waiting request is assumed to need if
@@ -187,10 +180,11 @@
 // layerCost returns the cost of running one layer on an engine.
 func (q Query) layerCost(e *citronpool.Engine) float64 {
 	ms := q.Spec.StepTimeMS(e.Kind, 1, typicalRequests, typicalContext)
-	used := q.Utilization(e)
-	if math.IsInf(used, 1) {
-		return used
+	capacity := q.Spec.TokenCapacity(e.Kind, e.Layers.Len())
+	if capacity <= 0 {
+		return math.Inf(1)
 	}
+	used := q.ownEstimate(e, capacity)
 	c := ms * (1 + used)
 	if slow := e.Slowdown(q.Now); slow > 1 {
 		// A slow engine is the bottleneck of its zone: requests queue up
--- a/citronusage/estimate.go
+++ b/citronusage/estimate.go
@@ -48,16 +48,6 @@
 	return max(used+waiting+since, ownFloor*own)
 }
 
-// Requests returns the estimated number of requests that run or wait at the engine. It is
-// never negative.
-func (l Load) Requests() float64 {
-	since := 0.0
-	if l.RequestTokens > 0 {
-		since = max(0, float64(min(l.OwnSince, l.Own))) / l.RequestTokens
-	}
-	return max(0, float64(l.Report.Running))*l.scale() + max(0, float64(l.Report.Waiting)) + since
-}
-
 // scale returns the factor by which the zone's total changed through other nodes.
 func (l Load) scale() float64 {
 	if l.ZoneThen <= 0 {
