citronadmit: streams whose first event would come after their callers have left are refused at once

Cause: admission looked at the cache alone. Change: a stream whose first event is forecast after twice its target is refused with a retry delay; a late one first tries another zone.

--- a/citronadmit/policy.go
+++ b/citronadmit/policy.go
@@ -10,6 +10,10 @@
 	// leaves more. Forecasts have errors, and a quarter of the target is the least in
 	// which a prompt of usual size is read.
 	maxWaitShare = 0.75
+	// hopelessTargets is the forecast time to the first event, in multiples of the target,
+	// beyond which a stream is refused: callers leave a stream that sends nothing for a
+	// few targets.
+	hopelessTargets = 2
 	// minLimitShare bounds what headroom takes from the limit of the least urgent
 	// streams, so that a service with many levels still serves them.
 	minLimitShare = 0.5
@@ -21,8 +25,8 @@
 	// could wait.
 	ReasonNoCapacity = "engines' cache is full"
 	// ReasonTooLate means that the first event is forecast to come so late that a retry
-	// would be served sooner.
-	ReasonTooLate = "engines' cache is full and the first event would come too late"
+	// would be served sooner, or that the caller may have left by then.
+	ReasonTooLate = "the first event would come too late"
 )
 
 // Decision states what happens to a request. It is one of Admit, Wait and Reject.
@@ -75,6 +79,9 @@
 
 // Decide returns whether the stream is admitted now, waits or is refused.
 func Decide(c Conditions) Decision {
+	if c.isHopeless() {
+		return Reject{Reason: ReasonTooLate}
+	}
 	if c.Utilization <= c.LevelLimit() {
 		return Admit{}
 	}
@@ -99,9 +106,20 @@
 	return min(longest, max(shortest, c.Waited+c.Target-c.Elapsed-c.Forecast))
 }
 
+// IsLate reports whether the first event is forecast to come after the target time if the
+// stream is admitted now.
+func (c Conditions) IsLate() bool { return c.Forecast > 0 && c.Elapsed+c.Forecast > c.Target }
+
+// isHopeless reports whether the first event is forecast to come so late that the caller may
+// have left. Prompts then queue at engines whose caches have free capacity, and each further
+// stream delays all others by work that nobody waits for.
+func (c Conditions) isHopeless() bool {
+	return c.RetryAfter > 0 && c.IsLate() && c.Elapsed+c.Forecast > hopelessTargets*c.Target
+}
+
 // retryIsSooner reports whether the stream would be late if admitted now, and later than its
 // caller's retry would be served. A refusal costs nearly as much as lateness, and a second
 // one loses the request, so lateness alone is no reason to refuse.
 func (c Conditions) retryIsSooner() bool {
-	return c.Forecast > 0 && c.RetryAfter > 0 && c.Elapsed+c.Forecast > c.Target && c.Forecast > c.RetryAfter+c.Target
+	return c.RetryAfter > 0 && c.IsLate() && c.Forecast > c.RetryAfter+c.Target
 }
--- a/citronforward/admit.go
+++ b/citronforward/admit.go
@@ -158,7 +158,7 @@
 	d := citronadmit.Decide(c)
 	w.cacheUsage = c.Utilization
 	w.admission.limit, w.admission.forecast = c.LevelLimit(), c.Forecast
-	if _, admitted := d.(citronadmit.Admit); !admitted {
+	if _, admitted := d.(citronadmit.Admit); !admitted || c.IsLate() {
 		other, ok := citronpath.ChooseWithin(engines, q, c.LevelLimit(), rand.Float64())
 		if ok && c.Elapsed+w.forecastAdmission(other, q.Now) <= c.Target {
 			p, d = other, citronadmit.Admit{}
