--- a/citronadmit/policy_test.go
+++ b/citronadmit/policy_test.go
@@ -33,8 +33,8 @@
 		{"three quarters of the target at most", func(c *citronadmit.Conditions) { c.Forecast = time.Millisecond }, wait(375 * time.Millisecond)},
 		{"late, and so would be the retry", func(c *citronadmit.Conditions) { c.Forecast = time.Second }, wait(60 * time.Millisecond)},
 		{"later than the retry", func(c *citronadmit.Conditions) { c.Forecast = 5 * time.Second }, citronadmit.Reject{Reason: citronadmit.ReasonTooLate}},
-		{"free cache, but prompts queue for too long", func(c *citronadmit.Conditions) { c.Utilization, c.Forecast = 0.5, 1100 * time.Millisecond }, citronadmit.Reject{Reason: citronadmit.ReasonTooLate}},
-		{"free cache and somewhat late", func(c *citronadmit.Conditions) { c.Utilization, c.Forecast = 0.5, 700 * time.Millisecond }, citronadmit.Admit{}},
+		{"free cache, but prompts queue for too long", func(c *citronadmit.Conditions) { c.Utilization, c.Forecast = 0.5, 1100*time.Millisecond }, citronadmit.Reject{Reason: citronadmit.ReasonTooLate}},
+		{"free cache and somewhat late", func(c *citronadmit.Conditions) { c.Utilization, c.Forecast = 0.5, 700*time.Millisecond }, citronadmit.Admit{}},
 		{"later than the retry, but the caller would not retry", func(c *citronadmit.Conditions) { c.Forecast, c.RetryAfter = 5*time.Second, 0 }, wait(60 * time.Millisecond)},
 		{"no target", func(c *citronadmit.Conditions) { c.Target = 0 }, full},
 	} {
