Fewer probes: engines with free capacity are polled every 4 s, a full engine is not probed at each accusation

Change: an answer counts for 2 s for an engine that is accused again; engines under 70 % are polled a tenth as often.

--- a/citronforward/accused.go
+++ b/citronforward/accused.go
@@ -36,6 +36,10 @@
 	// on the paths of this node's streams are probed. Healthy engines answer within a few
 	// milliseconds, so few probes are sent in vain.
 	nextProbeDelay = 10 * time.Millisecond
+	// answeredTTL is how long an answer counts for an engine that is accused again and
+	// again. A full engine is accused with each refusal, by all nodes, and is not probed
+	// each time. If it fails meanwhile, it is probed once its streams stall.
+	answeredTTL = 2 * time.Second
 	// maxCheckDelay is how much later than planned a check may take place to draw a
 	// conclusion from a missing answer. A later check means that this node was paused,
 	// and answers may not have been read yet.
@@ -44,7 +48,8 @@
 
 // ProbeAccused probes an engine that has been accused, unless none of this node's requests
 // runs through it. It does not block. The result is shared: further accusations within
-// citronprobe.MaxReportAge cause no further probe if wasAccused is true. It is false for an
+// citronprobe.MaxReportAge, or answeredTTL if the engine has answered, cause no further
+// probe if wasAccused is true. It is false for an
 // engine that was not accused before; an earlier probe says nothing about it.
 func (f *Forwarder) ProbeAccused(e *citronpool.Engine, wasAccused bool) {
 	if e.Inflight() == 0 {
@@ -53,6 +58,9 @@
 	maxAge := accusedProbeTimeout
 	if wasAccused {
 		maxAge = citronprobe.MaxReportAge
+		if o, ok := f.probes.Last(e.Addr); ok && !o.DoneAt.IsZero() && o.Err == nil && f.Clock.Now().Sub(o.StartedAt) < answeredTTL {
+			return
+		}
 	}
 	go f.probeChain(e, maxAge)
 }
--- a/citronnode/usage.go
+++ b/citronnode/usage.go
@@ -28,9 +28,11 @@
 	pollTimeout    = 250 * time.Millisecond
 	maxPollOverrun = 100 * time.Millisecond
 	// idleShare is the used share of the cache below which an engine is polled idleFactor
-	// times less often, as is one that does not answer.
-	idleShare  = 0.4
-	idleFactor = 5
+	// times less often, as is one that does not answer. Reports decide about streams that
+	// would be refused otherwise, which are few at engines with free capacity, and polls
+	// are billed.
+	idleShare  = 0.7
+	idleFactor = 10
 	// maxConcurrentPolls bounds the polls in progress. Engines that are due wait for the
 	// next step.
 	maxConcurrentPolls = 16
