--- a/citroncli/node.go
+++ b/citroncli/node.go
@@ -35,6 +35,7 @@
 	Metrics  string `help:"Address for metrics as text, at /metrics; empty: none."`
 	// UsageInterval is zero unless engines are to be asked for their usage.
 	UsageInterval time.Duration `help:"How often to ask an engine for its usage, from 50ms to 3s; 0: never." default:"0"`
+	UsageMinNodes int           `help:"Number of nodes of a zone from which on they ask its engines for their usage." default:"8"`
 }
 
 const (
@@ -101,7 +102,7 @@
 	engines.OnUnknownHeader(citronstat.UnknownHeaders(ctx, log, registry))
 	node := citronnode.New(citronnode.Settings{
 		Name: settings.Name, Zone: settings.Zone, Front: settings.Front, Peer: settings.Peer, Seeds: settings.Seeds, Cores: settings.Cores,
-		LeaseTTL: max(leaderLease, settings.MinLeaseTTL), Grace: settings.Grace, Heartbeat: settings.Heartbeat, DrainWithin: settings.DrainWithin, UsageInterval: c.UsageInterval,
+		LeaseTTL: max(leaderLease, settings.MinLeaseTTL), Grace: settings.Grace, Heartbeat: settings.Heartbeat, DrainWithin: settings.DrainWithin, UsageInterval: c.UsageInterval, UsageMinNodes: c.UsageMinNodes,
 	}, citronnode.Sources{
 		Store: citronstat.CountStore(platform.NewStore(settings.Store), registry), ConfigKey: platform.ConfigKey, EnginePrefix: platform.EnginePrefix,
 		DecodeConfig: platform.DecodeConfig, DecodeEngine: platform.DecodeEngine, Engines: engines,
--- a/citronforward/accused.go
+++ b/citronforward/accused.go
@@ -149,19 +149,6 @@
 	return out
 }
 
-// shared reports whether two adjacent engines of path p are on the path of at least two of
-// the counted streams.
-func (l *pathLinks) shared(p citronpath.Path) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for i := 1; i < len(p); i++ {
-		if l.count[pathLink{p[i-1].Engine.ID, p[i].Engine}] > 1 {
-			return true
-		}
-	}
-	return false
-}
-
 // answerState is what the newest probe of an engine says about it.
 type answerState int
 
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -109,12 +109,10 @@
 	// admissions holds the admission state of each service, *admissionState by name.
 	admissions sync.Map
 
-	probes  citronprobe.Prober
-	retries retryPlanners
-	links   pathLinks
-	// silentLinks counts the streams that are silent.
-	silentLinks pathLinks
-	gateOnce    sync.Once
+	probes   citronprobe.Prober
+	retries  retryPlanners
+	links    pathLinks
+	gateOnce sync.Once
 	// gate sends all calls to engines. It is created on first use.
 	gate *citrongate.Gate
 	// completed counts the unary requests that succeeded, and the streams that were
--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -42,9 +42,6 @@
 	nodePauseThreshold = 6 * checkInterval
 	// probeAfter is the pause between events after which the path is probed.
 	probeAfter = 270 * time.Millisecond
-	// sharedProbeAfter replaces probeAfter if another stream of this node that shares an
-	// engine is silent too.
-	sharedProbeAfter = 110 * time.Millisecond
 	// firstEventProbeAfter replaces probeAfter before the first event, which is
 	// sent only once the prompt has been processed.
 	firstEventProbeAfter = 500 * time.Millisecond
@@ -119,9 +116,6 @@
 	late     bool
 	// switchZoneAt is when the stream moves to another zone.
 	switchZoneAt time.Time
-	// silent reports that the stream is counted as silent on silentPath.
-	silent     bool
-	silentPath citronpath.Path
 	// delay is how long the current move is held back, until delayedUntil, which is zero
 	// if that is not decided yet (move.go).
 	delay        time.Duration
@@ -171,7 +165,6 @@
 // the last check is long enough ago.
 func (w *watch) onEvent() action {
 	w.setTimer(stallCheckDelay)
-	w.endSilence()
 	w.delay, w.delayedUntil = 0, time.Time{}
 	if w.s.lastEventAt.Sub(w.checkedAt) < checkInterval {
 		return keepRun
@@ -222,42 +215,20 @@
 	if bad := w.leavingHop(now); bad >= 0 {
 		return w.replace(reasonLeaving, bad)
 	}
-	if pause > w.probeDelay(pause) && !w.probing && now.Sub(w.probedAt) > probeInterval {
+	if pause > w.probeDelay() && !w.probing && now.Sub(w.probedAt) > probeInterval {
 		w.probePath(now)
 	}
 	return keepRun
 }
 
-// probeDelay returns the pause between events after which the path is probed. A failed
-// engine silences all streams through it at once, so the pause is short if another silent
-// stream of this node shares an engine with this one. A pause of one stream alone is mostly
-// a matter of load.
-func (w *watch) probeDelay(pause time.Duration) time.Duration {
-	switch {
-	case !w.s.begun:
+// probeDelay returns the pause between events after which the path is probed.
+func (w *watch) probeDelay() time.Duration {
+	if !w.s.begun {
 		return firstEventProbeAfter
-	case pause < sharedProbeAfter:
-		return sharedProbeAfter
-	}
-	if !w.silent {
-		w.silent = true
-		w.s.f.silentLinks.add(w.s.path, 1)
-		w.silentPath = w.s.path
-	}
-	if w.s.f.silentLinks.shared(w.s.path) {
-		return sharedProbeAfter
 	}
 	return probeAfter
 }
 
-// endSilence records that the stream is no longer silent, if it was.
-func (w *watch) endSilence() {
-	if w.silent {
-		w.silent = false
-		w.s.f.silentLinks.add(w.silentPath, -1)
-	}
-}
-
 // deadHop returns the index of the first hop whose engine was found dead after since,
 // the time at which the stream last made progress, or at most checkInterval before it.
 // It returns -1 if there is none.
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -387,7 +387,6 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	w := newWatch(ctx, s)
-	defer w.endSilence()
 	replies := make(chan sendResult, 1)
 	call := citronupstream.Call{Request: s.Request, Engine: s.path[0].Engine, EnginePath: s.path, Customer: s.customer, TimeLeft: s.timeLeft(), AfterEvent: s.lastEventID, NoRetry: !s.route.Idempotent(), Urgency: s.urgency(), OnRelay: relayedSetter(s.run)}
 	go func() {
--- a/citronnode/members.go
+++ b/citronnode/members.go
@@ -164,7 +164,7 @@
 		}
 	}
 	s.otherNodesCache = others.Load
-	if c.view != nil {
+	if c.view != nil && c.n.usesUsage(s) {
 		c.view.SetZoneTokens(others.Load, c.self.Load)
 	}
 	updateAge := 2 * c.members.MeanUpdateInterval()
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -66,6 +66,10 @@
 	// UsageInterval is how often this node asks the engines that it observes for their
 	// usage, or zero if it does not.
 	UsageInterval time.Duration
+	// UsageMinNodes is the number of nodes of a zone from which on they poll its engines.
+	// In a smaller zone each node has enough requests of its own to estimate the share of
+	// each engine, and polls are billed.
+	UsageMinNodes int
 }
 
 // Sources tells where a node finds its documents and how to decode them.
--- a/citronnode/usage.go
+++ b/citronnode/usage.go
@@ -73,6 +73,12 @@
 	}
 }
 
+// usesUsage reports whether this node estimates the utilization of engines from their
+// reports: if it is set to poll, and its zone has enough nodes.
+func (n *Node) usesUsage(s *snapshot) bool {
+	return n.settings.UsageInterval > 0 && len(s.usageMembers()) >= n.settings.UsageMinNodes
+}
+
 // usageMembers returns the nodes of this node's zone that could observe engines.
 func (s *snapshot) usageMembers() []citronusage.Member {
 	out := []citronusage.Member{usageMember(s.self, false)}
@@ -92,6 +98,9 @@
 // engines or the candidates have changed.
 func (o *observer) assign(s *snapshot) {
 	candidates := citronusage.Candidates(s.self.Zone, s.usageMembers())
+	if !o.n.usesUsage(s) {
+		candidates = nil
+	}
 	slices.SortFunc(candidates, func(a, b citronusage.Member) int {
 		if a.Name < b.Name {
 			return -1
--- a/citronpool/usage.go
+++ b/citronpool/usage.go
@@ -52,7 +52,7 @@
 		return nil
 	}
 	newer, err := e.board.table.Merge(r, source, now)
-	if newer {
+	if newer && e.board.zones.Load() != nil {
 		e.storeUsage(&Usage{Report: r, Zone: e.board.zone(e.Zone)})
 	}
 	if f := e.board.onInvalid.Load(); err != nil && source == citronusage.FromEngine && f != nil {
@@ -110,7 +110,7 @@
 }
 
 // SetZoneTokens sets the tokens in use in each zone. Reports that are recorded from now on
-// are compared with them.
+// are compared with them. Before the first call, reports have no effect on State.Usage.
 func (v *View) SetZoneTokens(others, own map[string]int64) {
 	zones := make(map[string]ZoneTokens, len(others)+len(own))
 	for zone, n := range others {
--- a/citronprobe/probe_test.go
+++ b/citronprobe/probe_test.go
@@ -38,6 +38,7 @@
 			is := is.New(t)
 			list := []citronmodel.Engine{{ID: "i-1@100", Instance: "i-1", StartMS: 100, Service: "m", Addr: "a:1", Kind: "fast", Layers: held}}
 			v := citronpool.Build(list, nil)
+			v.SetZoneTokens(nil, nil)
 			e, _ := v.ByID("i-1@100")
 			now := time.Now()
 			c.report.Usage = &citronusage.Figures{Total: 1}
