--- a/citronforward/accused.go
+++ b/citronforward/accused.go
@@ -36,6 +36,10 @@
 	// on the paths of this node's streams are probed. Healthy engines answer within a few
 	// milliseconds, so few probes are sent in vain.
 	nextProbeDelay = 10 * time.Millisecond
+	// maxChainDepth bounds how many engines in a row are probed because the one before does
+	// not answer promptly. On a busy node answers are read late, and each accusation would
+	// have whole paths probed.
+	maxChainDepth = 2
 	// answeredTTL is how long an answer counts for an engine that is accused again and
 	// again. A full engine is accused with each refusal, by all nodes, and is not probed
 	// each time. If it fails meanwhile, it is probed once its streams stall.
@@ -62,12 +66,13 @@
 			return
 		}
 	}
-	go f.probeChain(e, maxAge)
+	go f.probeChain(e, maxAge, 0)
 }
 
 // probeChain probes an engine. If it does not answer within nextProbeDelay, the engines
-// that follow it on the paths of this node's streams are probed as well.
-func (f *Forwarder) probeChain(e *citronpool.Engine, maxAge time.Duration) {
+// that follow it on the paths of this node's streams are probed as well, maxChainDepth
+// engines further at most.
+func (f *Forwarder) probeChain(e *citronpool.Engine, maxAge time.Duration, depth int) {
 	if o, ok := f.probes.Last(e.Addr); ok && o.DoneAt.IsZero() {
 		maxAge = citronprobe.MaxReportAge // share the unanswered probe
 	}
@@ -82,8 +87,11 @@
 		}
 	case <-timer.C:
 	}
+	if depth == maxChainDepth {
+		return
+	}
 	for _, next := range f.links.after(e.ID) {
-		go f.probeChain(next, citronprobe.MaxReportAge)
+		go f.probeChain(next, citronprobe.MaxReportAge, depth+1)
 	}
 }
 
