citronforward: a caller that ignores its retry delay goes ahead of no other

Cause: a caller whose remaining time shows that it was refused goes ahead of others of its priority, also if it returns before the time it was given. Change: the planner is asked whether the caller is early. Measured: the tests of retries and refusals pass; TestPlanner's replay has the callers that ignore their delay served no better.

--- a/citronforward/admit.go
+++ b/citronforward/admit.go
@@ -124,7 +124,7 @@
 		a.demand.Record(s.priorityLevel, s.Tokens(), w.since)
 	}
 	d, err := a.line.Await(ctx, citronadmit.Request{
-		Customer: s.customer, Tokens: s.Tokens(), Priority: s.priorityLevel, RefusedBefore: s.refusedBefore(),
+		Customer: s.customer, Tokens: s.Tokens(), Priority: s.priorityLevel, RefusedBefore: s.refusedBefore() && !s.returnsEarly(),
 	}, len(s.avoid) > 0, w.try)
 	w.record(ctx, d, err)
 	if _, admitted := d.(citronadmit.Admit); admitted {
--- a/citronforward/retry.go
+++ b/citronforward/retry.go
@@ -39,6 +39,12 @@
 	}, s.f.Clock.Now())
 }
 
+// returnsEarly reports whether this node refused the caller before and it returns before the
+// time that it was given. It goes ahead of no other then.
+func (s *streamJob) returnsEarly() bool {
+	return s.planner().Early(s.retryKey(), s.f.Clock.Now())
+}
+
 // observeBegin records the capacity that a new stream takes. It is called for each run, and
 // records the first.
 func (s *streamJob) observeBegin() {
