citronforward: an accused engine is probed once at a time

Cause: each accusation that a node heard of started a goroutine with a probe. Change: no probe is started while one is in progress, or after a recent one.

--- a/citronforward/accused.go
+++ b/citronforward/accused.go
@@ -56,19 +56,37 @@
 // probe if wasAccused is true. It is false for an
 // engine that was not accused before; an earlier probe says nothing about it.
 func (f *Forwarder) ProbeAccused(e *citronpool.Engine, wasAccused bool) {
-	if e.Inflight() == 0 {
+	if e.Inflight() == 0 || f.isProbed(e, wasAccused) {
 		return
 	}
 	maxAge := accusedProbeTimeout
 	if wasAccused {
 		maxAge = citronprobe.MaxReportAge
-		if o, ok := f.probes.Last(e.Addr); ok && !o.DoneAt.IsZero() && o.Err == nil && f.Clock.Now().Sub(o.StartedAt) < answeredTTL {
-			return
-		}
 	}
 	go f.probeChain(e, maxAge, 0)
 }
 
+// isProbed reports whether a probe of an accused engine is in progress or recent enough. In
+// an overload each node hears of many accusations a second, and one goroutine for each would
+// exceed the memory of small nodes.
+func (f *Forwarder) isProbed(e *citronpool.Engine, wasAccused bool) bool {
+	o, ok := f.probes.Last(e.Addr)
+	if !ok {
+		return false
+	}
+	age := f.Clock.Now().Sub(o.StartedAt)
+	switch {
+	case o.DoneAt.IsZero():
+		return true
+	case o.Err != nil:
+		return age < citronprobe.MaxReportAge
+	case wasAccused:
+		return age < answeredTTL
+	default:
+		return age < accusedProbeTimeout
+	}
+}
+
 // probeChain probes an engine. If it does not answer within nextProbeDelay, the engines
 // that follow it on the paths of this node's streams are probed as well, maxChainDepth
 // engines further at most.
