--- a/citronforward/admit.go
+++ b/citronforward/admit.go
@@ -29,10 +29,6 @@
 	// admitted, as a share of its cache. It exceeds 1 because each request is counted
 	// with its maximum number of tokens, which is more than it holds on average.
 	maxCacheUsage = 1.05
-	// maxReportedUsage replaces maxCacheUsage for a path whose engines have all reported
-	// their usage. Reports count what requests hold and are up to a second old: the rest is
-	// for the streams that other nodes have begun since. Beyond it engines preempt.
-	maxReportedUsage = 0.95
 	// firstAttemptShare is the share of the route's time limit that a caller states at
 	// least in its first attempt. One that states less has been refused before: retry
 	// delays are at least minRetryShare of its time.
@@ -187,7 +183,7 @@
 // conditions returns what the decision about the stream depends on, for its cheapest path.
 func (w *capacityWait) conditions(p citronpath.Path, q citronpath.Query) citronadmit.Conditions {
 	c := citronadmit.Conditions{
-		Now: q.Now, Utilization: p.Utilization(q), Limit: usageLimit(p, q.Now), Level: w.priorityLevel,
+		Now: q.Now, Utilization: p.Utilization(q), Limit: maxCacheUsage, Level: w.priorityLevel,
 		Target: w.route.TargetLatency, Elapsed: q.Now.Sub(w.Received), Waited: q.Now.Sub(w.since),
 		RetryAfter: spreadRetryAfter(w.timeLeft(), 0.5),
 	}
@@ -198,17 +194,6 @@
 	return c
 }
 
-// usageLimit returns the utilization up to which the most urgent streams are admitted on a
-// path.
-func usageLimit(p citronpath.Path, now time.Time) float64 {
-	for _, h := range p {
-		if _, ok := h.Engine.Usage(now); !ok {
-			return maxCacheUsage
-		}
-	}
-	return maxReportedUsage
-}
-
 // ownCapacity estimates how many tokens this node's streams would have in progress if the
 // engines were full and each node's share of them stayed as it is.
 func ownCapacity(q citronpath.Query, utilization float64) float64 {
