Retry budget: metrics and a log event for what a node counts, the limit and the number of nodes

Cause: what a node knows of the shared retry budget was in no metric and no log line, so the three hypotheses of the incident (usage of ended nodes forgotten, a starting node that divides by one, nodes that do not hear each other) could not be told apart.

Change: budget.state (531), at most once a second for each service with retries, and the citrondeck_budget_* metrics. No logic is changed.

--- a/citronbudget/budget.go
+++ b/citronbudget/budget.go
@@ -66,6 +66,8 @@
 	// interval. loans are the retries that other nodes lent it.
 	allowance float64
 	loans     []Loan
+	// sent and denied count the retries that were sent and denied since the start.
+	sent, denied int64
 }
 
 // Loan is a number of retries that a node may use in place of the lender,
@@ -194,6 +196,32 @@
 	return out
 }
 
+// Status is what a node knows of the budget of one service.
+type Status struct {
+	// Own is what this node has sent in the last window, Others what the other nodes
+	// have sent as far as this node knows.
+	Own, Others Usage
+	// Limit is the number of retries that all nodes together may send in the window,
+	// Allowance how many more of them this node may send now.
+	Limit, Allowance float64
+	// Sent and Denied count the retries that were sent and denied since the start.
+	Sent, Denied int64
+}
+
+// Status returns the state of the budget by service, and the number of nodes among which
+// it is divided.
+func (b *Budget) Status(now time.Time) (services map[string]Status, nodes int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	services = make(map[string]Status, len(b.windows))
+	for service := range b.windows {
+		w := b.windowAt(service, now)
+		own := w.total()
+		services[service] = Status{Own: own, Others: w.others, Limit: b.limits.Ratio*(own.Requests+w.others.Requests) + b.limits.Slack, Allowance: w.allowance, Sent: w.sent, Denied: w.denied}
+	}
+	return services, b.nodes
+}
+
 // CountRequest counts a caller's request for a service.
 func (b *Budget) CountRequest(service string, now time.Time) {
 	b.mu.Lock()
@@ -210,8 +238,10 @@
 	if w.allowance >= 1 {
 		w.allowance--
 	} else if !w.takeBorrowed(now) {
+		w.denied++
 		return false
 	}
+	w.sent++
 	w.buckets[w.slot%(bucketsPerWindow+1)].Retries++
 	return true
 }
--- a/citroncli/node.go
+++ b/citroncli/node.go
@@ -108,6 +108,7 @@
 		DecodeConfig: platform.DecodeConfig, DecodeEngine: platform.DecodeEngine, Engines: engines,
 	}, clock, log, budget, loads, httpClient())
 	citronstat.RegisterNode(node.Status, registry)
+	citronstat.RegisterBudget(budget, clock, registry)
 	forwarder := &citronforward.Forwarder{
 		Zone: settings.Zone, Clock: clock, Log: log, Upstream: node.Engines(), Budget: budget, Loads: loads,
 		Current: node.Traffic, Metrics: citronforward.NewMetrics(registry), Stopping: node.Stopping, Accuse: node.Accuse, Borrow: node.Borrow, Quarantine: node.Quarantine(), Limits: node.Limits(), Permit: node.Permit, DrainWithin: settings.DrainWithin,
--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -77,6 +77,7 @@
 	RequestRelayed     Event = 518
 	RelayFailed        Event = 519
 	StreamDelayed      Event = 530
+	BudgetState        Event = 531
 
 	TableApplied     Event = 600
 	TableRejected    Event = 601
@@ -175,6 +176,7 @@
 	RequestRelayed:      {slog.LevelInfo, "request.relayed", "a request was sent to an engine through another node (through), because this node's own link to the engine is broken; gives the status of the engine's response"},
 	RelayFailed:         {slog.LevelWarn, "relay.failed", "a request was not answered through another node (through): that node declined it, could not reach the engine either, or the request may have run; gives the cause"},
 	StreamDelayed:       {slog.LevelInfo, "stream.delayed", "the engines of a stream's cheapest path had no free capacity: it was admitted after a wait (outcome=waited), or on a path of another zone (outcome=spilled); gives its priority, its level among the priorities of its service's streams, the utilization (used), up to which it is admitted (usedLimit), and the forecast time to its first event, zero if unknown; only one in ten is logged"},
+	BudgetState:         {slog.LevelInfo, "budget.state", "this node sent or was denied retries of a service; gives the requests and retries of the last window that it knows of its own and of the other nodes (othersRequests, othersRetries), how many retries all nodes may send (limit) and how many more this node may send (allowance), how many were denied since the last such line (denied), and the number of nodes among which the budget is divided; at most one line a second for each service"},
 	AnswerSampled:       {slog.LevelInfo, "answer.sampled", "a request was answered in full, or a stream's request with an engine's failure response; only a sample of these is logged"},
 
 	TableApplied:     {slog.LevelInfo, "table.applied", "a node activated a new version of the configuration"},
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -101,6 +101,7 @@
 	// collectDue means that the state of the other nodes must be collected for the next
 	// snapshot.
 	configChanged, collectDue bool
+	budgetLog                 budgetLog
 	// changedMembers holds the names of nodes that appeared, returned or changed since the
 	// last tick.
 	changedMembers []string
@@ -274,6 +275,7 @@
 	c.announceLeaving()
 	c.updateLinks(ctx)
 	c.n.limits.Tick()
+	c.logBudget(ctx, now)
 	c.publishTargets()
 	c.self.Load = c.n.loads.ZoneTotals()
 	c.self.Sent = map[string]citronpeer.Sent{}
