Retry budget: each node holds its part in escrow, and what a node sent outlives the node

Cause: the sum over nodes was a sum over the nodes seen at the moment. What a node had sent left it when the node was taken for dead or restarted, a starting node divided by the nodes that it had met so far, and the sides of a partition each divided the whole remainder.

Change: a node may use a fraction of its own recent requests and one of equal parts of the slack without asking; it lends what it has left, and gives up what it lends. The parts add up to the budget whether or not the nodes hear each other. The number of parts does not fall because nodes are silent (Population); a process has no share of the slack until what its predecessor can have sent has left the window; time is counted by the monotonic clock. Because callers move from nodes that fail to others, a node also stops at the limit for what it knows all to have sent, and that now includes processes that have ended or are silent, for a window.

Tests of the old division were replaced by ones of the new one with the same bounds.

--- a/citronbudget/budget.go
+++ b/citronbudget/budget.go
@@ -6,22 +6,36 @@
 // service: a fraction of the service's requests plus a fixed slack, counted
 // in a sliding window.
 //
+// Each node holds its own part of the budget in escrow: the fraction of the
+// requests that it received lately, and one of equal parts of the slack. It may use its
+// part without asking anyone. The parts add up to the whole budget, so the nodes
+// stay within it whether or not they hear of each other.
+//
+//	recent requests x ratio ----+
+//	slack / number of nodes ----+--> part of this node --> retries
+//	                                  |            ^
+//	                        loans to  v            | loans from
+//	                               other nodes that have retries left
+//
 // A failure affects the nodes unevenly: the nodes in the zone of the failed
-// engine need many retries at once, the other nodes none. The budget is
-// therefore not divided permanently. Nodes tell each other how many retries
-// they have used. In each allocation interval the nodes divide a fraction of
-// what was left at the last update into equal shares. A node in need thus gets
-// more and more of what the other nodes leave, and all nodes together stay
-// within the limit however late in an interval they use their shares.
+// engine need many retries at once, the other nodes none. A node in need
+// therefore borrows. The lender gives up what it lends, so the total does not
+// grow, even if the answer is lost on the way.
+//
+// What a process has sent stays in the window when the process ends, and what it
+// may still send does not return to the others when they no longer hear it:
 //
-// In a large fleet an equal share is only one or two retries, so a node in
-// need borrows from other nodes. The lender gives up what it lends, so the
-// total does not grow, even if the answer is lost on the way.
+//   - A process that has just started has no part of the slack until all that an
+//     earlier process of its node can have sent has left the window.
+//   - The number of parts does not fall because nodes are silent (Population).
+//
+// Callers move from nodes that fail to others. Both nodes then count a part of
+// the same demand, so a node also stops at the limit for what it knows all nodes to
+// have sent.
 package citronbudget
 
 import (
 	"math"
-	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -37,151 +51,195 @@
 }
 
 const (
-	// bucketsPerWindow is the number of buckets in a window. One more bucket is
-	// kept, so that the buckets cover any time span as long as a window.
-	bucketsPerWindow = 20
-	// allocatableShare is the fraction of the remaining budget that all nodes
-	// together may use before updates about the used retries arrive. The rest is
-	// reserved for updates that are later than usual.
-	allocatableShare = 0.8
-	// allocationInterval is the minimum time between two allocations, and the
-	// time after which a node no longer lends from its allowance. In a small
-	// fleet updates about used retries reach all nodes within it.
-	allocationInterval = 800 * time.Millisecond
+	// bucketsPerWindow is the number of buckets in a window. The window moves in steps of one
+	// bucket, so requests are counted over that many buckets, and retries over one more.
+	bucketsPerWindow = 80
+	// recentBuckets is the number of buckets in which a request allows retries. A node that
+	// fails may just have used what its requests of that time allow, and its callers, who
+	// move to other nodes, bring the same again there.
+	recentBuckets = bucketsPerWindow / 4
+	// loanBuckets is how long a loan may be used, in buckets.
+	loanBuckets = 4
 )
 
+// reservedSlack is the fraction of the slack that several nodes do not divide. A node that no
+// longer hears others notices it after a while, and knows less than it counts on until then.
+const reservedSlack = 0.05
+
+// bucketTime returns the length of a bucket.
+func (l Limits) bucketTime() time.Duration { return l.Window / bucketsPerWindow }
+
+// loanTime returns how long a loan may be used.
+func (l Limits) loanTime() time.Duration { return loanBuckets * l.bucketTime() }
+
 // Usage is the number of requests and retries sent for a service in a window.
 type Usage struct{ Requests, Retries float64 }
 
-// serviceWindow holds the sliding window and the allowance of one service.
+// bucket counts what happened in one bucket of a window.
+type bucket struct {
+	Usage
+	// ofRequests and ofSlack are how many retries of this node's part of the budget were used
+	// or lent: of the fraction of the requests, and of the slack.
+	ofRequests, ofSlack float64
+}
+
+// serviceWindow holds the sliding window of one service.
 type serviceWindow struct {
-	// slot is the number of the current bucket since the Unix epoch.
-	slot    int64
-	buckets [bucketsPerWindow + 1]Usage
-	// others is what the other nodes have sent, as of their last update, which arrived at
-	// othersAt.
-	others   Usage
-	othersAt time.Time
-	// allowance is the number of retries that this node may still use in this
-	// interval. loans are the retries that other nodes lent it.
-	allowance float64
-	loans     []Loan
+	// slot is the number of the current bucket since the process started.
+	slot int64
+	// buckets is a ring of the buckets up to loanBuckets after the current one: loans are
+	// charged at the time at which they end.
+	buckets [bucketsPerWindow + 1 + loanBuckets]bucket
+	// others is what the other nodes have sent, as far as this node knows.
+	others Usage
+	// loans are the retries that other nodes lent this one.
+	loans []Loan
 	// sent and denied count the retries that were sent and denied since the start.
 	sent, denied int64
 }
 
-// Loan is a number of retries that a node may use in place of the lender,
-// until the lender's allocation interval ends.
+// Loan is a number of retries that a node may use in place of the lender.
 type Loan struct {
 	Retries int
 	Until   time.Time
 }
 
-func (w *serviceWindow) total() Usage {
-	var total Usage
-	for _, u := range w.buckets {
-		total.Requests += u.Requests
-		total.Retries += u.Retries
+// at returns the bucket that is back buckets before the current one.
+func (w *serviceWindow) at(back int64) *bucket {
+	n := int64(len(w.buckets))
+	return &w.buckets[(w.slot-back+n)%n]
+}
+
+// sum returns the sum of a value over the newest n buckets and those to come.
+func (w *serviceWindow) sum(n int64, value func(*bucket) float64) float64 {
+	total := 0.0
+	for back := int64(-loanBuckets); back < n; back++ {
+		total += value(w.at(back))
 	}
 	return total
 }
 
+// own returns what this node has sent in the window.
+func (w *serviceWindow) own() Usage {
+	return Usage{
+		Requests: w.requests(bucketsPerWindow),
+		Retries:  w.sum(bucketsPerWindow+1, func(b *bucket) float64 { return b.Retries }),
+	}
+}
+
+// requests returns the requests of the newest n buckets.
+func (w *serviceWindow) requests(n int64) float64 {
+	return w.sum(n, func(b *bucket) float64 { return b.Requests })
+}
+
+// Share is the share of the slack that a node may use.
+type Share struct {
+	// Parts is the number of equal parts into which the slack is divided, or zero if this node
+	// has none. Index tells which part it has. It decides how a rest is divided.
+	Parts, Index int
+	// SomeSilent reports that this node does not hear some of the nodes that may have a part,
+	// so that it does not know what all nodes have sent.
+	SomeSilent bool
+}
+
+// of returns the part of a slack, in whole retries.
+func (s Share) of(slack float64) float64 {
+	switch {
+	case s.Parts <= 0:
+		return 0
+	case s.Parts > 1:
+		slack *= 1 - reservedSlack
+	}
+	i := float64(min(max(s.Index, 0), s.Parts-1))
+	return math.Floor((i+1)*slack/float64(s.Parts)) - math.Floor(i*slack/float64(s.Parts))
+}
+
 // Budget counts the requests and retries of one node. It is safe for
 // concurrent use.
 type Budget struct {
 	mu      sync.Mutex
 	limits  Limits
+	started time.Time
 	windows map[string]*serviceWindow
-	nodes   int
-	// updateAge is the maximum age of what is known of the other nodes' usage.
-	updateAge time.Duration
-	// allocated is when the current allowances were computed.
-	allocated time.Time
-	// draw returns a random number from 0 to 1 (exclusive).
-	draw func() float64
+	share   Share
 }
 
-// New returns the budget of the only node of a fleet. UpdateOthers sets the number of
-// nodes.
-func New(l Limits) *Budget { return NewWithDraw(l, rand.Float64) }
-
-// NewWithDraw is New with a source of random numbers from 0 to 1 (exclusive), so that a run
-// can be repeated. The budget calls draw while it holds its lock.
-func NewWithDraw(l Limits, draw func() float64) *Budget {
-	return &Budget{limits: l, nodes: 1, windows: map[string]*serviceWindow{}, draw: draw}
+// New returns the budget of a process that started at the given time. It has no share of the
+// slack before UpdateFleet.
+func New(l Limits, started time.Time) *Budget {
+	return &Budget{limits: l, started: started, windows: map[string]*serviceWindow{}}
 }
 
-// windowAt returns the window of a service, advanced to now.
+// Window returns the length of the sliding window.
+func (b *Budget) Window() time.Duration { return b.limits.Window }
+
+// windowAt returns the window of a service, advanced to now. Time is counted from the start,
+// by the monotonic clock: a step of the wall clock must not empty the window.
 func (b *Budget) windowAt(service string, now time.Time) *serviceWindow {
-	slot := now.UnixNano() / int64(b.limits.Window/bucketsPerWindow)
+	slot := int64(max(0, now.Sub(b.started)) / b.limits.bucketTime())
 	w := b.windows[service]
 	if w == nil {
 		w = &serviceWindow{slot: slot}
 		b.windows[service] = w
-		w.allowance = b.allocate(w)
-	}
-	if slot-w.slot > bucketsPerWindow {
-		w.buckets = [bucketsPerWindow + 1]Usage{}
-		w.slot = slot
 	}
+	w.slot = max(w.slot, slot-int64(len(w.buckets)))
 	for w.slot < slot {
 		w.slot++
-		w.buckets[w.slot%(bucketsPerWindow+1)] = Usage{}
+		*w.at(-loanBuckets) = bucket{}
 	}
 	return w
 }
 
-// allocate returns the number of retries that this node may use in the next
-// interval. It rounds a fraction up with a probability equal to that fraction.
-// Otherwise many nodes with less than one retry each could use nothing of what
-// is left.
-func (b *Budget) allocate(w *serviceWindow) float64 {
-	own := w.total()
-	limit := b.limits.Ratio*(own.Requests+w.others.Requests) + b.limits.Slack
-	left := max(0, limit-own.Retries-w.others.Retries)
-	whole, fraction := math.Modf(b.shareForInterval() * left / float64(b.nodes))
-	if b.draw() < fraction {
-		whole++
+// left returns how much this node has left of its part of the budget of a service: of the
+// fraction of its recent requests, and of its share of the slack.
+func (b *Budget) left(w *serviceWindow, now time.Time) (ofRequests, ofSlack float64) {
+	requests := w.requests(recentBuckets)
+	if b.share.SomeSilent {
+		// Each node may use its part when its requests happen to be many. Together the
+		// nodes would then use more than their requests of any one window allow.
+		requests -= math.Sqrt(requests)
+	}
+	ofRequests = b.limits.Ratio*requests - w.sum(recentBuckets+1, func(b *bucket) float64 { return b.ofRequests })
+	if now.Sub(b.started) > b.limits.Window+b.limits.loanTime() {
+		ofSlack = b.share.of(b.limits.Slack) - w.sum(bucketsPerWindow+1, func(b *bucket) float64 { return b.ofSlack })
 	}
-	return whole
+	return max(0, math.Floor(ofRequests)), max(0, ofSlack)
+}
+
+// charge takes up to n retries of this node's part of the budget and returns how many it took.
+// They are charged back buckets before the current one.
+func (b *Budget) charge(w *serviceWindow, n, back int, now time.Time) int {
+	ofRequests, ofSlack := b.left(w, now)
+	ofRequests = min(ofRequests, float64(n))
+	ofSlack = min(ofSlack, float64(n)-ofRequests)
+	at := w.at(int64(back))
+	at.ofRequests += ofRequests
+	at.ofSlack += ofSlack
+	return int(ofRequests + ofSlack)
+}
+
+// limit returns how many retries all nodes may send in the window, as far as this node knows
+// the requests.
+func (b *Budget) limit(w *serviceWindow) float64 {
+	return b.limits.Ratio*(w.own().Requests+w.others.Requests) + b.limits.Slack
 }
 
-// shareForInterval returns the fraction of the remaining budget that is
-// allocated in one interval. Several intervals may pass before updates about
-// the first one arrive; their allocations together stay within
-// allocatableShare.
-func (b *Budget) shareForInterval() float64 {
-	unreported := max(1, b.updateAge.Seconds()/allocationInterval.Seconds())
-	return allocatableShare / (1 + unreported)
+// usedUp reports whether all nodes together have used the budget, as far as this node knows.
+func (b *Budget) usedUp(w *serviceWindow) bool {
+	return w.own().Retries+w.others.Retries+1 > b.limit(w)
 }
 
-// UpdateOthers records what the other nodes have sent, the maximum age of this
-// information and the number of nodes. It computes new allowances if the
-// current interval has ended.
-func (b *Budget) UpdateOthers(others map[string]Usage, updateAge time.Duration, nodes int, now time.Time) {
+// UpdateFleet records what the other nodes have sent in the last window, by service, and
+// this node's share of the slack.
+func (b *Budget) UpdateFleet(others map[string]Usage, share Share, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.nodes, b.updateAge = max(1, nodes), updateAge
-	for service, u := range others {
-		_, known := b.windows[service]
-		w := b.windowAt(service, now)
-		w.others, w.othersAt = u, now
-		if !known {
-			w.allowance = b.allocate(w)
-		}
+	b.share = share
+	for service := range others {
+		b.windowAt(service, now)
 	}
 	for service, w := range b.windows {
-		if _, known := others[service]; !known && now.Sub(w.othersAt) > b.limits.Window {
-			b.windowAt(service, now).others = Usage{} // all of it has left the window
-		}
-	}
-	if now.Sub(b.allocated) < allocationInterval {
-		return
-	}
-	b.allocated = now
-	for service := range b.windows {
-		w := b.windowAt(service, now)
-		w.allowance = b.allocate(w)
+		w.others = others[service]
 	}
 }
 
@@ -191,7 +249,7 @@
 	defer b.mu.Unlock()
 	out := map[string]Usage{}
 	for service := range b.windows {
-		out[service] = b.windowAt(service, now).total()
+		out[service] = b.windowAt(service, now).own()
 	}
 	return out
 }
@@ -202,32 +260,37 @@
 	// have sent as far as this node knows.
 	Own, Others Usage
 	// Limit is the number of retries that all nodes together may send in the window,
-	// Allowance how many more of them this node may send now.
+	// Allowance how many this node may still send of its part and of loans.
 	Limit, Allowance float64
 	// Sent and Denied count the retries that were sent and denied since the start.
 	Sent, Denied int64
 }
 
-// Status returns the state of the budget by service, and the number of nodes among which
-// it is divided.
-func (b *Budget) Status(now time.Time) (services map[string]Status, nodes int) {
+// Status returns the state of the budget by service, and the number of parts into which the
+// slack is divided, or zero if this node has no share of it.
+func (b *Budget) Status(now time.Time) (services map[string]Status, parts int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	services = make(map[string]Status, len(b.windows))
 	for service := range b.windows {
 		w := b.windowAt(service, now)
-		own := w.total()
-		services[service] = Status{Own: own, Others: w.others, Limit: b.limits.Ratio*(own.Requests+w.others.Requests) + b.limits.Slack, Allowance: w.allowance, Sent: w.sent, Denied: w.denied}
+		ofRequests, ofSlack := b.left(w, now)
+		allowance := ofRequests + ofSlack
+		for _, l := range w.loans {
+			if now.Before(l.Until) {
+				allowance += float64(l.Retries)
+			}
+		}
+		services[service] = Status{Own: w.own(), Others: w.others, Limit: b.limit(w), Allowance: allowance, Sent: w.sent, Denied: w.denied}
 	}
-	return services, b.nodes
+	return services, b.share.Parts
 }
 
 // CountRequest counts a caller's request for a service.
 func (b *Budget) CountRequest(service string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.windowAt(service, now)
-	w.buckets[w.slot%(bucketsPerWindow+1)].Requests++
+	b.windowAt(service, now).at(0).Requests++
 }
 
 // TakeRetry counts a retry if the budget allows it, and reports whether it does.
@@ -235,14 +298,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.windowAt(service, now)
-	if w.allowance >= 1 {
-		w.allowance--
-	} else if !w.takeBorrowed(now) {
+	if b.usedUp(w) || !w.takeBorrowed(now) && b.charge(w, 1, 0, now) == 0 { // loans end, so they are used first
 		w.denied++
 		return false
 	}
+	w.at(0).Retries++
 	w.sent++
-	w.buckets[w.slot%(bucketsPerWindow+1)].Retries++
 	return true
 }
 
@@ -259,28 +320,36 @@
 	return false
 }
 
-// Lend gives up to want retries of this node's allowance to another node. This
-// node gives them up even if the borrower never receives the answer.
+// MayBorrow reports whether a loan could make a retry possible: as far as this node knows,
+// all nodes together have not used the budget.
+func (b *Budget) MayBorrow(service string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.usedUp(b.windowAt(service, now))
+}
+
+// Lend gives up to want retries of this node's part to another node. This node gives them up
+// even if the borrower never receives the answer.
 func (b *Budget) Lend(service string, want int, now time.Time) Loan {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	until := b.allocated.Add(allocationInterval)
-	if !now.Before(until) {
+	w := b.windowAt(service, now)
+	if want <= 0 || b.usedUp(w) {
 		return Loan{}
 	}
-	w := b.windowAt(service, now)
-	n := max(0, min(want, int(w.allowance)))
-	w.allowance -= float64(n)
-	return Loan{Retries: n, Until: until}
+	n := b.charge(w, want, -loanBuckets, now)
+	if n == 0 {
+		return Loan{}
+	}
+	return Loan{Retries: n, Until: now.Add(b.limits.loanTime())}
 }
 
 // AddLoan adds a loan from another node and reports whether it did. It ignores a loan of
-// no retries, and one that ends more than allocationInterval after now: no lender's
-// interval lasts that long.
+// no retries, and one that lasts longer than any node lends.
 func (b *Budget) AddLoan(service string, l Loan, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if l.Retries <= 0 || l.Until.Sub(now) > allocationInterval {
+	if l.Retries <= 0 || l.Until.Sub(now) > b.limits.loanTime() {
 		return false
 	}
 	w := b.windowAt(service, now)
--- a/citronbudget/budget_test.go
+++ b/citronbudget/budget_test.go
@@ -13,31 +13,36 @@
 
 var limits = citronbudget.Limits{Ratio: 0.2, Slack: 200, Window: 10 * time.Second}
 
-// updateAge is the maximum age of what a node knows about the other nodes' usage. It
-// is that of a small fleet; the tests of large fleets use it too.
-const updateAge = updateAgeSteps * 100 * time.Millisecond
+// start is when the budgets of the tests start.
+var start = time.Unix(1000, 0)
 
-// updateAgeSteps is updateAge in steps of 100 ms, the time steps of
-// TestBudgetIsNeverExceeded.
+// hasShare is a time at which a process that began at start may have a share of the slack.
+var hasShare = start.Add(11 * time.Second)
+
+// newNode returns the budget of one of several nodes that have run for longer than a window.
+func newNode(l citronbudget.Limits, nodes, index int) *citronbudget.Budget {
+	b := citronbudget.New(l, start)
+	b.UpdateFleet(nil, citronbudget.Share{Parts: nodes, Index: index}, hasShare)
+	return b
+}
+
+// updateAgeSteps is the maximum age of what a node knows about the other nodes' usage, in the
+// time steps of TestBudgetIsNeverExceeded.
 const updateAgeSteps = 7
 
 // Guards against nodes that together exceed the shared limit. Each node decides from
-// what it knows of the others' usage, which is up to updateAge old here. All nodes
+// what it knows of the others' usage, which is up to updateAgeSteps old here. All nodes
 // want many more retries than they have requests, and they lend each other retries;
 // some loans are lost on the way. In no window may all nodes together send more
 // retries than the limit allows.
 func TestBudgetIsNeverExceeded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		nodes := make([]*citronbudget.Budget, rapid.IntRange(1, 9).Draw(t, "nodes"))
-		draw := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)).Float64
 		for i := range nodes {
-			nodes[i] = citronbudget.NewWithDraw(limits, draw)
+			nodes[i] = newNode(limits, len(nodes), i)
 		}
-		at := time.Unix(1000, 0)
+		at := hasShare
 		updates := map[int]citronbudget.Usage{}
-		for _, b := range nodes {
-			b.UpdateOthers(nil, updateAge, len(nodes), at)
-		}
 		type step struct {
 			at      time.Time
 			retries int
@@ -79,7 +84,7 @@
 						others.Retries += u.Retries
 					}
 				}
-				b.UpdateOthers(map[string]citronbudget.Usage{"s": others}, updateAge, len(nodes), at)
+				b.UpdateFleet(map[string]citronbudget.Usage{"s": others}, citronbudget.Share{Parts: len(nodes), Index: i}, at)
 			}
 			sum := 0
 			for _, m := range taken {
@@ -89,7 +94,7 @@
 			}
 			requests := 0.0
 			for range nodes {
-				requests += min(100, at.Sub(time.Unix(1000, 0)).Seconds()*10)
+				requests += min(100, at.Sub(hasShare).Seconds()*10)
 			}
 			if limit := limits.Ratio*requests + limits.Slack; float64(sum) > limit {
 				t.Fatalf("%d retries in a window that allows %.0f (%d nodes)", sum, limit, len(nodes))
@@ -99,37 +104,37 @@
 }
 
 // Guards against a budget that is divided once and for all. One of nine nodes needs
-// retries all the time, the others none. If the 200 retries of a window were divided
-// equally, that node would get 22 of them.
+// retries all the time, the others none. With an equal part of the 200 retries of a
+// window that node would get 22 of them.
 func TestNodeInNeedGetsMoreThanAnEqualShare(t *testing.T) {
 	is := is.New(t)
-	b := citronbudget.New(limits)
-	at := time.Unix(1000, 0)
-	b.UpdateOthers(nil, updateAge, 9, at)
-	b.CountRequest("s", at)
-	b.UpdateOthers(nil, updateAge, 9, at.Add(time.Second))
-	got := 0
+	nodes := make([]*citronbudget.Budget, 9)
+	for i := range nodes {
+		nodes[i] = newNode(limits, len(nodes), i)
+	}
+	b, got := nodes[0], 0
 	for i := range 80 {
-		now := at.Add(time.Second + time.Duration(i)*100*time.Millisecond)
-		for b.TakeRetry("s", now) {
+		now := hasShare.Add(time.Duration(i) * 100 * time.Millisecond)
+		for range 4 {
+			if !b.TakeRetry("s", now) {
+				b.AddLoan("s", nodes[1+i%8].Lend("s", 2, now), now)
+				continue
+			}
 			got++
 		}
-		b.UpdateOthers(map[string]citronbudget.Usage{"s": {}}, updateAge, 9, now)
 	}
 	is.True(got > 44) // twice the equal share of a window
+	is.True(got <= 200)
 }
 
 // Guards against a node that can never retry again once it has used its allowance: a
 // window later it has a new one.
 func TestBudgetRecovers(t *testing.T) {
 	is := is.New(t)
-	b := citronbudget.New(limits)
-	at := time.Unix(1000, 0)
-	b.UpdateOthers(nil, updateAge, 1, at)
+	b, at := newNode(limits, 1, 0), hasShare
 	for b.TakeRetry("s", at) {
 	}
 	at = at.Add(11 * time.Second)
-	b.UpdateOthers(nil, updateAge, 1, at)
 	is.True(b.TakeRetry("s", at))
 }
 
@@ -143,15 +148,13 @@
 	const nodes, requests = 80, 2000.0
 	limit := limits.Ratio*requests + limits.Slack
 	used := citronbudget.Usage{Requests: requests, Retries: limit / 2}
-	at := time.Unix(1000, 0)
 	got := 0
-	for range nodes {
-		b := citronbudget.New(limits)
-		b.UpdateOthers(nil, updateAge, nodes, at)
-		b.CountRequest("s", at)
-		b.UpdateOthers(map[string]citronbudget.Usage{"s": used}, updateAge, nodes, at.Add(time.Second))
+	for i := range nodes {
+		b := newNode(limits, nodes, i)
+		b.CountRequest("s", hasShare)
+		b.UpdateFleet(map[string]citronbudget.Usage{"s": used}, citronbudget.Share{Parts: nodes, Index: i}, hasShare)
 		for range 2 {
-			if b.TakeRetry("s", at.Add(time.Second)) {
+			if b.TakeRetry("s", hasShare) {
 				got++
 			}
 		}
@@ -173,15 +176,13 @@
 	big := citronbudget.Limits{Ratio: 0.2, Slack: 800, Window: 10 * time.Second}
 	sent := func(seed uint64, lenders int) (n int) {
 		random := rand.New(rand.NewPCG(seed, 2))
-		at := time.Unix(1000, 0)
+		at := hasShare
 		all := make([]*citronbudget.Budget, nodes)
 		for i := range all {
-			all[i] = citronbudget.NewWithDraw(big, random.Float64)
-			all[i].UpdateOthers(nil, updateAge, nodes, at)
+			all[i] = newNode(big, nodes, i)
 			all[i].CountRequest("s", at)
-			all[i].UpdateOthers(map[string]citronbudget.Usage{"s": {Requests: requests}}, updateAge, nodes, at.Add(time.Second))
+			all[i].UpdateFleet(map[string]citronbudget.Usage{"s": {Requests: requests}}, citronbudget.Share{Parts: nodes, Index: i}, at)
 		}
-		at = at.Add(time.Second)
 		for i := range inNeed * refusedEach {
 			b := all[i/refusedEach]
 			if !b.TakeRetry("s", at) {
@@ -206,18 +207,14 @@
 	}
 }
 
-// Guards against a loan that is used after the interval for which its retries were
-// allocated: it would add to what has been allocated since. For the same reason a node
-// lends nothing after its interval has ended, and a loan that claims to last longer
-// than an interval is ignored.
+// Guards against a loan that is used after it has ended: the lender may have used the same
+// retries again by the time a window later. For the same reason a loan that claims to last
+// longer than nodes lend is ignored, and what is lent counts as used until the loan's end has
+// left the window.
 func TestLoanExpires(t *testing.T) {
 	is := is.New(t)
-	a, b := citronbudget.New(limits), citronbudget.New(limits)
-	at := time.Unix(1000, 0)
-	a.UpdateOthers(nil, updateAge, 2, at)
-	a.CountRequest("s", at)
-	at = at.Add(time.Second)
-	a.UpdateOthers(nil, updateAge, 2, at)
+	a, b := newNode(limits, 2, 0), newNode(limits, 2, 1)
+	at := hasShare
 	l := a.Lend("s", 5, at)
 	is.Equal(l.Retries, 5)
 	for b.TakeRetry("s", at) {
@@ -225,34 +222,75 @@
 	b.AddLoan("s", l, at)
 	is.True(b.TakeRetry("s", at))
 	is.True(!b.TakeRetry("s", at.Add(time.Second)))
-	is.Equal(a.Lend("s", 5, at.Add(time.Second)).Retries, 0) // the interval has ended
 	b.AddLoan("s", citronbudget.Loan{Retries: 1000, Until: at.Add(time.Hour)}, at)
-	is.True(!b.TakeRetry("s", at.Add(time.Second))) // no node can lend for that long
+	is.True(!b.TakeRetry("s", at.Add(time.Second))) // no node lends for that long
+	for a.TakeRetry("s", at) {
+	}
+	used := a.Used(at)["s"].Retries
+	later := at.Add(limits.Window + 200*time.Millisecond) // what was used has left the window, the loan has not
+	for a.TakeRetry("s", later) {
+	}
+	is.Equal(a.Used(later)["s"].Retries, used)
 }
 
 // Guards against retries that are denied for good, because what other nodes sent for a service
 // still counts after they have stopped sending or have gone.
 func TestUsageOfOthersEnds(t *testing.T) {
 	is := is.New(t)
-	b := citronbudget.New(limits)
-	at := time.Unix(1000, 0)
-	b.CountRequest("s", at)
-	b.UpdateOthers(map[string]citronbudget.Usage{"s": {Requests: 100, Retries: 10_000}}, updateAge, 2, at)
-	is.True(!b.TakeRetry("s", at))
-	at = at.Add(time.Hour)
-	b.UpdateOthers(nil, updateAge, 1, at)
+	b, share := newNode(limits, 2, 0), citronbudget.Share{Parts: 2}
+	b.CountRequest("s", hasShare)
+	b.UpdateFleet(map[string]citronbudget.Usage{"s": {Requests: 100, Retries: 10_000}}, share, hasShare)
+	is.True(!b.TakeRetry("s", hasShare))
+	at := hasShare.Add(time.Hour)
+	b.UpdateFleet(nil, share, at)
 	is.True(b.TakeRetry("s", at))
 }
 
-// Guards against retries beyond the budget by a node that starts: it learns from other nodes
-// that they have used up the budget of a service which it has not seen yet.
+// Guards against retries beyond the budget by a node that learns from other nodes that they have
+// used up the budget of a service which it has not seen yet.
 func TestNewServiceGetsNoMoreThanIsLeft(t *testing.T) {
 	is := is.New(t)
-	now := time.Unix(1_790_000_000, 0)
-	b := citronbudget.New(citronbudget.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second})
-	b.UpdateOthers(map[string]citronbudget.Usage{"known": {}}, time.Second, 9, now)
-	now = now.Add(100 * time.Millisecond) // within the same allocation interval
-	b.UpdateOthers(map[string]citronbudget.Usage{"known": {}, "new": {Retries: 100}}, time.Second, 9, now)
-	is.True(!b.TakeRetry("new", now))
-	is.True(b.TakeRetry("known", now))
+	b := newNode(citronbudget.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, 9, 0)
+	b.UpdateFleet(map[string]citronbudget.Usage{"known": {}, "new": {Retries: 100}}, citronbudget.Share{Parts: 9}, hasShare)
+	is.True(!b.TakeRetry("new", hasShare))
+	is.True(!b.MayBorrow("new", hasShare))
+	is.True(b.TakeRetry("known", hasShare))
+}
+
+// Guards against a process that starts with a part of the slack that an earlier process of its
+// node has just used. It may retry a fraction of its requests, and borrow.
+func TestStartingProcessHasNoShareOfTheSlack(t *testing.T) {
+	is := is.New(t)
+	b, at := citronbudget.New(limits, start), start.Add(9*time.Second)
+	b.UpdateFleet(nil, citronbudget.Share{Parts: 1}, at)
+	is.True(!b.TakeRetry("s", at))
+	for range 5 {
+		b.CountRequest("s", at)
+	}
+	is.True(b.TakeRetry("s", at))
+	is.True(!b.TakeRetry("s", at))
+	lender := citronbudget.New(limits, start.Add(-time.Minute))
+	lender.UpdateFleet(nil, citronbudget.Share{Parts: 2, Index: 1}, at)
+	b.AddLoan("s", lender.Lend("s", 1, at), at)
+	is.True(b.TakeRetry("s", at))
+	is.True(b.TakeRetry("s", hasShare))
+}
+
+// Guards against parts that add up to more than the slack, or to less by more than it takes to
+// make them whole.
+func TestSharesAddUpToTheSlack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		parts := rapid.IntRange(1, 1300).Draw(t, "parts")
+		slack := float64(rapid.IntRange(0, 1100).Draw(t, "slack"))
+		total := 0
+		for i := range parts {
+			b := newNode(citronbudget.Limits{Slack: slack, Window: 10 * time.Second}, parts, i)
+			for b.TakeRetry("s", hasShare) {
+				total++
+			}
+		}
+		is.True(float64(total) <= slack)
+		is.True(float64(total) >= 0.95*slack-1)
+	})
 }
--- a/citroncli/node.go
+++ b/citroncli/node.go
@@ -95,7 +95,7 @@
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	clock := citronclock.Real{}
-	budget := citronbudget.New(citronbudget.Limits{Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow})
+	budget := citronbudget.New(citronbudget.Limits{Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow}, clock.Now())
 	loads := &citronpool.ZoneLoads{}
 	engines := platform.NewEngineClient()
 	registry := prometheus.NewRegistry()
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -425,7 +425,7 @@
 			j.reachedLimit = ""
 			return true
 		}
-		if attempt == maxBorrowAttempts || j.f.Borrow == nil || !j.f.Borrow(j.service.Name) {
+		if attempt == maxBorrowAttempts || j.f.Borrow == nil || !j.f.Budget.MayBorrow(j.service.Name, j.f.Clock.Now()) || !j.f.Borrow(j.service.Name) {
 			break
 		}
 	}
--- a/citronforward/forwarder_test.go
+++ b/citronforward/forwarder_test.go
@@ -131,7 +131,7 @@
 	state := &citronforward.State{Table: table, View: r.view, OtherNodesCache: map[string]int64{}}
 	r.Forwarder = &citronforward.Forwarder{
 		Zone: "a", Clock: citronclock.Real{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Upstream: r.engines,
-		Budget: citronbudget.New(citronbudget.Limits{Ratio: 0.2, Slack: 200, Window: 10 * time.Second}),
+		Budget: newBudget(200),
 		Loads:  &citronpool.ZoneLoads{},
 
 		Quarantine: citronquarantine.New("n", citronclock.Real{}),
@@ -142,6 +142,13 @@
 	return r
 }
 
+// newBudget returns the retry budget of the only node of a fleet, which has run for a while.
+func newBudget(slack float64) *citronbudget.Budget {
+	b := citronbudget.New(citronbudget.Limits{Ratio: 0.2, Slack: slack, Window: 10 * time.Second}, time.Now().Add(-time.Minute))
+	b.UpdateFleet(nil, citronbudget.Share{Parts: 1}, time.Now())
+	return b
+}
+
 // ask sends a request to a route and returns what the caller got.
 func (r *testForwarder) ask(route string, wait time.Duration, change ...func(*citronupstream.Request)) *caller {
 	req := &citronupstream.Request{
--- a/citronforward/stream_test.go
+++ b/citronforward/stream_test.go
@@ -590,7 +590,7 @@
 			r := newTestForwarder(t, modelEngine("a1", "a", 0, 8), modelEngine("a2", "a", 0, 8), modelEngine("a3", "a", 0, 8))
 			var log strings.Builder
 			r.Log = slog.New(slog.NewTextHandler(&log, nil))
-			r.Budget = citronbudget.New(citronbudget.Limits{Slack: c.slack, Window: 10 * time.Second})
+			r.Budget = newBudget(c.slack)
 			r.engines.answer = func(_ context.Context, n int, _ citronupstream.Call) (*citronupstream.Reply, error) {
 				rep := reply(200, "")
 				rep.Body = failingBody{strings.NewReader(events(n+1, n+1)), errReset}
@@ -609,7 +609,7 @@
 func TestRequestBorrowsAgainWhenOthersUsedTheLoan(t *testing.T) {
 	is := is.New(t)
 	r := newTestForwarder(t, modelEngine("a1", "a", 0, 8), modelEngine("a2", "a", 0, 8))
-	r.Budget = citronbudget.New(citronbudget.Limits{Window: 10 * time.Second})
+	r.Budget = citronbudget.New(citronbudget.Limits{Slack: 200, Window: 10 * time.Second}, time.Now()) // without a share
 	rounds := 0
 	r.Borrow = func(service string) bool {
 		rounds++
--- a/citronloan/loan_test.go
+++ b/citronloan/loan_test.go
@@ -27,7 +27,7 @@
 	// 100 waiting: 3 loans of 4
 }
 
-// lender lends retries for longer than an allocation interval lasts.
+// lender lends retries for longer than a budget allows.
 type lender struct{}
 
 func (lender) Lend(string, int) citronpeer.Loan { return citronpeer.Loan{Retries: 3, LeftMS: 60_000} }
@@ -40,7 +40,7 @@
 	citronpeer.HandleLend(mux, lender{})
 	hs := httptest.NewServer(mux)
 	defer hs.Close()
-	budget := citronbudget.New(citronbudget.Limits{Window: 10 * time.Second})
+	budget := citronbudget.New(citronbudget.Limits{Window: 10 * time.Second}, time.Now())
 	members := []citronpeer.Member{{Name: "b", Peer: strings.TrimPrefix(hs.URL, "http://")}}
 	b := citronloan.New(budget, &citronpeer.Client{HC: hs.Client()}, citronclock.Real{}, func() []citronpeer.Member { return members })
 	is.True(!b.Borrow("app"))
--- a/citronnode/budget.go
+++ b/citronnode/budget.go
@@ -8,8 +8,33 @@
 
 	"citrondeck.dev/citrondeck/citronbudget"
 	"citrondeck.dev/citrondeck/citronevent"
+	"citrondeck.dev/citrondeck/citronpeer"
+	"citrondeck.dev/citrondeck/citronroster"
 )
 
+// updateBudget tells the retry budget what the other nodes have sent, by service, and which
+// share of the slack this node has.
+func (c *control) updateBudget(alive []citronroster.Entry, sent map[string]citronpeer.Sent, now time.Time) {
+	others := map[string]citronbudget.Usage{}
+	for service, u := range sent {
+		others[service] = citronbudget.Usage(u)
+	}
+	var o citronbudget.Observation
+	for _, e := range alive {
+		o.Alive = append(o.Alive, e.Name)
+		// Gauges are passed on within a zone only, so those of other zones are old.
+		if e.Zone == c.self.Zone {
+			o.Announced = max(o.Announced, e.Counted)
+		}
+	}
+	if registered := c.n.registered.Load(); registered != nil {
+		o.Registered, o.RegisteredRead = registered.names, true
+	}
+	share := c.population.Update(o, now)
+	c.self.Counted = c.population.Count()
+	c.n.budget.UpdateFleet(others, share, now)
+}
+
 // budgetLogInterval is the minimum time between two log lines about the budget of a
 // service.
 const budgetLogInterval = time.Second
--- a/citronnode/budget_bound_test.go
+++ b/citronnode/budget_bound_test.go
@@ -48,6 +48,8 @@
 	step  int
 	// loss is the share of the messages between nodes that are lost.
 	loss float64
+	// calm means that no node wants a retry.
+	calm bool
 	// requests and retries hold what callers and nodes sent in each step.
 	requests, retries []int
 }
@@ -63,9 +65,16 @@
 
 // start starts the process of node i.
 func (f *budgetFleet) start(i int) {
-	budget := citronbudget.New(boundLimits)
+	budget := citronbudget.New(boundLimits, f.clock.Now())
 	n := New(Settings{Name: fmt.Sprintf("node-%02d", i), Zone: fmt.Sprintf("zone-%d", i%3), Peer: fmt.Sprint(i)}, Sources{}, f.clock, slog.New(slog.NewTextHandler(io.Discard, nil)), budget, &citronpool.ZoneLoads{}, nil)
 	f.nodes[i].control, f.nodes[i].budget = newControl(n), budget
+	registered := &registeredNodes{}
+	if f.step > 0 {
+		for j := range f.nodes {
+			registered.names = append(registered.names, fmt.Sprintf("node-%02d", j))
+		}
+	}
+	n.registered.Store(registered)
 }
 
 func (f *budgetFleet) serving(i int) bool {
@@ -127,6 +136,9 @@
 	}
 	for _, i := range serving {
 		for range 12 {
+			if f.calm {
+				break
+			}
 			if f.nodes[i].budget.TakeRetry(boundService, now) {
 				retries++
 				continue
@@ -190,6 +202,15 @@
 			}
 		}
 	}},
+	{"most nodes killed soon after retries began", calmSteps, func(f *budgetFleet) {
+		begin := calmSteps - 40
+		f.calm = f.step < begin
+		if f.step == calmSteps || f.step == calmSteps+50 {
+			for _, i := range f.Perm(len(f.nodes))[:len(f.nodes)*6/10] {
+				f.nodes[i].downUntil = f.step + 5 + f.IntN(5)
+			}
+		}
+	}},
 	{"all nodes killed", calmSteps, func(f *budgetFleet) {
 		if f.step == calmSteps {
 			for _, n := range f.nodes {
@@ -272,7 +293,7 @@
 				}
 				worst = max(worst, f.worstWindow(c.after))
 			}
-			t.Logf("worst window: %.2f of the limit", worst)
+			t.Logf("worst window: %.3f of the limit", worst)
 			is.True(worst <= 1)
 		})
 	}
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -9,6 +9,7 @@
 	"maps"
 	"time"
 
+	"citrondeck.dev/citrondeck/citronbudget"
 	"citrondeck.dev/citrondeck/citronclock"
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronforward"
@@ -101,14 +102,16 @@
 	// collectDue means that the state of the other nodes must be collected for the next
 	// snapshot.
 	configChanged, collectDue bool
-	budgetLog                 budgetLog
+	// population counts the nodes that share the retry budget.
+	population *citronbudget.Population
+	budgetLog  budgetLog
 	// changedMembers holds the names of nodes that appeared, returned or changed since the
 	// last tick.
 	changedMembers []string
 }
 
 func newControl(n *Node) *control {
-	c := &control{n: n, members: citronroster.NewTable(n.settings.Name, n.settings.Zone), zoneTotals: citronroster.NewZoneTotals(n.settings.Zone), self: n.snap.Load().self}
+	c := &control{n: n, members: citronroster.NewTable(n.settings.Name, n.settings.Zone), zoneTotals: citronroster.NewZoneTotals(n.settings.Zone), self: n.snap.Load().self, population: citronbudget.NewPopulation(n.settings.Name, n.clock.Now())}
 	c.list = citronlist.New(citronlist.Settings{
 		Prefix: n.sources.EnginePrefix, Decode: n.sources.DecodeEngine, DrainWithin: n.settings.DrainWithin, Clock: n.clock, Log: n.log, OnEnded: c.onEngineEnded,
 	})
--- a/citronnode/gossip.go
+++ b/citronnode/gossip.go
@@ -165,8 +165,8 @@
 // store, without this node's own address.
 func (n *Node) seeds() []string {
 	seeds := slices.Clone(n.settings.Seeds)
-	if found := n.registered.Load(); found != nil && len(*found) > 0 {
-		seeds = append(seeds, (*found)[rand.IntN(len(*found))])
+	if found := n.registered.Load(); found != nil && len(found.addrs) > 0 {
+		seeds = append(seeds, found.addrs[rand.IntN(len(found.addrs))])
 	}
 	return slices.DeleteFunc(seeds, func(a string) bool { return a == n.settings.Peer })
 }
--- a/citronnode/harness_test.go
+++ b/citronnode/harness_test.go
@@ -582,7 +582,7 @@
 			seeds = append(seeds, m.addr)
 		}
 	}
-	m := &member{name: name, gate: &gatedStore{Server: f.store, unavailable: &f.storeUnavailable}, engines: &nodeEngines{nodeOrders: nodeOrders{f.orders, name}}, addr: addr, zone: zone, budget: citronbudget.New(citronbudget.Limits{Ratio: 0.2, Slack: 10, Window: 10 * time.Second})}
+	m := &member{name: name, gate: &gatedStore{Server: f.store, unavailable: &f.storeUnavailable}, engines: &nodeEngines{nodeOrders: nodeOrders{f.orders, name}}, addr: addr, zone: zone, budget: citronbudget.New(citronbudget.Limits{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, time.Now())}
 	m.Node = citronnode.New(citronnode.Settings{
 		Name: name, Zone: zone, Front: "front-" + name, Peer: addr, Seeds: seeds, LeaseTTL: 600 * time.Millisecond, Grace: time.Second, DrainWithin: f.drainWithin, UsageInterval: f.usageInterval,
 	}, citronnode.Sources{
--- a/citronnode/members.go
+++ b/citronnode/members.go
@@ -6,7 +6,6 @@
 	"context"
 	"time"
 
-	"citrondeck.dev/citrondeck/citronbudget"
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronpeer"
@@ -133,8 +132,8 @@
 	return out
 }
 
-// collectMembers writes the state of the other nodes into a snapshot and reports their
-// usage to the retry budget. It visits every node, so it runs once per tick and when a
+// collectMembers writes the state of the other nodes into a snapshot and reports what they
+// have sent to the retry budget. It visits every node, so it runs once per tick and when a
 // node has appeared, returned or changed, but not for every message.
 func (c *control) collectMembers(s *snapshot) {
 	now := c.n.clock.Now()
@@ -148,34 +147,29 @@
 			s.stale[e.Name] = true
 		}
 		if e.Zone == c.self.Zone {
-			others.Add(e.Load, e.Sent)
+			others.Add(e.Load, nil)
 		}
 		for _, id := range e.LeavingEngines {
 			c.list.RecordLeaving(context.Background(), id, false)
 		}
 	}
-	own := others.Clone()
+	sent := citronroster.NewTotal()
+	sent.Add(nil, c.members.Sent(now, c.n.budget.Window()))
+	own := citronroster.Total{Load: others.Load, Sent: sent.Sent}.Clone()
 	own.Add(c.self.Load, c.self.Sent)
 	c.zoneTotals.Set(citronpeer.ZoneTotals{Load: own.Load, Sent: own.Sent}, now)
 	s.zoneTotals = c.zoneTotals.Current(now)
 	for _, sum := range s.zoneTotals {
 		if sum.Zone != c.self.Zone {
-			others.Add(sum.Load, sum.Sent)
+			others.Add(sum.Load, nil)
 		}
 	}
+	sent.Add(nil, c.zoneTotals.Sent(now, c.n.budget.Window()))
 	s.otherNodesCache = others.Load
 	if c.view != nil && c.n.usesUsage(s) {
 		c.view.SetZoneTokens(others.Load, c.self.Load)
 	}
-	updateAge := 2 * c.members.MeanUpdateInterval()
-	for _, sum := range s.zoneTotals {
-		updateAge = max(updateAge, 2*c.members.MeanUpdateInterval()+time.Duration(sum.AgeMS)*time.Millisecond)
-	}
 	s.roster = citronroster.New(c.self.Zone, append(alive, citronroster.Entry{Member: c.self, Fingerprint: citronroster.Fingerprint(c.self)}))
 	s.targets = c.lastKnownTargets(now)
-	used := map[string]citronbudget.Usage{}
-	for service, u := range others.Sent {
-		used[service] = citronbudget.Usage(u)
-	}
-	c.n.budget.UpdateOthers(used, updateAge, len(alive)+1, now)
+	c.updateBudget(alive, sent.Sent, now)
 }
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -157,8 +157,8 @@
 	targets atomic.Pointer[func() map[string]citronmodel.Span]
 	// leaderless is the time since which no leader has been heard of.
 	leaderless atomic.Pointer[time.Time]
-	// registered holds the peer addresses found in the store.
-	registered atomic.Pointer[[]string]
+	// registered holds the nodes that are registered in the store, as last read.
+	registered atomic.Pointer[registeredNodes]
 	inflight   sync.WaitGroup
 	running    atomic.Int64
 }
--- a/citronnode/restart_test.go
+++ b/citronnode/restart_test.go
@@ -40,7 +40,7 @@
 		e.ID = citronmodel.IncarnationID(e.Instance, e.StartMS)
 		return e, err
 	}}
-	n := New(set, src, citronclock.Real{}, slog.New(slog.NewTextHandler(io.Discard, nil)), citronbudget.New(citronbudget.Limits{Ratio: 0.2, Slack: 10, Window: time.Second}), &citronpool.ZoneLoads{}, nil)
+	n := New(set, src, citronclock.Real{}, slog.New(slog.NewTextHandler(io.Discard, nil)), citronbudget.New(citronbudget.Limits{Ratio: 0.2, Slack: 10, Window: time.Second}, time.Now()), &citronpool.ZoneLoads{}, nil)
 	c := newControl(n)
 	c.table = citrontable.New(1, nil, []citrontable.Service{{Name: "m"}}, nil, citrontable.Limits{})
 	return &loopHarness{control: c, revision: 10}
--- a/citronnode/sources.go
+++ b/citronnode/sources.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronevent"
@@ -329,8 +330,8 @@
 func (n *Node) storeEra() int64 { return n.snap.Load().list.Revision.Era() }
 
 // register writes this node's peer address to the store and reads the addresses of the
-// others, if this node ranks among the first maxRegistered. A node that hears of no
-// others reads the addresses too.
+// others, if this node ranks among the first maxRegistered. The other nodes read them once
+// after their start, and again whenever they hear of no others.
 //
 // The configured seeds may all be gone after machines were replaced. A node without
 // peers would get no callers, because no directory names it, and two halves of a fleet
@@ -355,7 +356,7 @@
 			if err == nil {
 				registered = era
 			}
-		} else if len(n.snap.Load().members) == 0 {
+		} else if n.registered.Load() == nil || len(n.snap.Load().members) == 0 {
 			err = n.readRegistered(ctx)
 		}
 		if err == nil {
@@ -367,16 +368,21 @@
 	}
 }
 
+// registeredNodes are the nodes that are registered in the store. names and addrs have the same
+// order.
+type registeredNodes struct{ names, addrs []string }
+
 // readRegistered reads the addresses that nodes have registered in the store.
 func (n *Node) readRegistered(ctx context.Context) error {
 	items, _, err := n.sources.Store.Range(ctx, nodePrefix)
 	if err != nil {
 		return err
 	}
-	addrs := make([]string, len(items))
-	for i, it := range items {
-		addrs[i] = string(it.Value)
+	var found registeredNodes
+	for _, it := range items {
+		found.names = append(found.names, strings.TrimPrefix(it.Key, nodePrefix))
+		found.addrs = append(found.addrs, string(it.Value))
 	}
-	n.registered.Store(&addrs)
+	n.registered.Store(&found)
 	return nil
 }
--- a/citronpeer/peer.go
+++ b/citronpeer/peer.go
@@ -73,6 +73,9 @@
 	Load map[string]int64 `json:"load,omitempty"`
 	// Sent is what the node has sent in the last window, by service.
 	Sent map[string]Sent `json:"sent,omitempty"`
+	// Counted is the number of nodes that the node counts when the retry budget is divided,
+	// itself included, or zero if it does not know them yet.
+	Counted int `json:"counted,omitempty"`
 }
 
 // WithGauges returns m with its gauges replaced by g.
--- a/citronroster/table.go
+++ b/citronroster/table.go
@@ -37,8 +37,6 @@
 	// known one. A counter further ahead cannot be the member's own, and would
 	// hide the member's later gauges.
 	maxHeartbeatLead = 1000
-	// gapWeight is the weight of one interval in the running mean.
-	gapWeight = 0.01
 	// forgetAfter is the time since a member was last heard of after which it is
 	// removed from the table.
 	forgetAfter = 20 * time.Second
@@ -81,23 +79,10 @@
 	byFingerprint map[citronpeer.Fingerprint]*TrackedMember
 	// agedAt is when Age was last called.
 	agedAt time.Time
-	// sameZoneGap is the mean time between two updates about a member of this
-	// zone.
-	sameZoneGap runningMean
+	// ended holds the processes of this zone's members that have ended lately.
+	ended []endedProcess
 }
 
-// runningMean is an exponentially weighted mean of durations.
-type runningMean time.Duration
-
-// with returns the mean updated with one more duration.
-func (m runningMean) with(d time.Duration) runningMean {
-	return m + runningMean(gapWeight*float64(d-time.Duration(m)))
-}
-
-// MeanUpdateInterval returns the mean time between two updates about a member of this
-// zone. The known state of such a member is usually at most twice that old.
-func (t *Table) MeanUpdateInterval() time.Duration { return time.Duration(t.sameZoneGap) }
-
 // NewTable returns the empty table of the node self in zone.
 func NewTable(self, zone string) *Table {
 	return &Table{self: self, zone: zone, members: map[string]*TrackedMember{}, byFingerprint: map[citronpeer.Fingerprint]*TrackedMember{}}
@@ -124,6 +109,9 @@
 	}
 	if ok {
 		delete(t.byFingerprint, old.Fingerprint)
+		if m.Started != old.Started {
+			t.recordEnded(old)
+		}
 	}
 	latest := m.Heartbeat
 	switch {
@@ -193,9 +181,6 @@
 		return false
 	}
 	wasLost := !k.Alive
-	if !wasLost && k.Zone == t.zone {
-		t.sameZoneGap = t.sameZoneGap.with(now.Sub(k.LastHeard))
-	}
 	k.LastHeard = k.heardAt(heartbeat, now)
 	k.latestHeartbeat, k.Alive, k.Stale, k.probed = heartbeat, true, false, false
 	return wasLost
--- a/citronstat/budget.go
+++ b/citronstat/budget.go
@@ -18,7 +18,7 @@
 	budgetLimit     = prometheus.NewDesc("citrondeck_budget_limit", "Retries that all nodes together may send in a window, by service.", []string{"service"}, nil)
 	budgetAllowance = prometheus.NewDesc("citrondeck_budget_allowance", "Retries that this node may still send, by service.", []string{"service"}, nil)
 	budgetDenied    = prometheus.NewDesc("citrondeck_budget_denied_total", "Retries that the budget denied, by service.", []string{"service"}, nil)
-	budgetNodes     = prometheus.NewDesc("citrondeck_budget_nodes", "Nodes among which the retry budget is divided.", nil, nil)
+	budgetNodes     = prometheus.NewDesc("citrondeck_budget_nodes", "Nodes among which the slack of the retry budget is divided, 0 if this node has no share of it.", nil, nil)
 )
 
 // RegisterBudget registers metrics of a retry budget with r.
