Soak: engines that refuse in spells; retries at engines are counted against the shared budget

Cause: no long run counted the retries of all nodes in a window, so nodes that exceed the budget together were seen by the users only.

Change: callers' requests and arrivals at engines are recorded in every soak; TestSoakWithRefusingEngines refuses four of five requests in spells, beside the usual faults, and checks every window of 10 s.

--- a/citronsoak/engine_test.go
+++ b/citronsoak/engine_test.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -101,6 +103,10 @@
 	// notices are the cool-downs that the engine asks for, and whether it says that it is
 	// leaving.
 	notices notices
+	// arrivals records what reaches the engines of its service. While refusing is set, the
+	// engine refuses a share of its requests.
+	arrivals *arrivals
+	refusing *atomic.Bool
 	// restart starts a replacement after a request has crashed the engine.
 	restart func()
 	// front is the proxy in front of the engine, or nil.
@@ -259,6 +265,15 @@
 	id := r.Header.Get("X-Attempt-Id")
 	h := w.Header()
 	h.Set("X-Attempt-Id", id)
+	e.mu.Lock()
+	a, refusing := e.arrivals, e.refusing
+	e.mu.Unlock()
+	a.recordArrival(id)
+	if refusing.Load() && rand.Float64() < refusedShare {
+		h.Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != e.id {
 		h.Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
