Permits: the issuers on the sides of a partition share the rate of an upstream

Cause: the permit issuer of an upstream is chosen among the nodes that are heard. When nodes are cut off from each other, each side has an issuer, and each issued the whole rate.

Change: an issuer issues the share of the rate that the nodes it hears are of those that it counts (Population.HeardShare). On the sides of a partition these add up to one at most.

Until a node notices the cut (4.5 s in the test) the check does not apply; a new issuer starts empty and at half the rate, as before.

--- a/citronbudget/population.go
+++ b/citronbudget/population.go
@@ -17,8 +17,8 @@
 	maxCounted = 1 << 14
 )
 
-// Population counts the nodes that may hold a share of the slack. It is not safe for
-// concurrent use.
+// Population counts the nodes that may hold a share of the slack, or of another bound that all
+// nodes keep together. It is not safe for concurrent use.
 //
 // A node that others no longer hear may be gone, or cut off and still serving its callers. If
 // they divided its share among themselves, the sides of a partition would each use the whole
@@ -45,6 +45,9 @@
 	// one did so last.
 	announced   int
 	announcedAt time.Time
+	// heardShare is the share of the counted nodes that the node hears, itself included, or zero
+	// if it has given up its share.
+	heardShare float64
 }
 
 // Observation is what a node knows of the other nodes at one moment.
@@ -74,6 +77,12 @@
 	return len(p.heard) + 1
 }
 
+// HeardShare returns the share of the counted nodes that the node hears, itself included, as of the
+// last update. On the sides of a partition the shares add up to one at most, so a node that acts
+// for those that it hears may use that share of what all nodes may use. It is zero once the node has
+// heard no majority for long.
+func (p *Population) HeardShare() float64 { return p.heardShare }
+
 // Update records an observation and returns the node's share of the slack.
 func (p *Population) Update(o Observation, now time.Time) Share {
 	for _, name := range o.Alive {
@@ -103,7 +112,12 @@
 	}
 	p.established = p.established || o.Announced > 0 || p.hearsRegistered(o) || now.Sub(p.began) > forgetAfter
 	silent := len(p.heard) > len(o.Alive)
-	if !p.established || !p.minoritySince.IsZero() && now.Sub(p.minoritySince) > surrenderAfter {
+	surrendered := !p.minoritySince.IsZero() && now.Sub(p.minoritySince) > surrenderAfter
+	p.heardShare = 0
+	if !surrendered {
+		p.heardShare = float64(len(o.Alive)+1) / float64(max(len(p.heard)+1, p.announced))
+	}
+	if !p.established || surrendered {
 		return Share{SomeSilent: silent}
 	}
 	return Share{Parts: max(len(p.heard)+1, p.announced), Index: index, SomeSilent: silent}
--- a/citronnode/budget.go
+++ b/citronnode/budget.go
@@ -13,8 +13,8 @@
 )
 
 // updateBudget tells the retry budget what the other nodes have sent, by service, and which
-// share of the slack this node has.
-func (c *control) updateBudget(alive []citronroster.Entry, sent map[string]citronpeer.Sent, now time.Time) {
+// share of the slack this node has. It returns the share of the nodes that this node hears.
+func (c *control) updateBudget(alive []citronroster.Entry, sent map[string]citronpeer.Sent, now time.Time) (heardShare float64) {
 	others := map[string]citronbudget.Usage{}
 	for service, u := range sent {
 		others[service] = citronbudget.Usage(u)
@@ -33,6 +33,7 @@
 	share := c.population.Update(o, now)
 	c.self.Counted = c.population.Count()
 	c.n.budget.UpdateFleet(others, share, now)
+	return c.population.HeardShare()
 }
 
 // budgetLogInterval is the minimum time between two log lines about the budget of a
--- a/citronnode/budget_bound_test.go
+++ b/citronnode/budget_bound_test.go
@@ -46,8 +46,10 @@
 	clock *citronclock.Manual
 	nodes []*budgetNode
 	step  int
-	// loss is the share of the messages between nodes that are lost.
-	loss float64
+	// gossipSteps is the mean number of steps between two messages that a node sends, loss the
+	// share of the messages between nodes that are lost.
+	gossipSteps int
+	loss        float64
 	// calm means that no node wants a retry.
 	calm bool
 	// requests and retries hold what callers and nodes sent in each step.
@@ -55,7 +57,7 @@
 }
 
 func newBudgetFleet(seed uint64, nodes int) *budgetFleet {
-	f := &budgetFleet{Rand: rand.New(rand.NewPCG(seed, 1)), clock: citronclock.NewManual(time.Unix(1_790_000_000, 0))}
+	f := &budgetFleet{gossipSteps: 3, Rand: rand.New(rand.NewPCG(seed, 1)), clock: citronclock.NewManual(time.Unix(1_790_000_000, 0))}
 	for i := range nodes {
 		f.nodes = append(f.nodes, &budgetNode{})
 		f.start(i)
@@ -123,7 +125,7 @@
 		}
 	}
 	for _, i := range serving {
-		if j := f.IntN(len(f.nodes)); f.IntN(3) == 0 && j != i && f.hears(i, j) {
+		if j := f.IntN(len(f.nodes)); f.IntN(f.gossipSteps) == 0 && j != i && f.hears(i, j) {
 			f.nodes[i].tell(f.nodes[j], now)
 			f.nodes[j].tell(f.nodes[i], now)
 		}
@@ -298,3 +300,34 @@
 		})
 	}
 }
+
+// noticedAfter is the number of steps after which a node has noticed that it no longer hears
+// another one.
+const noticedAfter = 45
+
+// Guards against permit issuers on the two sides of a partition that each issue permits at the
+// whole rate that an upstream accepts from all nodes together.
+func TestPermitIssuersOfBothSidesShareTheRate(t *testing.T) {
+	is := is.New(t)
+	f := newBudgetFleet(1, 9)
+	f.gossipSteps = 1 // the nodes of this test do not probe each other
+	for range calmSteps {
+		f.advance()
+	}
+	is.Equal(f.nodes[0].n.issuedRate(10), 10.0)
+	for i, n := range f.nodes {
+		n.side = i % 3 / 2 // six nodes and three
+	}
+	for step := range 1400 {
+		f.advance()
+		if step < noticedAfter {
+			continue
+		}
+		large, small := f.nodes[0].n.issuedRate(10), f.nodes[2].n.issuedRate(10)
+		if large+small > 10 || large <= 6 {
+			t.Fatalf("step %d: %.2f and %.2f", step, large, small)
+		}
+	}
+	is.Equal(f.nodes[0].n.issuedRate(10), 10.0) // the smaller side issues none any more
+	is.Equal(f.nodes[2].n.issuedRate(10), 0.0)
+}
--- a/citronnode/limits.go
+++ b/citronnode/limits.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronevent"
@@ -64,7 +65,7 @@
 	case !ok:
 		return citronpermit.Denied{AvailableIn: permitRetryDelay, RetryAfter: permitRetryDelay}
 	case issuer.Name == n.settings.Name:
-		return n.permits.Issue(e.ID, r.PerSecond, maxWait, n.clock.Now())
+		return n.permits.Issue(e.ID, n.issuedRate(r.PerSecond), maxWait, n.clock.Now())
 	}
 	p, err := n.peers.AskPermit(ctx, issuer.Peer, citronpeer.PermitRequest{Node: n.settings.Name, Limit: r.Wire(e.ID), MaxWaitMS: maxWait.Milliseconds()}, permitTimeout)
 	if err != nil {
@@ -79,6 +80,13 @@
 	return citronpermit.Denied{AvailableIn: wait, RetryAfter: time.Duration(p.AskAgainMS) * time.Millisecond}
 }
 
+// issuedRate returns the rate at which this node issues permits for an engine that accepts
+// perSecond requests per second from all nodes together. Nodes that it does not hear may have an
+// issuer of their own.
+func (n *Node) issuedRate(perSecond float64) float64 {
+	return perSecond * math.Float64frombits(n.heardShare.Load())
+}
+
 // permitIssuer returns the node that issues the permits for an engine.
 func (n *Node) permitIssuer(engine, zone string) (citronpeer.Member, bool) {
 	s := n.snap.Load()
@@ -121,5 +129,5 @@
 	if !known.Limited {
 		return citronpermit.Granted{}
 	}
-	return n.permits.Issue(engine, known.PerSecond, time.Duration(q.MaxWaitMS)*time.Millisecond, n.clock.Now())
+	return n.permits.Issue(engine, n.issuedRate(known.PerSecond), time.Duration(q.MaxWaitMS)*time.Millisecond, n.clock.Now())
 }
--- a/citronnode/members.go
+++ b/citronnode/members.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronevent"
@@ -171,5 +172,5 @@
 	}
 	s.roster = citronroster.New(c.self.Zone, append(alive, citronroster.Entry{Member: c.self, Fingerprint: citronroster.Fingerprint(c.self)}))
 	s.targets = c.lastKnownTargets(now)
-	c.updateBudget(alive, sent.Sent, now)
+	c.n.heardShare.Store(math.Float64bits(c.updateBudget(alive, sent.Sent, now)))
 }
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -131,6 +131,8 @@
 	// the engines for which this node is the permit issuer.
 	limits  *citronlimit.Registry
 	permits *citronpermit.Issuer
+	// heardShare is the share of the nodes that this node hears, as the bits of a float64.
+	heardShare atomic.Uint64
 	// limitsRejected counts the invalid messages of other nodes about limits.
 	// limitsRejectedFrom holds the names of the nodes that sent them.
 	limitsRejected     atomic.Int64
