Nodes that share bounds are counted twice a second; names of the retry budget

Cause: the population was counted in each turn of the control loop.

Change: it is counted every 500 ms at most, in a function of its own. Closure parameters no longer shadow receivers, and comments say where a charge counts and what an unused loan costs.

--- a/citronbudget/budget.go
+++ b/citronbudget/budget.go
@@ -123,19 +123,19 @@
 func (w *serviceWindow) own() Usage {
 	return Usage{
 		Requests: w.requests(bucketsPerWindow),
-		Retries:  w.sum(bucketsPerWindow+1, func(b *bucket) float64 { return b.Retries }),
+		Retries:  w.sum(bucketsPerWindow+1, func(k *bucket) float64 { return k.Retries }),
 	}
 }
 
 // requests returns the requests of the newest n buckets.
 func (w *serviceWindow) requests(n int64) float64 {
-	return w.sum(n, func(b *bucket) float64 { return b.Requests })
+	return w.sum(n, func(k *bucket) float64 { return k.Requests })
 }
 
 // Share is the share of the slack that a node may use.
 type Share struct {
 	// Parts is the number of equal parts into which the slack is divided, or zero if this node
-	// has none. Index tells which part it has. It decides how a rest is divided.
+	// has none. Index tells which part it has, as some are larger by one retry than others.
 	Parts, Index int
 	// SomeSilent reports that this node does not hear some of the nodes that may have a part,
 	// so that it does not know what all nodes have sent.
@@ -199,15 +199,16 @@
 		// nodes would then use more than their requests of any one window allow.
 		requests -= math.Sqrt(requests)
 	}
-	ofRequests = b.limits.Ratio*requests - w.sum(recentBuckets+1, func(b *bucket) float64 { return b.ofRequests })
+	ofRequests = b.limits.Ratio*requests - w.sum(recentBuckets+1, func(k *bucket) float64 { return k.ofRequests })
 	if now.Sub(b.started) > b.limits.Window+b.limits.loanTime() {
-		ofSlack = b.share.of(b.limits.Slack) - w.sum(bucketsPerWindow+1, func(b *bucket) float64 { return b.ofSlack })
+		ofSlack = b.share.of(b.limits.Slack) - w.sum(bucketsPerWindow+1, func(k *bucket) float64 { return k.ofSlack })
 	}
 	return max(0, math.Floor(ofRequests)), max(0, ofSlack)
 }
 
 // charge takes up to n retries of this node's part of the budget and returns how many it took.
-// They are charged back buckets before the current one.
+// They count as used in the bucket that is back buckets before the current one, or after it if
+// back is negative.
 func (b *Budget) charge(w *serviceWindow, n, back int, now time.Time) int {
 	ofRequests, ofSlack := b.left(w, now)
 	ofRequests = min(ofRequests, float64(n))
--- a/citronloan/loan.go
+++ b/citronloan/loan.go
@@ -106,7 +106,7 @@
 
 // RetriesPerLender returns how many retries to request in each loan if this number of
 // requests wait for one retry each. A retry that is lent and not used is lost to all nodes
-// until the lender's next allocation.
+// until it has left the lender's window.
 func RetriesPerLender(waiting, lenders int) int {
 	if lenders < 1 {
 		return 0
--- a/citronnode/budget.go
+++ b/citronnode/budget.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronbudget"
@@ -12,13 +13,25 @@
 	"citrondeck.dev/citrondeck/citronroster"
 )
 
+// populationInterval is the minimum time between two counts of the nodes that share bounds.
+const populationInterval = 500 * time.Millisecond
+
 // updateBudget tells the retry budget what the other nodes have sent, by service, and which
-// share of the slack this node has. It returns the share of the nodes that this node hears.
-func (c *control) updateBudget(alive []citronroster.Entry, sent map[string]citronpeer.Sent, now time.Time) (heardShare float64) {
+// share of the slack this node has.
+func (c *control) updateBudget(alive []citronroster.Entry, sent map[string]citronpeer.Sent, now time.Time) {
+	if now.Sub(c.countedAt) >= populationInterval {
+		c.countedAt = now
+		c.countPopulation(alive, now)
+	}
 	others := map[string]citronbudget.Usage{}
 	for service, u := range sent {
 		others[service] = citronbudget.Usage(u)
 	}
+	c.n.budget.UpdateFleet(others, c.share, now)
+}
+
+// countPopulation counts the nodes that may use a part of a bound that all nodes share.
+func (c *control) countPopulation(alive []citronroster.Entry, now time.Time) {
 	var o citronbudget.Observation
 	for _, e := range alive {
 		o.Alive = append(o.Alive, e.Name)
@@ -30,10 +43,9 @@
 	if registered := c.n.registered.Load(); registered != nil {
 		o.Registered, o.RegisteredRead = registered.names, true
 	}
-	share := c.population.Update(o, now)
+	c.share = c.population.Update(o, now)
 	c.self.Counted = c.population.Count()
-	c.n.budget.UpdateFleet(others, share, now)
-	return c.population.HeardShare()
+	c.n.heardShare.Store(math.Float64bits(c.population.HeardShare()))
 }
 
 // budgetLogInterval is the minimum time between two log lines about the budget of a
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -102,8 +102,11 @@
 	// collectDue means that the state of the other nodes must be collected for the next
 	// snapshot.
 	configChanged, collectDue bool
-	// population counts the nodes that share the retry budget.
+	// population counts the nodes that share bounds, as of countedAt. share is this node's share
+	// of the retry budget's slack.
 	population *citronbudget.Population
+	countedAt  time.Time
+	share      citronbudget.Share
 	budgetLog  budgetLog
 	// changedMembers holds the names of nodes that appeared, returned or changed since the
 	// last tick.
--- a/citronnode/members.go
+++ b/citronnode/members.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronevent"
@@ -172,5 +171,5 @@
 	}
 	s.roster = citronroster.New(c.self.Zone, append(alive, citronroster.Entry{Member: c.self, Fingerprint: citronroster.Fingerprint(c.self)}))
 	s.targets = c.lastKnownTargets(now)
-	c.n.heardShare.Store(math.Float64bits(c.updateBudget(alive, sent.Sent, now)))
+	c.updateBudget(alive, sent.Sent, now)
 }
