Observability: prompt parts in the lines of crashed runs and sampled answers

The logs of the incident name neither the parts of a prompt nor how long a run had written when its engine ended, so that a shared part and engines that end by themselves look alike. run.crashed now gives the shared parts and the time since the first event; answer.sampled gives the parts.

--- a/citronforward/crash.go
+++ b/citronforward/crash.go
@@ -84,8 +84,8 @@
 
 // noteCrash checks whether the engine's process ended during a failed run that started
 // at began. If it did, noteCrash records a crash, unless the request has already run
-// successfully.
-func (j *job) noteCrash(ctx context.Context, e *citronpool.Engine, began time.Time) {
+// successfully. firstEvent is the time of the run's first event, or zero if there was none.
+func (j *job) noteCrash(ctx context.Context, e *citronpool.Engine, began, firstEvent time.Time) {
 	if !j.f.hasEnded(ctx, e) || j.ranSuccessfully {
 		return
 	}
@@ -93,7 +93,11 @@
 	if !changed {
 		return
 	}
-	args := []any{"request", j.ID, "print", j.fingerprint(), "engine", e.ID, "peer", e.Addr, "crashes", r.ActiveCrashes()}
+	var running time.Duration
+	if !firstEvent.IsZero() {
+		running = j.f.Clock.Now().Sub(firstEvent)
+	}
+	args := []any{"request", j.ID, "print", j.fingerprint(), "engine", e.ID, "peer", e.Addr, "crashes", r.ActiveCrashes(), "parts", j.SharedParts(), "running", running}
 	citronevent.Log(ctx, j.f.Log, citronevent.RunCrashed, args...)
 	j.f.Metrics.Crashes.Inc()
 	if j.isQuarantined() {
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -140,7 +140,7 @@
 // logSample logs the first of every sampleEvery completed requests.
 func (j *job) logSample(args ...any) {
 	if j.f.completed.Add(1)%sampleEvery == 1 {
-		citronevent.Log(context.Background(), j.f.Log, citronevent.AnswerSampled, append([]any{"request", j.ID, "route", j.route.Name, "customer", j.customer, "tokens", j.Tokens(), "version", j.version, "list", j.list.String(), "took", j.f.Clock.Now().Sub(j.Received)}, args...)...)
+		citronevent.Log(context.Background(), j.f.Log, citronevent.AnswerSampled, append([]any{"request", j.ID, "route", j.route.Name, "customer", j.customer, "tokens", j.Tokens(), "parts", j.SharedParts(), "version", j.version, "list", j.list.String(), "took", j.f.Clock.Now().Sub(j.Received)}, args...)...)
 	}
 }
 
--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -320,7 +320,7 @@
 	w.badHop, w.reason = s.path[bad[0]], reason
 	for _, i := range bad {
 		if s.path[i].Engine.Ended() {
-			s.noteCrash(w.ctx, s.path[i].Engine, s.run.sent)
+			s.noteCrash(w.ctx, s.path[i].Engine, s.run.sent, s.run.firstEvent)
 		}
 	}
 	if bad[0] == 0 {
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -442,7 +442,7 @@
 	if res.outcome == notRun {
 		return runRefused
 	}
-	s.noteCrash(ctx, first, s.run.sent)
+	s.noteCrash(ctx, first, s.run.sent, s.run.firstEvent)
 	return runBroken
 }
 
@@ -598,7 +598,7 @@
 	first := s.path[0].Engine
 	s.logRun(first, result{outcome: unknown, err: errors.Wrap(err, "read stream")})
 	s.avoid[first.ID] = true
-	s.noteCrash(ctx, first, s.run.sent)
+	s.noteCrash(ctx, first, s.run.sent, s.run.firstEvent)
 	return runBroken
 }
 
--- a/citronupstream/upstream.go
+++ b/citronupstream/upstream.go
@@ -39,6 +39,14 @@
 	// zero if it declares none. OutputHint is the caller's estimate of the
 	// output tokens.
 	PromptTokens, OutputTokens, OutputHint int
+	// PromptParts are the IDs of the parts of the prompt, in order. Requests share parts,
+	// but the last one belongs to the request itself or to its session.
+	PromptParts []string
+}
+
+// SharedParts returns the IDs of the prompt parts that other requests may have too.
+func (r *Request) SharedParts() []string {
+	return r.PromptParts[:max(0, len(r.PromptParts)-1)]
 }
 
 // Tokens returns the number of cached tokens that the request is likely to need.
