--- a/citronsoak/engine_test.go
+++ b/citronsoak/engine_test.go
@@ -44,15 +44,15 @@
 
 // crashedRun is one run of a request that crashes engines.
 type crashedRun struct {
-	id string
-	at time.Time // when the run began
+	id, engine string
+	at         time.Time // when the run began
 }
 
 // recordCrash records that a run of the request that crashes engines began.
-func (r *runLog) recordCrash(id string) {
+func (r *runLog) recordCrash(id, engine string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.crashes = append(r.crashes, crashedRun{id, time.Now()})
+	r.crashes = append(r.crashes, crashedRun{id, engine, time.Now()})
 }
 
 // recordLate records a request that reached an engine although its entry had been
@@ -178,7 +178,7 @@
 // crashDuringRun begins the answer to a request, crashes the engine while the
 // request runs, and starts a replacement.
 func (e *engine) crashDuringRun(w http.ResponseWriter, id string) {
-	e.runs.recordCrash(id)
+	e.runs.recordCrash(id, e.id)
 	w.WriteHeader(http.StatusOK)
 	_ = http.NewResponseController(w).Flush()
 	time.Sleep(crashDelay)
@@ -293,7 +293,7 @@
 		return
 	}
 	h.Set("Content-Type", "text/event-stream")
-	if body, _ := io.ReadAll(r.Body); string(body) == crashBody {
+	if body, _ := io.ReadAll(r.Body); string(body) == crashBody || hasCrashingPart(r) {
 		e.crashDuringRun(w, id)
 		return
 	}
--- a/citronsoak/soak_test.go
+++ b/citronsoak/soak_test.go
@@ -455,6 +455,11 @@
 // sendBody sends a request with the body text to node n, and compares the answer
 // with the expected one.
 func (w *world) sendBody(hc *http.Client, n *node, path, id, text string) answer {
+	return w.sendPrompt(hc, n, path, id, text, "")
+}
+
+// sendPrompt is like sendBody for a request whose prompt has the given parts.
+func (w *world) sendPrompt(hc *http.Client, n *node, path, id, text, parts string) answer {
 	req, err := http.NewRequest(http.MethodPost, "http://"+n.front+path+"x", strings.NewReader(text))
 	if err != nil {
 		return answer{}
@@ -465,6 +470,9 @@
 	req.Header.Set("X-Deadline-Ms", fmt.Sprint(callTimeout.Milliseconds()))
 	req.Header.Set("X-Token-Counts", "10,32")
 	req.Header.Set(headerSender, n.senderHeader())
+	if parts != "" {
+		req.Header.Set(headerParts, parts)
+	}
 	w.arrivals[serviceOf(path)].recordSent()
 	req.GetBody = nil // the caller's HTTP client must not send the request twice
 	res, err := hc.Do(req)
