--- /dev/null
+++ b/citronpoison/crash.go
@@ -0,0 +1,62 @@
+package citronpoison
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Part identifies a part of prompts for one model.
+type Part uint64
+
+// PartOf returns the part with the given ID in prompts for a model.
+func PartOf(model, id string) Part { return Part(xxhash.Sum64String(model + "\x00" + id)) }
+
+// Run is a run that ended with its engine before its request had run successfully.
+type Run struct {
+	// Request identifies the request, also when its caller sends it again. Customer
+	// identifies its customer.
+	Request, Customer uint64
+	// Parts are the parts of its prompt that other requests may have too.
+	Parts []Part
+}
+
+// Crash is the end of an engine, with runs that could have caused it.
+type Crash struct {
+	// Engine identifies one start of an engine.
+	Engine uint64
+	At     time.Time
+	Runs   []Run
+	// Proven are the parts of Runs that a request has run with successfully not long
+	// before. Each node knows this of its own requests.
+	Proven []Part
+}
+
+const (
+	// maxRuns is the maximum number of runs in a crash. Engines process fewer requests
+	// at a time.
+	maxRuns = 512
+	// maxParts is the maximum number of parts of a run that are considered.
+	maxParts = 32
+)
+
+// merged returns the crash with the runs and proven parts of another report of it. The
+// earlier time is kept.
+func (c Crash) merged(o Crash) Crash {
+	out := Crash{Engine: c.Engine, At: c.At, Runs: slices.Clone(c.Runs), Proven: slices.Clone(c.Proven)}
+	if o.At.Before(out.At) {
+		out.At = o.At
+	}
+	for _, r := range o.Runs {
+		if len(out.Runs) < maxRuns && !slices.ContainsFunc(out.Runs, func(known Run) bool { return known.Request == r.Request }) {
+			out.Runs = append(out.Runs, r)
+		}
+	}
+	for _, p := range o.Proven {
+		if !slices.Contains(out.Proven, p) {
+			out.Proven = append(out.Proven, p)
+		}
+	}
+	return out
+}
