Requests with a prompt part that crashes engines are refused at all nodes

Cause: crashes are counted by the fingerprint of a whole request, and no two of these are alike. The class: blame is kept for each request, while the cause is something that requests share.

Why it works: nodes report the runs that an engine's end broke off to three detecting nodes (rendezvous), which find the part that explains the crashes (citronpoison); its record is told to all nodes, checked before each send (first tries, waits, retries, resumes, path changes), and saved in the store.

--- a/citroncli/explain.go
+++ b/citroncli/explain.go
@@ -17,6 +17,7 @@
 	Request string `help:"Request id: what became of it, and of the engines it met." xor:"subject" required:""`
 	Engine  string `help:"Engine id: its life in the fleet." xor:"subject" required:""`
 	Print   string `help:"Fingerprint of a request, as the log gives it: what became of it under all its ids." xor:"subject" required:""`
+	Part    string `help:"Prompt part, as the log gives it in part: its crashes, its quarantine and the requests refused because of it." xor:"subject" required:""`
 	Version int64  `help:"Configuration version: when each node put it in force." xor:"subject" required:""`
 	Losses  bool   `help:"Which requests were late, refused or broken off: a table by cause (or --by), zone and time." xor:"subject" required:""`
 	// Window and By apply only with Losses.
@@ -52,6 +53,6 @@
 		}
 		return citronexplain.Losses(g.Out, citronexplain.LossOptions{Window: c.Window, By: citronexplain.Grouping(c.By)}, logs...)
 	}
-	subject := citronexplain.Subject{Request: c.Request, Engine: c.Engine, Fingerprint: c.Print, Version: c.Version}
+	subject := citronexplain.Subject{Request: c.Request, Engine: c.Engine, Fingerprint: c.Print, Part: c.Part, Version: c.Version}
 	return citronexplain.Explain(g.Out, subject, logs...)
 }
--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -76,6 +76,10 @@
 	HeaderUnknown      Event = 517
 	RequestRelayed     Event = 518
 	RelayFailed        Event = 519
+	PartQuarantined    Event = 520
+	PartTried          Event = 521
+	PartReleased       Event = 522
+	CrashesRejected    Event = 523
 	StreamDelayed      Event = 530
 	BudgetState        Event = 531
 
@@ -163,7 +167,7 @@
 	RepathFailed:        {slog.LevelWarn, "repath.failed", "a running stream was not moved to another path behind its first engine: that engine did not do it, or a permit was denied"},
 	StreamLate:          {slog.LevelInfo, "stream.late", "a stream completed late: its first event or a pause between events took longer than its route's target; gives how often its path changed (moves), the route, the customer and the zones of the node (nodeZone) and of the first engine (zone)"},
 	StreamAsked:         {slog.LevelInfo, "stream.asked", "the first engine of a stalled stream reported which requests wait for another engine"},
-	RunCrashed:          {slog.LevelWarn, "run.crashed", "an engine's process ended during a run of a request that had not run successfully yet; gives the request's fingerprint (print), the number of crashes counted for it (crashes), the parts of its prompt that other requests may have too (parts) and the time since the first event of the run, zero if there was none (running)"},
+	RunCrashed:          {slog.LevelWarn, "run.crashed", "an engine's process ended during a run of a request that had not run successfully yet; gives the request's fingerprint (print), the number of crashes counted for it (crashes), the hashes of the parts of its prompt that other requests may have too (parts) and the time since the first event of the run, zero if there was none (running)"},
 	RequestQuarantined:  {slog.LevelWarn, "request.barred", "a request during which several engines crashed is quarantined: no engine gets it for a while; gives its fingerprint (print), the number of crashes and where this node learned of the last one (source): from its own run (own), from the node named, or from the store (store)"},
 	LimitChanged:        {slog.LevelInfo, "limit.named", "an engine's response set, changed or removed (limited=false) its rate limit; gives the requests per second that it accepts from all nodes together"},
 	LimitInvalid:        {slog.LevelWarn, "limit.invalid", "an engine's response carried a malformed rate limit, which was ignored; only the first one from each engine is logged"},
@@ -175,6 +179,10 @@
 	HeaderUnknown:       {slog.LevelWarn, "header.unknown", "an engine's response had a header that this version does not know (name) and only passes on; it may be something that engines expect nodes to act on; only the first response with each name is logged, and a limited number of names"},
 	RequestRelayed:      {slog.LevelInfo, "request.relayed", "a request was sent to an engine through another node (through), because this node's own link to the engine is broken; gives the status of the engine's response"},
 	RelayFailed:         {slog.LevelWarn, "relay.failed", "a request was not answered through another node (through): that node declined it, could not reach the engine either, or the request may have run; gives the cause"},
+	PartQuarantined:     {slog.LevelWarn, "part.quarantined", "requests with a prompt part are no longer sent to engines, because engines crashed under them; gives the part (part), the number of crashes that it explains (crashes), whether another part explains them equally well (tied), the hash of the only customer concerned, zero for all (customer), and where this node learned it (source): by detecting it itself (own), from the node named, or from the store (store)"},
+	PartTried:           {slog.LevelWarn, "part.tried", "a request with a quarantined prompt part is sent to an engine, to find out whether the part still crashes engines; gives the part and the number of the trial"},
+	PartReleased:        {slog.LevelInfo, "part.released", "a quarantined prompt part is released, because a request has run with it successfully; gives the part and where this node learned it (source)"},
+	CrashesRejected:     {slog.LevelWarn, "crashes.rejected", "a report of another node about crashes or prompt parts was invalid; nothing was taken from it, and only the first one of each node is logged"},
 	StreamDelayed:       {slog.LevelInfo, "stream.delayed", "the engines of a stream's cheapest path had no free capacity: it was admitted after a wait (outcome=waited), or on a path of another zone (outcome=spilled); gives its priority, its level among the priorities of its service's streams, the utilization (used), up to which it is admitted (usedLimit), and the forecast time to its first event, zero if unknown; only one in ten is logged"},
 	BudgetState:         {slog.LevelInfo, "budget.state", "this node sent or was denied retries of a service; gives the requests and retries of the last window that it knows of its own and of the other nodes (othersRequests, othersRetries), how many retries all nodes may send (limit) and how many more this node may send (allowance), how many were denied since the last such line (denied), and the number of nodes among which the slack of the budget is divided (nodes), 0 if this node has no share of it; at most one line a second for each service"},
 	AnswerSampled:       {slog.LevelInfo, "answer.sampled", "a request was answered in full, or a stream's request with an engine's failure response; only a sample of these is logged"},
--- a/citronexplain/explain.go
+++ b/citronexplain/explain.go
@@ -28,6 +28,8 @@
 	Request, Engine string
 	// Fingerprint is the fingerprint of a request that was sent under several ids.
 	Fingerprint string
+	// Part is the hash of a prompt part.
+	Part string
 	// Version is a configuration version. It selects the lines in which nodes
 	// report that they activated it.
 	Version int64
@@ -127,6 +129,12 @@
 	return fmt.Sprint(v)
 }
 
+// lists reports whether v is a list that contains text.
+func lists(v any, text string) bool {
+	list, _ := v.([]any)
+	return slices.Contains(list, any(text))
+}
+
 // selectLines returns the lines about the subject. For a request these include
 // the lines about its engines that were logged around the same time.
 func selectLines(all []line, s Subject) []line {
@@ -212,6 +220,8 @@
 		return slices.Contains(l.engines(), s.Engine)
 	case s.Fingerprint != "":
 		return str(l.fields["print"]) == s.Fingerprint
+	case s.Part != "":
+		return str(l.fields["part"]) == s.Part || lists(l.fields["parts"], s.Part)
 	}
 	return l.name == "table.applied" && str(l.fields["version"]) == strconv.FormatInt(s.Version, 10)
 }
--- a/citronforward/admit.go
+++ b/citronforward/admit.go
@@ -146,6 +146,10 @@
 
 // try decides whether the stream is admitted now, and if so, reserves the capacity.
 func (w *capacityWait) try() citronadmit.Decision {
+	if reason, ok := w.quarantined(); ok {
+		w.admission.reason = reason
+		return citronadmit.Reject{Reason: reason}
+	}
 	state := w.f.Current()
 	q := w.query(state, "")
 	engines := state.View.ByService[w.service.Name]
--- a/citronforward/crash.go
+++ b/citronforward/crash.go
@@ -53,30 +53,47 @@
 	return end, true
 }
 
-// isQuarantined reports whether the request has been quarantined since it was admitted.
-func (j *job) isQuarantined() bool {
-	if j.f.Quarantine.Empty() {
-		return false
+// quarantined reports whether the request has been quarantined since it was admitted, for
+// itself or for a part of its prompt, and returns the reason for the caller.
+func (j *job) quarantined() (reason string, ok bool) {
+	if !j.f.Quarantine.Empty() {
+		if left, ok := j.f.Quarantine.QuarantinedFor(j.fingerprint()); ok {
+			j.retryAfter = left
+			return reasonQuarantined, true
+		}
 	}
-	left, quarantined := j.f.Quarantine.QuarantinedFor(j.fingerprint())
-	if quarantined {
-		j.retryAfter = left
+	if v, ok := j.refusedPart(); ok && !j.trialPending {
+		j.retryAfter = v.RetryAfter
+		return reasonPart, true
 	}
-	return quarantined
+	return "", false
 }
 
-// isSuspect reports whether the request is a suspect: it is quarantined, or one more crash
-// would quarantine it.
+// isQuarantined is quarantined without the reason.
+func (j *job) isQuarantined() bool {
+	_, ok := j.quarantined()
+	return ok
+}
+
+// isSuspect reports whether the request must not be sent again after a failed run: it or a
+// part of its prompt is quarantined, or one more crash would quarantine it.
 func (j *job) isSuspect() bool {
+	if _, refused := j.refusedPart(); refused {
+		return true
+	}
 	return !j.f.Quarantine.Empty() && j.f.Quarantine.IsSuspect(j.fingerprint())
 }
 
-// markSuccessful records that the request has run successfully.
-func (j *job) markSuccessful() {
+// markSuccessful records that the request has run successfully, in a run whose response
+// began at start.
+func (j *job) markSuccessful(start time.Time) {
 	if j.ranSuccessfully {
 		return
 	}
 	j.ranSuccessfully = true
+	for _, p := range j.f.Poison.RecordSuccess(j.promptParts(), start) {
+		citronevent.Log(context.Background(), j.f.Log, citronevent.PartReleased, "request", j.ID, "part", p, "source", "own")
+	}
 	if !j.f.Quarantine.Empty() {
 		j.f.Quarantine.RecordSuccess(j.fingerprint())
 	}
@@ -89,6 +106,7 @@
 	if !j.f.hasEnded(ctx, e) || j.ranSuccessfully {
 		return
 	}
+	j.f.Poison.RecordCrash(citronquarantine.EngineKey(e.ID), j.poisonRun())
 	r, changed := j.f.Quarantine.RecordCrash(j.fingerprint(), e.ID, began)
 	if !changed {
 		return
@@ -97,10 +115,10 @@
 	if !firstEvent.IsZero() {
 		running = j.f.Clock.Now().Sub(firstEvent)
 	}
-	args := []any{"request", j.ID, "print", j.fingerprint(), "engine", e.ID, "peer", e.Addr, "crashes", r.ActiveCrashes(), "parts", j.SharedParts(), "running", running}
+	args := []any{"request", j.ID, "print", j.fingerprint(), "engine", e.ID, "peer", e.Addr, "crashes", r.ActiveCrashes(), "parts", j.promptParts(), "running", running}
 	citronevent.Log(ctx, j.f.Log, citronevent.RunCrashed, args...)
 	j.f.Metrics.Crashes.Inc()
-	if j.isQuarantined() {
+	if _, quarantined := j.f.Quarantine.QuarantinedFor(j.fingerprint()); quarantined {
 		citronevent.Log(ctx, j.f.Log, citronevent.RequestQuarantined, append(args, "source", "own")...)
 	}
 }
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -34,6 +34,7 @@
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronpath"
 	"citrondeck.dev/citrondeck/citronpermit"
+	"citrondeck.dev/citrondeck/citronpoison"
 	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citronprobe"
 	"citrondeck.dev/citrondeck/citronquarantine"
@@ -94,6 +95,10 @@
 	DrainWithin time.Duration
 	// Quarantine records the requests that crash engines.
 	Quarantine *citronquarantine.Ledger
+	// Poison records the prompt parts that crash engines. ClaimTrial claims a trial of such
+	// a part and reports whether this node is the first to do so.
+	Poison     *citronpoison.Ledger
+	ClaimTrial func(context.Context, citronpoison.Trial) bool
 	// Stopping reports whether this node is stopping, and how far it has got.
 	Stopping func() Stopping
 	// Limits holds the rate limits that engines announce in their responses.
@@ -140,7 +145,7 @@
 // logSample logs the first of every sampleEvery completed requests.
 func (j *job) logSample(args ...any) {
 	if j.f.completed.Add(1)%sampleEvery == 1 {
-		citronevent.Log(context.Background(), j.f.Log, citronevent.AnswerSampled, append([]any{"request", j.ID, "route", j.route.Name, "customer", j.customer, "tokens", j.Tokens(), "parts", j.SharedParts(), "version", j.version, "list", j.list.String(), "took", j.f.Clock.Now().Sub(j.Received)}, args...)...)
+		citronevent.Log(context.Background(), j.f.Log, citronevent.AnswerSampled, append([]any{"request", j.ID, "route", j.route.Name, "customer", j.customer, "tokens", j.Tokens(), "parts", j.promptParts(), "version", j.version, "list", j.list.String(), "took", j.f.Clock.Now().Sub(j.Received)}, args...)...)
 	}
 }
 
@@ -189,6 +194,11 @@
 	reachedLimit retryLimit
 	// cachedFingerprint is the request's fingerprint, nil until it is first needed.
 	cachedFingerprint *citronquarantine.Fingerprint
+	// cachedParts are the request's prompt parts, nil until they are first needed.
+	cachedParts []citronpoison.Part
+	// trialPending is true if the request is the trial of a prompt part and has not been
+	// sent yet.
+	trialPending bool
 }
 
 // fingerprint returns the fingerprint that identifies the request when the caller sends
@@ -257,6 +267,9 @@
 		return
 	}
 	defer end()
+	if !j.checkParts(ctx) {
+		return
+	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
 	if j.route.Kind == citrontable.Streaming {
--- a/citronforward/forwarder_test.go
+++ b/citronforward/forwarder_test.go
@@ -16,6 +16,7 @@
 	"citrondeck.dev/citrondeck/citronlimit"
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronpath"
+	"citrondeck.dev/citrondeck/citronpoison"
 	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citronquarantine"
 	"citrondeck.dev/citrondeck/citrontable"
@@ -134,10 +135,10 @@
 		Budget: newBudget(200),
 		Loads:  &citronpool.ZoneLoads{},
 
-		Quarantine: citronquarantine.New("n", citronclock.Real{}),
-		Limits:     citronlimit.NewRegistry(citronclock.Real{}),
-		Current:    func() *citronforward.State { return state },
-		Metrics:    citronforward.NewMetrics(prometheus.NewRegistry()),
+		Quarantine: citronquarantine.New("n", citronclock.Real{}), Poison: citronpoison.New(citronclock.Real{}),
+		Limits:  citronlimit.NewRegistry(citronclock.Real{}),
+		Current: func() *citronforward.State { return state },
+		Metrics: citronforward.NewMetrics(prometheus.NewRegistry()),
 	}
 	return r
 }
--- /dev/null
+++ b/citronforward/poison.go
@@ -0,0 +1,77 @@
+package citronforward
+
+// Requests with a prompt part that crashes engines (citronpoison). Such a request is refused
+// at each point at which it would reach an engine: when it arrives, when it has waited for
+// capacity or a permit, when it is retried or resumed, and when its path changes.
+
+import (
+	"context"
+	"encoding/binary"
+	"net/http"
+
+	"citrondeck.dev/citrondeck/citronevent"
+	"citrondeck.dev/citrondeck/citronpoison"
+	"github.com/cespare/xxhash/v2"
+)
+
+const reasonPart = "engines ended under requests with a part of this prompt"
+
+// promptParts returns the parts of the prompt that other requests may have too.
+func (j *job) promptParts() []citronpoison.Part {
+	if j.cachedParts == nil {
+		shared := j.SharedParts()
+		j.cachedParts = make([]citronpoison.Part, len(shared))
+		for i, id := range shared {
+			j.cachedParts[i] = citronpoison.PartOf(j.Model, id)
+		}
+	}
+	return j.cachedParts
+}
+
+func (j *job) customerKey() uint64 { return xxhash.Sum64String(j.customer) }
+
+// poisonRun describes a run of the request for citronpoison.
+func (j *job) poisonRun() citronpoison.Run {
+	p := j.fingerprint()
+	return citronpoison.Run{Request: binary.BigEndian.Uint64(p[:]), Customer: j.customerKey(), Parts: j.promptParts()}
+}
+
+// checkParts reports whether the request may run, and refuses it if not. A refused request
+// has not run.
+func (j *job) checkParts(ctx context.Context) bool {
+	if j.f.Poison.Empty() {
+		return true
+	}
+	switch v := j.f.Poison.Admit(j.customerKey(), j.promptParts()).(type) {
+	case citronpoison.Refused:
+		j.refusePart(v)
+		return false
+	case citronpoison.Trial:
+		if !j.f.ClaimTrial(ctx, v) {
+			j.refusePart(v.Refused)
+			return false
+		}
+		citronevent.Log(ctx, j.f.Log, citronevent.PartTried, "request", j.ID, "part", v.Part, "trial", v.N)
+		j.trialPending = true
+	}
+	return true
+}
+
+func (j *job) refusePart(v citronpoison.Refused) {
+	j.f.refuse(j.Request, j.out, http.StatusServiceUnavailable, v.RetryAfter, reasonPart, "service", j.service.Name, "route", j.route.Name, "customer", j.customer, "print", j.fingerprint(), "part", v.Part, "crashes", v.Crashes)
+}
+
+// refusedPart returns the verdict on the request if it is refused because of a part of its
+// prompt, also if it would be admitted as a trial.
+func (j *job) refusedPart() (citronpoison.Refused, bool) {
+	if j.f.Poison.Empty() {
+		return citronpoison.Refused{}, false
+	}
+	switch v := j.f.Poison.Admit(j.customerKey(), j.promptParts()).(type) {
+	case citronpoison.Refused:
+		return v, true
+	case citronpoison.Trial:
+		return v.Refused, true
+	}
+	return citronpoison.Refused{}, false
+}
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -178,12 +178,13 @@
 		return noPath, "service runs no model"
 	}
 	p, reason := s.permittedPath(ctx)
-	switch {
-	case reason != "":
+	if quarantined, ok := s.quarantined(); ok {
+		reason = quarantined
+	}
+	if reason != "" {
 		return noPath, reason
-	case s.isQuarantined():
-		return noPath, reasonQuarantined
 	}
+	s.trialPending = false
 	s.bind(p)
 	s.observeBegin()
 	s.run = run{sent: s.f.Clock.Now(), relayed: &atomic.Bool{}, forecast: s.forecastFirstEvent()}
@@ -544,7 +545,7 @@
 	s.lastEventAt = now
 	s.run = s.run.WithEvent(now)
 	if s.run.eventSpan() >= minSuccessfulRun {
-		s.markSuccessful()
+		s.markSuccessful(s.run.firstEvent)
 	}
 	return 0, false
 }
@@ -589,7 +590,7 @@
 		}
 		s.observeOutput()
 		s.path[0].Engine.RecordResponse(s.pathSince, s.f.Clock.Now())
-		s.markSuccessful()
+		s.markSuccessful(s.run.firstEvent)
 		return runFinished
 	}
 	if ctx.Err() != nil {
--- a/citronforward/unary.go
+++ b/citronforward/unary.go
@@ -77,6 +77,11 @@
 			}
 			continue
 		}
+		if quarantined, ok := j.quarantined(); ok {
+			reason = quarantined
+			break
+		}
+		j.trialPending = false
 		began := j.f.Clock.Now()
 		res := j.attempt(ctx, e, hops)
 		if res.outcome == held {
@@ -84,7 +89,7 @@
 		}
 		j.f.Metrics.Attempts.WithLabelValues(res.outcome.String()).Inc()
 		if res.outcome == answered {
-			j.markSuccessful()
+			j.markSuccessful(began)
 			j.f.Metrics.UnaryDuration.Observe(j.f.Clock.Now().Sub(j.Received).Seconds())
 			j.out.Answer(res.status, res.header, res.body)
 			j.logSample("engine", e.ID, "status", res.status, "runs", j.runs+1)
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -176,6 +176,7 @@
 			c.eraAt = c.listAt
 		}
 		c.n.quarantine.InvalidateSaved()
+		c.n.poison.InvalidateSaved()
 		wake(c.n.quarantineChanged)
 	}
 	if c.listSince.IsZero() {
@@ -281,6 +282,7 @@
 	c.announceLeaving()
 	c.updateLinks(ctx)
 	c.n.limits.Tick()
+	c.n.detectParts(ctx)
 	c.logBudget(ctx, now)
 	c.publishTargets()
 	c.self.Load = c.n.loads.ZoneTotals()
--- a/citronnode/gossip.go
+++ b/citronnode/gossip.go
@@ -91,6 +91,9 @@
 	if state.Limits == nil {
 		state.Limits = n.limits.Recent()
 	}
+	if state.Parts == nil {
+		state.Parts = n.recentParts()
+	}
 	if state.Usage == nil {
 		state.Usage = n.recentUsage(nil)
 	}
@@ -182,7 +185,7 @@
 func (n *Node) exchange(ctx context.Context, addr string) {
 	s := n.snap.Load()
 	state := s.gossipState()
-	state.SuspectChecksum, state.LimitChecksum = n.quarantine.Checksum(), n.limits.Checksum()
+	state.SuspectChecksum, state.LimitChecksum, state.PartChecksum = n.quarantine.Checksum(), n.limits.Checksum(), n.poison.Checksum()
 	state.Usage = n.recentUsage(nil)
 	theirs, err := n.peers.Exchange(ctx, addr, state)
 	n.stabilizer.RecordExchange(state.Digest, theirs.Digest, err)
@@ -192,8 +195,8 @@
 		return
 	}
 	n.merge(ctx, theirs)
-	same, sameLimits := theirs.SuspectChecksum == n.quarantine.Checksum(), theirs.LimitChecksum == n.limits.Checksum()
-	if theirs.Missing.Empty() && same && sameLimits {
+	same, sameLimits, sameParts := theirs.SuspectChecksum == n.quarantine.Checksum(), theirs.LimitChecksum == n.limits.Checksum(), theirs.PartChecksum == n.poison.Checksum()
+	if theirs.Missing.Empty() && same && sameLimits && sameParts {
 		return
 	}
 	state = s.update()
@@ -205,6 +208,9 @@
 	if !sameLimits {
 		state.Limits = n.limits.All()
 	}
+	if !sameParts {
+		state.Parts = n.allParts()
+	}
 	n.push(ctx, addr, state)
 }
 
@@ -238,6 +244,10 @@
 	if theirs.LimitChecksum != state.LimitChecksum {
 		state.Limits = h.n.limits.All()
 	}
+	state.PartChecksum = h.n.poison.Checksum()
+	if theirs.PartChecksum != state.PartChecksum {
+		state.Parts = h.n.allParts()
+	}
 	return h.n.respond(s, state, theirs)
 }
 
@@ -263,6 +273,9 @@
 	if state.Limits == nil {
 		state.Limits = n.limits.Recent()
 	}
+	if state.Parts == nil {
+		state.Parts = n.recentParts()
+	}
 	if state.Usage == nil {
 		state.Usage = n.recentUsage(theirs.Usage)
 	}
@@ -330,11 +343,13 @@
 // later lists as outdated. A node that has no list yet accepts one of any era.
 const maxErasAhead = 16
 
-// merge applies a message of another node: it merges suspects, rate limits and usage reports, and passes
-// members and documents on to the control loop.
+// merge applies a message of another node: it merges suspects, rate limits, prompt parts,
+// crashes and usage reports, and passes members and documents on to the control loop.
 func (n *Node) merge(ctx context.Context, state citronpeer.GossipState) {
 	n.mergeSuspects(ctx, state.From.Name, state.Suspects)
 	n.mergeLimits(ctx, state.From.Name, state.Limits)
+	n.mergeParts(ctx, state.From.Name, state.Parts)
+	n.addCrashes(ctx, state.From.Name, state.Crashes)
 	n.mergeUsage(ctx, state.From.Name, state.Usage)
 	n.sendToLoop(ctx, memberUpdate{from: state.From, diff: state.Diff, digest: state.Digest, zoneTotals: state.ZoneTotals})
 	if len(state.Config.Body) > 0 {
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -36,6 +36,7 @@
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronpeer"
 	"citrondeck.dev/citrondeck/citronpermit"
+	"citrondeck.dev/citrondeck/citronpoison"
 	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citronquarantine"
 	"citrondeck.dev/citrondeck/citronreach"
@@ -139,6 +140,13 @@
 	limitsRejectedFrom sync.Map
 	// invalidUsageFrom holds the engines and nodes from which invalid usage reports came.
 	invalidUsageFrom sync.Map
+	// poison holds what is known about prompt parts that crash engines. crashSeen wakes the
+	// goroutine that reports crashes.
+	poison    *citronpoison.Ledger
+	crashSeen chan struct{}
+	// crashesRejectedFrom holds the nodes of which an invalid message about crashes or
+	// prompt parts has been logged.
+	crashesRejectedFrom sync.Map
 	// quarantineChanged wakes the goroutine that saves quarantine records to the store.
 	quarantineChanged chan struct{}
 	// suspectsRejected counts the invalid messages of other nodes, and the invalid
@@ -211,6 +219,7 @@
 		urgentUpdates: make(chan struct{}, 1),
 
 		quarantineChanged: make(chan struct{}, 1),
+		crashSeen:         make(chan struct{}, 1),
 		configs:           newConfigInbox(sources.DecodeConfig),
 	}
 	n.links = citronlink.NewLinks(clock, log)
@@ -225,6 +234,12 @@
 		n.notifyPeers()
 		wake(n.quarantineChanged)
 	})
+	n.poison = citronpoison.New(clock)
+	n.poison.OnCrash(func() { wake(n.crashSeen) })
+	n.poison.OnChange(func() {
+		n.notifyPeers()
+		wake(n.quarantineChanged)
+	})
 	n.loans = citronloan.New(budget, n.peers, clock, func() []citronpeer.Member { return n.snap.Load().members })
 	n.snap.Store(&snapshot{self: citronpeer.Member{Name: settings.Name, Zone: settings.Zone, Front: settings.Front, Peer: settings.Peer, Weak: settings.lowCPU(), Started: clock.Now().UnixNano()}})
 	return n
@@ -281,6 +296,7 @@
 	tasks.Go(func() { n.lead(ctx) })
 	tasks.Go(func() { n.register(ctx) })
 	tasks.Go(func() { n.persistQuarantine(ctx) })
+	tasks.Go(func() { n.reportCrashes(ctx) })
 	tasks.Go(func() { n.observeUsage(ctx) })
 }
 
--- a/citronnode/quarantine.go
+++ b/citronnode/quarantine.go
@@ -56,6 +56,7 @@
 			}
 			n.quarantine.MarkSaved(e)
 		}
+		n.saveParts(ctx)
 	}
 }
 
@@ -93,7 +94,7 @@
 		entries = append(entries, e)
 	}
 	n.mergeRecords(ctx, sourceStore, entries)
-	return nil
+	return n.loadParts(ctx)
 }
 
 // decodeQuarantined decodes a record. A crash time in the future becomes the present,
--- a/citronnode/status.go
+++ b/citronnode/status.go
@@ -29,6 +29,8 @@
 	// requests.
 	Suspects, Quarantined int
 	SuspectsRejected      int64
+	// QuarantinedParts counts the prompt parts with which requests are not sent to engines.
+	QuarantinedParts int
 	// Limited counts the engines that have announced a rate limit. LimitsRejected counts
 	// the rejected messages of other nodes about limits.
 	Limited        int
@@ -56,6 +58,7 @@
 	s := n.snap.Load()
 	out := Status{ConfigVersion: s.config.Version, ListRevision: s.list.Revision.Count(), StoreEra: s.list.Revision.Era(), Nodes: len(s.members), Unreadable: s.unreadable, Retained: s.retained, Watching: s.self.Watching, Leads: s.self.Leads, Places: n.places.Load()}
 	out.Suspects, out.Quarantined = n.quarantine.Count()
+	out.QuarantinedParts = n.poison.Quarantined()
 	out.Limited, out.LimitsRejected = n.limits.CountLimited(), n.limitsRejected.Load()
 	out.SuspectsRejected = n.suspectsRejected.Load()
 	reach := n.links.Summary()
--- a/citronpeer/peer.go
+++ b/citronpeer/peer.go
@@ -229,6 +229,12 @@
 	// that the sender knows. It is set in exchanges.
 	Limits        []Limit
 	LimitChecksum uint64
+	// Crashes are crashes that the sender has seen, for a node that looks for the prompt
+	// parts that crash engines. Parts are records of such parts, and PartChecksum is a
+	// checksum of all that the sender knows. It is set in exchanges.
+	Crashes      []Crash
+	Parts        []PartRecord
+	PartChecksum uint64
 	// Usage are recent reports of engines about their usage, MaxUsageReports at most. A
 	// node of an earlier version ignores them.
 	Usage []UsageReport
@@ -251,6 +257,10 @@
 	Limits          []Limit   `json:"limits,omitempty"`
 	LimitChecksum   uint64    `json:"limitSum,omitempty"`
 
+	Crashes      []Crash      `json:"crashes,omitempty"`
+	Parts        []PartRecord `json:"parts,omitempty"`
+	PartChecksum uint64       `json:"partSum,omitempty"`
+
 	Usage []UsageReport `json:"usage,omitempty"`
 }
 
--- a/citronpoison/crash.go
+++ b/citronpoison/crash.go
@@ -1,6 +1,7 @@
 package citronpoison
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -10,6 +11,12 @@
 // Part identifies a part of prompts for one model.
 type Part uint64
 
+// String returns p in hexadecimal.
+func (p Part) String() string { return fmt.Sprintf("%016x", uint64(p)) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (p Part) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
+
 // PartOf returns the part with the given ID in prompts for a model.
 func PartOf(model, id string) Part { return Part(xxhash.Sum64String(model + "\x00" + id)) }
 
--- a/citronpoison/ledger.go
+++ b/citronpoison/ledger.go
@@ -77,6 +77,9 @@
 // OnChange is described at OnCrash.
 func (l *Ledger) OnChange(f func()) { l.onChange = f }
 
+// Empty reports whether the ledger has no records.
+func (l *Ledger) Empty() bool { return l.size.Load() == 0 }
+
 // Verdict says whether a request may be sent to an engine. It is one of Admitted, Trial and
 // Refused.
 type Verdict interface{ verdict() }
@@ -108,7 +111,7 @@
 
 // Admit decides whether a request may be sent.
 func (l *Ledger) Admit(customer uint64, parts []Part) Verdict {
-	if l.size.Load() == 0 {
+	if l.Empty() {
 		return Admitted{}
 	}
 	l.mu.Lock()
@@ -145,12 +148,14 @@
 	}
 }
 
-// RecordSuccess records that a request has run successfully since start.
-func (l *Ledger) RecordSuccess(parts []Part, start time.Time) {
+// RecordSuccess records that a request has run successfully since start. It returns the
+// quarantined parts that are released as a result.
+func (l *Ledger) RecordSuccess(parts []Part, start time.Time) []Part {
 	if len(parts) == 0 {
-		return
+		return nil
 	}
-	released := false
+	var released []Part
+	changed := false
 	l.mu.Lock()
 	for _, p := range parts {
 		if last, ok := l.proven.Get(p); !ok || start.After(last) {
@@ -159,13 +164,17 @@
 		e, ok := l.records[p]
 		if ok && e.State != Released && start.After(e.LastCrash) {
 			l.release(e.Record, start)
-			released = true
+			changed = true
+			if e.State == Quarantined {
+				released = append(released, p)
+			}
 		}
 	}
 	l.mu.Unlock()
-	if released {
+	if changed {
 		l.onChange()
 	}
+	return released
 }
 
 // release records that a part has been shown to be harmless. The caller must hold l.mu.
@@ -372,7 +381,7 @@
 }
 
 // Merge merges records that another node sent or that were saved. It returns those of the
-// parts that are quarantined on this node as a result.
+// parts that are quarantined or released on this node as a result.
 func (l *Ledger) Merge(received []Record) ([]Record, error) {
 	if len(received) > MaxRecords {
 		return nil, errors.Newf("message has %d records of prompt parts, at most %d are allowed", len(received), MaxRecords)
@@ -383,7 +392,7 @@
 			return nil, err
 		}
 	}
-	var quarantined []Record
+	var moved []Record
 	changed := false
 	l.mu.Lock()
 	for _, r := range received {
@@ -398,15 +407,15 @@
 		l.set(next, false)
 		changed = true
 		l.detectAt = now
-		if next.State == Quarantined && known.State != Quarantined {
-			quarantined = append(quarantined, next)
+		if (next.State == Quarantined) != (known.State == Quarantined) {
+			moved = append(moved, next)
 		}
 	}
 	l.mu.Unlock()
 	if changed {
 		l.onChange()
 	}
-	return quarantined, nil
+	return moved, nil
 }
 
 // validate returns an error if no healthy node has such a record.
@@ -470,7 +479,7 @@
 // selectRecords returns the matching records: quarantined ones first, then those that
 // changed last.
 func (l *Ledger) selectRecords(match func(entry) bool) []Record {
-	if l.size.Load() == 0 {
+	if l.Empty() {
 		return nil
 	}
 	l.mu.Lock()
--- a/citronrendezvous/rendezvous.go
+++ b/citronrendezvous/rendezvous.go
@@ -3,7 +3,11 @@
 // only its tasks move.
 package citronrendezvous
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Choose returns the node with the highest hash for key, or false if there are no nodes.
 // name returns the name of a node.
@@ -22,6 +26,19 @@
 	return best, len(nodes) > 0
 }
 
+// ChooseSeveral returns the count nodes with the highest hashes for key, or all nodes if there
+// are fewer.
+func ChooseSeveral[T any](key string, count int, nodes []T, name func(T) string) []T {
+	var out []T
+	rest := slices.Clone(nodes)
+	for len(out) < count && len(rest) > 0 {
+		best, _ := Choose(key, rest, name)
+		out = append(out, best)
+		rest = slices.DeleteFunc(rest, func(n T) bool { return name(n) == name(best) })
+	}
+	return out
+}
+
 // Top returns the nodes of the highest rank, in their order. Nodes of a negative rank are
 // left out.
 func Top[T any](nodes []T, rank func(T) int) []T {
--- a/citronstat/node.go
+++ b/citronstat/node.go
@@ -36,6 +36,7 @@
 	gauge("usage_from_nodes", "Reports of engines' usage that this node got from other nodes.", func(s citronnode.Status) float64 { return float64(s.UsageFromNodes) })
 	gauge("usage_rejected", "Reports of engines' usage that are impossible and were not used.", func(s citronnode.Status) float64 { return float64(s.UsageRejected) })
 	gauge("usage_fresh", "Engines whose usage is known from a report of the last seconds.", func(s citronnode.Status) float64 { return float64(s.UsageFresh) })
+	gauge("parts_quarantined", "Prompt parts with which requests are not sent to engines because they crash them.", func(s citronnode.Status) float64 { return float64(s.QuarantinedParts) })
 	gauge("suspects_rejected", "Messages of other nodes about suspects of which nothing was taken.", func(s citronnode.Status) float64 { return float64(s.SuspectsRejected) })
 	gauge("engines_tried", "Engines that the node has tried to reach in the last seconds.", func(s citronnode.Status) float64 { return float64(s.EnginesTried) })
 	gauge("engines_unreached", "Engines that the node tried to reach in the last seconds and could not.", func(s citronnode.Status) float64 { return float64(s.EnginesUnreached) })
--- a/citronupstream/upstream.go
+++ b/citronupstream/upstream.go
@@ -39,6 +39,8 @@
 	// zero if it declares none. OutputHint is the caller's estimate of the
 	// output tokens.
 	PromptTokens, OutputTokens, OutputHint int
+	// Model is the name of the model that the request is for, if it names one.
+	Model string
 	// PromptParts are the IDs of the parts of the prompt, in order. Requests share parts,
 	// but the last one belongs to the request itself or to its session.
 	PromptParts []string
