A response that ends with its connection and its engine is not whole

What callers could see: a success with part of an answer, or a stream that looks complete, where the engine sends neither a length nor chunks and crashes between two events. Cause: the end of such a body was a regular end, whatever became of the engine. Evidence: without the check TestResponseThatEndsWithItsEngineIsNotWhole gets 200 and a regular end in both cases (stream and unary); it passes now.

At such an end the engine is asked whether it has ended, by a probe begun after the end; only then is the response broken off. Such responses clear no prompt part and no request, as their end does not show that the engine survived the run. Relayed responses carry the mark too.

--- a/citronforward/crash.go
+++ b/citronforward/crash.go
@@ -103,7 +103,7 @@
 // at began. If it did, noteCrash records a crash, unless the request has already run
 // successfully. firstEvent is the time of the run's first event, or zero if there was none.
 func (j *job) noteCrash(ctx context.Context, e *citronpool.Engine, began, firstEvent time.Time) {
-	if !j.f.hasEnded(ctx, e) || j.ranSuccessfully {
+	if !j.f.hasEnded(ctx, e, maxCrashReportAge) || j.ranSuccessfully {
 		return
 	}
 	j.f.Poison.RecordCrash(citronquarantine.EngineKey(e.ID), j.poisonRun())
@@ -123,13 +123,18 @@
 	}
 }
 
+// errEndedWithEngine means that a body which ends with its connection ended when its engine
+// did. It may lack its end.
+var errEndedWithEngine = errors.New("response and engine ended together")
+
 // hasEnded reports whether the engine's process has ended, and asks the engine if this
-// is not yet known. A process that merely does not answer has not ended.
-func (f *Forwarder) hasEnded(ctx context.Context, e *citronpool.Engine) bool {
+// is not yet known. A report that is no older than maxAge may be used. A process that merely
+// does not answer has not ended.
+func (f *Forwarder) hasEnded(ctx context.Context, e *citronpool.Engine, maxAge time.Duration) bool {
 	if e.Ended() {
 		return true
 	}
-	report, err := f.probes.Report(context.WithoutCancel(ctx), f.Upstream, e.Addr, maxCrashReportAge)
+	report, err := f.probes.Report(context.WithoutCancel(ctx), f.Upstream, e.Addr, maxAge)
 	switch {
 	case err == nil:
 		citronprobe.RecordReport(e, report, f.Clock.Now())
--- a/citronforward/poison_test.go
+++ b/citronforward/poison_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -88,3 +91,29 @@
 	is.Equal(ask("c"), 503) // the next trial is due later
 	is.Equal(len(r.engines.received()), 1)
 }
+
+// Guards against taking a response for whole that has neither a length nor chunks and ended
+// because its engine crashed, and against taking it for proof that its parts are harmless.
+func TestResponseThatEndsWithItsEngineIsNotWhole(t *testing.T) {
+	for _, route := range []string{"stream", "unsafe"} {
+		t.Run(route, func(t *testing.T) {
+			is := is.New(t)
+			r := newTestForwarder(t, append(fourEngines(), plainEngine("p1", "a"))...)
+			r.engines.answer = func(context.Context, int, citronupstream.Call) (*citronupstream.Reply, error) {
+				rep := reply(200, "")
+				rep.UntilClose = true
+				rep.Body = io.NopCloser(strings.NewReader("id: 1\ndata: x\n\n"))
+				return rep, nil
+			}
+			got := r.ask(route, time.Second, withParts("subject", "own"))
+			is.Equal(got.status, 200)
+			is.True(!got.aborted) // the engine goes on, so the response is whole
+			r.engines.report = func(string) (citronupstream.Report, error) { return citronupstream.Report{}, syscall.ECONNREFUSED }
+			got = r.ask(route, time.Second, withParts("subject", "own"))
+			is.True(got.aborted || got.status == 502)
+			crashes := r.Poison.TakeUnsent()
+			is.True(len(crashes) > 0)
+			is.Equal(len(crashes[0].Proven), 0)
+		})
+	}
+}
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -472,7 +472,7 @@
 		select {
 		case e := <-events:
 			if e.err != nil {
-				return s.streamEnded(ctx, e.err)
+				return s.streamEnded(ctx, reply, e.err)
 			}
 			if v, done := s.forwardEvent(reply, e.event); done {
 				return v
@@ -582,15 +582,21 @@
 	return x > y
 }
 
-// streamEnded handles the end of a response body. io.EOF is a regular end.
-func (s *streamJob) streamEnded(ctx context.Context, err error) runOutcome {
+// streamEnded handles the end of a response body. io.EOF is a regular end, unless the body
+// ends with the connection and its engine has ended too.
+func (s *streamJob) streamEnded(ctx context.Context, reply *citronupstream.Reply, err error) runOutcome {
+	if errors.Is(err, io.EOF) && reply.UntilClose && s.f.hasEnded(ctx, s.path[0].Engine, 0) {
+		err = errEndedWithEngine
+	}
 	if errors.Is(err, io.EOF) {
 		if !s.begun {
 			return runBroken // an empty stream is not a valid response
 		}
 		s.observeOutput()
 		s.path[0].Engine.RecordResponse(s.pathSince, s.f.Clock.Now())
-		s.markSuccessful(s.run.firstEvent)
+		if !reply.UntilClose {
+			s.markSuccessful(s.run.firstEvent)
+		}
 		return runFinished
 	}
 	if ctx.Err() != nil {
--- a/citronforward/unary.go
+++ b/citronforward/unary.go
@@ -46,6 +46,8 @@
 	header  http.Header
 	body    []byte
 	err     error
+	// untilClose is citronupstream.Reply.UntilClose.
+	untilClose bool
 }
 
 const (
@@ -89,7 +91,7 @@
 		}
 		j.f.Metrics.Attempts.WithLabelValues(res.outcome.String()).Inc()
 		if res.outcome == answered {
-			j.markSuccessful(began)
+			j.recordAnswered(res, began)
 			j.f.Metrics.UnaryDuration.Observe(j.f.Clock.Now().Sub(j.Received).Seconds())
 			j.out.Answer(res.status, res.header, res.body)
 			j.logSample("engine", e.ID, "status", res.status, "runs", j.runs+1)
@@ -133,6 +135,14 @@
 	j.giveUp(ctx, reason)
 }
 
+// recordAnswered records that a run has been answered. A body that ends with its connection
+// does not show that the engine has survived the run.
+func (j *job) recordAnswered(res result, began time.Time) {
+	if !res.untilClose {
+		j.markSuccessful(began)
+	}
+}
+
 // logAttempt logs a failed attempt. more holds further keys and values for the log line.
 func (j *job) logAttempt(e *citronpool.Engine, res result, more ...any) {
 	args := []any{"request", j.ID, "print", j.fingerprint(), "service", j.service.Name, "engine", e.ID, "peer", e.Addr, "outcome", res.outcome.String(), "status", res.status, "runs", j.runs, "list", j.list.String(), "left", j.timeLeft()}
@@ -162,13 +172,16 @@
 		return result{outcome: notRun, status: reply.Status}
 	}
 	body, err := readAnswer(reply.Body)
+	if err == nil && reply.UntilClose && j.f.hasEnded(ctx, e, 0) {
+		err = errEndedWithEngine
+	}
 	if err != nil {
 		return j.classifyError(e, errors.Wrap(err, "read response"))
 	}
 	if !reply.FromEngine && reply.Status < 300 || reply.Header.Get("Content-Encoding") != "" {
 		return result{outcome: unknown, status: reply.Status, err: errors.New("response lacks the engine's signature or has a content encoding")}
 	}
-	res := result{outcome: answered, status: reply.Status, header: reply.Header, body: body}
+	res := result{outcome: answered, status: reply.Status, header: reply.Header, body: body, untilClose: reply.UntilClose}
 	if reply.Status >= 500 {
 		res.outcome = failed
 		return res
--- a/citronrelay/relay_test.go
+++ b/citronrelay/relay_test.go
@@ -72,6 +72,7 @@
 		{"plain", citronupstream.Reply{Status: 200, Header: http.Header{"X": {"1", "2"}}, FromEngine: true, RateLimit: citronupstream.NoRateLimit{}, Cooldown: citronupstream.NoCooldown{}}, "the body"},
 		{"empty body", citronupstream.Reply{Status: 204, Header: http.Header{}, RateLimit: citronupstream.NoRateLimit{}, Cooldown: citronupstream.NoCooldown{}}, ""},
 		{"long body", citronupstream.Reply{Status: 200, Header: http.Header{}, RateLimit: citronupstream.NoRateLimit{}, Cooldown: citronupstream.NoCooldown{}}, strings.Repeat("0123456789", 50_000)},
+		{"body that ends with the connection", citronupstream.Reply{Status: 200, Header: http.Header{}, FromEngine: true, UntilClose: true, RateLimit: citronupstream.NoRateLimit{}, Cooldown: citronupstream.NoCooldown{}}, "the body"},
 		{"refusal", citronupstream.Reply{Status: 503, Header: http.Header{}, NotExecuted: true, AccusedAddr: "10.0.0.1:1", Leaving: true, RateLimit: citronupstream.PerSecond(2.5), Cooldown: citronupstream.CooldownFor(3 * time.Second)}, "no"},
 		{"invalid notices", citronupstream.Reply{Status: 429, Header: http.Header{}, RateLimit: citronupstream.InvalidRateLimit("fast"), Cooldown: citronupstream.InvalidCooldown("soon")}, ""},
 	} {
--- a/citronrelay/send.go
+++ b/citronrelay/send.go
@@ -89,6 +89,7 @@
 	AccusedAddr string      `json:"accusedAddr,omitempty"`
 	FromEngine  bool        `json:"fromEngine,omitempty"`
 	Leaving     bool        `json:"leaving,omitempty"`
+	UntilClose  bool        `json:"untilClose,omitempty"`
 	// Limited tells whether PerSecond is the rate limit that the response declares,
 	// HasCooldown whether CooldownMS is the cool-down that it asks for. InvalidLimit and
 	// InvalidCooldown are the texts of those that cannot be parsed.
@@ -101,7 +102,7 @@
 }
 
 func newHeadMessage(r *citronupstream.Reply) *headMessage {
-	m := &headMessage{Status: r.Status, Header: r.Header, NotExecuted: r.NotExecuted, AccusedAddr: r.AccusedAddr, FromEngine: r.FromEngine, Leaving: r.Leaving}
+	m := &headMessage{Status: r.Status, Header: r.Header, NotExecuted: r.NotExecuted, AccusedAddr: r.AccusedAddr, FromEngine: r.FromEngine, Leaving: r.Leaving, UntilClose: r.UntilClose}
 	switch l := r.RateLimit.(type) {
 	case citronupstream.PerSecond:
 		m.Limited, m.PerSecond = true, float64(l)
@@ -121,7 +122,7 @@
 
 func (m *headMessage) reply() *citronupstream.Reply {
 	r := &citronupstream.Reply{
-		Status: m.Status, Header: m.Header, NotExecuted: m.NotExecuted, AccusedAddr: m.AccusedAddr, FromEngine: m.FromEngine, Leaving: m.Leaving,
+		Status: m.Status, Header: m.Header, NotExecuted: m.NotExecuted, AccusedAddr: m.AccusedAddr, FromEngine: m.FromEngine, Leaving: m.Leaving, UntilClose: m.UntilClose,
 		RateLimit: citronupstream.NoRateLimit{}, Cooldown: citronupstream.NoCooldown{},
 	}
 	if r.Header == nil {
--- a/citronupstream/upstream.go
+++ b/citronupstream/upstream.go
@@ -111,6 +111,9 @@
 	Cooldown Cooldown
 	// Leaving is true if the response states that its upstream is leaving.
 	Leaving bool
+	// UntilClose is true if the body has neither a length nor chunks. It ends with the
+	// connection, so an engine that crashes may look like one that has finished.
+	UntilClose bool
 }
 
 // Errors returned by Engines.Send. After any error but ErrNotSent, it is unknown
