citronpoison: nodes agree on parts, one trial offered at a time; soak with crashing parts

Two faults of the records, found by TestLedgersAgree before any user saw them: two nodes that found a part under different customers kept different records for good, and a node that released a part another one had just quarantined did not tell it.

While the store is away each request that is due for a trial waited 300 ms for a claim; a node now offers a trial once in 2 s and refuses the others at once. Exchanges carry only records of parts that were quarantined.

--- a/citronforward/poison.go
+++ b/citronforward/poison.go
@@ -61,17 +61,11 @@
 	j.f.refuse(j.Request, j.out, http.StatusServiceUnavailable, v.RetryAfter, reasonPart, "service", j.service.Name, "route", j.route.Name, "customer", j.customer, "print", j.fingerprint(), "part", v.Part, "crashes", v.Crashes)
 }
 
-// refusedPart returns the verdict on the request if it is refused because of a part of its
-// prompt, also if it would be admitted as a trial.
+// refusedPart returns the verdict on the request if a part of its prompt is quarantined, also
+// if the request has been admitted as a trial.
 func (j *job) refusedPart() (citronpoison.Refused, bool) {
 	if j.f.Poison.Empty() {
 		return citronpoison.Refused{}, false
 	}
-	switch v := j.f.Poison.Admit(j.customerKey(), j.promptParts()).(type) {
-	case citronpoison.Refused:
-		return v, true
-	case citronpoison.Trial:
-		return v.Refused, true
-	}
-	return citronpoison.Refused{}, false
+	return j.f.Poison.Check(j.customerKey(), j.promptParts())
 }
--- a/citronpoison/ledger.go
+++ b/citronpoison/ledger.go
@@ -22,7 +22,7 @@
 	// maxCrashes is the number of crashes that are kept for detection, for crashTTL. The
 	// oldest is dropped first.
 	maxCrashes = 48
-	crashTTL   = 2 * time.Minute
+	crashTTL   = 10 * time.Minute
 	// provenTTL is how long a node remembers that a request has run successfully with a
 	// part, and maxProven the number of parts that it remembers.
 	provenTTL = time.Minute
@@ -31,6 +31,9 @@
 	// maximum number of recent records in one message.
 	gossipTTL = 2 * time.Second
 	maxRecent = 16
+	// claimInterval is the shortest time between two requests of a node that are admitted as
+	// the same trial. A claim may fail because the store does not answer.
+	claimInterval = 2 * time.Second
 	// minRetryAfter is the shortest time after which a refused request may be sent again.
 	minRetryAfter = time.Second
 )
@@ -59,6 +62,8 @@
 type entry struct {
 	Record
 	changedAt time.Time
+	// offeredAt is when this node last admitted a request as a trial.
+	offeredAt time.Time
 	// unsaved reports that this node changed the record and has not yet saved it.
 	unsaved bool
 }
@@ -109,29 +114,59 @@
 func (Trial) verdict()    {}
 func (Refused) verdict()  {}
 
-// Admit decides whether a request may be sent.
+// Check returns the verdict on a request with a part that is quarantined for its customer, and
+// false if it has none.
+func (l *Ledger) Check(customer uint64, parts []Part) (Refused, bool) {
+	if l.Empty() {
+		return Refused{}, false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	refused := l.refusing(customer, parts)
+	if len(refused) == 0 {
+		return Refused{}, false
+	}
+	return l.verdict(customer, refused), true
+}
+
+// Admit decides whether a request may be sent. Unlike Check, it may admit the request as a
+// trial.
 func (l *Ledger) Admit(customer uint64, parts []Part) Verdict {
 	if l.Empty() {
 		return Admitted{}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.clock.Now()
-	var refused []Record
-	for _, p := range parts {
-		if e, ok := l.records[p]; ok && e.refuses(customer) && !e.expired(now) {
-			refused = append(refused, e.Record)
-		}
-	}
+	refused := l.refusing(customer, parts)
 	if len(refused) == 0 {
 		return Admitted{}
 	}
-	next := slices.MaxFunc(refused, func(a, b Record) int { return a.nextTrial(customer).Compare(b.nextTrial(customer)) })
-	v := Refused{Part: next.Part, RetryAfter: max(minRetryAfter, next.nextTrial(customer).Sub(now)), Crashes: next.Crashes}
-	if len(refused) > 1 || now.Before(next.nextTrial(customer)) {
+	v, now := l.verdict(customer, refused), l.clock.Now()
+	e := refused[0]
+	if len(refused) > 1 || now.Before(e.nextTrial(customer)) || now.Sub(e.offeredAt) < claimInterval {
 		return v
 	}
-	return Trial{Part: next.Part, Generation: next.Generation, N: next.Trials + 1, Refused: v}
+	e.offeredAt = now
+	l.records[e.Part] = e
+	return Trial{Part: e.Part, Generation: e.Generation, N: e.Trials + 1, Refused: v}
+}
+
+// refusing returns the records because of which a request is refused. The caller must hold
+// l.mu.
+func (l *Ledger) refusing(customer uint64, parts []Part) []entry {
+	var out []entry
+	for _, p := range parts {
+		if e, ok := l.records[p]; ok && e.refuses(customer) && !e.expired(l.clock.Now()) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// verdict returns the verdict for the part whose next trial is the last to come.
+func (l *Ledger) verdict(customer uint64, refused []entry) Refused {
+	last := slices.MaxFunc(refused, func(a, b entry) int { return a.nextTrial(customer).Compare(b.nextTrial(customer)) })
+	return Refused{Part: last.Part, RetryAfter: max(minRetryAfter, last.nextTrial(customer).Sub(l.clock.Now())), Crashes: last.Crashes}
 }
 
 // BeginTrial records that a trial has begun, at this node or at another.
@@ -348,7 +383,12 @@
 		l.release(r, start)
 		return
 	}
-	l.records[r.Part] = entry{Record: r, changedAt: l.clock.Now(), unsaved: unsaved || l.records[r.Part].unsaved}
+	known := l.records[r.Part]
+	e := entry{Record: r, changedAt: l.clock.Now(), unsaved: unsaved || known.unsaved}
+	if known.Generation == r.Generation {
+		e.offeredAt = known.offeredAt
+	}
+	l.records[r.Part] = e
 	l.prune()
 	l.size.Store(int64(len(l.records)))
 }
@@ -439,10 +479,11 @@
 	return out[:min(len(out), maxRecent)]
 }
 
-// All returns all records that have not expired.
+// All returns the records that all nodes have to agree on: those of parts that are or were
+// quarantined, unless they have expired.
 func (l *Ledger) All() []Record {
 	now := l.clock.Now()
-	return l.selectRecords(func(e entry) bool { return !e.expired(now) })
+	return l.selectRecords(func(e entry) bool { return e.Crashes > 0 && !e.expired(now) })
 }
 
 // Unsaved returns the records that this node has changed and not saved yet.
--- a/citronpoison/record.go
+++ b/citronpoison/record.go
@@ -66,13 +66,16 @@
 // same change differ between nodes by the time that messages take; the earliest is kept.
 func (r Record) Merged(o Record) Record {
 	if o.Generation != r.Generation || o.State != r.State {
+		// The number of crashes is kept, so that nodes with the other record are told.
+		crashes := max(r.Crashes, o.Crashes)
 		if o.Generation > r.Generation || o.Generation == r.Generation && o.State > r.State {
-			return o
+			r = o
 		}
+		r.Crashes = crashes
 		return r
 	}
 	r.Since, r.LastCrash, r.RanAt = earlier(r.Since, o.Since), earlier(r.LastCrash, o.LastCrash), earlier(r.RanAt, o.RanAt)
-	if o.Customer == AllCustomers {
+	if o.Customer != r.Customer {
 		r.Customer = AllCustomers
 	}
 	r.Crashes, r.Tied, r.Proven = max(r.Crashes, o.Crashes), r.Tied && o.Tied, r.Proven || o.Proven
--- a/citronsoak/part_test.go
+++ b/citronsoak/part_test.go
@@ -28,6 +28,9 @@
 	// minServedShare is the least share of sound requests that must be served from twice
 	// propagationTime on, measured against the share without requests that crash engines.
 	minServedShare = 0.5
+	// refusedForPart is in the answer to a request that is refused because of a part of its
+	// prompt.
+	refusedForPart = "a part of this prompt"
 	// spareEngines is the number of engines beyond those of newWorld.
 	spareEngines = 5
 )
@@ -66,12 +69,64 @@
 	}
 }
 
+// TestEnginesThatEndByThemselvesRefuseNobody guards against blaming the prompt parts that many
+// requests share for the ends of engines that have other causes: one after the other, and half
+// of them at once, each with requests of all subjects on it.
+func TestEnginesThatEndByThemselvesRefuseNobody(t *testing.T) {
+	w := newWorld(t, build(t))
+	for range spareEngines {
+		w.addEngine("model", "card")
+	}
+	w.waitUntilServing(startTimeout, "at the start")
+	s := &soundStreams{w: w}
+	ctx, cancel := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	for i := range callers {
+		all.Go(func() { s.send(ctx, i) })
+	}
+	for end := time.Now().Add(partDuration / 2); time.Now().Before(end); time.Sleep(2 * partInterval) {
+		w.replace("model", "card", (*engine).crash)
+	}
+	for range spareEngines - 1 {
+		w.replace("model", "card", (*engine).crash)
+	}
+	time.Sleep(propagationTime)
+	cancel()
+	all.Wait()
+	w.waitUntilServing(recoverTimeout, "after engines ended")
+	t.Logf("%d of %d sound streams served, %d refused because of a part", s.served, s.sent, s.refused)
+	if s.refused > 0 {
+		t.Errorf("%d sound streams were refused because of a part of their prompts, want none", s.refused)
+	}
+}
+
+// TestSoakWithCrashingPart guards against nodes that forget a prompt part which crashes engines,
+// or send requests with it again, because nodes are killed, stopped, frozen or cut off from the
+// store meanwhile. It also checks the guarantees of TestSoak.
+func TestSoakWithCrashingPart(t *testing.T) {
+	binary := build(t)
+	for i := range *soakSeeds {
+		seed := *soakSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			w := newWorld(t, binary)
+			for range spareEngines {
+				w.addEngine("model", "card")
+			}
+			w.crashingPart = true
+			w.soak(seed)
+			w.checkPartCrashes()
+		})
+	}
+}
+
 // soundStreams counts streams that share callers and first parts with the requests that crash
 // engines.
 type soundStreams struct {
 	w  *world
 	mu sync.Mutex
 	share
+	// refused counts the streams that were refused because of a part of their prompts.
+	refused int
 }
 
 // send sends streams one after the other until ctx is canceled.
@@ -87,6 +142,9 @@
 		if a.complete {
 			s.served++
 		}
+		if strings.Contains(a.body, refusedForPart) {
+			s.refused++
+		}
 		s.mu.Unlock()
 		time.Sleep(20 * time.Millisecond)
 	}
--- a/citronsoak/soak_test.go
+++ b/citronsoak/soak_test.go
@@ -69,6 +69,8 @@
 	shares map[string]share
 	// crashing enables sending a request that crashes engines.
 	crashing bool
+	// crashingPart enables sending requests with a prompt part that crashes engines.
+	crashingPart bool
 	// limiting enables engines that announce rate limits.
 	limiting bool
 	// noticing enables engines that ask for cool-downs or say that they are leaving.
@@ -234,6 +236,9 @@
 	if w.crashing {
 		all.Go(func() { w.sendCrashingRequests(end) })
 	}
+	if w.crashingPart {
+		all.Go(func() { w.sendRequestsWithCrashingPart(end, func() {}) })
+	}
 	if w.limiting {
 		all.Go(func() { w.sendLoad(ctx) })
 		all.Go(func() { w.announceLimits(rand.New(rand.NewPCG(seed, 3000)), end) })
