Retry delays: the nodes of a zone take turns, so that few callers are refused twice

Cause: each node promises its own fraction of a caller at each time slot and rounds it to a whole one, so that the callers of all nodes return at the same slots.

Now the nodes of a zone own each up to an eighth of the slots and promise the capacity of all there; no message is needed.

--- a/citronadmit/retry.go
+++ b/citronadmit/retry.go
@@ -20,8 +20,8 @@
 	// urgentRetryShare is the part of the range of delays that the most urgent callers get.
 	urgentRetryShare = 0.5
 	// retryJitter is the largest random reduction of a delay, as a share of what it is
-	// longer than the shortest. It keeps the callers of different nodes, which do not know
-	// of each other's promises, from returning together.
+	// longer than the shortest. It keeps callers of nodes that share a turn from returning
+	// together.
 	retryJitter = 0.25
 	// retryRateWindow is the time over which rates are observed.
 	retryRateWindow = 2 * time.Second
@@ -41,6 +41,23 @@
 	promiseTTL  = 2 * time.Second
 )
 
+// Turn tells which of the times at which callers return are this node's. If nodes that do not
+// know of each other's promises promised capacity at the same times, all by a fraction of a
+// caller, callers would return together. The zero value stands for a single node.
+type Turn struct{ Index, Count int }
+
+// maxTurns is the largest number of turns. More of them would leave a node too few times.
+const maxTurns = 8
+
+// TurnOf returns the turn of the node at an index of all nodes.
+func TurnOf(index, nodes int) Turn {
+	count := min(maxTurns, max(1, nodes))
+	return Turn{index % count, count}
+}
+
+// has reports whether a slot belongs to the turn.
+func (t Turn) has(slot int64) bool { return slot%int64(t.Count) == int64(t.Index) }
+
 // RefusedRequest describes a refused request.
 type RefusedRequest struct {
 	// Tokens is the capacity that the request needs.
@@ -53,6 +70,8 @@
 	// earlier refusals by this node. It is a hash of what the caller sends each time.
 	Again bool
 	Key   uint64
+	// Turn is the turn of the node that refuses the request.
+	Turn Turn
 }
 
 // Planner tells refused callers when to retry. It keeps a schedule of the capacity that
@@ -148,7 +167,7 @@
 	level := min(levels-1, max(0, r.Level))
 	delay, b := longest, promise{}
 	for l := levels - 1; l >= level; l-- {
-		c := p.plan(max(1, r.Tokens), l, free*promiseSlot.Seconds(), drawn, now.Add(shortest), now.Add(lastRetry(shortest, longest, l, levels)))
+		c := p.plan(max(1, r.Tokens), l, r.Turn, free*promiseSlot.Seconds(), drawn, now.Add(shortest), now.Add(lastRetry(shortest, longest, l, levels)))
 		delay, b = min(delay, max(shortest, c.at.Sub(now))), c // not later than a less urgent caller's
 	}
 	for _, part := range b.parts {
@@ -206,14 +225,19 @@
 // plan returns the promise of tokens from slots between two times. perSlot is the capacity
 // of a slot; more urgent callers are promised what less urgent ones were. Late slots are
 // taken first, from one near the last time on. If they have not enough capacity, all of it
-// is taken from the slot of which the least is promised. drawn is a random number.
-func (p *Planner) plan(tokens, level int, perSlot, drawn float64, first, last time.Time) promise {
+// is taken from the slot of which the least is promised. Only slots of the turn are used, for
+// the capacity of all, unless there are too few. drawn is a random number.
+func (p *Planner) plan(tokens, level int, turn Turn, perSlot, drawn float64, first, last time.Time) promise {
 	begin := max(p.first, slotOf(first))
 	end := max(begin, min(slotOf(last), p.first+promiseSlots-1))
+	if end-begin+1 < int64(turn.Count) || turn.Count < 1 {
+		turn = Turn{Count: 1}
+	}
+	perSlot *= float64(turn.Count)
 	out := promise{level: level}
 	missing := float64(tokens)
 	late := end - int64(retryJitter*drawn*float64(end-p.first))
-	for s := range slotsDown(begin, max(begin, late), end) {
+	for s := range turn.slotsDown(begin, max(begin, late), end) {
 		if part := min(missing, perSlot-p.promised(s, level)); part > 0 {
 			out.parts = append(out.parts, slotPart{s, part})
 			missing -= part
@@ -221,7 +245,7 @@
 	}
 	if missing > 0 {
 		least, leastPromised := end, math.Inf(1)
-		for s := range slotsDown(begin, end-int64(drawn*float64(end-begin)), end) {
+		for s := range turn.slotsDown(begin, end-int64(drawn*float64(end-begin)), end) {
 			if b := p.promised(s, level); b < leastPromised {
 				least, leastPromised = s, b
 			}
@@ -245,17 +269,17 @@
 	return sum
 }
 
-// slotsDown iterates over the slots from begin to end: from start down to begin, then from
-// end down to the one after start.
-func slotsDown(begin, start, end int64) iter.Seq[int64] {
+// slotsDown iterates over the slots of the turn from begin to end: from start down to begin,
+// then from end down to the one after start.
+func (t Turn) slotsDown(begin, start, end int64) iter.Seq[int64] {
 	return func(yield func(int64) bool) {
 		for s := start; s >= begin; s-- {
-			if !yield(s) {
+			if t.has(s) && !yield(s) {
 				return
 			}
 		}
 		for s := end; s > start; s-- {
-			if !yield(s) {
+			if t.has(s) && !yield(s) {
 				return
 			}
 		}
--- a/citronadmit/retry_test.go
+++ b/citronadmit/retry_test.go
@@ -120,7 +120,7 @@
 			count.refused++
 			delay := time.Duration((0.15 + 0.17*rng.Float64()) * float64(left))
 			if len(r.planners) > 0 {
-				delay = r.planners[c.node].RetryAfter(citronadmit.RefusedRequest{Tokens: tokens, Left: left, Key: c.key}, now)
+				delay = r.planners[c.node].RetryAfter(citronadmit.RefusedRequest{Tokens: tokens, Left: left, Key: c.key, Turn: citronadmit.TurnOf(c.node, nodes)}, now)
 			}
 			if c.ignores {
 				delay = 100 * time.Millisecond
@@ -198,6 +198,8 @@
 		urgent := rapid.IntRange(-1, levels).Draw(rt, "urgent")
 		less := rapid.IntRange(urgent, levels+1).Draw(rt, "less")
 		a, b := newPlanner(), newPlanner() // the same history; the last refusal differs
+		nodes := rapid.IntRange(0, 40).Draw(rt, "nodes")
+		turn := citronadmit.TurnOf(rapid.IntRange(0, max(0, nodes-1)).Draw(rt, "node"), nodes)
 		now := time.Unix(1_800_000_000, 0)
 		tokens := rapid.SampledFrom([]int{-5, 0, 1, 300, 5000, math.MaxInt})
 		for range rapid.IntRange(0, 60).Draw(rt, "steps") {
@@ -205,6 +207,7 @@
 			n, action := tokens.Draw(rt, "tokens"), rapid.IntRange(0, 3).Draw(rt, "action")
 			r := citronadmit.RefusedRequest{
 				Tokens: n, Level: rapid.IntRange(0, levels).Draw(rt, "level"), Levels: levels,
+				Turn: turn,
 				Left: time.Duration(rapid.IntRange(-1000, 90_000).Draw(rt, "left")) * time.Millisecond, Again: rapid.Bool().Draw(rt, "again"), Key: uint64(rapid.IntRange(0, 20).Draw(rt, "key")),
 			}
 			drawn = rapid.Float64Range(0, 1).Draw(rt, "drawn")
@@ -219,7 +222,7 @@
 				}
 			}
 		}
-		r := citronadmit.RefusedRequest{Tokens: 300, Level: urgent, Levels: levels, Left: 20 * time.Second}
+		r := citronadmit.RefusedRequest{Tokens: 300, Level: urgent, Levels: levels, Left: 20 * time.Second, Turn: turn}
 		early := a.RetryAfter(r, now)
 		r.Level = less
 		if late := b.RetryAfter(r, now); early > late {
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -24,6 +24,7 @@
 	"sync/atomic"
 	"time"
 
+	"citrondeck.dev/citrondeck/citronadmit"
 	"citrondeck.dev/citrondeck/citronbudget"
 	"citrondeck.dev/citrondeck/citronclock"
 	"citrondeck.dev/citrondeck/citronevent"
@@ -107,6 +108,10 @@
 	// maxWait is how long the request can wait for the permit.
 	Permit func(ctx context.Context, e *citronpool.Engine, maxWait time.Duration) citronpermit.Decision
 
+	// RetryTurn, if set, returns this node's turn among the nodes that tell refused callers when
+	// to return.
+	RetryTurn func() citronadmit.Turn
+
 	// FirstEvent, if set, replaces Forecast for decisions about admission. It returns the
 	// forecast time from sending a request over a path to its first event, zero if unknown.
 	FirstEvent func(r *citronupstream.Request, p citronpath.Path, spec citronmodel.Spec, now time.Time) time.Duration
--- a/citronforward/retry.go
+++ b/citronforward/retry.go
@@ -34,9 +34,13 @@
 // caches are full. While no stream of the service has ended recently on this node, it is as
 // random as spreadRetryAfter.
 func (s *streamJob) planRetry() time.Duration {
-	return s.planner().RetryAfter(citronadmit.RefusedRequest{
+	r := citronadmit.RefusedRequest{
 		Tokens: s.Tokens(), Level: s.priorityLevel, Levels: s.priorityLevels, Left: s.timeLeft(), Again: s.refusedBefore(), Key: s.retryKey(),
-	}, s.f.Clock.Now())
+	}
+	if s.f.RetryTurn != nil {
+		r.Turn = s.f.RetryTurn()
+	}
+	return s.planner().RetryAfter(r, s.f.Clock.Now())
 }
 
 // returnsEarly reports whether this node refused the caller before and it returns before the
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -21,6 +21,7 @@
 	"sync/atomic"
 	"time"
 
+	"citrondeck.dev/citrondeck/citronadmit"
 	"citrondeck.dev/citrondeck/citronbudget"
 	"citrondeck.dev/citrondeck/citronclock"
 	"citrondeck.dev/citrondeck/citroncontact"
@@ -267,6 +268,22 @@
 	}
 }
 
+// RetryTurn returns this node's turn among the nodes of its zone.
+func (n *Node) RetryTurn() citronadmit.Turn {
+	s := n.snap.Load()
+	index, nodes := 0, 1
+	for _, m := range s.members {
+		if m.Zone != s.self.Zone || m.Leaving {
+			continue
+		}
+		nodes++
+		if m.Name < s.self.Name {
+			index++
+		}
+	}
+	return citronadmit.TurnOf(index, nodes)
+}
+
 // Borrow borrows retry budget for a service from other nodes and reports whether any of
 // them lent some.
 func (n *Node) Borrow(service string) bool { return n.loans.Borrow(service) }
