citronpoison: a quarantine that a node can refute is released at once; postmortem

A node that knew a success later than the last counted crash took over another node's quarantine all the same, until a trial. It releases the part now, as it did for suspects.

--- a/citronpoison/ledger.go
+++ b/citronpoison/ledger.go
@@ -305,7 +305,9 @@
 	var quarantined []Record
 	for _, f := range found {
 		l.set(l.records[f.Part].Record.withPart(f.Part).WithFinding(f, now), true)
-		quarantined = append(quarantined, l.records[f.Part].Record)
+		if r := l.records[f.Part].Record; r.State == Quarantined {
+			quarantined = append(quarantined, r)
+		}
 	}
 	changed := len(found) > 0
 	for _, p := range suspects {
@@ -375,11 +377,11 @@
 	return changed
 }
 
-// set stores a record that has changed. unsaved reports that this node has to save it. A
-// suspect is released at once if this node knows a run that shows it to be harmless. The
-// caller must hold l.mu.
+// set stores a record that has changed. unsaved reports that this node has to save it. A part
+// is released at once if this node knows a run that shows it to be harmless. The caller must
+// hold l.mu.
 func (l *Ledger) set(r Record, unsaved bool) {
-	if start, ok := l.proven.Peek(r.Part); ok && r.State == Suspect && start.After(r.LastCrash) {
+	if start, ok := l.proven.Peek(r.Part); ok && r.State != Released && start.After(r.LastCrash) {
 		l.release(r, start)
 		return
 	}
@@ -447,8 +449,8 @@
 		l.set(next, false)
 		changed = true
 		l.detectAt = now
-		if (next.State == Quarantined) != (known.State == Quarantined) {
-			moved = append(moved, next)
+		if stored := l.records[r.Part].Record; (stored.State == Quarantined) != (known.State == Quarantined) {
+			moved = append(moved, stored)
 		}
 	}
 	l.mu.Unlock()
