Prompt parts: detection apart from the records; engines that return under their identity

One fault found on the way: an engine that comes back under its old identity and crashes again was counted once. Reports of one identity that lie 2 s or more apart are two crashes now (TestCrashesOfReturningEngineAreCounted: three crashes of one engine were one).

--- a/citronforward/crash.go
+++ b/citronforward/crash.go
@@ -91,7 +91,7 @@
 		return
 	}
 	j.ranSuccessfully = true
-	for _, p := range j.f.Poison.RecordSuccess(j.promptParts(), start) {
+	for _, p := range j.f.Parts.RecordSuccess(j.promptParts(), start) {
 		citronevent.Log(context.Background(), j.f.Log, citronevent.PartReleased, "request", j.ID, "part", p, "source", "own")
 	}
 	if !j.f.Quarantine.Empty() {
@@ -106,7 +106,7 @@
 	if !j.f.hasEnded(ctx, e, maxCrashReportAge) || j.ranSuccessfully {
 		return
 	}
-	j.f.Poison.RecordCrash(citronquarantine.EngineKey(e.ID), j.poisonRun())
+	j.f.Parts.RecordCrash(citronquarantine.EngineKey(e.ID), j.partsRun())
 	r, changed := j.f.Quarantine.RecordCrash(j.fingerprint(), e.ID, began)
 	if !changed {
 		return
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -33,6 +33,7 @@
 	"citrondeck.dev/citrondeck/citronkv"
 	"citrondeck.dev/citrondeck/citronlimit"
 	"citrondeck.dev/citrondeck/citronmodel"
+	"citrondeck.dev/citrondeck/citronpart"
 	"citrondeck.dev/citrondeck/citronpath"
 	"citrondeck.dev/citrondeck/citronpermit"
 	"citrondeck.dev/citrondeck/citronpoison"
@@ -96,10 +97,10 @@
 	DrainWithin time.Duration
 	// Quarantine records the requests that crash engines.
 	Quarantine *citronquarantine.Ledger
-	// Poison records the prompt parts that crash engines. ClaimTrial claims a trial of such
+	// Parts records the prompt parts that crash engines. ClaimTrial claims a trial of such
 	// a part and reports whether this node is the first to do so.
-	Poison     *citronpoison.Ledger
-	ClaimTrial func(context.Context, citronpoison.Trial) bool
+	Parts      *citronpart.Ledger
+	ClaimTrial func(context.Context, citronpart.Trial) bool
 	// Stopping reports whether this node is stopping, and how far it has got.
 	Stopping func() Stopping
 	// Limits holds the rate limits that engines announce in their responses.
--- a/citronforward/forwarder_test.go
+++ b/citronforward/forwarder_test.go
@@ -15,8 +15,8 @@
 	"citrondeck.dev/citrondeck/citronforward"
 	"citrondeck.dev/citrondeck/citronlimit"
 	"citrondeck.dev/citrondeck/citronmodel"
+	"citrondeck.dev/citrondeck/citronpart"
 	"citrondeck.dev/citrondeck/citronpath"
-	"citrondeck.dev/citrondeck/citronpoison"
 	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citronquarantine"
 	"citrondeck.dev/citrondeck/citrontable"
@@ -135,7 +135,7 @@
 		Budget: newBudget(200),
 		Loads:  &citronpool.ZoneLoads{},
 
-		Quarantine: citronquarantine.New("n", citronclock.Real{}), Poison: citronpoison.New(citronclock.Real{}),
+		Quarantine: citronquarantine.New("n", citronclock.Real{}), Parts: citronpart.New(citronclock.Real{}),
 		Limits:  citronlimit.NewRegistry(citronclock.Real{}),
 		Current: func() *citronforward.State { return state },
 		Metrics: citronforward.NewMetrics(prometheus.NewRegistry()),
--- a/citronforward/poison.go
+++ b/citronforward/parts.go
@@ -10,6 +10,7 @@
 	"net/http"
 
 	"citrondeck.dev/citrondeck/citronevent"
+	"citrondeck.dev/citrondeck/citronpart"
 	"citrondeck.dev/citrondeck/citronpoison"
 	"github.com/cespare/xxhash/v2"
 )
@@ -30,8 +31,8 @@
 
 func (j *job) customerKey() uint64 { return xxhash.Sum64String(j.customer) }
 
-// poisonRun describes a run of the request for citronpoison.
-func (j *job) poisonRun() citronpoison.Run {
+// partsRun describes a run of the request for citronpoison.
+func (j *job) partsRun() citronpoison.Run {
 	p := j.fingerprint()
 	return citronpoison.Run{Request: binary.BigEndian.Uint64(p[:]), Customer: j.customerKey(), Parts: j.promptParts()}
 }
@@ -39,14 +40,14 @@
 // checkParts reports whether the request may run, and refuses it if not. A refused request
 // has not run.
 func (j *job) checkParts(ctx context.Context) bool {
-	if j.f.Poison.Empty() {
+	if j.f.Parts.Empty() {
 		return true
 	}
-	switch v := j.f.Poison.Admit(j.customerKey(), j.promptParts()).(type) {
-	case citronpoison.Refused:
+	switch v := j.f.Parts.Admit(j.customerKey(), j.promptParts()).(type) {
+	case citronpart.Refused:
 		j.refusePart(v)
 		return false
-	case citronpoison.Trial:
+	case citronpart.Trial:
 		if !j.f.ClaimTrial(ctx, v) {
 			j.refusePart(v.Refused)
 			return false
@@ -57,15 +58,15 @@
 	return true
 }
 
-func (j *job) refusePart(v citronpoison.Refused) {
+func (j *job) refusePart(v citronpart.Refused) {
 	j.f.refuse(j.Request, j.out, http.StatusServiceUnavailable, v.RetryAfter, reasonPart, "service", j.service.Name, "route", j.route.Name, "customer", j.customer, "print", j.fingerprint(), "part", v.Part, "crashes", v.Crashes)
 }
 
 // refusedPart returns the verdict on the request if a part of its prompt is quarantined, also
 // if the request has been admitted as a trial.
-func (j *job) refusedPart() (citronpoison.Refused, bool) {
-	if j.f.Poison.Empty() {
-		return citronpoison.Refused{}, false
+func (j *job) refusedPart() (citronpart.Refused, bool) {
+	if j.f.Parts.Empty() {
+		return citronpart.Refused{}, false
 	}
-	return j.f.Poison.Check(j.customerKey(), j.promptParts())
+	return j.f.Parts.Check(j.customerKey(), j.promptParts())
 }
--- a/citronforward/poison_test.go
+++ b/citronforward/parts_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"citrondeck.dev/citrondeck/citronpart"
 	"citrondeck.dev/citrondeck/citronpoison"
 	"citrondeck.dev/citrondeck/citronupstream"
 	"github.com/matryer/is"
@@ -24,8 +25,8 @@
 func (r *testForwarder) quarantinePart(t *testing.T, id string) {
 	t.Helper()
 	now := time.Now()
-	record := citronpoison.Record{Part: citronpoison.PartOf("m", id), State: citronpoison.Quarantined, Generation: 1, Since: now, LastCrash: now, Crashes: 3}
-	if _, err := r.Poison.Merge([]citronpoison.Record{record}); err != nil {
+	record := citronpart.Record{Part: citronpoison.PartOf("m", id), State: citronpart.Quarantined, Generation: 1, Since: now, LastCrash: now, Crashes: 3}
+	if _, err := r.Parts.Merge([]citronpart.Record{record}); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -73,19 +74,19 @@
 	r := newTestForwarder(t, fourEngines()...)
 	r.crashEachEngine("")
 	now := time.Now()
-	record := citronpoison.Record{Part: citronpoison.PartOf("m", "bad"), State: citronpoison.Quarantined, Generation: 1, Since: now.Add(-2 * time.Minute), LastCrash: now.Add(-2 * time.Minute), Crashes: 3}
-	_, err := r.Poison.Merge([]citronpoison.Record{record})
+	record := citronpart.Record{Part: citronpoison.PartOf("m", "bad"), State: citronpart.Quarantined, Generation: 1, Since: now.Add(-2 * time.Minute), LastCrash: now.Add(-2 * time.Minute), Crashes: 3}
+	_, err := r.Parts.Merge([]citronpart.Record{record})
 	is.NoErr(err)
 	first := false
-	r.ClaimTrial = func(_ context.Context, trial citronpoison.Trial) bool {
-		r.Poison.BeginTrial(trial)
+	r.ClaimTrial = func(_ context.Context, trial citronpart.Trial) bool {
+		r.Parts.BeginTrial(trial)
 		return first
 	}
 	ask := func(own string) int { return r.ask("stream", time.Second, withParts("bad", own)).status }
 	is.Equal(ask("a"), 503) // another node was first
 	is.Equal(len(r.engines.received()), 0)
 	record.Trials, record.Generation, first = 0, 3, true
-	_, err = r.Poison.Merge([]citronpoison.Record{record})
+	_, err = r.Parts.Merge([]citronpart.Record{record})
 	is.NoErr(err)
 	is.Equal(ask("b"), 502)
 	is.Equal(ask("c"), 503) // the next trial is due later
@@ -111,7 +112,7 @@
 			r.engines.report = func(string) (citronupstream.Report, error) { return citronupstream.Report{}, syscall.ECONNREFUSED }
 			got = r.ask(route, time.Second, withParts("subject", "own"))
 			is.True(got.aborted || got.status == 502)
-			crashes := r.Poison.TakeUnsent()
+			crashes := r.Parts.TakeUnsent()
 			is.True(len(crashes) > 0)
 			is.Equal(len(crashes[0].Proven), 0)
 		})
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -176,7 +176,7 @@
 			c.eraAt = c.listAt
 		}
 		c.n.quarantine.InvalidateSaved()
-		c.n.poison.InvalidateSaved()
+		c.n.parts.InvalidateSaved()
 		wake(c.n.quarantineChanged)
 	}
 	if c.listSince.IsZero() {
--- a/citronnode/gossip.go
+++ b/citronnode/gossip.go
@@ -185,7 +185,7 @@
 func (n *Node) exchange(ctx context.Context, addr string) {
 	s := n.snap.Load()
 	state := s.gossipState()
-	state.SuspectChecksum, state.LimitChecksum, state.PartChecksum = n.quarantine.Checksum(), n.limits.Checksum(), n.poison.Checksum()
+	state.SuspectChecksum, state.LimitChecksum, state.PartChecksum = n.quarantine.Checksum(), n.limits.Checksum(), n.parts.Checksum()
 	state.Usage = n.recentUsage(nil)
 	theirs, err := n.peers.Exchange(ctx, addr, state)
 	n.stabilizer.RecordExchange(state.Digest, theirs.Digest, err)
@@ -195,7 +195,7 @@
 		return
 	}
 	n.merge(ctx, theirs)
-	same, sameLimits, sameParts := theirs.SuspectChecksum == n.quarantine.Checksum(), theirs.LimitChecksum == n.limits.Checksum(), theirs.PartChecksum == n.poison.Checksum()
+	same, sameLimits, sameParts := theirs.SuspectChecksum == n.quarantine.Checksum(), theirs.LimitChecksum == n.limits.Checksum(), theirs.PartChecksum == n.parts.Checksum()
 	if theirs.Missing.Empty() && same && sameLimits && sameParts {
 		return
 	}
@@ -244,7 +244,7 @@
 	if theirs.LimitChecksum != state.LimitChecksum {
 		state.Limits = h.n.limits.All()
 	}
-	state.PartChecksum = h.n.poison.Checksum()
+	state.PartChecksum = h.n.parts.Checksum()
 	if theirs.PartChecksum != state.PartChecksum {
 		state.Parts = h.n.allParts()
 	}
--- a/citronnode/limit_test.go
+++ b/citronnode/limit_test.go
@@ -15,10 +15,10 @@
 	"citrondeck.dev/citrondeck/citronclock"
 	"citrondeck.dev/citrondeck/citronforward"
 	"citrondeck.dev/citrondeck/citronmodel"
+	"citrondeck.dev/citrondeck/citronpart"
 	"citrondeck.dev/citrondeck/citronpath"
 	"citrondeck.dev/citrondeck/citronpeer"
 	"citrondeck.dev/citrondeck/citronpermit"
-	"citrondeck.dev/citrondeck/citronpoison"
 	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citrontable"
 	"citrondeck.dev/citrondeck/citronupstream"
@@ -207,8 +207,8 @@
 func (m *member) forwarder(u upstreams) *citronforward.Forwarder {
 	m.engines.setUpstream(u.reachedFrom(m.name))
 	f := &citronforward.Forwarder{
-		Poison: citronpoison.New(citronclock.Real{}),
-		Zone:   m.zone, Clock: citronclock.Real{}, Log: slog.New(slog.DiscardHandler), Upstream: m.Engines(), Budget: m.budget, Loads: &citronpool.ZoneLoads{},
+		Parts: citronpart.New(citronclock.Real{}),
+		Zone:  m.zone, Clock: citronclock.Real{}, Log: slog.New(slog.DiscardHandler), Upstream: m.Engines(), Budget: m.budget, Loads: &citronpool.ZoneLoads{},
 		Current: func() *citronforward.State {
 			s := m.Traffic()
 			return &citronforward.State{Table: appTable, View: s.View, OtherNodesCache: s.OtherNodesCache}
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -35,9 +35,9 @@
 	"citrondeck.dev/citrondeck/citronlist"
 	"citrondeck.dev/citrondeck/citronloan"
 	"citrondeck.dev/citrondeck/citronmodel"
+	"citrondeck.dev/citrondeck/citronpart"
 	"citrondeck.dev/citrondeck/citronpeer"
 	"citrondeck.dev/citrondeck/citronpermit"
-	"citrondeck.dev/citrondeck/citronpoison"
 	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citronquarantine"
 	"citrondeck.dev/citrondeck/citronreach"
@@ -141,9 +141,9 @@
 	limitsRejectedFrom sync.Map
 	// invalidUsageFrom holds the engines and nodes from which invalid usage reports came.
 	invalidUsageFrom sync.Map
-	// poison holds what is known about prompt parts that crash engines. crashSeen wakes the
+	// parts holds what is known about prompt parts that crash engines. crashSeen wakes the
 	// goroutine that reports crashes.
-	poison    *citronpoison.Ledger
+	parts     *citronpart.Ledger
 	crashSeen chan struct{}
 	// crashesRejectedFrom holds the nodes of which an invalid message about crashes or
 	// prompt parts has been logged.
@@ -235,9 +235,9 @@
 		n.notifyPeers()
 		wake(n.quarantineChanged)
 	})
-	n.poison = citronpoison.New(clock)
-	n.poison.OnCrash(func() { wake(n.crashSeen) })
-	n.poison.OnChange(func() {
+	n.parts = citronpart.New(clock)
+	n.parts.OnCrash(func() { wake(n.crashSeen) })
+	n.parts.OnChange(func() {
 		n.notifyPeers()
 		wake(n.quarantineChanged)
 	})
--- a/citronnode/poison_test.go
+++ b/citronnode/parts_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"citrondeck.dev/citrondeck/citronpart"
 	"citrondeck.dev/citrondeck/citronpeer"
 	"citrondeck.dev/citrondeck/citronpoison"
 	"github.com/matryer/is"
@@ -23,7 +24,7 @@
 func (f *fleet) nodesRefusing(p citronpoison.Part) int {
 	n := 0
 	for _, m := range f.nodes {
-		if _, admitted := m.Poison().Admit(1, []citronpoison.Part{p}).(citronpoison.Admitted); !admitted {
+		if _, admitted := m.Parts().Admit(1, []citronpoison.Part{p}).(citronpart.Admitted); !admitted {
 			n++
 		}
 	}
@@ -35,9 +36,9 @@
 func (f *fleet) crashEngines(count int) {
 	for i := range count {
 		m := f.nodes[i%len(f.nodes)]
-		m.Poison().RecordCrash(uint64(100+i), citronpoison.Run{Request: uint64(i), Customer: uint64(1 + i%2), Parts: []citronpoison.Part{soundPart, crashingPart}})
+		m.Parts().RecordCrash(uint64(100+i), citronpoison.Run{Request: uint64(i), Customer: uint64(1 + i%2), Parts: []citronpoison.Part{soundPart, crashingPart}})
 		time.Sleep(150 * time.Millisecond) // simultaneous crashes count as one
-		f.nodes[0].Poison().RecordSuccess([]citronpoison.Part{soundPart}, time.Now())
+		f.nodes[0].Parts().RecordSuccess([]citronpoison.Part{soundPart}, time.Now())
 	}
 }
 
@@ -96,14 +97,14 @@
 	var all sync.WaitGroup
 	for i := range 30 {
 		all.Go(func() {
-			if f.nodes[i%len(names)].ClaimTrial(context.Background(), citronpoison.Trial{Part: crashingPart, Generation: 2, N: 1}) {
+			if f.nodes[i%len(names)].ClaimTrial(context.Background(), citronpart.Trial{Part: crashingPart, Generation: 2, N: 1}) {
 				claimed.Add(1)
 			}
 		})
 	}
 	all.Wait()
 	is.Equal(claimed.Load(), int64(1))
-	f.nodes[1].Poison().RecordSuccess([]citronpoison.Part{crashingPart}, time.Now())
+	f.nodes[1].Parts().RecordSuccess([]citronpoison.Part{crashingPart}, time.Now())
 	eventually(t, "no node refuses them after a successful run", func() bool { return f.nodesRefusing(crashingPart) == 0 })
 }
 
@@ -115,7 +116,7 @@
 	f := newFleet(t)
 	f.putConfig("1")
 	m := f.addNode("a", "z1")
-	quarantined := int(citronpoison.Quarantined)
+	quarantined := int(citronpart.Quarantined)
 	client := citronpeer.Client{HC: http.DefaultClient, Timeout: time.Second}
 	for _, state := range []citronpeer.GossipState{
 		{Parts: []citronpeer.PartRecord{{Part: 7, State: quarantined, Generation: 0}}},
@@ -123,7 +124,7 @@
 		{Parts: []citronpeer.PartRecord{{Part: 7, State: 9, Generation: 1}}},
 		{Parts: []citronpeer.PartRecord{{Part: 7, State: quarantined, Generation: 1, SinceMS: -5000}}},
 		{Parts: []citronpeer.PartRecord{{Part: 7, State: quarantined, Generation: 1, SinceMS: 1 << 50}}},
-		{Parts: make([]citronpeer.PartRecord, citronpoison.MaxRecords+1)},
+		{Parts: make([]citronpeer.PartRecord, citronpart.MaxRecords+1)},
 		{Crashes: []citronpeer.Crash{{Engine: 1, AgeMS: -5000, Runs: []citronpeer.Run{{Parts: []uint64{7}}}}}},
 		{Crashes: []citronpeer.Crash{{Engine: 1, Runs: []citronpeer.Run{{Parts: make([]uint64, 1000)}}}}},
 	} {
@@ -131,5 +132,5 @@
 		_, err := client.Update(context.Background(), m.addr, state)
 		is.NoErr(err)
 	}
-	is.True(m.Poison().Empty())
+	is.True(m.Parts().Empty())
 }
--- a/citronnode/status.go
+++ b/citronnode/status.go
@@ -58,7 +58,7 @@
 	s := n.snap.Load()
 	out := Status{ConfigVersion: s.config.Version, ListRevision: s.list.Revision.Count(), StoreEra: s.list.Revision.Era(), Nodes: len(s.members), Unreadable: s.unreadable, Retained: s.retained, Watching: s.self.Watching, Leads: s.self.Leads, Places: n.places.Load()}
 	out.Suspects, out.Quarantined = n.quarantine.Count()
-	out.QuarantinedParts = n.poison.Quarantined()
+	out.QuarantinedParts = n.parts.Quarantined()
 	out.Limited, out.LimitsRejected = n.limits.CountLimited(), n.limitsRejected.Load()
 	out.SuspectsRejected = n.suspectsRejected.Load()
 	reach := n.links.Summary()
--- a/citronpoison/ledger_test.go
+++ b/citronpart/ledger_test.go
@@ -1,10 +1,11 @@
-package citronpoison_test
+package citronpart_test
 
 import (
 	"testing"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronclock"
+	"citrondeck.dev/citrondeck/citronpart"
 	"citrondeck.dev/citrondeck/citronpoison"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -12,7 +13,7 @@
 
 // crashUnder reports a crash of an engine under a request with the parts, and advances the
 // clock until it counts.
-func crashUnder(l *citronpoison.Ledger, clock *citronclock.Manual, engine, customer uint64, parts ...citronpoison.Part) {
+func crashUnder(l *citronpart.Ledger, clock *citronclock.Manual, engine, customer uint64, parts ...citronpoison.Part) {
 	l.RecordCrash(engine, citronpoison.Run{Request: engine, Customer: customer, Parts: parts})
 	if err := l.AddCrashes(l.TakeUnsent()); err != nil {
 		panic(err)
@@ -21,7 +22,7 @@
 	l.Detect()
 }
 
-func refuses(l *citronpoison.Ledger, customer uint64, parts ...citronpoison.Part) bool {
+func refuses(l *citronpart.Ledger, customer uint64, parts ...citronpoison.Part) bool {
 	_, refused := l.Check(customer, parts)
 	return refused
 }
@@ -31,7 +32,7 @@
 func TestCustomerCannotHavePartsOfOthersRefused(t *testing.T) {
 	is := is.New(t)
 	clock := citronclock.NewManual(time.Unix(1_000_000, 0))
-	l := citronpoison.New(clock)
+	l := citronpart.New(clock)
 	const attacker, other = 1, 2
 	const shared citronpoison.Part = 5
 	l.RecordSuccess([]citronpoison.Part{shared}, clock.Now())
@@ -50,7 +51,7 @@
 func TestCommonPartIsNeverQuarantined(t *testing.T) {
 	is := is.New(t)
 	clock := citronclock.NewManual(time.Unix(1_000_000, 0))
-	l := citronpoison.New(clock)
+	l := citronpart.New(clock)
 	const common citronpoison.Part = 5
 	for engine := range uint64(12) {
 		for i := range uint64(10) {
@@ -68,7 +69,7 @@
 func TestPartThatRanBeforeIsFoundByMoreCrashes(t *testing.T) {
 	is := is.New(t)
 	clock := citronclock.NewManual(time.Unix(1_000_000, 0))
-	l := citronpoison.New(clock)
+	l := citronpart.New(clock)
 	const part citronpoison.Part = 5
 	l.RecordSuccess([]citronpoison.Part{part}, clock.Now())
 	clock.Advance(time.Second)
@@ -84,14 +85,14 @@
 func TestNodeOffersOneTrial(t *testing.T) {
 	is := is.New(t)
 	clock := citronclock.NewManual(time.Unix(1_000_000, 0))
-	l := citronpoison.New(clock)
+	l := citronpart.New(clock)
 	const part citronpoison.Part = 5
 	for i := range uint64(3) {
 		crashUnder(l, clock, i, 1+i, part)
 	}
-	offers := func() (trials []citronpoison.Trial) {
+	offers := func() (trials []citronpart.Trial) {
 		for range 10 {
-			if v, ok := l.Admit(1, []citronpoison.Part{part}).(citronpoison.Trial); ok {
+			if v, ok := l.Admit(1, []citronpoison.Part{part}).(citronpart.Trial); ok {
 				trials = append(trials, v)
 			}
 		}
@@ -114,9 +115,9 @@
 func TestLedgersAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		clock := citronclock.NewManual(time.Unix(1_000_000, 0))
-		ledgers := []*citronpoison.Ledger{citronpoison.New(clock), citronpoison.New(clock), citronpoison.New(clock)}
+		ledgers := []*citronpart.Ledger{citronpart.New(clock), citronpart.New(clock), citronpart.New(clock)}
 		parts := []citronpoison.Part{1, 2, 3}
-		send := func(to *citronpoison.Ledger, records []citronpoison.Record) {
+		send := func(to *citronpart.Ledger, records []citronpart.Record) {
 			if _, err := to.Merge(records); err != nil {
 				t.Fatalf("records of a sound node were rejected: %v", err)
 			}
@@ -160,3 +161,19 @@
 		}
 	})
 }
+
+// Guards against counting one crash of an engine that returns under its old identity and
+// crashes again and again.
+func TestCrashesOfReturningEngineAreCounted(t *testing.T) {
+	is := is.New(t)
+	clock := citronclock.NewManual(time.Unix(1_000_000, 0))
+	l := citronpart.New(clock)
+	const part citronpoison.Part = 5
+	for i := range uint64(3) {
+		l.RecordCrash(1, citronpoison.Run{Request: i, Customer: 1, Parts: []citronpoison.Part{part}})
+		is.NoErr(l.AddCrashes(l.TakeUnsent()))
+		clock.Advance(3 * time.Second)
+		l.Detect()
+	}
+	is.True(refuses(l, 1, part))
+}
--- a/citronpoison/record.go
+++ b/citronpart/record.go
@@ -1,7 +1,9 @@
-package citronpoison
+package citronpart
 
 import (
 	"time"
+
+	"citrondeck.dev/citrondeck/citronpoison"
 )
 
 // State is what the nodes know of a part. It is one of Suspect, Quarantined and Released.
@@ -39,7 +41,7 @@
 
 // Record is what the nodes have agreed on about a part. It is immutable.
 type Record struct {
-	Part  Part
+	Part  citronpoison.Part
 	State State
 	// Generation increases with each change of State. Of two records of a part, the one of
 	// the higher generation is valid.
@@ -48,7 +50,7 @@
 	// that counted, and RanAt the start of the last run that showed the part to be harmless.
 	Since, LastCrash, RanAt time.Time
 	// Customer is the only customer under whose requests engines have crashed, or
-	// AllCustomers. If requests have run with the part before (Proven), only that customer's
+	// citronpoison.AllCustomers. If requests have run with the part before (Proven), only that customer's
 	// are refused, so that no customer can have the parts of others refused.
 	Customer uint64
 	Proven   bool
@@ -76,7 +78,7 @@
 	}
 	r.Since, r.LastCrash, r.RanAt = earlier(r.Since, o.Since), earlier(r.LastCrash, o.LastCrash), earlier(r.RanAt, o.RanAt)
 	if o.Customer != r.Customer {
-		r.Customer = AllCustomers
+		r.Customer = citronpoison.AllCustomers
 	}
 	r.Crashes, r.Tied, r.Proven = max(r.Crashes, o.Crashes), r.Tied && o.Tied, r.Proven || o.Proven
 	if o.Trials > r.Trials {
@@ -105,7 +107,7 @@
 }
 
 // WithFinding returns the record of a part that has been found to crash engines.
-func (r Record) WithFinding(f Finding, now time.Time) Record {
+func (r Record) WithFinding(f citronpoison.Finding, now time.Time) Record {
 	r = r.withState(Quarantined, now)
 	r.Customer, r.Proven, r.Crashes, r.LastCrash, r.Tied = f.Customer, f.Proven, f.Crashes, f.LastCrash, f.Tied
 	r.Trials, r.TriedAt, r.RanAt = 0, time.Time{}, time.Time{}
@@ -127,7 +129,7 @@
 
 // concerns reports whether engines have crashed under requests of a customer with the part.
 func (r Record) concerns(customer uint64) bool {
-	return r.Customer == AllCustomers || r.Customer == customer
+	return r.Customer == citronpoison.AllCustomers || r.Customer == customer
 }
 
 // nextTrial returns the time of the next trial by a request of a customer.
--- a/citronpoison/seed_test.go
+++ b/citronpart/seed_test.go
@@ -1,4 +1,4 @@
-package citronpoison_test
+package citronpart_test
 
 import "flag"
 
--- a/citronpoison/crash.go
+++ b/citronpoison/crash.go
@@ -41,22 +41,30 @@
 }
 
 const (
-	// maxRuns is the maximum number of runs in a crash. Engines process fewer requests
+	// MaxRuns is the maximum number of runs in a crash. Engines process fewer requests
 	// at a time.
-	maxRuns = 512
-	// maxParts is the maximum number of parts of a run that are considered.
-	maxParts = 32
+	MaxRuns = 512
+	// MaxParts is the maximum number of parts of a run that are considered.
+	MaxParts = 32
+	// restartTime is less than the time in which an engine that has ended can end again.
+	restartTime = 2 * time.Second
 )
 
-// merged returns the crash with the runs and proven parts of another report of it. The
+// Same reports whether two reports are about the same end of an engine. Some engines come back
+// under the same identity.
+func (c Crash) Same(o Crash) bool {
+	return c.Engine == o.Engine && c.At.Sub(o.At).Abs() < restartTime
+}
+
+// Merged returns the crash with the runs and proven parts of another report of it. The
 // earlier time is kept.
-func (c Crash) merged(o Crash) Crash {
+func (c Crash) Merged(o Crash) Crash {
 	out := Crash{Engine: c.Engine, At: c.At, Runs: slices.Clone(c.Runs), Proven: slices.Clone(c.Proven)}
 	if o.At.Before(out.At) {
 		out.At = o.At
 	}
 	for _, r := range o.Runs {
-		if len(out.Runs) < maxRuns && !slices.ContainsFunc(out.Runs, func(known Run) bool { return known.Request == r.Request }) {
+		if len(out.Runs) < MaxRuns && !slices.ContainsFunc(out.Runs, func(known Run) bool { return known.Request == r.Request }) {
 			out.Runs = append(out.Runs, r)
 		}
 	}
--- a/citronpoison/detect.go
+++ b/citronpoison/detect.go
@@ -50,21 +50,36 @@
 // AllCustomers is the customer of a finding that concerns the requests of all customers.
 const AllCustomers = 0
 
-// evidence is what the detection is based on.
-type evidence struct {
-	// crashes are sorted by time.
-	crashes []Crash
-	// succeeded holds the start of the last run that has shown a part to be harmless.
-	succeeded map[Part]time.Time
-	// known are the parts that have been found before.
-	known map[Part]bool
+// Evidence is what the detection is based on.
+type Evidence struct {
+	// Crashes are sorted by time.
+	Crashes []Crash
+	// Succeeded holds the start of the last run that has shown a part to be harmless.
+	Succeeded map[Part]time.Time
+	// Known are the parts that have been found before.
+	Known map[Part]bool
 }
 
-// detect returns the parts that crash engines and are not known yet, and the parts that
-// might be found with more crashes.
-func detect(e evidence, now time.Time) (found []Finding, suspects []Part) {
+// Suspect is a part that might be found with more crashes.
+type Suspect struct {
+	Part      Part
+	LastCrash time.Time
+}
+
+// Settled returns when the first crash that has not settled yet does so, or zero.
+func (e Evidence) Settled(now time.Time) time.Time {
+	for _, c := range e.Crashes {
+		if settled := c.At.Add(settleTime); settled.After(now) {
+			return settled
+		}
+	}
+	return time.Time{}
+}
+
+// Detect returns the parts that crash engines and are not known yet, and the suspects.
+func (e Evidence) Detect(now time.Time) (found []Finding, suspects []Suspect) {
 	common := e.commonParts()
-	open := slices.DeleteFunc(slices.Clone(e.crashes), func(c Crash) bool { return c.hasAny(e.known) })
+	open := slices.DeleteFunc(slices.Clone(e.Crashes), func(c Crash) bool { return c.hasAny(e.Known) })
 	for {
 		ranked := e.rank(open, common)
 		best := leaders(ranked)
@@ -84,10 +99,10 @@
 	}
 	for p, c := range e.candidates(open) {
 		if c.events > 1 && !common[p] {
-			suspects = append(suspects, p)
+			suspects = append(suspects, Suspect{p, c.last})
 		}
 	}
-	slices.Sort(suspects)
+	slices.SortFunc(suspects, func(a, b Suspect) int { return cmp.Compare(a.Part, b.Part) })
 	return found, suspects
 }
 
@@ -123,17 +138,17 @@
 
 // candidates returns the parts that could have caused any of the crashes, which are sorted
 // by time.
-func (e evidence) candidates(crashes []Crash) map[Part]*candidate {
+func (e Evidence) candidates(crashes []Crash) map[Part]*candidate {
 	out := map[Part]*candidate{}
 	for _, crash := range crashes {
 		for _, r := range crash.Runs {
 			for _, p := range r.Parts {
-				if succeeded, ok := e.succeeded[p]; ok && succeeded.After(crash.At) {
+				if succeeded, ok := e.Succeeded[p]; ok && succeeded.After(crash.At) {
 					continue
 				}
 				c := out[p]
 				if c == nil {
-					_, succeeded := e.succeeded[p]
+					_, succeeded := e.Succeeded[p]
 					c = &candidate{part: p, requests: map[uint64]bool{}, customers: map[uint64]bool{}, proven: succeeded}
 					out[p] = c
 				}
@@ -167,7 +182,7 @@
 }
 
 // rank returns the candidates, the one with the highest score first.
-func (e evidence) rank(crashes []Crash, common map[Part]bool) []*candidate {
+func (e Evidence) rank(crashes []Crash, common map[Part]bool) []*candidate {
 	var out []*candidate
 	for p, c := range e.candidates(crashes) {
 		if !common[p] {
@@ -197,10 +212,10 @@
 }
 
 // commonParts returns the common parts.
-func (e evidence) commonParts() map[Part]bool {
+func (e Evidence) commonParts() map[Part]bool {
 	requests := map[uint64]bool{}
 	with := map[Part]map[uint64]bool{}
-	for _, c := range e.crashes {
+	for _, c := range e.Crashes {
 		for _, r := range c.Runs {
 			requests[r.Request] = true
 			for _, p := range r.Parts {
--- a/citronpoison/simulation_test.go
+++ b/citronpoison/simulation_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"citrondeck.dev/citrondeck/citronclock"
+	"citrondeck.dev/citrondeck/citronpart"
 	"citrondeck.dev/citrondeck/citronpoison"
 )
 
@@ -64,7 +65,7 @@
 type simulation struct {
 	r       *rand.Rand
 	clock   *citronclock.Manual
-	ledgers []*citronpoison.Ledger
+	ledgers []*citronpart.Ledger
 	runs    []*simRun
 	due     []delivery
 	starts  [simEngines]uint64
@@ -111,7 +112,7 @@
 	m := &simulation{r: rand.New(rand.NewPCG(seed, 7)), clock: citronclock.NewManual(time.Unix(1_000_000, 0)), scenario: s, crashed: map[citronpoison.Part]int{}, late: map[citronpoison.Part]int{}, fifth: map[citronpoison.Part]time.Time{}, claimed: map[citronpoison.Part]int{}}
 	m.begin = m.clock.Now()
 	for i := range simNodes {
-		l := citronpoison.New(m.clock)
+		l := citronpart.New(m.clock)
 		l.OnCrash(func() { m.after(reportDelay, func() { m.report(i) }) })
 		l.OnChange(func() { m.after(recordDelay, func() { m.gossip(i) }) })
 		m.ledgers = append(m.ledgers, l)
@@ -177,10 +178,10 @@
 		m.sent++
 	}
 	switch v := m.ledgers[q.node].Admit(q.run.Customer, q.run.Parts).(type) {
-	case citronpoison.Refused:
+	case citronpart.Refused:
 		m.countRefused(q)
 		return
-	case citronpoison.Trial:
+	case citronpart.Trial:
 		if m.claimed[v.Part] >= v.N || q.attempts > 0 {
 			m.ledgers[q.node].BeginTrial(v)
 			m.countRefused(q)
