Prompt parts: a part that ran well before its crashes is tried early

While nothing runs at all, a sound part that many requests share could be found after five crashes without a success between them, and would be refused for a minute. Such parts are tried after 2 s now, like tied ones.

--- a/citronpart/record.go
+++ b/citronpart/record.go
@@ -21,14 +21,14 @@
 
 const (
 	// The first trial of a part is firstTrial after it was quarantined, and each further
-	// one trialFactor times later than the one before. Trials of parts that are tied come
-	// earlier, to find out which of them crash engines, and so do those by customers under
-	// whose requests no engine has crashed.
-	firstTrial      = time.Minute
-	trialFactor     = 2
-	firstTiedTrial  = 2 * time.Second
-	tiedTrialFactor = 8
-	maxTrialDelay   = time.Hour
+	// one trialFactor times later than the one before. Trials of parts that may well be
+	// harmless come earlier, and so do those by customers under whose requests no engine has
+	// crashed.
+	firstTrial       = time.Minute
+	trialFactor      = 2
+	firstEarlyTrial  = 2 * time.Second
+	earlyTrialFactor = 8
+	maxTrialDelay    = time.Hour
 	// recordTTL is how long a record is valid after its last change, and quarantineTTL how
 	// long a quarantine is, or after its last trial.
 	recordTTL      = 10 * time.Minute
@@ -132,11 +132,14 @@
 	return r.Customer == citronpoison.AllCustomers || r.Customer == customer
 }
 
+// isDoubtful reports whether the part may well be harmless.
+func (r Record) isDoubtful() bool { return r.Tied || r.Proven }
+
 // nextTrial returns the time of the next trial by a request of a customer.
 func (r Record) nextTrial(customer uint64) time.Time {
 	delay, factor := firstTrial, trialFactor
-	if r.Tied || !r.concerns(customer) {
-		delay, factor = firstTiedTrial, tiedTrialFactor
+	if r.isDoubtful() || !r.concerns(customer) {
+		delay, factor = firstEarlyTrial, earlyTrialFactor
 	}
 	from := r.Since
 	for range r.Trials {
