Crashes that a prompt part explains count against no request

What callers could see: a sound request that its caller sends again and again, on three engines that crashed under requests with a part in common, was refused for a minute, though the part was found meanwhile. Evidence: TestVictimsOfPartAreNotQuarantined; without the call of Explain all three nodes keep the sound request quarantined for 30 s.

The record of a quarantined part names the engine starts that crashed under it (64 at most, joined over all nodes), and the quarantine of requests refutes crashes of these engines, also those that are recorded later.

--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -238,6 +238,7 @@
 	n.parts = citronpart.New(clock)
 	n.parts.OnCrash(func() { wake(n.crashSeen) })
 	n.parts.OnChange(func() {
+		n.quarantine.Explain(n.parts.CrashedEngines())
 		n.notifyPeers()
 		wake(n.quarantineChanged)
 	})
--- a/citronnode/parts_test.go
+++ b/citronnode/parts_test.go
@@ -12,6 +12,7 @@
 	"citrondeck.dev/citrondeck/citronpart"
 	"citrondeck.dev/citrondeck/citronpeer"
 	"citrondeck.dev/citrondeck/citronpoison"
+	"citrondeck.dev/citrondeck/citronquarantine"
 	"github.com/matryer/is"
 )
 
@@ -36,7 +37,7 @@
 func (f *fleet) crashEngines(count int) {
 	for i := range count {
 		m := f.nodes[i%len(f.nodes)]
-		m.Parts().RecordCrash(uint64(100+i), citronpoison.Run{Request: uint64(i), Customer: uint64(1 + i%2), Parts: []citronpoison.Part{soundPart, crashingPart}})
+		m.Parts().RecordCrash(citronquarantine.EngineKey(fmt.Sprintf("i-%d", i)), citronpoison.Run{Request: uint64(i), Customer: uint64(1 + i%2), Parts: []citronpoison.Part{soundPart, crashingPart}})
 		time.Sleep(150 * time.Millisecond) // simultaneous crashes count as one
 		f.nodes[0].Parts().RecordSuccess([]citronpoison.Part{soundPart}, time.Now())
 	}
@@ -65,6 +66,29 @@
 	is.Equal(f.nodesRefusing(soundPart), 0)
 }
 
+// Guards against refusing a sound request that its caller sends again and again, because it was
+// on three engines that crashed under requests with one part in common.
+func TestVictimsOfPartAreNotQuarantined(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.putConfig("1")
+	for _, name := range []string{"a", "b", "c"} {
+		f.addNode(name, "z1")
+	}
+	f.awaitFullMembership()
+	for i := range 3 {
+		f.nodes[i].Quarantine().RecordCrash(suspect, fmt.Sprintf("i-%d", i), time.Time{})
+	}
+	eventually(t, "all nodes quarantine the request", func() bool { return f.nodesQuarantining(suspect) == 3 })
+	f.crashEngines(5)
+	eventually(t, "no node quarantines it once the part is found", func() bool {
+		return f.nodesRefusing(crashingPart) == 3 && f.nodesQuarantining(suspect) == 0
+	})
+	f.nodes[0].Quarantine().RecordCrash(suspect, "i-3", time.Time{})
+	f.nodes[1].Quarantine().RecordCrash(suspect, "i-9", time.Time{})
+	is.New(t).Equal(f.nodesQuarantining(suspect), 0) // one of the two has another cause
+}
+
 // Guards against a part that crashes engines again after all nodes restarted at once, and
 // against more than one trial of it at a time in the fleet.
 func TestQuarantinedPartSurvivesFleetRestart(t *testing.T) {
--- a/citronpart/gossip.go
+++ b/citronpart/gossip.go
@@ -55,6 +55,8 @@
 		return errors.Newf("record of a prompt part has state %d", r.State)
 	case r.Generation < 1 || r.Generation > maxGeneration || r.Trials < 0 || r.Trials > maxTrials || r.Crashes < 0:
 		return errors.Newf("record of a prompt part has generation %d, %d trials and %d crashes", r.Generation, r.Trials, r.Crashes)
+	case len(r.Engines) > maxEngines:
+		return errors.Newf("record of a prompt part has %d engines, want at most %d", len(r.Engines), maxEngines)
 	case age < 0 || age > maxRecordAge:
 		return errors.Newf("record of a prompt part has age %v, want 0 to %v", age, maxRecordAge)
 	}
@@ -137,9 +139,12 @@
 	var text []byte
 	for _, r := range l.All() {
 		text = text[:0]
-		for _, n := range []uint64{uint64(r.Part), uint64(r.State), uint64(r.Generation), r.Customer, uint64(r.Crashes), uint64(r.Trials)} {
+		for _, n := range []uint64{uint64(r.Part), uint64(r.State), uint64(r.Generation), r.Customer, uint64(r.Crashes), uint64(r.Trials), uint64(len(r.Engines))} {
 			text = binary.LittleEndian.AppendUint64(text, n)
 		}
+		for _, engine := range r.Engines {
+			text = binary.LittleEndian.AppendUint64(text, engine)
+		}
 		sum += xxhash.Sum64(text)
 	}
 	return sum
--- a/citronpart/ledger.go
+++ b/citronpart/ledger.go
@@ -213,7 +213,7 @@
 			changed = true
 		}
 	}
-	changed = l.widen() || changed
+	changed = l.updateQuarantined() || changed
 	l.mu.Unlock()
 	if changed {
 		l.onChange()
@@ -241,27 +241,50 @@
 	return e
 }
 
-// widen has parts quarantined for all customers if engines have crashed under requests of
-// another customer than those that led to the quarantine. The caller must hold l.mu.
-func (l *Ledger) widen() bool {
+// updateQuarantined applies the crashes to the parts that are quarantined already: engines that
+// crashed under them since, and customers. A part is quarantined for all customers if engines
+// have crashed under requests of another one than those that led to the quarantine. The caller
+// must hold l.mu.
+func (l *Ledger) updateQuarantined() bool {
 	changed := false
-	for _, c := range l.crashes {
-		for _, r := range c.Runs {
-			for _, p := range r.Parts {
-				known, ok := l.records[p]
-				if !ok || known.State != Quarantined || known.Customer == citronpoison.AllCustomers || known.Customer == r.Customer {
-					continue
-				}
-				wider := known.Record
-				wider.Customer = citronpoison.AllCustomers
-				l.set(wider, true)
-				changed = true
-			}
+	for p, known := range l.records {
+		if known.State != Quarantined {
+			continue
+		}
+		next := known.Record
+		next.Engines = union(next.Engines, citronpoison.EnginesUnder(l.crashes, p))
+		if !known.concernsOnly(l.crashes) {
+			next.Customer = citronpoison.AllCustomers
+		}
+		if !next.same(known.Record) {
+			l.set(next, true)
+			changed = true
 		}
 	}
 	return changed
 }
 
+// concernsOnly reports whether no crash under the part was one of another customer.
+func (r Record) concernsOnly(crashes []citronpoison.Crash) bool {
+	for _, c := range crashes {
+		for _, run := range c.Runs {
+			if slices.Contains(run.Parts, r.Part) && !r.concerns(run.Customer) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// CrashedEngines returns the engines, by their starts, that crashed under quarantined parts.
+func (l *Ledger) CrashedEngines() []uint64 {
+	var out []uint64
+	for _, r := range l.selectRecords(func(e entry) bool { return e.State == Quarantined }) {
+		out = append(out, r.Engines...)
+	}
+	return out
+}
+
 // set stores a record that has changed. unsaved reports that this node has to save it. A part
 // is released at once if this node knows a run that shows it to be harmless. The caller must
 // hold l.mu.
--- a/citronpart/record.go
+++ b/citronpart/record.go
@@ -1,6 +1,7 @@
 package citronpart
 
 import (
+	"slices"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronpoison"
@@ -37,6 +38,7 @@
 	maxTrials      = 1 << 10
 	maxRecordAge   = 2 * quarantineTTL
 	maxCrashReport = time.Minute
+	maxEngines     = 64
 )
 
 // Record is what the nodes have agreed on about a part. It is immutable.
@@ -54,8 +56,10 @@
 	// are refused, so that no customer can have the parts of others refused.
 	Customer uint64
 	Proven   bool
-	// Crashes is the number of crashes that the part explains.
+	// Crashes is the number of crashes that the part explains, and Engines are the engines, by
+	// their starts, that crashed: at most maxEngines, sorted.
 	Crashes int
+	Engines []uint64
 	// Tied reports that another part explains them equally well.
 	Tied bool
 	// Trials is the number of trials since the part was quarantined, and TriedAt is the time
@@ -69,17 +73,18 @@
 func (r Record) Merged(o Record) Record {
 	if o.Generation != r.Generation || o.State != r.State {
 		// The number of crashes is kept, so that nodes with the other record are told.
-		crashes := max(r.Crashes, o.Crashes)
+		crashes, engines := max(r.Crashes, o.Crashes), union(r.Engines, o.Engines)
 		if o.Generation > r.Generation || o.Generation == r.Generation && o.State > r.State {
 			r = o
 		}
-		r.Crashes = crashes
+		r.Crashes, r.Engines = crashes, engines
 		return r
 	}
 	r.Since, r.LastCrash, r.RanAt = earlier(r.Since, o.Since), earlier(r.LastCrash, o.LastCrash), earlier(r.RanAt, o.RanAt)
 	if o.Customer != r.Customer {
 		r.Customer = citronpoison.AllCustomers
 	}
+	r.Engines = union(r.Engines, o.Engines)
 	r.Crashes, r.Tied, r.Proven = max(r.Crashes, o.Crashes), r.Tied && o.Tied, r.Proven || o.Proven
 	if o.Trials > r.Trials {
 		r.Trials, r.TriedAt = o.Trials, o.TriedAt
@@ -87,6 +92,15 @@
 	return r
 }
 
+// union returns the engines in a or b: the last maxEngines of them, so that nodes which know of
+// more keep the same ones.
+func union(a, b []uint64) []uint64 {
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	all = slices.Compact(all)
+	return all[max(0, len(all)-maxEngines):]
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
@@ -96,7 +110,7 @@
 
 // same reports whether two records say the same, apart from times.
 func (r Record) same(o Record) bool {
-	return r.State == o.State && r.Generation == o.Generation && r.Customer == o.Customer && r.Crashes == o.Crashes && r.Tied == o.Tied && r.Proven == o.Proven && r.Trials == o.Trials
+	return r.State == o.State && r.Generation == o.Generation && r.Customer == o.Customer && r.Crashes == o.Crashes && r.Tied == o.Tied && r.Proven == o.Proven && r.Trials == o.Trials && slices.Equal(r.Engines, o.Engines)
 }
 
 // withState returns the record after a change of its state.
@@ -110,6 +124,7 @@
 func (r Record) WithFinding(f citronpoison.Finding, now time.Time) Record {
 	r = r.withState(Quarantined, now)
 	r.Customer, r.Proven, r.Crashes, r.LastCrash, r.Tied = f.Customer, f.Proven, f.Crashes, f.LastCrash, f.Tied
+	r.Engines = union(r.Engines, f.Engines)
 	r.Trials, r.TriedAt, r.RanAt = 0, time.Time{}, time.Time{}
 	return r
 }
--- a/citronpart/wire.go
+++ b/citronpart/wire.go
@@ -61,7 +61,7 @@
 	return citronpeer.PartRecord{
 		Part: uint64(r.Part), State: int(r.State), Generation: r.Generation, SinceMS: max(0, now.Sub(r.Since).Milliseconds()),
 		CrashMS: age(r.LastCrash, now), RanMS: age(r.RanAt, now), TriedMS: age(r.TriedAt, now),
-		Customer: r.Customer, Proven: r.Proven, Crashes: r.Crashes, Tied: r.Tied, Trials: r.Trials,
+		Customer: r.Customer, Proven: r.Proven, Crashes: r.Crashes, Engines: r.Engines, Tied: r.Tied, Trials: r.Trials,
 	}
 }
 
@@ -70,7 +70,7 @@
 	return Record{
 		Part: citronpoison.Part(p.Part), State: State(p.State), Generation: p.Generation, Since: before(now, p.SinceMS),
 		LastCrash: timeOf(p.CrashMS, now), RanAt: timeOf(p.RanMS, now), TriedAt: timeOf(p.TriedMS, now),
-		Customer: p.Customer, Proven: p.Proven, Crashes: p.Crashes, Tied: p.Tied, Trials: p.Trials,
+		Customer: p.Customer, Proven: p.Proven, Crashes: p.Crashes, Engines: p.Engines, Tied: p.Tied, Trials: p.Trials,
 	}
 }
 
--- a/citronpeer/part.go
+++ b/citronpeer/part.go
@@ -21,16 +21,17 @@
 // PartRecord is what a node knows of a prompt part that may crash engines. All ages are in
 // milliseconds; an age that is absent does not apply.
 type PartRecord struct {
-	Part       uint64 `json:"part"`
-	State      int    `json:"state"`
-	Generation int    `json:"generation"`
-	SinceMS    int64  `json:"sinceMs"`
-	CrashMS    *int64 `json:"crashMs,omitempty"`
-	RanMS      *int64 `json:"ranMs,omitempty"`
-	Customer   uint64 `json:"customer,omitempty"`
-	Proven     bool   `json:"proven,omitempty"`
-	Crashes    int    `json:"crashes,omitempty"`
-	Tied       bool   `json:"tied,omitempty"`
-	Trials     int    `json:"trials,omitempty"`
-	TriedMS    *int64 `json:"triedMs,omitempty"`
+	Part       uint64   `json:"part"`
+	State      int      `json:"state"`
+	Generation int      `json:"generation"`
+	SinceMS    int64    `json:"sinceMs"`
+	CrashMS    *int64   `json:"crashMs,omitempty"`
+	RanMS      *int64   `json:"ranMs,omitempty"`
+	Customer   uint64   `json:"customer,omitempty"`
+	Proven     bool     `json:"proven,omitempty"`
+	Crashes    int      `json:"crashes,omitempty"`
+	Engines    []uint64 `json:"engines,omitempty"`
+	Tied       bool     `json:"tied,omitempty"`
+	Trials     int      `json:"trials,omitempty"`
+	TriedMS    *int64   `json:"triedMs,omitempty"`
 }
--- a/citronpoison/detect.go
+++ b/citronpoison/detect.go
@@ -41,6 +41,8 @@
 	// the last one.
 	Crashes   int
 	LastCrash time.Time
+	// Engines are the engines, by their starts, that have crashed under the part.
+	Engines []uint64
 	// Tied reports that another part explains the crashes equally well.
 	Tied bool
 	// Proven reports that requests have run with the part successfully before.
@@ -92,7 +94,7 @@
 		}
 		blamed := map[Part]bool{}
 		for _, c := range best {
-			found = append(found, Finding{Part: c.part, Customer: c.customer(), Crashes: c.score, LastCrash: c.last, Tied: len(best) > 1, Proven: c.proven})
+			found = append(found, Finding{Part: c.part, Customer: c.customer(), Crashes: c.score, LastCrash: c.last, Engines: EnginesUnder(open, c.part), Tied: len(best) > 1, Proven: c.proven})
 			blamed[c.part] = true
 		}
 		open = slices.DeleteFunc(open, func(c Crash) bool { return c.hasAny(blamed) })
@@ -106,6 +108,17 @@
 	return found, suspects
 }
 
+// EnginesUnder returns the engines of the crashes that a part could have caused.
+func EnginesUnder(crashes []Crash, p Part) []uint64 {
+	var out []uint64
+	for _, c := range crashes {
+		if c.hasAny(map[Part]bool{p: true}) {
+			out = append(out, c.Engine)
+		}
+	}
+	return out
+}
+
 // hasAny reports whether any run of the crash has one of the parts.
 func (c Crash) hasAny(parts map[Part]bool) bool {
 	return slices.ContainsFunc(c.Runs, func(r Run) bool {
--- a/citronquarantine/ledger.go
+++ b/citronquarantine/ledger.go
@@ -52,6 +52,8 @@
 
 	mu      sync.Mutex
 	entries map[Fingerprint]*entry
+	// explained are the engines, by their starts, whose crashes have another cause.
+	explained map[uint64]bool
 	// onChange is called when there is an update for other nodes.
 	onChange func()
 	// summary is the cached summary for other nodes. It is nil after a change.
@@ -384,10 +386,27 @@
 		l.entries[p] = e
 		l.size.Store(int64(len(l.entries)))
 	}
-	l.set(e, e.Merged(r))
+	l.set(e, e.Merged(r).withExplained(l.explained))
 	return e
 }
 
+// Explain refutes the crashes of engines, given by their starts, that have another cause: a part
+// of the prompt of another request. It also applies to crashes that are recorded later. Each
+// call replaces the engines of the call before.
+func (l *Ledger) Explain(engines []uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.explained = map[uint64]bool{}
+	for _, engine := range engines {
+		l.explained[engine] = true
+	}
+	for _, e := range l.entries {
+		if r := e.withExplained(l.explained); !r.equal(e.Record) {
+			l.set(e, r)
+		}
+	}
+}
+
 // set changes a record. The caller must hold l.mu.
 func (l *Ledger) set(e *entry, r Record) {
 	e.Record, e.changedAt = r, l.clock.Now()
--- a/citronquarantine/record.go
+++ b/citronquarantine/record.go
@@ -35,7 +35,8 @@
 	// Engine identifies one start of an engine.
 	Engine uint64
 	At     time.Time
-	// Refuted is set if the request has run successfully since.
+	// Refuted is set if the request has run successfully since, or the crash has another
+	// cause.
 	Refuted bool
 }
 
@@ -110,6 +111,18 @@
 	return Record{all}
 }
 
+// withExplained returns the record with the crashes of the given engine starts refuted.
+func (r Record) withExplained(engines map[uint64]bool) Record {
+	if len(engines) == 0 {
+		return r
+	}
+	all := slices.Clone(r.crashes)
+	for i, c := range all {
+		all[i].Refuted = c.Refuted || engines[c.Engine]
+	}
+	return Record{all}
+}
+
 // Crashes returns all crashes, refuted ones included, sorted by engine key.
 func (r Record) Crashes() []Crash {
 	return slices.SortedFunc(slices.Values(r.crashes), func(a, b Crash) int { return cmp.Compare(a.Engine, b.Engine) })
