--- a/citronnode/parts.go
+++ b/citronnode/parts.go
@@ -193,7 +193,6 @@
 	if err != nil {
 		return errors.Wrap(err, "read records of prompt parts")
 	}
-	var parts []citronpeer.PartRecord
 	for _, item := range items {
 		var p storedPart
 		if err := json.Unmarshal(item.Value, &p); err != nil {
@@ -201,9 +200,8 @@
 			continue
 		}
 		// The clock of the node that wrote the record may be ahead.
-		parts = append(parts, p.aged(max(0, n.clock.Now().Sub(time.UnixMilli(p.UnixMS)))))
+		n.mergeParts(ctx, sourceStore, []citronpeer.PartRecord{p.aged(max(0, n.clock.Now().Sub(time.UnixMilli(p.UnixMS))))})
 	}
-	n.mergeParts(ctx, sourceStore, parts)
 	return nil
 }
 
--- a/citronpoison/detect.go
+++ b/citronpoison/detect.go
@@ -94,7 +94,7 @@
 		}
 		blamed := map[Part]bool{}
 		for _, c := range best {
-			found = append(found, Finding{Part: c.part, Customer: c.customer(), Crashes: c.score, LastCrash: c.last, Engines: EnginesUnder(open, c.part), Tied: len(best) > 1, Proven: c.proven})
+			found = append(found, Finding{Part: c.part, Customer: c.customer(), Crashes: c.events, LastCrash: c.last, Engines: EnginesUnder(open, c.part), Tied: len(best) > 1, Proven: c.proven})
 			blamed[c.part] = true
 		}
 		open = slices.DeleteFunc(open, func(c Crash) bool { return c.hasAny(blamed) })
