Only the engine that was to respond blames the parts of a prompt

Cause: an engine that is cut off refuses connections like one that has ended, and each stream through it, wherever on its path, reported a crash of its parts at another moment. TestEngineThatRefusesConnectionsBehindTheFirstBlamesNoPart reported one crash before.

A part crashes the engine that begins to answer, and breaks its response. Only that counts now; an engine that is merely found refusing connections, behind the first or by a probe of a silent path, does not. Requests as a whole are counted as before.

--- a/citronforward/crash.go
+++ b/citronforward/crash.go
@@ -106,7 +106,6 @@
 	if !j.f.hasEnded(ctx, e, maxCrashReportAge) || j.ranSuccessfully {
 		return
 	}
-	j.f.Parts.RecordCrash(citronquarantine.EngineKey(e.ID), j.partsRun())
 	r, changed := j.f.Quarantine.RecordCrash(j.fingerprint(), e.ID, began)
 	if !changed {
 		return
@@ -127,6 +126,16 @@
 // did. It may lack its end.
 var errEndedWithEngine = errors.New("response and engine ended together")
 
+// notePartCrash is noteCrash for the engine that was to respond and whose connection broke. Only
+// such a crash counts against the parts of the prompt: an engine that is cut off from the
+// network refuses connections as well, and would be found ended by each stream through it.
+func (j *job) notePartCrash(ctx context.Context, e *citronpool.Engine, began, firstEvent time.Time) {
+	if j.f.hasEnded(ctx, e, maxCrashReportAge) && !j.ranSuccessfully {
+		j.f.Parts.RecordCrash(citronquarantine.EngineKey(e.ID), j.partsRun())
+	}
+	j.noteCrash(ctx, e, began, firstEvent)
+}
+
 // hasEnded reports whether the engine's process has ended, and asks the engine if this
 // is not yet known. A report that is no older than maxAge may be used. A process that merely
 // does not answer has not ended.
--- a/citronforward/parts_test.go
+++ b/citronforward/parts_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"citrondeck.dev/citrondeck/citronpart"
@@ -118,3 +119,24 @@
 		})
 	}
 }
+
+// Guards against blaming the parts of all streams that run through an engine which is cut off
+// from the network: it refuses connections like one that has ended. Only the end of the engine
+// that was to respond counts, when its response breaks off.
+func TestEngineThatRefusesConnectionsBehindTheFirstBlamesNoPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStall(t, modelEngine("m1", "a", 0, 4), modelEngine("m2", "a", 4, 8))
+		s.engines.report = func(addr string) (citronupstream.Report, error) {
+			if addr == "m2:1" {
+				return citronupstream.Report{}, syscall.ECONNREFUSED
+			}
+			return citronupstream.Report{}, nil
+		}
+		s.useList(10*time.Millisecond, modelEngine("m1", "a", 0, 4), modelEngine("m2", "a", 4, 8), modelEngine("m3", "a", 4, 8))
+		is.Equal(s.ask("stream", 5*time.Second, withParts("subject", "own")).body, events(1, 4))
+		is.Equal(s.engines.repaths[0][1].Engine.ID, "m3")
+		is.Equal(len(s.Parts.TakeUnsent()), 0)
+		time.Sleep(time.Second)
+	})
+}
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -443,7 +443,7 @@
 	if res.outcome == notRun {
 		return runRefused
 	}
-	s.noteCrash(ctx, first, s.run.sent, s.run.firstEvent)
+	s.notePartCrash(ctx, first, s.run.sent, s.run.firstEvent)
 	return runBroken
 }
 
@@ -605,7 +605,7 @@
 	first := s.path[0].Engine
 	s.logRun(first, result{outcome: unknown, err: errors.Wrap(err, "read stream")})
 	s.avoid[first.ID] = true
-	s.noteCrash(ctx, first, s.run.sent, s.run.firstEvent)
+	s.notePartCrash(ctx, first, s.run.sent, s.run.firstEvent)
 	return runBroken
 }
 
--- a/citronforward/unary.go
+++ b/citronforward/unary.go
@@ -122,7 +122,7 @@
 		case res.outcome == failed:
 			fallback = &res
 		case ctx.Err() == nil:
-			j.noteCrash(ctx, e, began, time.Time{})
+			j.notePartCrash(ctx, e, began, time.Time{})
 		}
 		if ctx.Err() != nil || !j.mayRetry() {
 			break
