Observability: scheduling delay of a node, and when callers that leave are seen

Cause: no line tells when a node saw a caller's close, when the call to the engine ended, on which path it was, or how late the node itself ran.

--- a/citroncli/node.go
+++ b/citroncli/node.go
@@ -111,7 +111,7 @@
 	citronstat.RegisterBudget(budget, clock, registry)
 	forwarder := &citronforward.Forwarder{
 		Zone: settings.Zone, Clock: clock, Log: log, Upstream: node.Engines(), Budget: budget, Loads: loads,
-		Current: node.Traffic, Metrics: citronforward.NewMetrics(registry), Stopping: node.Stopping, Accuse: node.Accuse, Borrow: node.Borrow, Quarantine: node.Quarantine(), Parts: node.Parts(), ClaimTrial: node.ClaimTrial, Limits: node.Limits(), Permit: node.Permit, RetryTurn: node.RetryTurn, DrainWithin: settings.DrainWithin,
+		Current: node.Traffic, Metrics: citronforward.NewMetrics(registry), Stopping: node.Stopping, Accuse: node.Accuse, Borrow: node.Borrow, Quarantine: node.Quarantine(), Parts: node.Parts(), ClaimTrial: node.ClaimTrial, Limits: node.Limits(), Permit: node.Permit, RetryTurn: node.RetryTurn, Lag: node.Lag(), DrainWithin: settings.DrainWithin,
 	}
 	node.RelayThrough(forwarder.Gate())
 	node.ProbeAccusedThrough(forwarder.ProbeAccused)
--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -82,6 +82,7 @@
 	CrashesRejected    Event = 523
 	StreamDelayed      Event = 530
 	BudgetState        Event = 531
+	CallerLeft         Event = 532
 
 	TableApplied     Event = 600
 	TableRejected    Event = 601
@@ -116,6 +117,7 @@
 	RelayServed       Event = 629
 	PriorityClamped   Event = 639
 	UsageRejected     Event = 640
+	NodeLate          Event = 641
 
 	// 400 to 403 are reserved.
 )
@@ -185,6 +187,7 @@
 	CrashesRejected:     {slog.LevelWarn, "crashes.rejected", "a report of another node about crashes or prompt parts was invalid; nothing was taken from it, and only the first one of each node is logged"},
 	StreamDelayed:       {slog.LevelInfo, "stream.delayed", "the engines of a stream's cheapest path had no free capacity: it was admitted after a wait (outcome=waited), or on a path of another zone (outcome=spilled); gives its priority, its level among the priorities of its service's streams, the utilization (used), up to which it is admitted (usedLimit), and the forecast time to its first event, zero if unknown; only one in ten is logged"},
 	BudgetState:         {slog.LevelInfo, "budget.state", "this node sent or was denied retries of a service; gives the requests and retries of the last window that it knows of its own and of the other nodes (othersRequests, othersRetries), how many retries all nodes may send (limit) and how many more this node may send (allowance), how many were denied since the last such line (denied), and the number of nodes among which the slack of the budget is divided (nodes), 0 if this node has no share of it; at most one line a second for each service"},
+	CallerLeft:         {slog.LevelInfo, "caller.left", "the caller of a stream disconnected while engines had its request; gives how long the node had held the request (held) and how long ago it was sent (sent) when the node saw that, the engines of its path in order (engines), how many events the caller had got (events), how long the call to the engine went on after that (closed), and the longest scheduling delay of the node in the second before (late)"},
 	AnswerSampled:       {slog.LevelInfo, "answer.sampled", "a request was answered in full, or a stream's request with an engine's failure response; only a sample of these is logged"},
 
 	TableApplied:     {slog.LevelInfo, "table.applied", "a node activated a new version of the configuration"},
@@ -219,6 +222,7 @@
 	RelayServed:       {slog.LevelInfo, "relay.served", "this node sent a request of another node (peer) to an engine; gives the status of the engine's response"},
 	PriorityClamped:   {slog.LevelWarn, "priority.clamped", "a priority in a new version of the configuration, of a route or a customer, is negative or too high (priority); the nearest valid one takes effect (used)"},
 	UsageRejected:     {slog.LevelWarn, "usage.rejected", "an engine (engine) reported an impossible usage, or another node (peer) passed one on; it was not used, and only the first one from each engine and node is logged"},
+	NodeLate:          {slog.LevelWarn, "node.late", "the goroutines of this node ran at least 100 ms later than due (delay): it has too little processor time, or its process was stopped; one line a second at most, with the longest delay since the last"},
 	SuspectsRejected:  {slog.LevelWarn, "suspects.rejected", "another node sent invalid records of requests that crash engines, and none of the records in that message was used, or the store holds an invalid record (peer=store); only the first message from each node and the first record in the store are logged"},
 
 	LedgerRetry: {slog.LevelWarn, "ledger.retry", "recording an outcome in the ledger, or releasing or undoing a claim, has not succeeded yet; it is retried for a limited time"},
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -31,6 +31,7 @@
 	"citrondeck.dev/citrondeck/citronforecast"
 	"citrondeck.dev/citrondeck/citrongate"
 	"citrondeck.dev/citrondeck/citronkv"
+	"citrondeck.dev/citrondeck/citronlag"
 	"citrondeck.dev/citrondeck/citronlimit"
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronpart"
@@ -109,6 +110,9 @@
 	// maxWait is how long the request can wait for the permit.
 	Permit func(ctx context.Context, e *citronpool.Engine, maxWait time.Duration) citronpermit.Decision
 
+	// Lag measures the scheduling delay of this node. It may be nil.
+	Lag *citronlag.Monitor
+
 	// RetryTurn, if set, returns this node's turn among the nodes that tell refused callers when
 	// to return.
 	RetryTurn func() citronadmit.Turn
--- a/citronforward/metrics.go
+++ b/citronforward/metrics.go
@@ -24,12 +24,16 @@
 	LongestPause     prometheus.Histogram
 	UnaryDuration    prometheus.Histogram
 	ForecastError    prometheus.Histogram
+	CancelTime       prometheus.Histogram
 }
 
 // latencyBuckets spans 5 ms, as for a cached response, to 20 s. Requests may have later
 // deadlines than that: defaultWait is 30 s.
 var latencyBuckets = prometheus.ExponentialBuckets(0.005, 2, 13)
 
+// cancelBuckets spans 0.5 ms, as for a connection that is closed at once, to 4 s.
+var cancelBuckets = prometheus.ExponentialBuckets(0.0005, 2, 14)
+
 // forecastBuckets spans the ratios that the forecast can correct, with two buckets for each
 // doubling around 1.
 var forecastBuckets = prometheus.ExponentialBuckets(0.125, math.Sqrt2, 13)
@@ -51,8 +55,9 @@
 		TimeToFirstEvent: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_first_event_seconds", Help: "Time to the first event of a stream.", Buckets: latencyBuckets}),
 		LongestPause:     prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_pause_seconds", Help: "Longest pause between events of a stream.", Buckets: latencyBuckets}),
 		UnaryDuration:    prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_answer_seconds", Help: "Time to a whole answer.", Buckets: latencyBuckets}),
+		CancelTime:       prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_cancel_seconds", Help: "Time from seeing that a caller of a stream has left to the end of its call to an engine.", Buckets: cancelBuckets}),
 		ForecastError:    prometheus.NewHistogram(prometheus.HistogramOpts{Name: "citrondeck_forecast_ratio", Help: "Actual time to the first event of a run, divided by its forecast.", Buckets: forecastBuckets}),
 	}
-	r.MustRegister(m.Requests, m.Refusals, m.Attempts, m.Repairs, m.MovePauses, m.Admissions, m.Waiting, m.ForecastError, m.RetriesDenied, m.Crashes, m.Permits, m.TimeToFirstEvent, m.LongestPause, m.UnaryDuration)
+	r.MustRegister(m.Requests, m.Refusals, m.Attempts, m.Repairs, m.MovePauses, m.Admissions, m.Waiting, m.ForecastError, m.RetriesDenied, m.Crashes, m.Permits, m.TimeToFirstEvent, m.LongestPause, m.UnaryDuration, m.CancelTime)
 	return m
 }
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -384,13 +384,21 @@
 }
 
 // send sends the request over its path and forwards events until the run ends.
-func (s *streamJob) send(ctx context.Context) runOutcome {
+func (s *streamJob) send(ctx context.Context) (outcome runOutcome) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	ended := make(chan struct{})
+	var seen time.Time // when the end of the run was seen
+	defer func() {
+		if outcome == callerLeft && errors.Is(ctx.Err(), context.Canceled) {
+			s.noteDeparture(seen, ended)
+		}
+	}()
 	w := newWatch(ctx, s)
 	replies := make(chan sendResult, 1)
 	call := citronupstream.Call{Request: s.Request, Engine: s.path[0].Engine, EnginePath: s.path, Customer: s.customer, TimeLeft: s.timeLeft(), AfterEvent: s.lastEventID, NoRetry: !s.route.Idempotent(), Urgency: s.urgency(), OnRelay: relayedSetter(s.run)}
 	go func() {
+		defer close(ended)
 		reply, err := s.f.Gate().Send(ctx, call)
 		replies <- sendResult{reply, err}
 	}()
@@ -401,8 +409,11 @@
 				return s.sendFailed(ctx, r.err)
 			}
 			defer r.reply.Body.Close()
-			return s.receive(ctx, r.reply, w)
+			outcome := s.receive(ctx, r.reply, w)
+			seen = s.f.Clock.Now()
+			return outcome
 		case <-ctx.Done():
+			seen = s.f.Clock.Now()
 			return callerLeft
 		case <-w.tick():
 			if w.onTick() == replaceRun {
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -30,6 +30,7 @@
 	"citrondeck.dev/citrondeck/citrongate"
 	"citrondeck.dev/citrondeck/citronhealth"
 	"citrondeck.dev/citrondeck/citronkv"
+	"citrondeck.dev/citrondeck/citronlag"
 	"citrondeck.dev/citrondeck/citronlimit"
 	"citrondeck.dev/citrondeck/citronlink"
 	"citrondeck.dev/citrondeck/citronlist"
@@ -101,6 +102,9 @@
 	relays    *citronreach.Server
 	relayGate atomic.Pointer[citrongate.Gate]
 
+	// lag measures the scheduling delay of this node.
+	lag *citronlag.Monitor
+
 	// control is the inbox of the control loop (control.go).
 	control chan message
 	snap    atomic.Pointer[snapshot]
@@ -223,6 +227,7 @@
 		crashSeen:         make(chan struct{}, 1),
 		configs:           newConfigInbox(sources.DecodeConfig),
 	}
+	n.lag = citronlag.New(clock, n.newDelayObserver())
 	n.links = citronlink.NewLinks(clock, log)
 	n.engines = citronreach.NewEngines(citronreach.Settings{
 		Node: settings.Name, Direct: sources.Engines, Links: n.links, Relays: &citronrelay.Client{HC: hc}, Helpers: n.helpers, Neighbors: n.neighbors, Clock: clock, Log: log,
@@ -316,6 +321,7 @@
 	tasks.Go(func() { n.persistQuarantine(ctx) })
 	tasks.Go(func() { n.reportCrashes(ctx) })
 	tasks.Go(func() { n.observeUsage(ctx) })
+	tasks.Go(func() { n.lag.Run(ctx) })
 }
 
 const (
