A node that runs late judges no engine by the lack of an answer, and sends few checks

Callers saw: engines went on working for callers that had left (GONE): the node saw the close late and took long to end the call. Cause: a node short of processor time reads answers late, takes its own lateness for the silence of engines, links and other nodes, and adds checks, moves and relayed calls, which make it later still: an overload that feeds itself. Why it works: lateness no longer creates work, so what the callers need gets the processor. Refused connections and other nodes' reports still show dead engines.

--- a/citronforward/accused.go
+++ b/citronforward/accused.go
@@ -56,7 +56,7 @@
 // probe if wasAccused is true. It is false for an
 // engine that was not accused before; an earlier probe says nothing about it.
 func (f *Forwarder) ProbeAccused(e *citronpool.Engine, wasAccused bool) {
-	if e.Inflight() == 0 || f.isProbed(e, wasAccused) {
+	if e.Inflight() == 0 || f.isProbed(e, wasAccused) || !f.mayCheck() {
 		return
 	}
 	maxAge := accusedProbeTimeout
@@ -70,7 +70,7 @@
 // an overload each node hears of many accusations a second, and one goroutine for each would
 // exceed the memory of small nodes.
 func (f *Forwarder) isProbed(e *citronpool.Engine, wasAccused bool) bool {
-	o, ok := f.probes.Last(e.Addr)
+	o, ok := f.prober().Last(e.Addr)
 	if !ok {
 		return false
 	}
@@ -91,7 +91,7 @@
 // that follow it on the paths of this node's streams are probed as well, maxChainDepth
 // engines further at most.
 func (f *Forwarder) probeChain(e *citronpool.Engine, maxAge time.Duration, depth int) {
-	if o, ok := f.probes.Last(e.Addr); ok && o.DoneAt.IsZero() {
+	if o, ok := f.prober().Last(e.Addr); ok && o.DoneAt.IsZero() {
 		maxAge = citronprobe.MaxReportAge // share the unanswered probe
 	}
 	answer := make(chan error, 1)
@@ -109,6 +109,9 @@
 		return
 	}
 	for _, next := range f.links.after(e.ID) {
+		if !f.mayCheck() {
+			return
+		}
 		go f.probeChain(next, citronprobe.MaxReportAge, depth+1)
 	}
 }
@@ -121,13 +124,13 @@
 	if f.Clock.Sleep(ctx, accusedProbeTimeout) != nil {
 		return
 	}
-	if o, ok := f.probes.Last(path[0].Engine.Addr); !ok || o.DoneAt.IsZero() || o.Err != nil {
+	if o, ok := f.prober().Last(path[0].Engine.Addr); !ok || o.DoneAt.IsZero() || o.Err != nil {
 		return
 	}
 	now := f.Clock.Now()
 	for _, h := range path[1:] {
-		o, ok := f.probes.Last(h.Engine.Addr)
-		if ok && o.DoneAt.IsZero() && now.Sub(o.StartedAt) >= accusedProbeTimeout && h.Engine.Accuse(now) && f.Accuse != nil {
+		o, ok := f.prober().Last(h.Engine.Addr)
+		if ok && o.DoneAt.IsZero() && now.Sub(o.StartedAt) >= f.answerTimeout(o.StartedAt) && h.Engine.Accuse(now) && f.Accuse != nil {
 			f.Accuse(h.Engine)
 		}
 	}
@@ -224,10 +227,10 @@
 // answerOf returns what the newest probe of an engine says about it. If the engine is
 // accused and no probe tells whether it answers during this stall, it is probed.
 func (w *watch) answerOf(e *citronpool.Engine, now, since time.Time, accused bool) answerState {
-	o, ok := w.s.f.probes.Last(e.Addr)
+	o, ok := w.s.f.prober().Last(e.Addr)
 	switch {
 	case ok && o.DoneAt.IsZero():
-		left := accusedProbeTimeout - now.Sub(o.StartedAt)
+		left := w.s.f.answerTimeout(o.StartedAt) - now.Sub(o.StartedAt)
 		if left < 0 {
 			return silent
 		}
--- a/citronforward/crash.go
+++ b/citronforward/crash.go
@@ -143,7 +143,7 @@
 	if e.Ended() {
 		return true
 	}
-	report, err := f.probes.Report(context.WithoutCancel(ctx), f.Upstream, e.Addr, maxAge)
+	report, err := f.prober().Report(context.WithoutCancel(ctx), f.Upstream, e.Addr, maxAge)
 	switch {
 	case err == nil:
 		citronprobe.RecordReport(e, report, f.Clock.Now())
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -124,10 +124,15 @@
 	// admissions holds the admission state of each service, *admissionState by name.
 	admissions sync.Map
 
-	probes   citronprobe.Prober
-	retries  retryPlanners
-	links    pathLinks
-	gateOnce sync.Once
+	// probesOnce guards probes, which is set up on first use (prober).
+	probesOnce sync.Once
+	probes     citronprobe.Prober
+	// lateCheckAt is when the last check began that this node sent while it ran late, in Unix
+	// nanoseconds.
+	lateCheckAt atomic.Int64
+	retries     retryPlanners
+	links       pathLinks
+	gateOnce    sync.Once
 	// gate sends all calls to engines. It is created on first use.
 	gate *citrongate.Gate
 	// completed counts the unary requests that succeeded, and the streams that were
--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -215,7 +215,7 @@
 	if bad := w.leavingHop(now); bad >= 0 {
 		return w.replace(reasonLeaving, bad)
 	}
-	if pause > w.probeDelay() && !w.probing && now.Sub(w.probedAt) > probeInterval {
+	if pause > w.probeDelay() && !w.probing && now.Sub(w.probedAt) > probeInterval && w.s.f.mayCheck() {
 		w.probePath(now)
 	}
 	return keepRun
@@ -258,7 +258,7 @@
 			wait.Go(func() { _ = w.s.f.probe(w.ctx, h.Engine, citronprobe.MaxReportAge) }) // Probe records the result in the engine's state
 		}
 		go w.s.f.accuseUnanswered(w.ctx, path)
-		r, err := w.s.f.probes.Report(w.ctx, w.s.f.Upstream, path[0].Engine.Addr, citronprobe.MaxReportAge)
+		r, err := w.s.f.prober().Report(w.ctx, w.s.f.Upstream, path[0].Engine.Addr, citronprobe.MaxReportAge)
 		wait.Wait()
 		w.probeResults <- probeResult{r, err}
 	}()
@@ -267,7 +267,7 @@
 // probe checks whether an engine is alive and records the result. It may use a
 // shared report that is no older than maxAge.
 func (f *Forwarder) probe(ctx context.Context, e *citronpool.Engine, maxAge time.Duration) error {
-	return f.probes.Probe(ctx, f.Upstream, f.Clock, e, maxAge)
+	return f.prober().Probe(ctx, f.Upstream, f.Clock, e, maxAge)
 }
 
 // handleReport handles the report of the path's first engine.
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -406,6 +406,7 @@
 		select {
 		case r := <-replies:
 			if r.err != nil {
+				seen = s.f.Clock.Now()
 				return s.sendFailed(ctx, r.err)
 			}
 			defer r.reply.Body.Close()
--- a/citronlag/monitor.go
+++ b/citronlag/monitor.go
@@ -16,6 +16,10 @@
 	tickInterval = 20 * time.Millisecond
 	// minDelay is the shortest delay that is recorded.
 	minDelay = 5 * time.Millisecond
+	// lateDelay is the delay from which on a process is late. An answer passes several
+	// goroutines, each of which may wait as long, and the shortest time in which nodes expect
+	// one over the network is 200 ms.
+	lateDelay = 40 * time.Millisecond
 	// retention is how long a delay is remembered.
 	retention = 5 * time.Second
 )
@@ -98,6 +102,10 @@
 	return longest
 }
 
+// LateSince reports whether the process has run late since t. The lack of an answer in that time
+// proves nothing then: it may have arrived and not been read yet.
+func (m *Monitor) LateSince(t time.Time) bool { return m.Since(t) >= lateDelay }
+
 // since returns the part of the delay that lies after t.
 func (k lateTick) since(t time.Time) time.Duration {
 	if k.due.After(t) {
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -230,7 +230,7 @@
 	n.lag = citronlag.New(clock, n.newDelayObserver())
 	n.links = citronlink.NewLinks(clock, log)
 	n.engines = citronreach.NewEngines(citronreach.Settings{
-		Node: settings.Name, Direct: sources.Engines, Links: n.links, Relays: &citronrelay.Client{HC: hc}, Helpers: n.helpers, Neighbors: n.neighbors, Clock: clock, Log: log,
+		Node: settings.Name, Direct: sources.Engines, Links: n.links, Relays: &citronrelay.Client{HC: hc}, Helpers: n.helpers, Neighbors: n.neighbors, Clock: clock, Log: log, Lag: n.lag,
 	})
 	n.relays = citronreach.NewServer(n.engines, n.view, n.relayGate.Load, n.trackRelay)
 	n.limits, n.permits = citronlimit.NewRegistry(clock), citronpermit.NewIssuer()
--- a/citronprobe/probe.go
+++ b/citronprobe/probe.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"citrondeck.dev/citrondeck/citronclock"
+	"citrondeck.dev/citrondeck/citronlag"
 	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citronupstream"
 	"github.com/cockroachdb/errors"
@@ -31,6 +32,9 @@
 // Prober shares the reports of engines between streams. Its zero value is ready to
 // use.
 type Prober struct {
+	// Lag measures the scheduling delay of this node. It may be nil.
+	Lag *citronlag.Monitor
+
 	mu     sync.Mutex
 	byAddr map[string]*sharedProbe
 }
@@ -47,7 +51,7 @@
 
 // Report returns the report of the engine at addr. It uses the result of the previous
 // probe if that probe started at most maxAge ago. The report and the error are both
-// empty if this node was paused during the probe.
+// empty if there was no answer and this node ran late or was paused during the probe.
 func (p *Prober) Report(ctx context.Context, up citronupstream.Engines, addr string, maxAge time.Duration) (citronupstream.Report, error) {
 	p.mu.Lock()
 	if p.byAddr == nil {
@@ -57,7 +61,7 @@
 	if q == nil || time.Since(q.at) > maxAge {
 		q = &sharedProbe{done: make(chan struct{}), at: time.Now()}
 		p.byAddr[addr] = q
-		go q.run(ctx, up, addr)
+		go q.run(ctx, up, addr, p.Lag)
 	}
 	p.mu.Unlock()
 	select {
@@ -70,13 +74,13 @@
 
 // run sends the probe. It does not end with the stream that started it, because
 // other streams wait for its result.
-func (q *sharedProbe) run(ctx context.Context, up citronupstream.Engines, addr string) {
+func (q *sharedProbe) run(ctx context.Context, up citronupstream.Engines, addr string, lag *citronlag.Monitor) {
 	defer close(q.done)
 	probeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 	defer cancel()
 	q.report, q.err = up.Report(probeCtx, addr)
 	q.doneAt = time.Now()
-	if q.doneAt.Sub(q.at) > probeTimeout+maxOverrun {
+	if q.doneAt.Sub(q.at) > probeTimeout+maxOverrun || errors.Is(q.err, context.DeadlineExceeded) && lag.LateSince(q.at) {
 		q.report, q.err = citronupstream.Report{}, nil
 	}
 }
--- a/citronreach/engines.go
+++ b/citronreach/engines.go
@@ -26,6 +26,7 @@
 	"citrondeck.dev/citrondeck/citronclock"
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronhelper"
+	"citrondeck.dev/citrondeck/citronlag"
 	"citrondeck.dev/citrondeck/citronlink"
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronpath"
@@ -59,6 +60,8 @@
 	Neighbors func(addr string) Neighbors
 	Clock     citronclock.Clock
 	Log       *slog.Logger
+	// Lag measures the scheduling delay of this node. It may be nil.
+	Lag *citronlag.Monitor
 }
 
 // Engines talks to engines over this node's own connections or through other nodes.
@@ -117,7 +120,7 @@
 		g.Links.RecordReached(addr)
 		reply.Body = heardBody{reply.Body, g.Links, addr}
 	case errors.Is(err, citronupstream.ErrNotSent):
-		g.recordFailure(ctx, addr)
+		g.recordFailure(ctx, addr, err)
 	case ctx.Err() == nil:
 		g.checkSilent(ctx, addr) // the connection was cut before the response
 	}
@@ -132,7 +135,7 @@
 // broken, those to some neighbors: connections over a broken link may be accepted all the same,
 // and a request would be lost on each of them.
 func (g *Engines) checkSilent(ctx context.Context, addr string) {
-	if !g.Links.BeginCheck(addr) {
+	if g.Lag.LateSince(g.Clock.Now().Add(-citronlink.MaxSilence)) || !g.Links.BeginCheck(addr) {
 		return
 	}
 	ctx = context.WithoutCancel(ctx)
@@ -181,7 +184,7 @@
 	limit, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	if err := g.Direct.Reach(limit, addr); err != nil {
-		g.recordFailure(ctx, addr)
+		g.recordFailure(ctx, addr, err)
 		return false
 	}
 	g.Links.RecordReached(addr)
@@ -272,7 +275,7 @@
 		if !errors.Is(err, citronupstream.ErrNotSent) || ctx.Err() != nil {
 			return err
 		}
-		g.recordFailure(ctx, addr)
+		g.recordFailure(ctx, addr, err)
 	}
 	_, err := askHelpers(ctx, g, addr, func(ctx context.Context, h citronhelper.Helper) (struct{}, error) {
 		return struct{}{}, relay(ctx, h)
@@ -307,7 +310,7 @@
 		case err == nil:
 			g.Links.RecordReached(addr)
 		default:
-			g.recordFailure(ctx, addr)
+			g.recordFailure(ctx, addr, err)
 		}
 		own <- result[T]{answer, err}
 	}()
@@ -321,6 +324,13 @@
 		}
 		mine = &r
 	case <-slow.C:
+		if g.Lag.LateSince(began) { // the answer may have arrived
+			r := <-own
+			if r.err == nil {
+				return r.answer, nil
+			}
+			mine = &r
+		}
 	case <-ctx.Done():
 		r := <-own
 		if r.err != nil {
@@ -365,14 +375,26 @@
 	err    error
 }
 
-// recordFailure records that this node could not reach an engine, unless the caller canceled
-// the call.
-func (g *Engines) recordFailure(ctx context.Context, addr string) {
-	if !errors.Is(ctx.Err(), context.Canceled) {
+// recordFailure records that this node could not reach an engine, because of err, unless the
+// caller canceled the call or the node ran too late to tell.
+func (g *Engines) recordFailure(ctx context.Context, addr string, err error) {
+	if !errors.Is(ctx.Err(), context.Canceled) && !g.isInconclusive(err, g.Clock.Now().Add(-checkTimeout)) {
 		g.Links.RecordUnreached(addr)
 	}
 }
 
+// isInconclusive reports whether a call that began at the given time failed for want of an
+// answer, while this node ran late and may not have read it.
+func (g *Engines) isInconclusive(err error, began time.Time) bool {
+	return isTimeout(err) && g.Lag.LateSince(began)
+}
+
+// isTimeout reports whether an error says that there was no answer in time.
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // isNotSent reports whether a helper's error means that the engine did not get the call.
 func isNotSent(err error) bool {
 	return errors.IsAny(err, citronrelay.ErrDeclined, citronrelay.ErrUnreached, citronrelay.ErrRefused)
--- a/citronreach/evidence.go
+++ b/citronreach/evidence.go
@@ -18,6 +18,7 @@
 // reach. own is this node's own error, or nil if it did not try.
 //
 //	something arrived from it since        it lives: ErrUnreachable
+//	own call timed out on a late node      nothing is known: ErrUnreachable
 //	helper reaches neighbors, not it       the engine does not answer anybody
 //	both connections were refused          its process has ended as well
 //	no helper can tell, own links work     this node's own error counts, unless the engine
@@ -30,6 +31,7 @@
 		return errors.Mark(helper, syscall.ECONNREFUSED)
 	case errors.IsAny(helper, citronrelay.ErrRefused, citronrelay.ErrUnreached):
 		return helper
+	case g.isInconclusive(own, began):
 	case own != nil && g.proof.linksWork(ctx, g.Neighbors(addr)) && (errors.Is(own, syscall.ECONNREFUSED) || !g.answers(ctx, addr)):
 		return own
 	}
--- a/citronreach/serve.go
+++ b/citronreach/serve.go
@@ -137,7 +137,7 @@
 	limit, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	if err := s.engines.Direct.Reach(limit, addr); err != nil {
-		s.engines.recordFailure(ctx, addr)
+		s.engines.recordFailure(ctx, addr, err)
 		return errors.Wrapf(citronrelay.ErrDeclined, "this node does not reach %s itself: %v", addr, err)
 	}
 	s.engines.Links.RecordReached(addr)
@@ -152,6 +152,8 @@
 		return errors.Wrapf(citronrelay.ErrDeclined, "%v", err)
 	case !errors.Is(err, citronupstream.ErrNotSent):
 		return err
+	case s.engines.isInconclusive(err, began):
+		return errors.Wrapf(citronrelay.ErrDeclined, "this node runs late: %v", err)
 	case s.engines.Links.HeardSince(addr, began):
 		return errors.Wrapf(citronrelay.ErrDeclined, "the engine sends on older connections: %v", err)
 	case !s.engines.proof.linksWork(ctx, s.engines.Neighbors(addr)):
@@ -187,7 +189,7 @@
 		s.engines.Links.RecordReached(addr)
 		return answer, nil
 	}
-	s.engines.recordFailure(ctx, addr)
+	s.engines.recordFailure(ctx, addr, err)
 	return none, s.judge(ctx, addr, began, errors.Mark(err, citronupstream.ErrNotSent))
 }
 
