Heads and bodies without end are cut off, in bytes and in time, on every client

Cause: readEvent looked at its bound only after a line had ended; reports, orders and the store's answers were read with io.ReadAll; heads were bounded by net/http's 10 MiB; refusals were drained up to 8 MiB at the sender's pace; nothing bounded the time of a head or an event that has begun. Change: citronbody bounds heads, bodies and their time; the engine is blamed and another serves the caller. Why it works: each reader stops at its bound before it holds more, and a timer closes the connection of what has begun and does not end.

--- a/citroncli/cli.go
+++ b/citroncli/cli.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"citrondeck.dev/citrondeck/citronbody"
 	"citrondeck.dev/citrondeck/citronserve"
 	"citrondeck.dev/citrondeck/citronwire"
 	"citrondeck.dev/citrondeck/citronyaml"
@@ -154,6 +155,8 @@
 	return &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: 256,
 		IdleConnTimeout:     30 * time.Second,
-		DialContext:         t.Dial((&net.Dialer{Timeout: time.Second}).DialContext),
+
+		MaxResponseHeaderBytes: citronbody.MaxHeadBytes,
+		DialContext:            t.Dial((&net.Dialer{Timeout: time.Second}).DialContext),
 	}}
 }
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"citrondeck.dev/citrondeck/citronadmit"
+	"citrondeck.dev/citrondeck/citronbody"
 	"citrondeck.dev/citrondeck/citronbudget"
 	"citrondeck.dev/citrondeck/citronclock"
 	"citrondeck.dev/citrondeck/citronevent"
@@ -135,6 +136,9 @@
 	gateOnce    sync.Once
 	// gate sends all calls to engines. It is created on first use.
 	gate *citrongate.Gate
+	// bodiesOnce guards bodyBudget, which is created on first use (bodies).
+	bodiesOnce sync.Once
+	bodyBudget *citronbody.Budget
 	// completed counts the unary requests that succeeded, and the streams that were
 	// completed or ended by an engine's failure response.
 	completed atomic.Int64
@@ -153,6 +157,12 @@
 	return f.gate
 }
 
+// bodies returns the budget of the responses that are passed on as a whole.
+func (f *Forwarder) bodies() *citronbody.Budget {
+	f.bodiesOnce.Do(func() { f.bodyBudget = citronbody.NewBudget(maxAnswersBytes) })
+	return f.bodyBudget
+}
+
 // sampleEvery is the sampling interval of the log: one in sampleEvery completed requests is
 // logged.
 const sampleEvery = 50
@@ -211,6 +221,8 @@
 	cachedFingerprint *citronquarantine.Fingerprint
 	// cachedParts are the request's prompt parts, nil until they are first needed.
 	cachedParts []citronpoison.Part
+	// held ends the hold on the bodies that the request has read.
+	held []func()
 	// trialPending is true if the request is the trial of a prompt part and has not been
 	// sent yet.
 	trialPending bool
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"citrondeck.dev/citrondeck/citronbody"
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citrongate"
 	"citrondeck.dev/citrondeck/citronpath"
@@ -22,8 +23,12 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxEventBytes limits the size of one event.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes limits the size of one event, and maxEventTime the time from its first
+	// byte to its last.
+	maxEventBytes = 1 << 20
+	maxEventTime  = time.Second
+)
 
 // event is one complete event of a stream: its text as received and its ID, if it
 // has one.
@@ -32,29 +37,61 @@
 	id   string
 }
 
+// errEventTooLarge and errEventTooLong mean that an event does not end.
+var (
+	errEventTooLarge = errors.New("event exceeds the limit of 1 MiB")
+	errEventTooLong  = errors.New("event is not complete after 1 s")
+)
+
+// eventReader reads the events of a response body.
+type eventReader struct {
+	body io.ReadCloser
+	r    *bufio.Reader
+}
+
+func newEventReader(body io.ReadCloser) *eventReader {
+	return &eventReader{body: body, r: bufio.NewReader(body)}
+}
+
+// next returns the next event. It closes the body if the event has begun and does not end.
+func (e *eventReader) next() (event, error) {
+	if _, err := e.r.Peek(1); err != nil { // the time until an event begins is not bounded here
+		return event{}, err
+	}
+	late := time.AfterFunc(maxEventTime, func() { _ = e.body.Close() })
+	ev, err := readEvent(e.r)
+	if !late.Stop() && err != nil {
+		err = errEventTooLong
+	}
+	return ev, err
+}
+
 // readEvent reads an event up to the blank line that ends it. If the stream ends in
 // the middle of an event, it returns io.ErrUnexpectedEOF.
 func readEvent(r *bufio.Reader) (event, error) {
 	var ev event
+	line := 0 // where the current line begins
 	for {
-		line, err := r.ReadBytes('\n')
-		if err != nil {
-			if errors.Is(err, io.EOF) && len(ev.text)+len(line) > 0 {
-				return event{}, io.ErrUnexpectedEOF
-			}
+		part, err := r.ReadSlice('\n')
+		ev.text = append(ev.text, part...)
+		switch {
+		case len(ev.text) > maxEventBytes:
+			return event{}, errEventTooLarge
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case errors.Is(err, io.EOF) && len(ev.text) > 0:
+			return event{}, io.ErrUnexpectedEOF
+		case err != nil:
 			return event{}, err
 		}
-		ev.text = append(ev.text, line...)
-		if len(ev.text) > maxEventBytes {
-			return event{}, errors.New("event exceeds the limit of 1 MiB")
-		}
-		trimmed := bytes.TrimRight(line, "\r\n")
+		trimmed := bytes.TrimRight(ev.text[line:], "\r\n")
 		if len(trimmed) == 0 {
 			return ev, nil
 		}
 		if id, ok := bytes.CutPrefix(trimmed, []byte("id:")); ok {
 			ev.id = string(bytes.TrimSpace(id))
 		}
+		line = len(ev.text)
 	}
 }
 
@@ -463,8 +500,8 @@
 func (s *streamJob) receive(ctx context.Context, reply *citronupstream.Reply, w *watch) runOutcome {
 	first := s.path[0].Engine
 	if reply.NotExecuted {
-		_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, maxAnswerBytes)) // so that the connection can be reused
-		s.unbind()                                                             // the refused request does not count as running at the accused engine
+		citronbody.Drain(reply.Body)
+		s.unbind() // the refused request does not count as running at the accused engine
 		s.noteRefusal(first, reply)
 		s.f.Metrics.Attempts.WithLabelValues(notRun.String()).Inc()
 		s.logAttempt(first, result{outcome: notRun, status: reply.Status, err: errors.Newf("engine did not run the request, accused engine: %q", reply.AccusedAddr)})
@@ -510,10 +547,10 @@
 
 // readEvents sends the events of a response body to out, followed by the error that
 // ended the body.
-func readEvents(ctx context.Context, body io.Reader, out chan<- eventOrErr) {
-	r := bufio.NewReader(body)
+func readEvents(ctx context.Context, body io.ReadCloser, out chan<- eventOrErr) {
+	r := newEventReader(body)
 	for {
-		ev, err := readEvent(r)
+		ev, err := r.next()
 		select {
 		case out <- eventOrErr{ev, err}:
 		case <-ctx.Done():
@@ -625,7 +662,8 @@
 // request and failed. The response is forwarded unless the request may be retried or
 // the caller already has part of a stream.
 func (s *streamJob) handleEngineFailure(ctx context.Context, reply *citronupstream.Reply) runOutcome {
-	body, err := readAnswer(reply.Body)
+	defer s.releaseBodies()
+	body, err := s.readAnswer(reply.Body)
 	if err != nil && ctx.Err() != nil {
 		return callerLeft
 	}
--- a/citronforward/unary.go
+++ b/citronforward/unary.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"citrondeck.dev/citrondeck/citronbody"
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citrongate"
 	"citrondeck.dev/citrondeck/citronpath"
@@ -54,6 +55,8 @@
 	// maxAnswerBytes bounds how much of a response is buffered before it is passed on.
 	// Unary responses of plain services are a few kilobytes.
 	maxAnswerBytes = 8 << 20
+	// maxAnswersBytes bounds what this node buffers of all large responses at the same time.
+	maxAnswersBytes = 24 << 20
 	// attemptTargets is how long an idempotent request waits for one engine before it
 	// tries another, in multiples of the route's target latency.
 	attemptTargets = 2
@@ -61,6 +64,7 @@
 
 // serveUnary serves a request whose response arrives in one piece.
 func (j *job) serveUnary(ctx context.Context) {
+	defer j.releaseBodies()
 	var fallback *result
 	reason := "no engine answered"
 	for {
@@ -167,11 +171,14 @@
 	}
 	defer reply.Body.Close()
 	if reply.NotExecuted {
-		_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, maxAnswerBytes)) // drain the body so that the connection can be reused
+		citronbody.Drain(reply.Body)
 		j.noteRefusal(e, reply)
 		return result{outcome: notRun, status: reply.Status}
 	}
-	body, err := readAnswer(reply.Body)
+	if reply.Length > maxAnswerBytes {
+		return result{outcome: unknown, status: reply.Status, err: errors.Newf("response of %d bytes, more than %d", reply.Length, maxAnswerBytes)}
+	}
+	body, err := j.readAnswer(reply.Body)
 	if err == nil && reply.UntilClose && j.f.hasEnded(ctx, e, 0) {
 		err = errEndedWithEngine
 	}
@@ -190,17 +197,19 @@
 	return res
 }
 
-// errAnswerTooLarge means that a response has a longer body than a node passes on.
-var errAnswerTooLarge = errors.New("response body is too large")
+// readAnswer reads the body of a response that is passed on as a whole. It is held until the
+// request ends.
+func (j *job) readAnswer(r io.Reader) ([]byte, error) {
+	body, release, err := j.f.bodies().ReadAll(r, maxAnswerBytes)
+	j.held = append(j.held, release)
+	return body, err
+}
 
-// readAnswer reads the body of a response that is passed on as a whole. A body over
-// maxAnswerBytes is an error: a part of it must not be taken for the whole.
-func readAnswer(r io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		return nil, errors.Wrapf(errAnswerTooLarge, "limit of %d bytes", maxAnswerBytes)
+// releaseBodies ends the hold on the bodies that the request has read.
+func (j *job) releaseBodies() {
+	for _, release := range j.held {
+		release()
 	}
-	return body, err
 }
 
 // classifyError classifies a failed call. A call is known not to have run only if no byte
@@ -212,7 +221,7 @@
 	case errors.Is(err, citronupstream.ErrNotSent):
 		citronprobe.RecordDead(e, err, j.f.Clock.Now())
 		return result{outcome: notRun, err: err}
-	case errors.Is(err, context.Canceled), errors.Is(err, errAnswerTooLarge):
+	case errors.IsAny(err, context.Canceled, citronbody.ErrNoRoom):
 		return result{outcome: unknown, err: err} // the engine is not at fault
 	default:
 		e.RecordFailure(j.f.Clock.Now())
--- a/citronrelay/send.go
+++ b/citronrelay/send.go
@@ -20,6 +20,8 @@
 	procedureSend = "/citron.relay/Send"
 	// maxCallBytes bounds a call. It holds the longest body that a node accepts.
 	maxCallBytes = 80 << 20
+	// maxPartBytes bounds one message of the answer: a head or a chunk of the body.
+	maxPartBytes = 1 << 20
 	// chunkBytes is the most that is read of a body before it is passed on.
 	chunkBytes = 8 << 10
 )
@@ -90,6 +92,7 @@
 	FromEngine  bool        `json:"fromEngine,omitempty"`
 	Leaving     bool        `json:"leaving,omitempty"`
 	UntilClose  bool        `json:"untilClose,omitempty"`
+	Length      int64       `json:"length,omitempty"`
 	// Limited tells whether PerSecond is the rate limit that the response declares,
 	// HasCooldown whether CooldownMS is the cool-down that it asks for. InvalidLimit and
 	// InvalidCooldown are the texts of those that cannot be parsed.
@@ -102,7 +105,7 @@
 }
 
 func newHeadMessage(r *citronupstream.Reply) *headMessage {
-	m := &headMessage{Status: r.Status, Header: r.Header, NotExecuted: r.NotExecuted, AccusedAddr: r.AccusedAddr, FromEngine: r.FromEngine, Leaving: r.Leaving, UntilClose: r.UntilClose}
+	m := &headMessage{Status: r.Status, Header: r.Header, NotExecuted: r.NotExecuted, AccusedAddr: r.AccusedAddr, FromEngine: r.FromEngine, Leaving: r.Leaving, UntilClose: r.UntilClose, Length: r.Length}
 	switch l := r.RateLimit.(type) {
 	case citronupstream.PerSecond:
 		m.Limited, m.PerSecond = true, float64(l)
@@ -122,7 +125,7 @@
 
 func (m *headMessage) reply() *citronupstream.Reply {
 	r := &citronupstream.Reply{
-		Status: m.Status, Header: m.Header, NotExecuted: m.NotExecuted, AccusedAddr: m.AccusedAddr, FromEngine: m.FromEngine, Leaving: m.Leaving, UntilClose: m.UntilClose,
+		Status: m.Status, Header: m.Header, NotExecuted: m.NotExecuted, AccusedAddr: m.AccusedAddr, FromEngine: m.FromEngine, Leaving: m.Leaving, UntilClose: m.UntilClose, Length: m.Length,
 		RateLimit: citronupstream.NoRateLimit{}, Cooldown: citronupstream.NoCooldown{},
 	}
 	if r.Header == nil {
@@ -157,7 +160,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	var connected atomic.Bool
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
-	client := connect.NewClient[callMessage, sendMessage](c.HC, "http://"+addr+procedureSend, citronwire.CBOR(), uncompressed)
+	client := connect.NewClient[callMessage, sendMessage](c.HC, "http://"+addr+procedureSend, citronwire.CBOR(), uncompressed, connect.WithReadMaxBytes(maxPartBytes))
 	stream, err := client.CallServerStream(traced, connect.NewRequest(newCallMessage(call)))
 	if err != nil {
 		cancel()
--- a/citronupstream/upstream.go
+++ b/citronupstream/upstream.go
@@ -114,6 +114,9 @@
 	// UntilClose is true if the body has neither a length nor chunks. It ends with the
 	// connection, so an engine that crashes may look like one that has finished.
 	UntilClose bool
+	// Length is the length of the body that the response declares, or not positive if it
+	// declares none.
+	Length int64
 }
 
 // Errors returned by Engines.Send. After any error but ErrNotSent, it is unknown
--- a/citronwire/wire.go
+++ b/citronwire/wire.go
@@ -88,11 +88,14 @@
 	procedure string
 }
 
+// maxResponseBytes bounds a response of another process.
+const maxResponseBytes = 64 << 20
+
 // NewUnary returns a client for procedure at the base URL, such as
 // http://127.0.0.1:7000.
 func NewUnary[Req, Res any](hc connect.HTTPClient, base, procedure string, opts ...connect.ClientOption) *Unary[Req, Res] {
 	return &Unary[Req, Res]{
-		client:    connect.NewClient[Req, Res](hc, base+procedure, append([]connect.ClientOption{JSON()}, opts...)...),
+		client:    connect.NewClient[Req, Res](hc, base+procedure, append([]connect.ClientOption{JSON(), connect.WithReadMaxBytes(maxResponseBytes)}, opts...)...),
 		peer:      base,
 		procedure: procedure,
 	}
