A caller's close behind bytes of its next request ends its request

Cause: net/http reads one byte behind a request to learn of the close. A caller that has sent a byte of its next request hides the close until the handler returns. Change: from that byte on the connection is read in the background, 16 KiB at most, and its requests end when it is closed. Why it works: the background read sees the end of the connection as soon as it is there; pipelined requests are served from the buffer in order.

--- a/citronserve/serve.go
+++ b/citronserve/serve.go
@@ -29,7 +29,7 @@
 		_ = hs.Shutdown(limit) // requests that still run after that end with the process
 	})
 	defer stop()
-	if err := hs.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+	if err := hs.Serve(watchConns(hs, ln)); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrapf(err, "serve on %s", hs.Addr)
 	}
 	<-ended
