--- a/citronforward/late.go
+++ b/citronforward/late.go
@@ -17,6 +17,9 @@
 	lateWindow = 500 * time.Millisecond
 	// lateCheckInterval is the minimum time between two checks in that time.
 	lateCheckInterval = 150 * time.Millisecond
+	// lateStalledInterval takes the place of stalledCheckInterval in that time. A node may have
+	// hundreds of stalled streams.
+	lateStalledInterval = 100 * time.Millisecond
 	// answerWakeUps is how many goroutines an answer passes, one after the other, until its
 	// check has ended.
 	answerWakeUps = 4
@@ -43,3 +46,11 @@
 func (f *Forwarder) answerTimeout(began time.Time) time.Duration {
 	return accusedProbeTimeout + answerWakeUps*f.Lag.Since(began)
 }
+
+// stalledInterval returns how often a stalled stream checks its path.
+func (f *Forwarder) stalledInterval() time.Duration {
+	if f.Lag.LateSince(f.Clock.Now().Add(-lateWindow)) {
+		return lateStalledInterval
+	}
+	return stalledCheckInterval
+}
--- a/citronforward/late_test.go
+++ b/citronforward/late_test.go
@@ -1,37 +1,16 @@
 package citronforward_test
 
 import (
-	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"citrondeck.dev/citrondeck/citronclock"
 	"citrondeck.dev/citrondeck/citronlag"
 	"citrondeck.dev/citrondeck/citronmodel"
 	"github.com/matryer/is"
 )
 
-// lateClock is a clock on which all sleeps end late.
-type lateClock struct {
-	citronclock.Real
-	late time.Duration
-}
-
-func (c lateClock) Sleep(ctx context.Context, d time.Duration) error {
-	return c.Real.Sleep(ctx, d+c.late)
-}
-
-// runLate makes the forwarder's node run late until the returned function is called.
-func (s *stall) runLate(late time.Duration) (end func()) {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.Lag = citronlag.New(lateClock{late: late}, nil)
-	go s.Lag.Run(ctx)
-	time.Sleep(time.Second)
-	return cancel
-}
-
 // Guards against a node that takes its own lateness for the silence of sound engines, and adds
 // to its load by moving their streams.
 func TestLateNodeLeavesNoSoundEngine(t *testing.T) {
@@ -51,7 +30,7 @@
 				for _, e := range engines {
 					s.hung[e.Addr] = c.hung
 				}
-				defer s.runLate(c.late)()
+				s.Lag = citronlag.Fixed(c.late)
 				s.accuse("m2", 15*time.Millisecond)
 				s.accuse("m3", 15*time.Millisecond)
 				is.Equal(s.ask("stream", 5*time.Second).body, events(1, 4))
@@ -77,7 +56,7 @@
 		}
 		s := newStall(t, engines...)
 		s.answerAfter = time.Millisecond
-		defer s.runLate(150 * time.Millisecond)()
+		s.Lag = citronlag.Fixed(150 * time.Millisecond)
 		for _, e := range engines {
 			state, _ := s.view.ByID(e.ID)
 			defer state.Begin(1)()
--- a/citronforward/repair.go
+++ b/citronforward/repair.go
@@ -151,7 +151,7 @@
 // onTick checks the path after tick has fired.
 func (w *watch) onTick() action {
 	w.late = w.s.f.Clock.Now().Sub(w.timerDue) > maxCheckDelay
-	w.setTimer(stalledCheckInterval)
+	w.setTimer(w.s.f.stalledInterval())
 	return w.check()
 }
 
--- a/citronlag/monitor.go
+++ b/citronlag/monitor.go
@@ -30,6 +30,8 @@
 	clock citronclock.Clock
 	// observe, if set, is called with each measured delay.
 	observe func(time.Duration)
+	// fixed, if positive, is reported instead of what is measured.
+	fixed time.Duration
 
 	mu sync.Mutex
 	// due is when the next tick is due, zero while the monitor does not run.
@@ -46,6 +48,9 @@
 	return &Monitor{clock: clock, observe: observe}
 }
 
+// Fixed returns a monitor that always reports the same delay. It is meant for tests.
+func Fixed(delay time.Duration) *Monitor { return &Monitor{fixed: delay} }
+
 // Run measures until ctx ends.
 func (m *Monitor) Run(ctx context.Context) {
 	for {
@@ -87,8 +92,11 @@
 // Since returns the longest time for which goroutines that were due did not run, from the given
 // time on. It goes back retention at most.
 func (m *Monitor) Since(t time.Time) time.Duration {
-	if m == nil {
+	switch {
+	case m == nil:
 		return 0
+	case m.fixed > 0:
+		return m.fixed
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/citronnode/control.go
+++ b/citronnode/control.go
@@ -255,7 +255,7 @@
 	var avoided []string
 	for _, id := range ids {
 		e, ok := c.view.ByID(id)
-		if !ok || c.n.links.HeardSince(e.Addr, now.Add(-heardRecently)) {
+		if !ok || c.n.links.HeardSince(e.Addr, now.Add(-heardRecently-c.n.lag.Since(now.Add(-heardRecently)))) {
 			continue
 		}
 		if e.Healthy(now) {
--- a/citronnode/usage.go
+++ b/citronnode/usage.go
@@ -65,7 +65,7 @@
 	defer o.polls.Wait()
 	for n.clock.Sleep(ctx, min(observerStep, n.settings.UsageInterval)) == nil {
 		s := n.snap.Load()
-		if s.traffic == nil {
+		if s.traffic == nil || n.lag.LateSince(n.clock.Now().Add(-observerStep)) {
 			continue
 		}
 		o.assign(s)
