A request that crashes engines by itself blames no part of its prompt

Cause: only parts competed as the cause of crashes. The request takes others along, whose shared parts are in nearly as many crashes; the part found then explained them, and the request's own quarantine was lifted. Change: a request that explains as many crashes as any part is the cause; its crashes count against no part. Why it works: the parts of a guilty request, and of those it takes along, are in no more crashes than it is; a guilty part is in more than any of its requests.

--- a/citronpoison/detect.go
+++ b/citronpoison/detect.go
@@ -21,6 +21,9 @@
 	// equally well.
 	minScore     = 3
 	minTiedScore = 4
+	// minRequestCrashes is the number of crashes from which on a request is quarantined by
+	// itself (citronquarantine).
+	minRequestCrashes = 3
 	// provenPenalty is deducted from the score of a part with which requests have run
 	// successfully before.
 	provenPenalty = 2
@@ -84,6 +87,10 @@
 	open := slices.DeleteFunc(slices.Clone(e.Crashes), func(c Crash) bool { return c.hasAny(e.Known) })
 	for {
 		ranked := e.rank(open, common)
+		if request, ok := guiltyRequest(open, ranked); ok {
+			open = slices.DeleteFunc(open, func(c Crash) bool { return c.has(request) })
+			continue
+		}
 		best := leaders(ranked)
 		if !isClear(ranked) {
 			settled := slices.DeleteFunc(slices.Clone(open), func(c Crash) bool { return now.Sub(c.At) < settleTime })
@@ -108,6 +115,36 @@
 	return found, suspects
 }
 
+// guiltyRequest returns the request that explains most crashes, if it explains as many as any part.
+// The parts of a request that crashes engines by itself are in no more crashes than it is, nor are
+// those of the requests that it takes along.
+func guiltyRequest(crashes []Crash, ranked []*candidate) (request uint64, ok bool) {
+	most := minRequestCrashes
+	for _, c := range ranked {
+		most = max(most, c.events)
+	}
+	events := map[uint64]*candidate{}
+	for _, crash := range crashes {
+		for _, r := range crash.Runs {
+			c := events[r.Request]
+			if c == nil {
+				c = &candidate{requests: map[uint64]bool{}, customers: map[uint64]bool{}}
+				events[r.Request] = c
+			}
+			c.add(crash, r)
+			if c.events > most || c.events == most && (!ok || r.Request < request) {
+				request, most, ok = r.Request, c.events, true
+			}
+		}
+	}
+	return request, ok
+}
+
+// has reports whether the crash has a run of the request.
+func (c Crash) has(request uint64) bool {
+	return slices.ContainsFunc(c.Runs, func(r Run) bool { return r.Request == request })
+}
+
 // EnginesUnder returns the engines of the crashes that a part could have caused.
 func EnginesUnder(crashes []Crash, p Part) []uint64 {
 	var out []uint64
--- a/citronpoison/doc.go
+++ b/citronpoison/doc.go
@@ -10,5 +10,6 @@
 // a crash counts only against the parts that have not run successfully after it. Each crash has
 // one cause, so the part that explains most crashes is chosen first, and the crashes that it
 // explains count against no other part. And engines may end by themselves, several at once, so
-// crashes at the same time count as one.
+// crashes at the same time count as one. A request that explains as many crashes as any part is
+// the likelier cause, and its crashes count against no part.
 package citronpoison
