--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -45,22 +45,25 @@
 
 // eventReader reads the events of a response body.
 type eventReader struct {
-	body io.ReadCloser
-	r    *bufio.Reader
+	r *bufio.Reader
+	// late closes the body if the current event does not end.
+	late *time.Timer
 }
 
 func newEventReader(body io.ReadCloser) *eventReader {
-	return &eventReader{body: body, r: bufio.NewReader(body)}
+	late := time.AfterFunc(maxEventTime, func() { _ = body.Close() })
+	late.Stop()
+	return &eventReader{bufio.NewReader(body), late}
 }
 
-// next returns the next event. It closes the body if the event has begun and does not end.
+// next returns the next event. The time until it begins is not bounded.
 func (e *eventReader) next() (event, error) {
-	if _, err := e.r.Peek(1); err != nil { // the time until an event begins is not bounded here
+	if _, err := e.r.Peek(1); err != nil {
 		return event{}, err
 	}
-	late := time.AfterFunc(maxEventTime, func() { _ = e.body.Close() })
+	e.late.Reset(maxEventTime)
 	ev, err := readEvent(e.r)
-	if !late.Stop() && err != nil {
+	if !e.late.Stop() && err != nil {
 		err = errEventTooLong
 	}
 	return ev, err
@@ -77,11 +80,12 @@
 		switch {
 		case len(ev.text) > maxEventBytes:
 			return event{}, errEventTooLarge
+		case err == nil:
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, io.EOF) && len(ev.text) > 0:
 			return event{}, io.ErrUnexpectedEOF
-		case err != nil:
+		default:
 			return event{}, err
 		}
 		trimmed := bytes.TrimRight(ev.text[line:], "\r\n")
