The body of a failure that is not passed on is not read

Cause: the body was read whole, up to 8 MiB, before it was decided that the run is tried again elsewhere. The new case 'a slow failure' failed before (4.99 s, nothing served). Change: whether the failure is passed on is decided first; otherwise it is drained.

--- a/citronforward/endless_test.go
+++ b/citronforward/endless_test.go
@@ -42,6 +42,7 @@
 		{"an event of many lines", "stream", 200, events(1, 2), "data: " + block + "\n", 0, events(1, 4)},
 		{"a slow event", "stream", 200, events(1, 2) + "data: ", "x", 20 * time.Millisecond, events(1, 4)},
 		{"a failure", "stream", 500, "", block, 0, events(1, 4)},
+		{"a slow failure", "stream", 500, "", "x", 20 * time.Millisecond, events(1, 4)},
 		{"a refusal", "stream", 503, "", block, 0, events(1, 4)},
 		{"a slow refusal", "stream", 503, "", "x", 20 * time.Millisecond, events(1, 4)},
 		{"a plain answer", "safe", 200, "", block, 0, "whole"},
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -666,15 +666,22 @@
 // request and failed. The response is forwarded unless the request may be retried or
 // the caller already has part of a stream.
 func (s *streamJob) handleEngineFailure(ctx context.Context, reply *citronupstream.Reply) runOutcome {
-	defer s.releaseBodies()
-	body, err := s.readAnswer(reply.Body)
-	if err != nil && ctx.Err() != nil {
+	var body []byte
+	var err error
+	retry := s.begun || reply.Status >= 500 && s.route.Idempotent() && s.runs+1 < s.route.MaxAttempts
+	if retry {
+		citronbody.Drain(reply.Body)
+	} else {
+		defer s.releaseBodies()
+		body, err = s.readAnswer(reply.Body)
+	}
+	if ctx.Err() != nil && (retry || err != nil) {
 		return callerLeft
 	}
 	first := s.path[0].Engine
 	s.logRun(first, result{outcome: failed, status: reply.Status, err: err})
 	s.avoid[first.ID] = true
-	if err != nil || s.begun || reply.Status >= 500 && s.route.Idempotent() && s.runs+1 < s.route.MaxAttempts {
+	if retry || err != nil {
 		return runBroken
 	}
 	s.out.Answer(reply.Status, reply.Header, body)
