--- /dev/null
+++ b/review/stand/main.go
@@ -0,0 +1,106 @@
+// Command stand plays the cases of the review: it starts nodes with the command of the
+// deploy file and plays the platform's store, the engines, the operator and the callers,
+// all on loopback addresses.
+//
+//	stand CASE FOLDER
+//
+// It writes record.txt into the folder. It exits with 1 if the rule was broken, with 0 if
+// it held, and with 2 if the case could not run. With TROUBLE=0 in the environment it
+// leaves out the disruption.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+// trouble reports whether the disruption takes place.
+func trouble() bool { return os.Getenv("TROUBLE") != "0" }
+
+// cases are the cases by name.
+var cases = map[string]func(*fleet) int{
+	"truncate": caseTruncate,
+}
+
+func main() {
+	if len(os.Args) == 3 && os.Args[1] == "engine" {
+		serveEngine(os.Args[2])
+		return
+	}
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fatalf("usage: stand CASE FOLDER")
+	}
+	dir, err := os.MkdirTemp("", "review")
+	if err != nil {
+		fatalf("%v", err)
+	}
+	f := &fleet{dir: dir, record: newRecord(os.Args[2]), runs: &runLog{}}
+	cleanUp = f.end
+	code := cases[os.Args[1]](f)
+	cleanUp()
+	os.Exit(code)
+}
+
+// fleet is a small deployment.
+type fleet struct {
+	dir     string
+	record  *record
+	runs    *runLog
+	store   *store
+	nodes   []*node
+	engines []*engine
+	// withoutPlain leaves out the engines of the plain service. beforeNodes, if set, is called
+	// before the nodes start.
+	withoutPlain bool
+	beforeNodes  func()
+}
+
+// start starts the store, engines and nodes and waits until the nodes are ready.
+func (f *fleet) start(nodeCount int, w workload) {
+	binary, err := filepath.Abs("target/citrondeck")
+	if err == nil {
+		_, err = os.Stat(binary)
+	}
+	if err != nil {
+		fatalf("the program is not built: %v", err)
+	}
+	f.store = newStore()
+	addr := f.store.listen()
+	f.store.put("op/config", configText(7))
+	for i := range 6 {
+		f.addEngine(fmt.Sprintf("i-model%d", i), modelService, fmt.Sprintf("z%d", 1+i%3), w)
+	}
+	for i := range 3 {
+		if f.withoutPlain {
+			break
+		}
+		f.addEngine(fmt.Sprintf("i-plain%d", i), plainService, fmt.Sprintf("z%d", 1+i%3), w)
+	}
+	if f.beforeNodes != nil {
+		f.beforeNodes()
+	}
+	f.nodes = newNodes(binary, f.dir, addr, nodeCount, f.record)
+	for _, n := range f.nodes {
+		n.start()
+	}
+	awaitReady(f.nodes, readyLimit)
+}
+
+func (f *fleet) addEngine(id, service, zone string, w workload) {
+	e := &engine{id: id, service: service, zone: zone, model: service == modelService, store: f.store, runs: f.runs, record: f.record, workload: w}
+	e.listen()
+	f.engines = append(f.engines, e)
+}
+
+// end ends all processes and removes the temporary folder, unless KEEP is set.
+func (f *fleet) end() {
+	for _, n := range f.nodes {
+		n.kill()
+	}
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(f.dir)
+	} else {
+		fmt.Println(f.dir)
+	}
+}
