--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -14,12 +14,17 @@
 
 const (
 	modelService, plainService = "model-a", "app-b"
-	modelKind                  = "a100"
-	layers                     = 8
+	otherModelService          = "model-c"
+	modelKind, smallKind       = "a100", "v100"
+	layerMB                    = 1750
+	layers                     = 16
 	heartbeat                  = 1200 * time.Millisecond
 	plainSlots, modelSlots     = 6, 192
 )
 
+// kindMB is the memory of each kind of engine.
+var kindMB = map[string]int{modelKind: 72_000, smallKind: 14_400}
+
 // run is one run of a request at an engine.
 type run struct {
 	id, engine string
@@ -62,7 +67,7 @@
 // engine is one engine. Its fields above mu do not change once it is listening.
 type engine struct {
 	id, addr, service, zone string
-	model                   bool
+	kind                    string // empty for the plain service
 	store                   *store
 	runs                    *runLog
 	record                  *record
@@ -75,17 +80,29 @@
 	beats    int64
 	running  int
 	ended    bool
+	// oversized describes the orders to hold more layers than the engine's memory holds.
+	oversized []string
+	hs        *http.Server
+	// crashOnOrder makes the engine crash for good at its next order, before it answers.
+	// crashed is closed then.
+	crashOnOrder bool
+	crashed      chan struct{}
 }
 
-// listen starts the engine.
-func (e *engine) listen() {
-	ln := mustListen("127.0.0.1:0")
+// listen starts the engine at an address, or at a free one if it is empty.
+func (e *engine) listen(addr string) {
+	if addr == "" {
+		addr = "127.0.0.1:0"
+	}
+	ln := mustListen(addr)
 	e.addr = ln.Addr().String()
+	e.record.printf("engine %s of %s starts at %s, kind %q", e.id, e.service, e.addr, e.kind)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", e.report)
 	mux.HandleFunc("POST /order", e.order)
 	mux.HandleFunc("/", e.serve)
-	go func() { _ = http.Serve(ln, mux) }()
+	e.hs = &http.Server{Handler: mux}
+	go func() { _ = e.hs.Serve(ln) }()
 	e.beat()
 	go func() {
 		for range time.Tick(heartbeat) {
@@ -94,13 +111,23 @@
 	}()
 }
 
+// crash ends the engine for good. Its entry is removed after three heartbeats.
+func (e *engine) crash() {
+	e.mu.Lock()
+	e.ended = true
+	e.mu.Unlock()
+	e.record.printf("engine %s at %s crashes for good", e.id, e.addr)
+	_ = e.hs.Close()
+	time.AfterFunc(3*heartbeat, func() { e.store.remove("servers/" + e.id) })
+}
+
 // beat writes the engine's entry.
 func (e *engine) beat() {
 	e.mu.Lock()
 	e.beats++
 	entry := map[string]any{"service": e.service, "address": e.addr, "zone": e.zone, "version": "v1", "slotCount": plainSlots, "state": "ready", "coldLeftMs": 0, "sequence": e.beats}
-	if e.model {
-		entry["slotCount"], entry["kind"], entry["stage"] = modelSlots, modelKind, "both"
+	if e.kind != "" {
+		entry["slotCount"], entry["kind"], entry["stage"] = modelSlots, e.kind, "both"
 		entry["models"] = []any{map[string]any{"name": "m1", "version": 1, "adapters": []any{}}}
 		entry["layers"] = e.layers()
 	}
@@ -125,13 +152,18 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	answer := map[string]any{"busy": false, "sequence": e.accepted, "waiting": 0, "running": e.running, "pace": 1.0, "kvUsed": 0, "kvTotal": 100_000 * layers}
-	if e.model {
-		answer["kind"], answer["layers"], answer["stalled"] = modelKind, e.layers(), []any{}
+	if e.kind != "" {
+		answer["kind"], answer["layers"], answer["stalled"] = e.kind, e.layers(), []any{}
 	}
 	writeJSON(w, http.StatusOK, answer)
 }
 
 func (e *engine) order(w http.ResponseWriter, r *http.Request) {
+	if e.isAnother(r) {
+		w.Header().Set("X-Instance-Id", e.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	var o struct {
 		Operation    string
 		From, Target int
@@ -142,13 +174,23 @@
 		return
 	}
 	e.mu.Lock()
+	if e.crashOnOrder {
+		e.mu.Unlock()
+		e.record.printf("engine %s gets the order to hold layers %d to %d", e.id, o.From, o.Target)
+		e.crash()
+		close(e.crashed)
+		return
+	}
+	if need := (o.Target - o.From) * layerMB; need > kindMB[e.kind] {
+		e.oversized = append(e.oversized, fmt.Sprintf("engine %s of %s at %s (%s, %d MB) is ordered to hold layers %d to %d, %d MB", e.id, e.service, e.addr, e.kind, kindMB[e.kind], o.From, o.Target, need))
+	}
 	fits := o.Expected == nil || *o.Expected == e.accepted
 	if fits {
 		e.from, e.to, e.placed = o.From, o.Target, true
 		e.accepted++
 	}
 	e.mu.Unlock()
-	e.record.printf("engine %s is ordered to hold layers %d to %d, accepted: %v", e.id, o.From, o.Target, fits)
+	e.record.printf("engine %s of %s is ordered to hold layers %d to %d, accepted: %v", e.id, e.service, o.From, o.Target, fits)
 	if !fits {
 		w.WriteHeader(http.StatusConflict)
 		return
@@ -157,11 +199,17 @@
 	w.WriteHeader(http.StatusAccepted)
 }
 
+// isAnother reports whether a request or an order was meant for another engine.
+func (e *engine) isAnother(r *http.Request) bool {
+	want := r.Header.Get("X-Expect-Instance")
+	return want != "" && want != e.id
+}
+
 // serve runs a request, or rejects one that it was not meant for or has no slot for.
 func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Attempt-Id")
 	w.Header().Set("X-Attempt-Id", id)
-	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != e.id {
+	if e.isAnother(r) {
 		w.Header().Set("X-Instance-Id", e.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -170,7 +218,7 @@
 		return
 	}
 	slots := plainSlots
-	if e.model {
+	if e.kind != "" {
 		slots = modelSlots
 	}
 	e.mu.Lock()
@@ -192,7 +240,7 @@
 	began := time.Now()
 	e.runs.add(run{id, e.id, began})
 	w.Header().Set("X-Server-Stamp", "stamp-of-"+e.id)
-	if e.model {
+	if e.kind != "" {
 		e.stream(w, r, id)
 		return
 	}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -21,6 +21,7 @@
 // cases are the cases by name.
 var cases = map[string]func(*fleet) int{
 	"truncate": caseTruncate,
+	"memory":   caseMemory,
 }
 
 func main() {
@@ -35,7 +36,7 @@
 	if err != nil {
 		fatalf("%v", err)
 	}
-	f := &fleet{dir: dir, record: newRecord(os.Args[2]), runs: &runLog{}}
+	f := &fleet{dir: dir, record: newRecord(os.Args[2]), runs: &runLog{}, plainEngines: 3}
 	cleanUp = f.end
 	code := cases[os.Args[1]](f)
 	cleanUp()
@@ -50,9 +51,9 @@
 	store   *store
 	nodes   []*node
 	engines []*engine
-	// withoutPlain leaves out the engines of the plain service. beforeNodes, if set, is called
+	// plainEngines is the number of engines of the plain service. beforeNodes, if set, is called
 	// before the nodes start.
-	withoutPlain bool
+	plainEngines int
 	beforeNodes  func()
 }
 
@@ -69,13 +70,10 @@
 	addr := f.store.listen()
 	f.store.put("op/config", configText(7))
 	for i := range 6 {
-		f.addEngine(fmt.Sprintf("i-model%d", i), modelService, fmt.Sprintf("z%d", 1+i%3), w)
+		f.addEngine(fmt.Sprintf("i-model%d", i), modelService, modelKind, zoneOf(i), w)
 	}
-	for i := range 3 {
-		if f.withoutPlain {
-			break
-		}
-		f.addEngine(fmt.Sprintf("i-plain%d", i), plainService, fmt.Sprintf("z%d", 1+i%3), w)
+	for i := range f.plainEngines {
+		f.addEngine(fmt.Sprintf("i-plain%d", i), plainService, "", zoneOf(i), w)
 	}
 	if f.beforeNodes != nil {
 		f.beforeNodes()
@@ -87,12 +85,20 @@
 	awaitReady(f.nodes, readyLimit)
 }
 
-func (f *fleet) addEngine(id, service, zone string, w workload) {
-	e := &engine{id: id, service: service, zone: zone, model: service == modelService, store: f.store, runs: f.runs, record: f.record, workload: w}
-	e.listen()
+func (f *fleet) addEngine(id, service, kind, zone string, w workload) {
+	f.newEngine(id, service, kind, zone, w).listen("")
+}
+
+// newEngine returns an engine that has not started.
+func (f *fleet) newEngine(id, service, kind, zone string, w workload) *engine {
+	e := &engine{id: id, service: service, kind: kind, zone: zone, store: f.store, runs: f.runs, record: f.record, workload: w}
 	f.engines = append(f.engines, e)
+	return e
 }
 
+// zoneOf deals engines out to the zones.
+func zoneOf(i int) string { return fmt.Sprintf("z%d", 1+i%3) }
+
 // end ends all processes and removes the temporary folder, unless KEEP is set.
 func (f *fleet) end() {
 	for _, n := range f.nodes {
--- a/review/stand/nodes.go
+++ b/review/stand/nodes.go
@@ -271,17 +271,13 @@
 		"version": version,
 		"routes": []any{
 			route("r-stream", "/lohu930/", "streaming", modelService, 20_000, 500, 2),
+			route("r-other", "/rona271/", "streaming", otherModelService, 20_000, 500, 2),
 			route("r-unsafe", "/puxa403/", "unsafe", plainService, 1000, 150, 2),
 			route("r-safe", "/cufi504/", "safe", plainService, 1000, 150, 2),
 		},
 		"services": []any{
-			map[string]any{"name": modelService, "healthPath": "/health", "maxConns": 988, "protocol": "h1", "tlsConfig": false, "engine": map[string]any{
-				"slotCount": modelSlots, "kvCapacity": 100_000, "kvTokenBytes": 590_000, "linkMbps": 400_000.0, "stride": 4,
-				"models":  []any{map[string]any{"name": "m1", "pace": 1.0, "loadS": 14.0, "warmS": 1.0}},
-				"step_ms": 1.02, "per_seq_ms": 0.00459, "context_per_k": 0.00615, "read_per_s": 164_000.0, "pairs_per_m": 0.199, "chunk": 512, "report_lag_ms": 200.0, "loadsPerS": 0.0, "loads_at_once": 6,
-				"usual": map[string]int{"prompt": 775, "answer": 220}, "layers": layers, "layerMb": 1750.0, "actBytes": 29_500, "pipeMbps": 16_000.0,
-				"kinds": []any{map[string]any{"name": modelKind, "mb": 72_000.0, "pace": 2.4, "readX": 3.2}},
-			}},
+			modelServiceText(modelService, modelKind),
+			modelServiceText(otherModelService, smallKind),
 			map[string]any{"name": plainService, "healthPath": "/health", "maxConns": 48, "protocol": "h1", "tlsConfig": false},
 		},
 		"limits":  map[string]int{"maxHeaderBytes": 16_384, "maxBodyBytes": 4_194_304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15_000},
@@ -289,3 +285,14 @@
 	})
 	return text
 }
+
+// modelServiceText is the configuration of a service whose engines hold layers.
+func modelServiceText(name, kind string) map[string]any {
+	return map[string]any{"name": name, "healthPath": "/health", "maxConns": 988, "protocol": "h1", "tlsConfig": false, "engine": map[string]any{
+		"slotCount": modelSlots, "kvCapacity": 100_000, "kvTokenBytes": 590_000, "linkMbps": 400_000.0, "stride": 4,
+		"models":  []any{map[string]any{"name": "m1", "pace": 1.0, "loadS": 14.0, "warmS": 1.0}},
+		"step_ms": 1.02, "per_seq_ms": 0.00459, "context_per_k": 0.00615, "read_per_s": 164_000.0, "pairs_per_m": 0.199, "chunk": 512, "report_lag_ms": 200.0, "loadsPerS": 0.0, "loads_at_once": 6,
+		"usual": map[string]int{"prompt": 775, "answer": 220}, "layers": layers, "layerMb": layerMB, "actBytes": 29_500, "pipeMbps": 16_000.0,
+		"kinds": []any{map[string]any{"name": kind, "mb": kindMB[kind], "pace": 2.4, "readX": 3.2}},
+	}}
+}
--- a/review/stand/truncate.go
+++ b/review/stand/truncate.go
@@ -46,7 +46,7 @@
 }
 
 func caseTruncate(f *fleet) int {
-	f.withoutPlain = true
+	f.plainEngines = 0
 	var engines []*hostedEngine
 	f.beforeNodes = func() {
 		for i, zone := range hostedZones {
