--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(*fleet) int{
 	"truncate": caseTruncate,
 	"memory":   caseMemory,
+	"reuse":    caseReuse,
 }
 
 func main() {
