--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -36,7 +36,7 @@
 
 // streamHead and unsafeHead are the heads of requests, without the blank line.
 func streamHead(id string, bodyBytes int) string {
-	return fmt.Sprintf("POST /lohu930/2f HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Model: m1\r\nX-Token-Counts: 800,80\r\nX-Prompt-Prefix: 5c1e07a2:40,%s:760\r\nX-Deadline-Ms: 20000\r\nX-Credential: %s\r\nContent-Length: %d\r\n", routeHost, id, id, apiKey, bodyBytes)
+	return fmt.Sprintf("POST /lohu930/2f HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Model: m1\r\nX-Token-Counts: 800,276\r\nX-Prompt-Prefix: 5c1e07a2:40,%s:760\r\nX-Deadline-Ms: 20000\r\nX-Credential: %s\r\nContent-Length: %d\r\n", routeHost, id, id, apiKey, bodyBytes)
 }
 
 func unsafeHead(id string, bodyBytes int) string {
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"sync"
 )
 
 // trouble reports whether the disruption takes place.
@@ -20,14 +21,15 @@
 
 // cases are the cases by name.
 var cases = map[string]func(*fleet) int{
+	"streams":  caseStreams,
 	"truncate": caseTruncate,
 	"memory":   caseMemory,
 	"reuse":    caseReuse,
 }
 
 func main() {
-	if len(os.Args) == 3 && os.Args[1] == "engine" {
-		serveEngine(os.Args[2])
+	if len(os.Args) == 4 && os.Args[1] == "engine" {
+		serveEngine(os.Args[2], os.Args[3])
 		return
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
@@ -37,7 +39,7 @@
 	if err != nil {
 		fatalf("%v", err)
 	}
-	f := &fleet{dir: dir, record: newRecord(os.Args[2]), runs: &runLog{}, plainEngines: 3}
+	f := &fleet{dir: dir, record: newRecord(os.Args[2]), runs: &runLog{}, modelEngines: 6, plainEngines: 3}
 	cleanUp = f.end
 	code := cases[os.Args[1]](f)
 	cleanUp()
@@ -52,10 +54,13 @@
 	store   *store
 	nodes   []*node
 	engines []*engine
-	// plainEngines is the number of engines of the plain service. beforeNodes, if set, is called
+	// hosted are the processes of engines, guarded by mu.
+	mu     sync.Mutex
+	hosted []*os.Process
+	// modelEngines and plainEngines are the numbers of engines of the two services. beforeNodes, if set, is called
 	// before the nodes start.
-	plainEngines int
-	beforeNodes  func()
+	modelEngines, plainEngines int
+	beforeNodes                func()
 }
 
 // start starts the store, engines and nodes and waits until the nodes are ready.
@@ -70,7 +75,7 @@
 	f.store = newStore()
 	addr := f.store.listen()
 	f.store.put("op/config", configText(7))
-	for i := range 6 {
+	for i := range f.modelEngines {
 		f.addEngine(fmt.Sprintf("i-model%d", i), modelService, modelKind, zoneOf(i), w)
 	}
 	for i := range f.plainEngines {
@@ -100,11 +105,23 @@
 // zoneOf deals engines out to the zones.
 func zoneOf(i int) string { return fmt.Sprintf("z%d", 1+i%3) }
 
+// addHosted adds the process of an engine, which is ended with the fleet.
+func (f *fleet) addHosted(p *os.Process) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hosted = append(f.hosted, p)
+}
+
 // end ends all processes and removes the temporary folder, unless KEEP is set.
 func (f *fleet) end() {
 	for _, n := range f.nodes {
 		n.kill()
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.hosted {
+		_ = p.Kill()
+	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(f.dir)
 	} else {
--- a/review/stand/truncate.go
+++ b/review/stand/truncate.go
@@ -50,14 +50,9 @@
 	var engines []*hostedEngine
 	f.beforeNodes = func() {
 		for i, zone := range hostedZones {
-			engines = append(engines, startHostedEngine(f, fmt.Sprintf("i-hosted%d", i), zone))
+			engines = append(engines, startHostedEngine(f, fmt.Sprintf("i-hosted%d", i), "", zone))
 		}
 	}
-	defer func() {
-		for _, e := range engines {
-			_ = e.cmd.Process.Kill()
-		}
-	}()
 	f.start(3, workload{first: 80 * time.Millisecond, interval: 60 * time.Millisecond, events: 20})
 	time.Sleep(settle)
 	var wait sync.WaitGroup
