--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -2,9 +2,9 @@
 // deploy file and plays the platform's store, the engines, the operator and the callers,
 // all on loopback addresses.
 //
-//	stand CASE FOLDER
+//	stand CASE RECORD
 //
-// It writes record.txt into the folder. It exits with 1 if the rule was broken, with 0 if
+// It writes what was sent, answered and run to the file RECORD, a case's record.txt. It exits with 1 if the rule was broken, with 0 if
 // it held, and with 2 if the case could not run. With TROUBLE=0 in the environment it
 // leaves out the disruption.
 package main
@@ -33,7 +33,7 @@
 		return
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fatalf("usage: stand CASE FOLDER")
+		fatalf("usage: stand CASE RECORD")
 	}
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
--- a/review/stand/record.go
+++ b/review/stand/record.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 	"sync"
 	"time"
 )
@@ -22,8 +21,8 @@
 	began time.Time
 }
 
-func newRecord(dir string) *record {
-	f, err := os.Create(filepath.Join(dir, "record.txt"))
+func newRecord(path string) *record {
+	f, err := os.Create(path)
 	if err != nil {
 		fatalf("%v", err)
 	}
