--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -26,6 +26,8 @@
 type scenario func(l *lab) (broken bool, err error)
 
 var scenarios = map[string]scenario{
+	"prefix":   prefix,
+	"promise":  promise,
 	"target":   target,
 	"unframed": unframed,
 	"watchers": watchers,
--- a/review/stand-2/target.go
+++ b/review/stand-2/target.go
@@ -60,20 +60,37 @@
 	return res.StatusCode, nil
 }
 
+// startRecordingEngine starts an engine of a plain service that keeps what it received.
+func (l *lab) startRecordingEngine(id, service string) (*recordingEngine, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	e := &recordingEngine{id: id, born: time.Now().UnixMilli(), runs: map[string]received{}}
+	hs := &http.Server{Handler: e}
+	go func() { _ = hs.Serve(ln) }()
+	l.onClose(func() { _ = hs.Close() })
+	l.register(id, entry{Service: service, Address: ln.Addr().String(), Zone: "karratha-hall", Version: "v1", SlotCount: 6, State: "ready", Born: e.born})
+	return e, nil
+}
+
+// run returns what the engine received of an attempt, and whether it ran it.
+func (e *recordingEngine) run(id string) (received, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	got, ran := e.runs[id]
+	return got, ran
+}
+
 // target checks that the engine runs each request with the path that its caller sent.
 func target(l *lab) (bool, error) {
 	if _, err := l.writeConfig(floorConfig(7)); err != nil {
 		return false, err
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	e, err := l.startRecordingEngine("i-0", "floor")
 	if err != nil {
 		return false, err
 	}
-	e := &recordingEngine{id: "i-0", born: time.Now().UnixMilli(), runs: map[string]received{}}
-	hs := &http.Server{Handler: e}
-	go func() { _ = hs.Serve(ln) }()
-	l.onClose(func() { _ = hs.Close() })
-	l.register(e.id, entry{Service: "floor", Address: ln.Addr().String(), Zone: "karratha-hall", Version: "v1", SlotCount: 6, State: "ready", Born: e.born})
 	if err := l.startNodes("karratha-hall", "hedland-hall", "dampier-hall"); err != nil {
 		return false, err
 	}
@@ -95,9 +112,7 @@
 		id := newID()
 		status, err := sendTarget(l.nodes[i%len(l.nodes)], id, c.method, c.path, c.query, c.body)
 		l.note("%s: caller sends %s %s?%s to host %s, gets status %d, error %v", id, c.method, c.path, c.query, host, status, err)
-		e.mu.Lock()
-		got, ran := e.runs[id]
-		e.mu.Unlock()
+		got, ran := e.run(id)
 		if !ran {
 			l.note("%s: not run", id)
 			continue
