--- a/review/stand-2/engine.go
+++ b/review/stand-2/engine.go
@@ -5,13 +5,9 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"os/exec"
 	"strconv"
 	"sync"
 	"time"
-
-	"citrondeck.dev/citrondeck/citronkv"
 )
 
 const (
@@ -40,7 +36,6 @@
 
 	mu    sync.Mutex
 	entry entry
-	ended bool
 }
 
 func (l *lab) register(id string, e entry) *registration {
@@ -55,13 +50,10 @@
 	return r
 }
 
-// write writes the entry with the next heartbeat, unless the engine has ended.
+// write writes the entry with the next heartbeat.
 func (r *registration) write() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ended {
-		return
-	}
 	r.entry.Sequence++
 	if err := r.l.put(r.key, r.entry); err != nil && r.l.ctx.Err() == nil {
 		r.l.note("entry %s: %v", r.key, err)
@@ -79,14 +71,6 @@
 	return at
 }
 
-// end stops the heartbeats. The store removes the entry after three of them.
-func (r *registration) end() {
-	r.mu.Lock()
-	r.ended = true
-	r.mu.Unlock()
-	time.AfterFunc(3*heartbeat, func() { _ = r.l.kv.Delete(r.l.ctx, r.key, citronkv.AnyRevision) })
-}
-
 // plainEngine is an engine of a plain service in this process.
 type plainEngine struct {
 	id   string
@@ -147,28 +131,3 @@
 	l.onClose(func() { _ = hs.Close() })
 	return l.register(id, entry{Service: "floor", Address: ln.Addr().String(), Zone: zone, Version: "v1", SlotCount: 6, State: "ready", Born: born}), nil
 }
-
-// startEngineProcess starts a plain engine as a process of its own and registers it.
-func (l *lab) startEngineProcess(id, zone string) (*exec.Cmd, *registration, error) {
-	addr, err := l.freeAddr()
-	if err != nil {
-		return nil, nil, err
-	}
-	self, err := os.Executable()
-	if err != nil {
-		return nil, nil, err
-	}
-	cmd := exec.Command(self, "plain", addr, id)
-	if err := cmd.Start(); err != nil {
-		return nil, nil, err
-	}
-	l.onClose(func() { _ = cmd.Process.Kill(); _ = cmd.Wait() })
-	for range 100 {
-		if c, err := net.Dial("tcp", addr); err == nil {
-			_ = c.Close()
-			break
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
-	return cmd, l.register(id, entry{Service: "floor", Address: addr, Zone: zone, Version: "v1", SlotCount: 6, State: "ready", Born: time.Now().UnixMilli()}), nil
-}
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -2,8 +2,7 @@
 // second review. It starts nodes with the command of the deploy file, as separate processes
 // on loopback addresses.
 //
-//	stand-2 CASE DIR      runs a case and writes DIR/record.txt
-//	stand-2 plain ADDR ID serves one plain engine until it is killed
+//	stand-2 CASE DIR    runs a case and writes DIR/record.txt
 //
 // A case ends with status 1 if the rule was broken, 0 if it held, and 2 if the case could not
 // run. With TROUBLE=0 in the environment a case leaves out its disruption.
@@ -29,21 +28,14 @@
 	"prefix":   prefix,
 	"promise":  promise,
 	"target":   target,
-	"unframed": unframed,
 	"watchers": watchers,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
-	if len(args) == 3 && args[0] == "plain" {
-		if err := servePlain(args[1], args[2]); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-		}
-		return statusNotRun
-	}
 	if len(args) != 2 || scenarios[args[0]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stand-2 CASE DIR | stand-2 plain ADDR ID")
+		fmt.Fprintln(os.Stderr, "usage: stand-2 CASE DIR")
 		return statusNotRun
 	}
 	l, err := newLab(args[1], os.Getenv("TROUBLE") != "0")
