--- a/review/stand-2/lab.go
+++ b/review/stand-2/lab.go
@@ -26,6 +26,7 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	kv      *citronkv.Server
+	handler *storeHandler
 	store   string
 	nodes   []*node
 	ends    []func()
@@ -53,7 +54,8 @@
 		return nil, err
 	}
 	l.store = ln.Addr().String()
-	hs := &http.Server{Handler: storeHandler{l.kv}}
+	l.handler = &storeHandler{kv: l.kv}
+	hs := &http.Server{Handler: l.handler}
 	go func() { _ = hs.Serve(ln) }()
 	l.onClose(func() { _ = hs.Close() })
 	l.note("trouble: %v", trouble)
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -25,6 +25,7 @@
 type scenario func(l *lab) (broken bool, err error)
 
 var scenarios = map[string]scenario{
+	"counter":  counter,
 	"prefix":   prefix,
 	"promise":  promise,
 	"target":   target,
--- a/review/stand-2/store.go
+++ b/review/stand-2/store.go
@@ -13,7 +13,11 @@
 )
 
 // storeHandler serves the protocol of the platform's store from the project's own stand-in.
-type storeHandler struct{ kv *citronkv.Server }
+type storeHandler struct {
+	kv *citronkv.Server
+	// first is the revision of the store before its first change.
+	first int64
+}
 
 type storeItem struct {
 	Key      string `json:"key"`
@@ -23,15 +27,18 @@
 	Deleted  bool   `json:"deleted,omitempty"`
 }
 
-func storeItems(items []citronkv.Item) []storeItem {
+func (s *storeHandler) items(items []citronkv.Item) []storeItem {
 	out := make([]storeItem, len(items))
 	for i, it := range items {
-		out[i] = storeItem{it.Key, it.Value, it.Revision.Count(), int64(it.Lease), it.Deleted}
+		out[i] = storeItem{it.Key, it.Value, s.revision(it.Revision), int64(it.Lease), it.Deleted}
 	}
 	return out
 }
 
-func (s storeHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// revision returns a revision as the store tells it.
+func (s *storeHandler) revision(r citronkv.Revision) int64 { return s.first + r.Count() }
+
+func (s *storeHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	v, err := s.call(r)
 	switch {
 	case err == nil:
@@ -53,17 +60,17 @@
 	return n
 }
 
-func (s storeHandler) call(r *http.Request) (any, error) {
+func (s *storeHandler) call(r *http.Request) (any, error) {
 	q, ctx := r.URL.Query(), r.Context()
 	renewed, isRenewal := strings.CutPrefix(r.URL.Path, "/kv-keep/")
 	ended, isEnd := strings.CutPrefix(r.URL.Path, "/kv-lease-end/")
 	switch {
 	case r.URL.Path == "/kv-key":
 		it, err := s.kv.Get(ctx, q.Get("key"))
-		return storeItems([]citronkv.Item{it})[0], err
+		return s.items([]citronkv.Item{it})[0], err
 	case r.URL.Path == "/kv-range":
 		items, rev, err := s.kv.Range(ctx, q.Get("prefix"))
-		return map[string]any{"items": storeItems(items), "truncated": false, "storeRevision": rev.Count()}, err
+		return map[string]any{"items": s.items(items), "truncated": false, "storeRevision": s.revision(rev)}, err
 	case r.URL.Path == "/kv-watch":
 		return s.watch(ctx, q.Get("prefix"), number(q.Get("after")), number(q.Get("waitMs")))
 	case r.URL.Path == "/kv-txn":
@@ -85,19 +92,19 @@
 	return nil, citronkv.ErrNotFound
 }
 
-func (s storeHandler) watch(ctx context.Context, prefix string, after, waitMS int64) (any, error) {
+func (s *storeHandler) watch(ctx context.Context, prefix string, after, waitMS int64) (any, error) {
 	limit, cancel := context.WithTimeout(ctx, time.Duration(waitMS)*time.Millisecond)
 	defer cancel()
-	from := citronkv.RevisionOf(0, after)
+	from := citronkv.RevisionOf(0, after-s.first)
 	items, rev, err := s.kv.Watch(limit, prefix, from)
 	if err != nil && limit.Err() != nil {
 		items, rev, err = nil, from, nil // no change in time
 	}
-	return map[string]any{"events": storeItems(items), "storeRevision": rev.Count()}, err
+	return map[string]any{"events": s.items(items), "storeRevision": s.revision(rev)}, err
 }
 
 // commit runs a transaction of one key, the only kind that nodes send.
-func (s storeHandler) commit(ctx context.Context, r *http.Request) (any, error) {
+func (s *storeHandler) commit(ctx context.Context, r *http.Request) (any, error) {
 	var t struct {
 		Expected []struct {
 			Key      string `json:"key"`
@@ -120,7 +127,7 @@
 			case e.Revision == 0:
 				return citronkv.Absent
 			default:
-				return citronkv.RevisionOf(0, e.Revision)
+				return citronkv.RevisionOf(0, e.Revision-s.first)
 			}
 		}
 		return citronkv.AnyRevision
@@ -138,5 +145,5 @@
 			return nil, err
 		}
 	}
-	return map[string]any{"revision": last.Count()}, nil
+	return map[string]any{"revision": s.revision(last)}, nil
 }
