review: show that a request crashes a service's only engine for ever (case 8)

At a plain service with one engine no crash is recorded, as its refused connection is not confirmed by a neighbor, and the request crashes the engine each time that it comes.

It takes the place of the encoded slash, which the stand-in still plays.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 # Needs the build of the deploy file and review/build-2.sh. TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 if [ ! -x target/citrondeck ] || [ ! -x target/review-2/stand-2 ]; then exit 2; fi
-exec target/review-2/stand-2 prefix review/8
+exec target/review-2/stand-2 deadly review/8
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -26,6 +26,7 @@
 
 var scenarios = map[string]scenario{
 	"counter":  counter,
+	"deadly":   deadly,
 	"prefix":   prefix,
 	"promise":  promise,
 	"target":   target,
