--- a/citronsoak/nodes_test.go
+++ b/citronsoak/nodes_test.go
@@ -19,6 +19,8 @@
 type node struct {
 	name, dir, binary string
 	front, ready      string
+	directory, peer   string
+	metrics           string
 	// proxy is the node's link to the store.
 	proxy *proxy
 	mu    sync.Mutex
@@ -49,8 +51,9 @@
 	return r.Addr()
 }
 
-// startNodes writes the settings of count nodes and starts them.
-func startNodes(t *testing.T, binary, store string, count int) []*node {
+// startNodes writes the settings of count nodes and starts them. machine holds further settings
+// of their machines.
+func startNodes(t *testing.T, binary, store string, count int, machine string) []*node {
 	t.Helper()
 	nodes := make([]*node, count)
 	peers := make([]string, count)
@@ -64,7 +67,7 @@
 			t.Fatal(err)
 		}
 		n := &node{name: name, dir: dir, binary: binary, proxy: newProxy(t, store)}
-		n.front, n.ready = freeAddr(t), freeAddr(t)
+		n.front, n.ready, n.directory, n.metrics, n.peer = freeAddr(t), freeAddr(t), freeAddr(t), freeAddr(t), peers[i]
 		text := fmt.Sprintf(`nodeName = %q
 zone = "z"
 seedAddrs = ["%s"]
@@ -76,7 +79,7 @@
 [limits]
 cpuShare = 1.0
 cpuCores = 1
-[bounds]
+%s[bounds]
 drainMs = 2000
 graceS = %d
 budgetRatio = %g
@@ -86,7 +89,7 @@
 [platform]
 address = %q
 ttlMinMs = 1000
-`, n.name, strings.Join(peers, `","`), n.front, n.ready, peers[i], freeAddr(t), int(shutdownGrace.Seconds()), retryRatio, retryWindow.Seconds(), retrySlack, n.proxy.addr())
+`, n.name, strings.Join(peers, `","`), n.front, n.ready, n.peer, n.directory, machine, int(shutdownGrace.Seconds()), retryRatio, retryWindow.Seconds(), retrySlack, n.proxy.addr())
 		if err := os.WriteFile(filepath.Join(n.dir, "local.toml"), []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
@@ -104,7 +107,7 @@
 func (n *node) start(t *testing.T) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.cmd = exec.Command(n.binary, "node")
+	n.cmd = exec.Command(n.binary, "node", "--metrics", n.metrics)
 	n.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "CITRONDECK_SETTINGS=" + filepath.Join(n.dir, "local.toml")}
 	n.cmd.Stdout, n.cmd.Stderr = n.log, n.log
 	n.process++
@@ -113,6 +116,13 @@
 	}
 }
 
+// pid returns the id of the current process.
+func (n *node) pid() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cmd.Process.Pid
+}
+
 // signal sends s to the current process.
 func (n *node) signal(s syscall.Signal) {
 	n.mu.Lock()
--- a/citronsoak/soak_test.go
+++ b/citronsoak/soak_test.go
@@ -85,6 +85,9 @@
 	// links are the links between nodes and engines, or nil if nodes are not partitioned
 	// from engines.
 	links *engineLinks
+	// machine holds further settings of the nodes' machines, limits those of the configuration.
+	machine string
+	limits  map[string]any
 }
 
 // withPartitions puts links between nodes and engines that can be cut.
@@ -132,7 +135,7 @@
 	store := newStore(ctx)
 	hs := httptest.NewServer(store)
 	t.Cleanup(hs.CloseClientConnections)
-	w := &world{t: t, store: store.kv, runs: &runLog{counts: map[string]int{}}, engines: map[string][]*engine{}, newestServed: map[string]int64{}, counts: map[string]int{}, shares: map[string]share{}, arrivals: map[string]*arrivals{"app": {}, "model": {}}}
+	w := &world{t: t, store: store.kv, runs: &runLog{counts: map[string]int{}}, engines: map[string][]*engine{}, newestServed: map[string]int64{}, counts: map[string]int{}, shares: map[string]share{}, arrivals: map[string]*arrivals{"app": {}, "model": {}}, limits: map[string]any{}}
 	for _, o := range options {
 		o(w)
 	}
@@ -142,7 +145,7 @@
 	}
 	w.addEngine("app", "")
 	w.addEngine("app", "")
-	w.nodes = startNodes(t, binary, strings.TrimPrefix(hs.URL, "http://"), nodeCount)
+	w.nodes = startNodes(t, binary, strings.TrimPrefix(hs.URL, "http://"), nodeCount, w.machine)
 	return w
 }
 
@@ -207,7 +210,7 @@
 		routes = append(routes, route(fmt.Sprintf("/v%d/", i), "safe", "app", 2))
 	}
 	text, err := json.Marshal(map[string]any{
-		"version": v, "routes": routes, "limits": map[string]any{}, "tenants": customers(),
+		"version": v, "routes": routes, "limits": w.limits, "tenants": customers(),
 		"services": []any{map[string]any{"name": "app"}, map[string]any{"name": "model", "engine": map[string]any{
 			"slotCount": 64, "kvTokenBytes": 1000, "step_ms": 1, "layers": 4, "layerMb": 100, "models": []any{map[string]any{"loadS": 0.1}},
 			"kinds": []any{map[string]any{"name": "card", "mb": 1000, "pace": 1, "readX": 1}},
