Log: the queue is bounded in bytes, not only in lines

Cause: the queue holds 2,048 lines, meant as 0.6 MB at 300 bytes a line, but a line holds texts of callers, such as a request ID of up to 60 kB. While the reader of the log does not read, a few hundred such lines are held. Change: lines over 2 MiB together are dropped and counted like those over the number of lines.

--- a/citronlog/log.go
+++ b/citronlog/log.go
@@ -26,6 +26,9 @@
 	// queueLines is the capacity of the queue: about 0.6 MB at 300 bytes a
 	// line.
 	queueLines = 2048
+	// maxQueueBytes bounds the lines in the queue together. Most lines are short, but some hold
+	// texts that callers have sent.
+	maxQueueBytes = 2 << 20
 	// eventRate is the sustained number of lines per second of one event, and
 	// eventBurst the size of its token bucket. An ordinary fault stays within
 	// them (when an engine dies, a node moves about 50 streams), and the lines of
@@ -48,6 +51,8 @@
 	clock   citronclock.Clock
 	lines   chan []byte
 	dropped atomic.Int64
+	// queued is the number of bytes in lines.
+	queued atomic.Int64
 
 	mu       sync.Mutex
 	buckets  map[int64]*bucket
@@ -96,6 +101,7 @@
 // writeLine writes one line. A failed write counts as a dropped line, as there is
 // nowhere else to report it.
 func (c *core) writeLine(w io.Writer, line []byte) {
+	c.queued.Add(int64(-len(line)))
 	if _, err := w.Write(line); err != nil {
 		c.dropped.Add(1)
 	}
@@ -104,9 +110,16 @@
 // Write queues one line, or drops it if the queue is full. It implements
 // io.Writer for the JSON handler.
 func (c *core) Write(line []byte) (int, error) {
+	size := int64(len(line))
+	if c.queued.Add(size) > maxQueueBytes {
+		c.queued.Add(-size)
+		c.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case c.lines <- append([]byte(nil), line...):
 	default:
+		c.queued.Add(-size)
 		c.dropped.Add(1)
 	}
 	return len(line), nil
--- a/citronlog/log_test.go
+++ b/citronlog/log_test.go
@@ -52,6 +52,23 @@
 	wait()
 }
 
+// TestLongLinesAreBoundedTogether guards against a queue that holds many long lines, which callers
+// cause by long request IDs, while the log reader does not read.
+func TestLongLinesAreBoundedTogether(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	w := blockedWriter{release: make(chan struct{})}
+	h, wait := citronlog.New(ctx, w, citronclock.Real{}, slog.LevelInfo)
+	const lines, length, most = 300, 60_000, 4 << 20
+	for range lines {
+		citronevent.Log(ctx, slog.New(h), citronevent.ForwardRefused, "request", strings.Repeat("x", length))
+	}
+	is.True((lines-h.Dropped())*length < most)
+	close(w.release)
+	cancel()
+	wait()
+}
+
 // lockedBuffer is a bytes.Buffer that is safe for concurrent writes.
 type lockedBuffer struct {
 	mu sync.Mutex
