Relays: the copy of a body that is sent to another node is charged

Cause: a request that goes through another node is encoded anew, so that a body takes twice its size more while it is sent, which nothing bounds. A node that is partitioned from all engines does this with each of its requests. Change: citronrelay.Client takes an account; without room the call counts as declined, which promises that the engine did not get it. A crowd at a partitioned node was not run.

--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -35,6 +35,7 @@
 	"citrondeck.dev/citrondeck/citronlink"
 	"citrondeck.dev/citrondeck/citronlist"
 	"citrondeck.dev/citrondeck/citronloan"
+	"citrondeck.dev/citrondeck/citronmemory"
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronpart"
 	"citrondeck.dev/citrondeck/citronpeer"
@@ -73,6 +74,8 @@
 	// In a smaller zone each node has enough requests of its own to estimate the share of
 	// each engine, and polls are billed.
 	UsageMinNodes int
+	// Memory is charged for the bodies of requests that other nodes relay. It may be nil.
+	Memory *citronmemory.Account
 }
 
 // Sources tells where a node finds its documents and how to decode them.
@@ -230,7 +233,7 @@
 	n.lag = citronlag.New(clock, n.newDelayObserver())
 	n.links = citronlink.NewLinks(clock, log)
 	n.engines = citronreach.NewEngines(citronreach.Settings{
-		Node: settings.Name, Direct: sources.Engines, Links: n.links, Relays: &citronrelay.Client{HC: hc}, Helpers: n.helpers, Neighbors: n.neighbors, Clock: clock, Log: log, Lag: n.lag,
+		Node: settings.Name, Direct: sources.Engines, Links: n.links, Relays: &citronrelay.Client{HC: hc, Memory: settings.Memory}, Helpers: n.helpers, Neighbors: n.neighbors, Clock: clock, Log: log, Lag: n.lag,
 	})
 	n.relays = citronreach.NewServer(n.engines, n.view, n.relayGate.Load, n.trackRelay)
 	n.limits, n.permits = citronlimit.NewRegistry(clock), citronpermit.NewIssuer()
--- a/citronrelay/relay.go
+++ b/citronrelay/relay.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"time"
 
+	"citrondeck.dev/citrondeck/citronmemory"
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronplace"
 	"citrondeck.dev/citrondeck/citronupstream"
@@ -90,7 +91,11 @@
 var uncompressed = connect.WithAcceptCompression("gzip", nil, nil)
 
 // Client asks other nodes to make calls.
-type Client struct{ HC *http.Client }
+type Client struct {
+	HC *http.Client
+	// Memory is charged for the encoded bodies of requests while they are sent. It may be nil.
+	Memory *citronmemory.Account
+}
 
 // failure is an error as it is sent.
 type failure struct {
--- a/citronrelay/send.go
+++ b/citronrelay/send.go
@@ -17,9 +17,12 @@
 )
 
 const (
-	procedureSend = "/citron.relay/Send"
+	// ProcedureSend is the path of calls, which hold whole requests.
+	ProcedureSend = "/citron.relay/Send"
 	// maxCallBytes bounds a call. It holds the longest body that a node accepts.
 	maxCallBytes = 80 << 20
+	// encodedFactor is how much memory a byte of a body takes while a call is encoded and sent.
+	encodedFactor = 2
 	// maxPartBytes bounds one message of the answer: a head or a chunk of the body.
 	maxPartBytes = 1 << 20
 	// chunkBytes is the most that is read of a body before it is passed on.
@@ -157,10 +160,15 @@
 // Send asks the node at addr to make a call, and returns the engine's response up to its
 // body.
 func (c *Client) Send(ctx context.Context, addr string, call Call) (*citronupstream.Reply, error) {
+	charge := c.Memory.Charge()
+	defer charge.Close()
+	if err := charge.Grow(ctx, encodedFactor*int64(len(call.Request.Body))); err != nil {
+		return nil, errors.Mark(err, ErrDeclined)
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	var connected atomic.Bool
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
-	client := connect.NewClient[callMessage, sendMessage](c.HC, "http://"+addr+procedureSend, citronwire.CBOR(), uncompressed, connect.WithReadMaxBytes(maxPartBytes))
+	client := connect.NewClient[callMessage, sendMessage](c.HC, "http://"+addr+ProcedureSend, citronwire.CBOR(), uncompressed, connect.WithReadMaxBytes(maxPartBytes))
 	stream, err := client.CallServerStream(traced, connect.NewRequest(newCallMessage(call)))
 	if err != nil {
 		cancel()
@@ -249,7 +257,7 @@
 
 // handleSend mounts the procedure Send.
 func handleSend(mux *http.ServeMux, h Helper) {
-	mux.Handle(procedureSend, connect.NewServerStreamHandler(procedureSend, func(ctx context.Context, r *connect.Request[callMessage], out *connect.ServerStream[sendMessage]) error {
+	mux.Handle(ProcedureSend, connect.NewServerStreamHandler(ProcedureSend, func(ctx context.Context, r *connect.Request[callMessage], out *connect.ServerStream[sendMessage]) error {
 		reply, err := h.Send(ctx, r.Msg.call())
 		if err != nil {
 			return out.Send(&sendMessage{Failure: newFailure(err)})
