Clients that do not behave: connections, heads and bodies are bounded together

Cause: each request was bounded by itself at most (a body by 64 MB before anything of it was known), nothing in sum; the nodes' listener took messages of any size, and decompressed them without a bound; connections, unread bodies, heads and writes to clients that do not read had no bound in number or time. Change: each listener of each program accepts connections within a share of the descriptors, and closes the one that has been waiting longest for its client if it is full. Connections, heads and bodies are charged to the account of the process; who has been arriving longest gives way. Bodies are read after the head was checked, refusals are read on for so that they arrive, writes and buffers of the system are bounded. Why it works: memory is taken only by bytes that have arrived, the sum is sized for the machine, and garbage counts until it is collected.

--- a/citroncli/cli.go
+++ b/citroncli/cli.go
@@ -141,10 +141,18 @@
 	return citronyaml.Decode(path, text, v)
 }
 
-// serve serves mux and /debug/vars on addr until ctx is canceled.
-func serve(ctx context.Context, addr string, mux *http.ServeMux) error {
+const (
+	// headerTimeout bounds the time in which the head of a request arrives, and idleTimeout the
+	// time between two requests of a connection.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 90 * time.Second
+)
+
+// serve serves mux and /debug/vars on addr within limits until ctx is canceled.
+func serve(ctx context.Context, addr string, mux *http.ServeMux, limits limitFlags) error {
 	mux.Handle("/debug/vars", expvar.Handler())
-	return citronserve.Serve(ctx, &http.Server{Addr: addr, Handler: mux, ReadHeaderTimeout: 5 * time.Second})
+	hs := &http.Server{Addr: addr, Handler: citronserve.LimitBodies(mux, maxMessage), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	return citronserve.Serve(ctx, hs, limits.newLimits().listener("requests", programShare))
 }
 
 // httpClient returns a client whose byte counts are discarded.
--- /dev/null
+++ b/citroncli/clients_test.go
@@ -0,0 +1,22 @@
+package citroncli
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against listeners whose connections alone exceed a small machine.
+func TestConnectionsFitASmallMachine(t *testing.T) {
+	is := is.New(t)
+	const memoryMB, sockets = 184, 3900
+	limits := newClientLimits(memoryMB, sockets)
+	conns := 0
+	for _, share := range []float64{frontShare, peerShare, directoryShare, readyShare, metricsShare} {
+		conns += limits.listener("", share).Conns
+	}
+	const connBytes = 32 << 10
+	is.True(conns*connBytes < int(limits.plan.Clients))
+	is.True(conns+int(frontShare*sockets) < sockets) // each request opens a connection to an engine
+	is.True(limits.plan.Runtime < memoryMB<<20)
+}
--- a/citroncli/engine.go
+++ b/citroncli/engine.go
@@ -20,14 +20,15 @@
 )
 
 type engineCmd struct {
-	Name     string        `help:"Engine name, as in the fleet text." required:""`
-	Listen   string        `help:"Address to listen on." required:""`
-	Zone     string        `help:"Zone the engine runs in." default:"default"`
-	Layers   string        `help:"Layer range from:to (to excluded)." required:""`
-	Capacity int           `help:"Declared tokens per second; 0 is unbounded." default:"0"`
-	Fence    string        `help:"What to do with an order with an old fencing number: refuse or ignore." default:"refuse" enum:"refuse,ignore"`
-	KV       string        `help:"Base URL of the KV service holding the instance list." default:"http://127.0.0.1:7000"`
-	Drain    time.Duration `help:"Longest wait for requests in flight on stop." default:"10s"`
+	Name       string        `help:"Engine name, as in the fleet text." required:""`
+	Listen     string        `help:"Address to listen on." required:""`
+	Zone       string        `help:"Zone the engine runs in." default:"default"`
+	Layers     string        `help:"Layer range from:to (to excluded)." required:""`
+	Capacity   int           `help:"Declared tokens per second; 0 is unbounded." default:"0"`
+	Fence      string        `help:"What to do with an order with an old fencing number: refuse or ignore." default:"refuse" enum:"refuse,ignore"`
+	KV         string        `help:"Base URL of the KV service holding the instance list." default:"http://127.0.0.1:7000"`
+	Drain      time.Duration `help:"Longest wait for requests in flight on stop." default:"10s"`
+	limitFlags `embed:""`
 }
 
 func init() {
@@ -64,7 +65,7 @@
 	srvCtx, stopSrv := context.WithCancel(context.Background())
 	defer stopSrv()
 	done := make(chan error, 1)
-	go func() { done <- serve(srvCtx, c.Listen, mux) }()
+	go func() { done <- serve(srvCtx, c.Listen, mux, c.limitFlags) }()
 	citronevent.Log(ctx, log, citronevent.ProcessStarted, "role", "engine", "addr", c.Listen, "zone", c.Zone, "layers", c.Layers)
 	select {
 	case err := <-done:
--- a/citroncli/entry.go
+++ b/citroncli/entry.go
@@ -8,18 +8,18 @@
 import (
 	"context"
 	"expvar"
-	"net"
 
 	"citrondeck.dev/citrondeck/citronclock"
 	"citrondeck.dev/citrondeck/citronentry"
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronkv"
+	"citrondeck.dev/citrondeck/citronserve"
 	"citrondeck.dev/citrondeck/citronwire"
 	"github.com/cockroachdb/errors"
 )
 
 type entryCmd struct {
-	Settings string `help:"YAML settings file (name, listen, advertise, zone, discoveryTTL, leaseTTL, drainGrace, maxBody)."`
+	Settings string `help:"YAML settings file (name, listen, advertise, zone, discoveryTTL, leaseTTL, drainGrace, maxBody, memoryMB, maxFDs)."`
 	Name     string `help:"Entry name, unique in the fleet."`
 	Listen   string `help:"Address to listen on for callers."`
 	Zone     string `help:"Zone this entry runs in."`
@@ -51,13 +51,15 @@
 	// separately.
 	control := new(citronwire.Traffic)
 	kv := citronkv.NewClient(countedClient(control), c.KV)
+	settings = settings.WithDefaults()
+	settings.Limits = newClientLimits(settings.MemoryMB, settings.MaxFDs).listener("callers", frontShare)
 	e := citronentry.New(settings, citronclock.Real{}, g.Logger().With("role", "entry"), kv, kv.Instances, httpClient())
 	e.Metrics().Set("control_bytes_read", &control.Read)
 	e.Metrics().Set("control_bytes_written", &control.Written)
 	expvar.Publish("entry", e.Metrics())
-	ln, err := net.Listen("tcp", settings.Listen)
+	ln, err := citronserve.Listen(ctx, settings.Listen)
 	if err != nil {
-		return errors.Wrapf(err, "listen on %s", settings.Listen)
+		return err
 	}
 	return e.Run(ctx, ln)
 }
--- a/citroncli/kv.go
+++ b/citroncli/kv.go
@@ -18,6 +18,7 @@
 type kvCmd struct {
 	Listen      string        `help:"Address to listen on." default:"127.0.0.1:7000"`
 	InstanceLag time.Duration `help:"How far the instance list lags behind the truth." default:"2s"`
+	limitFlags  `embed:""`
 }
 
 func init() {
@@ -34,7 +35,7 @@
 	mux := http.NewServeMux()
 	s.Mount(mux)
 	citronevent.Log(ctx, log, citronevent.ProcessStarted, "role", "kv", "addr", c.Listen)
-	err := serve(ctx, c.Listen, mux)
+	err := serve(ctx, c.Listen, mux, c.limitFlags)
 	citronevent.Log(context.Background(), log, citronevent.ProcessStopped, slog.Any("counts", s.Counts()))
 	return err
 }
--- a/citroncli/node.go
+++ b/citroncli/node.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"sync"
 	"syscall"
 	"time"
@@ -69,11 +68,6 @@
 	directoryTTL = 700 * time.Millisecond
 	// maxBody is the maximum size of a request body in bytes.
 	maxBody = 64 << 20
-	// memoryLimitPerMB is the Go memory limit in bytes per megabyte of the node's
-	// memory; near this limit the runtime collects garbage more often. The rest of
-	// the megabyte is left for memory that the runtime does not count, because a
-	// process that exceeds the node's memory is killed.
-	memoryLimitPerMB = 600 << 10
 )
 
 func (c *nodeCmd) Run(g *Globals) error {
@@ -86,10 +80,8 @@
 	handler, waitForLog := citronlog.New(logging, g.Out, citronclock.Real{}, g.Level())
 	defer waitForLog()
 	defer stopLogging()
-	if settings.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(settings.MemoryMB) * memoryLimitPerMB)
-	}
 	log := slog.New(handler).With("node", settings.Name)
+	limits := newClientLimits(settings.MemoryMB, settings.Descriptors)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	hup := make(chan os.Signal, 1)
@@ -99,10 +91,12 @@
 	loads := &citronpool.ZoneLoads{}
 	engines := platform.NewEngineClient()
 	registry := prometheus.NewRegistry()
+	limits.onClosed = citronstat.ClosedConns(clock, log, registry)
+	citronstat.RegisterMemory(limits.memory, registry)
 	engines.OnUnknownHeader(citronstat.UnknownHeaders(ctx, log, registry))
 	node := citronnode.New(citronnode.Settings{
 		Name: settings.Name, Zone: settings.Zone, Front: settings.Front, Peer: settings.Peer, Seeds: settings.Seeds, Cores: settings.Cores,
-		LeaseTTL: max(leaderLease, settings.MinLeaseTTL), Grace: settings.Grace, Heartbeat: settings.Heartbeat, DrainWithin: settings.DrainWithin, UsageInterval: c.UsageInterval, UsageMinNodes: c.UsageMinNodes,
+		LeaseTTL: max(leaderLease, settings.MinLeaseTTL), Grace: settings.Grace, Heartbeat: settings.Heartbeat, DrainWithin: settings.DrainWithin, UsageInterval: c.UsageInterval, UsageMinNodes: c.UsageMinNodes, Memory: limits.memory,
 	}, citronnode.Sources{
 		Store: citronstat.CountStore(platform.NewStore(settings.Store), registry), ConfigKey: platform.ConfigKey, EnginePrefix: platform.EnginePrefix,
 		DecodeConfig: platform.DecodeConfig, DecodeEngine: platform.DecodeEngine, Engines: engines,
@@ -111,7 +105,7 @@
 	citronstat.RegisterBudget(budget, clock, registry)
 	forwarder := &citronforward.Forwarder{
 		Zone: settings.Zone, Clock: clock, Log: log, Upstream: node.Engines(), Budget: budget, Loads: loads,
-		Current: node.Traffic, Metrics: citronforward.NewMetrics(registry), Stopping: node.Stopping, Accuse: node.Accuse, Borrow: node.Borrow, Quarantine: node.Quarantine(), Parts: node.Parts(), ClaimTrial: node.ClaimTrial, Limits: node.Limits(), Permit: node.Permit, RetryTurn: node.RetryTurn, Lag: node.Lag(), DrainWithin: settings.DrainWithin,
+		Current: node.Traffic, Metrics: citronforward.NewMetrics(registry), Stopping: node.Stopping, Accuse: node.Accuse, Borrow: node.Borrow, Quarantine: node.Quarantine(), Parts: node.Parts(), ClaimTrial: node.ClaimTrial, Limits: node.Limits(), Permit: node.Permit, RetryTurn: node.RetryTurn, Lag: node.Lag(), AnswerBytes: limits.plan.Answers, DrainWithin: settings.DrainWithin,
 	}
 	node.RelayThrough(forwarder.Gate())
 	node.ProbeAccusedThrough(forwarder.ProbeAccused)
@@ -121,12 +115,12 @@
 	defer end()
 	var servers sync.WaitGroup
 	failed := make(chan error, 8)
-	serveOn := func(addr string, h http.Handler) {
+	serveOn := func(name string, share float64, addr string, h http.Handler) {
 		if addr == "" {
 			return
 		}
 		servers.Go(func() {
-			if err := citronserve.Serve(bg, platform.NewServer(addr, h)); err != nil {
+			if err := citronserve.Serve(bg, platform.NewServer(addr, h), limits.listener(name, share)); err != nil {
 				failed <- err
 			}
 		})
@@ -135,11 +129,11 @@
 	node.Handle(peers)
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
-	serveOn(settings.Front, ingress)
-	serveOn(settings.Ready, platform.ReadyHandler(node.Ready))
-	serveOn(settings.Peer, peers)
-	serveOn(settings.Directory, &platform.Directory{Addresses: node.Addresses, TTL: min(directoryTTL, settings.MaxTTL)})
-	serveOn(c.Metrics, metrics)
+	serveOn("callers", frontShare, settings.Front, ingress)
+	serveOn("readiness", readyShare, settings.Ready, platform.ReadyHandler(node.Ready))
+	serveOn("nodes", peerShare, settings.Peer, limitMessages(peers))
+	serveOn("directory", directoryShare, settings.Directory, &platform.Directory{Addresses: node.Addresses, TTL: min(directoryTTL, settings.MaxTTL)})
+	serveOn("metrics", metricsShare, c.Metrics, metrics)
 	servers.Go(func() { node.Run(bg) })
 	citronevent.Log(ctx, log, citronevent.ProcessStarted, "role", "node", "addr", settings.Front, "zone", settings.Zone)
 	for {
--- a/citroncli/plain.go
+++ b/citroncli/plain.go
@@ -16,11 +16,12 @@
 )
 
 type plainCmd struct {
-	Name   string        `help:"Upstream name, as in the fleet text." required:""`
-	Listen string        `help:"Address to listen on." required:""`
-	Zone   string        `help:"Zone the upstream runs in." default:"default"`
-	KV     string        `help:"Base URL of the KV service holding the instance list." default:"http://127.0.0.1:7000"`
-	Drain  time.Duration `help:"How long to keep answering calls in flight on stop." default:"2s"`
+	Name       string        `help:"Upstream name, as in the fleet text." required:""`
+	Listen     string        `help:"Address to listen on." required:""`
+	Zone       string        `help:"Zone the upstream runs in." default:"default"`
+	KV         string        `help:"Base URL of the KV service holding the instance list." default:"http://127.0.0.1:7000"`
+	Drain      time.Duration `help:"How long to keep answering calls in flight on stop." default:"2s"`
+	limitFlags `embed:""`
 }
 
 func init() {
@@ -40,7 +41,7 @@
 	srvCtx, stopSrv := context.WithCancel(context.Background())
 	defer stopSrv()
 	done := make(chan error, 1)
-	go func() { done <- serve(srvCtx, c.Listen, mux) }()
+	go func() { done <- serve(srvCtx, c.Listen, mux, c.limitFlags) }()
 	citronevent.Log(ctx, log, citronevent.ProcessStarted, "role", "plain", "addr", c.Listen, "zone", c.Zone)
 	select {
 	case err := <-done:
--- a/citronentry/entry.go
+++ b/citronentry/entry.go
@@ -31,6 +31,7 @@
 	"citrondeck.dev/citrondeck/citronkv"
 	"citrondeck.dev/citrondeck/citronledger"
 	"citrondeck.dev/citrondeck/citronroute"
+	"citrondeck.dev/citrondeck/citronserve"
 	deck "citrondeck.dev/citrondeck/gen/deck"
 	deckserver "citrondeck.dev/citrondeck/gen/http/deck/server"
 	"github.com/cockroachdb/errors"
@@ -41,6 +42,10 @@
 const (
 	// readHeaderTimeout bounds reading the headers of a caller's request.
 	readHeaderTimeout = 5 * time.Second
+	// idleTimeout bounds the time between two requests of a connection.
+	idleTimeout = 90 * time.Second
+	// maxHeaderBytes is the maximum size of the headers of a request.
+	maxHeaderBytes = 64 << 10
 	// shutdownTimeout bounds closing the HTTP server after the drain.
 	shutdownTimeout = 5 * time.Second
 )
@@ -127,16 +132,14 @@
 	deckserver.Mount(mux, srv)
 	mux.Handle(http.MethodGet, "/debug/vars", expvar.Handler().ServeHTTP)
 	limit := e.settings.MaxBody
+	limited := citronserve.LimitBodies(mux, limit)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		// An oversized body is rejected with 413 before it is decoded, so
-		// that a large upload cannot tie up memory. MaxBytesReader covers
-		// bodies without a Content-Length.
 		if r.ContentLength > limit {
+			citronserve.SkipBody(w, r)
 			http.Error(w, `{"code":"too_large","message":"request body is larger than the entry takes"}`, http.StatusRequestEntityTooLarge)
 			return
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, limit)
-		mux.ServeHTTP(w, r)
+		limited.ServeHTTP(w, r)
 	})
 }
 
@@ -167,7 +170,8 @@
 	deregistered := make(chan struct{})
 	tasks.Go(func() { defer close(deregistered); e.register(regCtx) })
 
-	httpServer := &http.Server{Handler: e.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	httpServer := &http.Server{Handler: e.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	ln = citronserve.Limit(httpServer, ln, e.settings.Limits)
 	served := make(chan error, 1)
 	go func() { served <- httpServer.Serve(ln) }()
 	citronevent.Log(ctx, e.log, citronevent.ProcessStarted, "role", "entry", "addr", ln.Addr().String(), "zone", e.settings.Zone)
--- a/citronentry/settings.go
+++ b/citronentry/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"citrondeck.dev/citrondeck/citronserve"
 	"github.com/cockroachdb/errors"
 )
 
@@ -45,6 +46,12 @@
 	// MaxQueue is the maximum number of requests that wait in the queue of a
 	// service.
 	MaxQueue int `yaml:"maxQueue"`
+	// MemoryMB is the memory that the process may take, in MB, and MaxFDs the number of
+	// sockets that it may have open. A part of both is for callers.
+	MemoryMB int `yaml:"memoryMB"`
+	MaxFDs   int `yaml:"maxFDs"`
+	// Limits are the limits of the listener for callers.
+	Limits citronserve.Limits `yaml:"-"`
 }
 
 // DefaultSettings holds the default values of the optional fields.
@@ -58,6 +65,8 @@
 	TokenGap:     74 * time.Millisecond,
 	MaxInflight:  256,
 	MaxQueue:     4096,
+	MemoryMB:     192,
+	MaxFDs:       2048,
 }
 
 // setDefault sets *v to def if *v is the zero value.
@@ -82,6 +91,8 @@
 	setDefault(&s.TokenGap, d.TokenGap)
 	setDefault(&s.MaxInflight, d.MaxInflight)
 	setDefault(&s.MaxQueue, d.MaxQueue)
+	setDefault(&s.MemoryMB, d.MemoryMB)
+	setDefault(&s.MaxFDs, d.MaxFDs)
 	return s
 }
 
@@ -104,8 +115,8 @@
 			return errors.Newf("%s: %v is negative", name, d)
 		}
 	}
-	if s.MaxBody < 0 || s.MaxInflight < 0 || s.MaxQueue < 0 {
-		return errors.New("maxBody, maxInflight and maxQueue must not be negative")
+	if s.MaxBody < 0 || s.MaxInflight < 0 || s.MaxQueue < 0 || s.MemoryMB < 0 || s.MaxFDs < 0 {
+		return errors.New("maxBody, maxInflight, maxQueue, memoryMB and maxFDs must not be negative")
 	}
 	return nil
 }
--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -28,6 +28,7 @@
 	ProcessStopping Event = 101
 	ProcessStopped  Event = 102
 	SettingsInvalid Event = 103
+	ConnsClosed     Event = 104
 
 	ConfigApplied    Event = 200
 	ConfigRejected   Event = 201
@@ -136,6 +137,7 @@
 	ProcessStopping: {slog.LevelInfo, "process.stopping", "a node, engine or plain service received a stop signal; it drains before it exits"},
 	ProcessStopped:  {slog.LevelInfo, "process.stopped", "a node, an engine or the KV service no longer serves and exits"},
 	SettingsInvalid: {slog.LevelError, "settings.invalid", "the settings file could not be read, or the settings are invalid; the process does not start"},
+	ConnsClosed:     {slog.LevelWarn, "conns.closed", "connections of clients were closed because of a limit: waiting: they kept the process waiting longest, connections: all others were at work, memory: there was none for them; gives the listener, the reason of the last one and the count since the last line, at most one line a second for each listener"},
 
 	ConfigApplied:    {slog.LevelInfo, "config.applied", "an entry activated a new fleet configuration; gives its revision"},
 	ConfigRejected:   {slog.LevelError, "config.rejected", "a fleet configuration is invalid or damaged and was not activated; the active one, if any, is kept"},
--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -16,6 +16,7 @@
 package citronforward
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -105,6 +106,9 @@
 	ClaimTrial func(context.Context, citronpart.Trial) bool
 	// Stopping reports whether this node is stopping, and how far it has got.
 	Stopping func() Stopping
+	// AnswerBytes bounds what this node buffers of all large responses at the same time. Zero
+	// means defaultAnswerBytes.
+	AnswerBytes int64
 	// Limits holds the rate limits that engines announce in their responses.
 	Limits *citronlimit.Registry
 	// Permit requests a permit to send one request to an engine that has a rate limit.
@@ -159,7 +163,7 @@
 
 // bodies returns the budget of the responses that are passed on as a whole.
 func (f *Forwarder) bodies() *citronbody.Budget {
-	f.bodiesOnce.Do(func() { f.bodyBudget = citronbody.NewBudget(maxAnswersBytes) })
+	f.bodiesOnce.Do(func() { f.bodyBudget = citronbody.NewBudget(cmp.Or(f.AnswerBytes, defaultAnswerBytes)) })
 	return f.bodyBudget
 }
 
@@ -275,15 +279,17 @@
 
 // Serve forwards a request and writes the final response to out.
 func (f *Forwarder) Serve(ctx context.Context, r *citronupstream.Request, out Sink) {
-	s := f.Current()
-	if s == nil || s.Table == nil {
-		f.refuse(r, out, http.StatusServiceUnavailable, retryNoState, "this node has no configuration yet")
+	s, ok := f.state(r, out)
+	if !ok {
 		return
 	}
 	j, ok := f.newJob(s, r, out)
 	if !ok {
 		return
 	}
+	if !f.acceptsLength(s, r, int64(len(r.Body)), out) {
+		return
+	}
 	if j.refuseIfStopping() {
 		return
 	}
@@ -306,6 +312,16 @@
 	j.serveUnary(ctx)
 }
 
+// state returns the current state, or refuses the request if there is none yet.
+func (f *Forwarder) state(r *citronupstream.Request, out Sink) (*State, bool) {
+	s := f.Current()
+	if s == nil || s.Table == nil {
+		f.refuse(r, out, http.StatusServiceUnavailable, retryNoState, "this node has no configuration yet")
+		return nil, false
+	}
+	return s, true
+}
+
 // Stopping is the shutdown state of a node.
 type Stopping struct {
 	// Active reports whether the node is stopping.
@@ -378,10 +394,6 @@
 		j.customer = c.Name
 	}
 	j.priorityLevel, j.priorityLevels = s.Table.PriorityLevel(route, c)
-	if limit := s.Table.Limits.MaxBodyBytes; limit > 0 && int64(len(r.Body)) > limit {
-		f.refuse(r, out, http.StatusRequestEntityTooLarge, -1, "body is over the limit")
-		return nil, false
-	}
 	name := route.PickService(rand.Float64())
 	j.service, ok = s.Table.Services[name]
 	if !ok {
--- a/citronforward/unary.go
+++ b/citronforward/unary.go
@@ -55,8 +55,8 @@
 	// maxAnswerBytes bounds how much of a response is buffered before it is passed on.
 	// Unary responses of plain services are a few kilobytes.
 	maxAnswerBytes = 8 << 20
-	// maxAnswersBytes bounds what this node buffers of all large responses at the same time.
-	maxAnswersBytes = 24 << 20
+	// defaultAnswerBytes is the default of Forwarder.AnswerBytes.
+	defaultAnswerBytes = 24 << 20
 	// attemptTargets is how long an idempotent request waits for one engine before it
 	// tries another, in multiples of the route's target latency.
 	attemptTargets = 2
--- a/citronserve/conn.go
+++ b/citronserve/conn.go
@@ -9,12 +9,14 @@
 // closed.
 
 import (
+	"container/list"
 	"context"
 	"net"
-	"net/http"
 	"os"
 	"sync"
+	"time"
 
+	"citrondeck.dev/citrondeck/citronmemory"
 	"github.com/cockroachdb/errors"
 )
 
@@ -22,18 +24,8 @@
 // is not seen.
 const maxReadAhead = 16 << 10
 
-// listener accepts connections that are read ahead.
-type listener struct{ net.Listener }
-
-func (l listener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	c := &conn{Conn: raw, cancel: func() {}}
-	c.changed.L = &c.mu
-	return c, nil
-}
+// readAheadBytes is charged for a connection that is read ahead: the buffers, and a goroutine.
+const readAheadBytes = 24 << 10
 
 // connContext returns the context of the requests of a connection.
 func connContext(ctx context.Context, nc net.Conn) context.Context {
@@ -41,23 +33,25 @@
 	if !ok {
 		return ctx
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(context.WithValue(ctx, connKey{}, c))
 	c.mu.Lock()
 	c.cancel = cancel
 	c.mu.Unlock()
 	return ctx
 }
 
-// watchConns makes a server see that its connections are closed.
-func watchConns(hs *http.Server, ln net.Listener) net.Listener {
-	hs.ConnContext = connContext
-	return listener{ln}
-}
-
 // conn is a connection of a caller. Once it reads ahead, a goroutine of its own reads it, and Read
 // takes from the buffer.
 type conn struct {
 	net.Conn
+	listener *listener
+	charge   *citronmemory.Charge
+
+	// waits and waitsSince are set while the connection waits for its client, released once it
+	// is closed. They are guarded by the mutex of the listener.
+	waits      *list.Element
+	waitsSince time.Time
+	released   bool
 
 	mu      sync.Mutex
 	changed sync.Cond
@@ -67,6 +61,19 @@
 	ahead  bool
 	buffer []byte
 	err    error
+	// inHead is set while the head of a request is awaited or read. headBytes is what it costs,
+	// and head the charge for it once it costs more than freeHeadBytes.
+	inHead    bool
+	headBytes int64
+	head      *citronmemory.Charge
+	// unread is set if the client may still be sending a request that nobody reads.
+	unread bool
+}
+
+func newConn(raw net.Conn, l *listener, charge *citronmemory.Charge) *conn {
+	c := &conn{Conn: raw, listener: l, charge: charge, cancel: func() {}, inHead: true}
+	c.changed.L = &c.mu
+	return c
 }
 
 // Read implements net.Conn. It is called by one goroutine at a time.
@@ -76,18 +83,38 @@
 		c.changed.Wait()
 	}
 	if len(c.buffer) > 0 || c.err != nil {
-		defer c.mu.Unlock()
-		return c.take(p)
+		n, err := c.take(p)
+		c.mu.Unlock()
+		if err != nil {
+			return n, err
+		}
+		return n, c.chargeHead(p[:n])
 	}
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
+	if err != nil {
+		return n, err
+	}
+	if len(p) == 1 && n == 1 { // net/http reads single bytes for this purpose only
+		c.startReadAhead()
+	}
+	return n, c.chargeHead(p[:n])
+}
+
+// startReadAhead begins to read ahead. Without memory for that, a close is not seen while a
+// request runs.
+func (c *conn) startReadAhead() {
+	charge := c.listener.limits.Memory.Charge()
+	if charge.TryGrow(readAheadBytes) != nil {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(p) == 1 && n == 1 && err == nil { // net/http reads single bytes for this purpose only
-		c.ahead = true
-		go c.readAhead()
-	}
-	return n, err
+	c.ahead = true
+	go func() {
+		defer charge.Close()
+		c.readAhead()
+	}()
 }
 
 // take returns what has been read ahead, and after that the error that ended it.
@@ -131,17 +158,22 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	err := c.Conn.Close()
+	c.linger()
+	c.listener.mu.Lock()
+	c.listener.release(c)
+	c.listener.mu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.closeHead()
 	c.cancel()
 	c.buffer = nil // ends the wait of readAhead
 	c.changed.Broadcast()
-	return err
+	return nil
 }
 
 // CloseWrite is used by net/http to close a connection whose caller may still be sending.
 func (c *conn) CloseWrite() error {
+	c.markUnread()
 	if t, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return t.CloseWrite()
 	}
--- a/citronserve/conn_test.go
+++ b/citronserve/conn_test.go
@@ -28,7 +28,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = citronserve.Serve(ctx, &http.Server{Addr: addr, Handler: h})
+		_ = citronserve.Serve(ctx, &http.Server{Addr: addr, Handler: h}, citronserve.Limits{})
 	}()
 	t.Cleanup(func() { stop(); <-done })
 	for {
--- a/citronserve/serve.go
+++ b/citronserve/serve.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,12 +15,30 @@
 // that matter have ended by then, up to the last bytes of their responses.
 const shutdownTimeout = 200 * time.Millisecond
 
-// Serve runs an HTTP server on its address until ctx ends. It then closes idle connections,
-// waits for running requests for up to shutdownTimeout and returns.
-func Serve(ctx context.Context, hs *http.Server) error {
-	ln, err := net.Listen("tcp", hs.Addr)
+// socketBytes is the size of the buffers in which the system keeps what a client has sent and
+// the process has not read, and what the process has sent and the client has not acknowledged.
+// Otherwise the system lets the buffers of each connection grow to several megabytes.
+const socketBytes = 32 << 10
+
+// Listen listens for connections whose buffers in the system are small.
+func Listen(ctx context.Context, addr string) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			// Accepted connections inherit both. A system that refuses them keeps its defaults.
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, socketBytes)
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, socketBytes)
+		})
+	}}
+	ln, err := config.Listen(ctx, "tcp", addr)
+	return ln, errors.Wrapf(err, "listen on %s", addr)
+}
+
+// Serve runs an HTTP server on its address within limits until ctx ends. It then closes idle
+// connections, waits for running requests for up to shutdownTimeout and returns.
+func Serve(ctx context.Context, hs *http.Server, limits Limits) error {
+	ln, err := Listen(ctx, hs.Addr)
 	if err != nil {
-		return errors.Wrapf(err, "listen on %s", hs.Addr)
+		return err
 	}
 	ended := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
@@ -29,7 +48,7 @@
 		_ = hs.Shutdown(limit) // requests that still run after that end with the process
 	})
 	defer stop()
-	if err := hs.Serve(watchConns(hs, ln)); !errors.Is(err, http.ErrServerClosed) {
+	if err := hs.Serve(Limit(hs, ln, limits)); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrapf(err, "serve on %s", hs.Addr)
 	}
 	<-ended
--- a/citronserve/serve_test.go
+++ b/citronserve/serve_test.go
@@ -28,7 +28,7 @@
 			stop()
 			time.Sleep(50 * time.Millisecond)
 			_, _ = io.WriteString(w, "whole")
-		})})
+		})}, citronserve.Limits{})
 	}()
 	answer := make(chan string, 1)
 	go func() {
--- a/citronsoak/crowdnode_test.go
+++ b/citronsoak/crowdnode_test.go
@@ -1,10 +1,16 @@
 package citronsoak_test
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"slices"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -140,8 +146,13 @@
 	w, n, used := crowdNode(t)
 	c := newCrowd(t, 7)
 	for _, l := range []struct{ addr, path string }{
-		{n.front, "/safe/x"}, {n.front, "/stream/x"}, {n.directory, "/resolve"}, {n.ready, "/ready"},
-		{n.peer, "/citron.peer/Exchange"}, {n.peer, relayPath}, {n.metrics, "/metrics"},
+		{n.front, "/safe/x"},
+		{n.front, "/stream/x"},
+		{n.directory, "/resolve"},
+		{n.ready, "/ready"},
+		{n.peer, "/citron.peer/Exchange"},
+		{n.peer, relayPath},
+		{n.metrics, "/metrics"},
 	} {
 		c.join(20, l.addr, largeBody(l.path))
 		c.join(10, l.addr, largeChunks(l.path))
@@ -153,6 +164,73 @@
 	w.checkCrowd(c, n, used)
 }
 
+// Guards against clients that stop short and keep a node from stopping, or the next process from
+// serving.
+func TestCrowdWhileNodeStops(t *testing.T) {
+	w, n, used := crowdNode(t)
+	c := newCrowd(t, 9)
+	c.join(30, n.front, largeBody("/safe/x"))
+	c.join(30, n.peer, largeBody("/citron.peer/Exchange"))
+	c.join(50, n.front, endlessHead("/safe/x"))
+	c.join(300, n.front, silent)
+	c.wait()
+	used.check(crowdMemoryMB, crowdDescriptors)
+	n.signal(syscall.SIGTERM)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		n.wait()
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(recoverTimeout):
+		t.Fatal("the node does not stop")
+	}
+	n.start(t)
+	used = watch(t, n.pid())
+	c.join(30, n.front, largeBody("/safe/x"))
+	c.join(300, n.front, silent)
+	w.checkCrowd(c, n, used)
+}
+
+// Guards against limits that a single request within the configuration meets in calm: of the full
+// size, whole, in pieces, or in chunks of one byte.
+func TestCrowdOfOneIsServed(t *testing.T) {
+	w, n, used := crowdNode(t)
+	const size = 4 << 20
+	for _, c := range []struct {
+		name, framing string
+		body          []byte
+		piece         int
+		pause         time.Duration
+	}{
+		{"whole", fmt.Sprintf("Content-Length: %d", size), bytes.Repeat([]byte("x"), size), size, 0},
+		{"in pieces", fmt.Sprintf("Content-Length: %d", size), bytes.Repeat([]byte("x"), size), 64 << 10, 20 * time.Millisecond},
+		{"in chunks of one byte", "Transfer-Encoding: chunked", append(bytes.Repeat([]byte("1\r\nx\r\n"), size), "0\r\n\r\n"...), 1 << 20, 0},
+	} {
+		conn, err := net.Dial("tcp", n.front)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = fmt.Fprintf(conn, "POST /safe/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %[1]s\r\nX-Credential: key-0\r\nX-Deadline-Ms: 4000\r\n%[2]s\r\n\r\n", strings.ReplaceAll(c.name, " ", "-"), c.framing)
+		for piece := range slices.Chunk(c.body, c.piece) {
+			_, _ = conn.Write(piece)
+			time.Sleep(c.pause)
+		}
+		res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		text, _ := io.ReadAll(res.Body)
+		if res.StatusCode != http.StatusOK || string(text) != answerText(strings.ReplaceAll(c.name, " ", "-")) {
+			t.Errorf("%s: status %d, body %q", c.name, res.StatusCode, text)
+		}
+		_ = conn.Close()
+	}
+	w.checkOrdinary(n)
+	used.check(crowdMemoryMB, crowdDescriptors)
+}
+
 // getOK reports an error unless a GET request is answered with status 200.
 func getOK(addr, path string) error {
 	hc := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
