Clients' connections and those that they cause fit the descriptors together

Cause: 0.59 of the sockets were for connections of clients, and each request of a caller or another node opens one to an engine, 0.47 more; idle connections to engines (512) and to nodes (any number) came on top. Many complete requests could have used up a small machine's descriptors. Change: callers get 30 %, nodes 8 %, the directory 5 %, metrics 1 %; at most 5 % each stay open to engines and to nodes. On the smallest machine (3,900 sockets) callers have 1,170 connections.

--- a/citroncli/cli.go
+++ b/citroncli/cli.go
@@ -156,11 +156,13 @@
 }
 
 // httpClient returns a client whose byte counts are discarded.
-func httpClient() *http.Client { return countedClient(new(citronwire.Traffic)) }
+func httpClient() *http.Client { return countedClient(new(citronwire.Traffic), 0) }
 
-// countedClient returns a client that counts the bytes it reads and writes in t.
-func countedClient(t *citronwire.Traffic) *http.Client {
+// countedClient returns a client that counts the bytes it reads and writes in t and keeps at most
+// maxIdle idle connections, or any number if that is zero.
+func countedClient(t *citronwire.Traffic, maxIdle int) *http.Client {
 	return &http.Client{Transport: &http.Transport{
+		MaxIdleConns:        maxIdle,
 		MaxIdleConnsPerHost: 256,
 		IdleConnTimeout:     30 * time.Second,
 
--- a/citroncli/clients.go
+++ b/citroncli/clients.go
@@ -28,14 +28,16 @@
 )
 
 // Shares of the descriptors for sockets that the connections of one listener may take. The rest
-// is for connections that the process opens itself: each request of a caller takes one to an
-// engine.
+// is for connections that the process opens itself: each request of a caller, and each that
+// another node relays, takes one to an engine, and idleShare is for those that are kept open to
+// engines, and as many to other nodes.
 const (
-	frontShare     = 0.35
-	peerShare      = 0.12
-	directoryShare = 0.08
+	frontShare     = 0.30
+	peerShare      = 0.08
+	directoryShare = 0.05
 	readyShare     = 0.02
-	metricsShare   = 0.02
+	metricsShare   = 0.01
+	idleShare      = 0.05
 	// programShare is for programs with one listener.
 	programShare = 0.5
 	// minConns lets a small machine answer a few clients at once.
@@ -82,6 +84,11 @@
 	}
 }
 
+// idleConns returns how many connections a client of this process may keep open.
+func (l *clientLimits) idleConns() int {
+	return max(minConns, int(idleShare*float64(l.descriptors)))
+}
+
 // limitFlags are the flags of programs with one listener that limit their clients.
 type limitFlags struct {
 	MemoryMB int `help:"Memory that the process may take, in MB; half of it is for clients." default:"192"`
--- a/citroncli/clients_test.go
+++ b/citroncli/clients_test.go
@@ -17,6 +17,7 @@
 	}
 	const connBytes = 32 << 10
 	is.True(conns*connBytes < int(limits.plan.Clients))
-	is.True(conns+int(frontShare*sockets) < sockets) // each request opens a connection to an engine
+	opened := int((frontShare+peerShare)*sockets) + 2*limits.idleConns()
+	is.True(conns+opened < sockets*19/20)
 	is.True(limits.plan.Runtime < memoryMB<<20)
 }
--- a/citroncli/node.go
+++ b/citroncli/node.go
@@ -23,6 +23,7 @@
 	"citrondeck.dev/citrondeck/citronserve"
 	"citrondeck.dev/citrondeck/citronstat"
 	"citrondeck.dev/citrondeck/citronusage"
+	"citrondeck.dev/citrondeck/citronwire"
 	"citrondeck.dev/citrondeck/platform"
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -90,6 +91,7 @@
 	budget := citronbudget.New(citronbudget.Limits{Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow}, clock.Now())
 	loads := &citronpool.ZoneLoads{}
 	engines := platform.NewEngineClient()
+	engines.LimitIdleConns(limits.idleConns())
 	registry := prometheus.NewRegistry()
 	limits.onClosed = citronstat.ClosedConns(clock, log, registry)
 	citronstat.RegisterMemory(limits.memory, registry)
@@ -100,7 +102,7 @@
 	}, citronnode.Sources{
 		Store: citronstat.CountStore(platform.NewStore(settings.Store), registry), ConfigKey: platform.ConfigKey, EnginePrefix: platform.EnginePrefix,
 		DecodeConfig: platform.DecodeConfig, DecodeEngine: platform.DecodeEngine, Engines: engines,
-	}, clock, log, budget, loads, httpClient())
+	}, clock, log, budget, loads, countedClient(new(citronwire.Traffic), limits.idleConns()))
 	citronstat.RegisterNode(node.Status, registry)
 	citronstat.RegisterBudget(budget, clock, registry)
 	forwarder := &citronforward.Forwarder{
