Soak: crowds of clients while nodes are killed, stopped and frozen

Cause: the crowd tests meet nodes in calm; what a crowd does to the guarantees during faults was not played.

--- a/citronsoak/crowd_test.go
+++ b/citronsoak/crowd_test.go
@@ -251,13 +251,36 @@
 	descriptors int
 }
 
+// use is what a process uses.
+type use struct {
+	// memoryMB is the peak of its memory.
+	memoryMB, descriptors int
+	ended                 bool
+}
+
+var (
+	peakMemory   = regexp.MustCompile(`VmHWM:\s+(\d+) kB`)
+	processState = regexp.MustCompile(`State:\s+(\S)`)
+)
+
+// readUse returns what a process uses.
+func readUse(pid int) use {
+	open, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid)) // fails once the process has ended
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	state, peak := processState.FindSubmatch(status), peakMemory.FindSubmatch(status)
+	if err != nil || state == nil || peak == nil || string(state[1]) == "Z" {
+		return use{ended: true}
+	}
+	kB, _ := strconv.Atoi(string(peak[1])) // the expression matches digits only
+	return use{memoryMB: (kB + 1023) >> 10, descriptors: len(open)}
+}
+
 // watch records the resources of a process until check is called.
 func watch(t *testing.T, pid int) *resources {
 	r := &resources{t: t, pid: pid, stop: make(chan struct{})}
 	r.done.Go(func() {
 		for {
-			open, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid)) // fails once the process has ended
-			r.descriptors = max(r.descriptors, len(open))
+			r.descriptors = max(r.descriptors, readUse(pid).descriptors)
 			select {
 			case <-r.stop:
 				return
@@ -268,26 +291,19 @@
 	return r
 }
 
-var (
-	peakMemory   = regexp.MustCompile(`VmHWM:\s+(\d+) kB`)
-	processState = regexp.MustCompile(`State:\s+(\S)`)
-)
-
 // check reports an error if the process has ended or has used more than a machine has.
 func (r *resources) check(memoryMB, descriptors int) {
 	r.t.Helper()
 	close(r.stop)
 	r.done.Wait()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.pid))
-	state, peak := processState.FindSubmatch(status), peakMemory.FindSubmatch(status)
-	if err != nil || state == nil || peak == nil || string(state[1]) == "Z" {
+	used := readUse(r.pid)
+	if used.ended {
 		r.t.Errorf("the process has ended")
 		return
 	}
-	kB, _ := strconv.Atoi(string(peak[1])) // the expression matches digits only
-	r.t.Logf("peak of memory %d MB, of descriptors %d", kB>>10, r.descriptors)
-	if kB > memoryMB<<10 {
-		r.t.Errorf("peak of memory %d MB, the machine has %d MB", kB>>10, memoryMB)
+	r.t.Logf("peak of memory %d MB, of descriptors %d", used.memoryMB, r.descriptors)
+	if used.memoryMB > memoryMB {
+		r.t.Errorf("peak of memory %d MB, the machine has %d MB", used.memoryMB, memoryMB)
 	}
 	if r.descriptors > descriptors {
 		r.t.Errorf("%d descriptors were open, the machine has %d", r.descriptors, descriptors)
--- a/citronsoak/doc.go
+++ b/citronsoak/doc.go
@@ -5,7 +5,8 @@
 // stream or customer is starved. All
 // code is in the test files. TestSoak injects random faults; the other tests add
 // a request that crashes engines, a store that is restored from older copies, and
-// engines that announce rate limits.
+// engines that announce rate limits. The tests of crowds start clients that send too much, stop
+// short or do not read, and check that each process stays within its machine.
 //
 //	go test ./citronsoak                                  short seeded runs
 //	go test ./citronsoak -soak.seeds 50 -soak.seconds 20  long runs, started by hand
--- a/citronsoak/soak_test.go
+++ b/citronsoak/soak_test.go
@@ -75,6 +75,8 @@
 	limiting bool
 	// noticing enables engines that ask for cool-downs or say that they are leaving.
 	noticing bool
+	// crowding enables crowds of clients that do not behave.
+	crowding bool
 	// restoring enables restoring the store from older copies.
 	restoring bool
 	// retrying enables spells in which all engines refuse requests. refusing is set in these.
@@ -256,6 +258,10 @@
 	if w.links != nil {
 		all.Go(func() { w.partitionNodes(rand.New(rand.NewPCG(seed, 5000)), end) })
 	}
+	if w.crowding {
+		all.Go(func() { w.sendCrowds(rand.New(rand.NewPCG(seed, 7000)), end) })
+		all.Go(func() { w.checkMachines(ctx) })
+	}
 	if w.restoring {
 		all.Go(func() { w.restoreStore(rand.New(rand.NewPCG(seed, 2000)), end) })
 	}
