Small responses are charged, refused callers return spread out

Cause: responses of up to 64 KiB counted nowhere, so that clients that read nothing could hold 64 KiB on each of their connections; larger ones took the budget of responses in steps of 256 KiB. All callers that were refused for want of memory were told to come back after exactly one second, and those of the older programs when to come back not at all. Change: a connection is charged 40 KiB, which covers a response of 16 KiB; all beyond that counts, in steps of 16 KiB. Retry-After is 0.5 to 1.5 s at random; the older programs send 1 s.

--- a/citronbody/body.go
+++ b/citronbody/body.go
@@ -44,9 +44,9 @@
 
 const (
 	// uncountedBytes is the size up to which a body does not count against a Budget.
-	uncountedBytes = 64 << 10
+	uncountedBytes = 16 << 10
 	// budgetStep is how much of a Budget a body takes at a time.
-	budgetStep = 256 << 10
+	budgetStep = 16 << 10
 )
 
 // Budget bounds the bytes of the large bodies that a process holds at the same time. It is safe
--- a/citroncli/clients.go
+++ b/citroncli/clients.go
@@ -91,7 +91,7 @@
 
 // limitFlags are the flags of programs with one listener that limit their clients.
 type limitFlags struct {
-	MemoryMB int `help:"Memory that the process may take, in MB; half of it is for clients." default:"192"`
+	MemoryMB int `help:"Memory that the process may take, in MB." default:"192"`
 	MaxFDs   int `name:"max-fds" help:"Sockets that the process may have open; half of them are for clients." default:"2048"`
 }
 
--- a/citroncli/clients_test.go
+++ b/citroncli/clients_test.go
@@ -15,7 +15,7 @@
 	for _, share := range []float64{frontShare, peerShare, directoryShare, readyShare, metricsShare} {
 		conns += limits.listener("", share).Conns
 	}
-	const connBytes = 32 << 10
+	const connBytes = 40 << 10
 	is.True(conns*connBytes < int(limits.plan.Clients))
 	opened := int((frontShare+peerShare)*sockets) + 2*limits.idleConns()
 	is.True(conns+opened < sockets*19/20)
--- a/citronforward/unread.go
+++ b/citronforward/unread.go
@@ -3,6 +3,7 @@
 // Requests whose bodies have not been read.
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -13,10 +14,9 @@
 	"github.com/cockroachdb/errors"
 )
 
-// retryNoMemory is the time after which requests that have not arrived whole give way to others.
-const retryNoMemory = time.Second
-
 const (
+	// retryNoMemory is about the time after which requests that have not arrived whole give way.
+	retryNoMemory = time.Second
 	// A body may arrive until the request's deadline, but within these bounds.
 	minBodyWait = time.Second
 	maxBodyWait = 60 * time.Second
@@ -90,9 +90,9 @@
 	case errors.Is(err, citronbody.ErrTooLarge):
 		reason = "body is over the limit"
 	case errors.Is(err, citronmemory.ErrNoRoom):
-		reason, after = "no memory for the body", retryNoMemory
+		reason, after = "no memory for the body", spreadNoMemory()
 	case errors.Is(err, citronmemory.ErrInterrupted):
-		reason, after = "body took long to arrive while memory was short", retryNoMemory
+		reason, after = "body took long to arrive while memory was short", spreadNoMemory()
 	case status == http.StatusServiceUnavailable:
 		reason, after = "too many connections", 0
 	case status == http.StatusRequestTimeout:
@@ -100,3 +100,7 @@
 	}
 	f.refuse(r, out, status, after, reason)
 }
+
+// spreadNoMemory returns a time around retryNoMemory, so that refused callers do not all return
+// at once.
+func spreadNoMemory() time.Duration { return retryNoMemory/2 + rand.N(retryNoMemory) }
--- a/citronserve/body.go
+++ b/citronserve/body.go
@@ -107,17 +107,17 @@
 		r, err := decompressed(r, decoded)
 		if err != nil {
 			SkipBody(w, r)
-			w.WriteHeader(FailureStatus(err))
+			refuse(w, FailureStatus(err))
 			return
 		}
 		body, release, err := ReadBody(w, r, limit, maxBodyTime)
 		if err != nil {
-			w.WriteHeader(FailureStatus(err))
+			refuse(w, FailureStatus(err))
 			return
 		}
 		defer release()
 		if decoded.Grow(r.Context(), decodedBytes*int64(len(body))) != nil {
-			w.WriteHeader(http.StatusServiceUnavailable)
+			refuse(w, http.StatusServiceUnavailable)
 			return
 		}
 		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
@@ -125,6 +125,14 @@
 	})
 }
 
+// refuse responds to a request that has not run.
+func refuse(w http.ResponseWriter, status int) {
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", "1") // requests that do not arrive whole have given way by then
+	}
+	w.WriteHeader(status)
+}
+
 // hasCompressedMessages reports whether the messages within a body are compressed one by one.
 func hasCompressedMessages(h http.Header) bool {
 	for _, name := range []string{"Connect-Content-Encoding", "Grpc-Encoding"} {
--- a/citronserve/limits.go
+++ b/citronserve/limits.go
@@ -49,9 +49,9 @@
 )
 
 const (
-	// connBytes is charged for a connection: its buffers, the stacks of its goroutines, and a
-	// head of up to freeHeadBytes.
-	connBytes = 24 << 10
+	// connBytes is charged for a connection: its buffers, the stacks of its goroutines, a head of
+	// up to freeHeadBytes, and a small response that its client does not read.
+	connBytes = 40 << 10
 	// minWaitTime is how long a connection may wait before it can be closed for another.
 	minWaitTime = 500 * time.Millisecond
 	// maxBodyTime bounds the time to read a body in handlers that set no deadline, and of a
