An interrupted body stays interrupted

Cause: ReadBody set the read deadline after its charge could be interrupted, so that an interruption in between, which a starved process makes possible, was undone and the body kept its memory until its own deadline. Change: the deadline is set first. Measured: the tests of citronserve pass. The window was found by reading and has no test: it needs a process that stands still for a second between two calls.

--- a/citronserve/body.go
+++ b/citronserve/body.go
@@ -36,10 +36,9 @@
 		return nil, func() {}, nil
 	}
 	c, ctl := connOf(r.Context()), http.NewResponseController(w)
-	interrupt := func() { _ = ctl.SetReadDeadline(time.Unix(1, 0)) }
-	charge := c.memory().Arriving(interrupt)
-	c.awaitBody()
 	_ = ctl.SetReadDeadline(time.Now().Add(within))
+	charge := c.memory().Arriving(func() { _ = ctl.SetReadDeadline(time.Unix(1, 0)) })
+	c.awaitBody()
 	body, err = readAll(r, charge, limit)
 	if finished := charge.Finish(); finished != nil {
 		err = finished
