A request that begins as another one ends does not cancel its connection

What callers saw: all requests on a kept connection were refused with 503, at once and for as long as the connection was kept. Found by TestCrowdOfChunkedBodies beside a load of about 20: before the crowd, one node refused 594 requests of one connection in 60 s ("no way to ...: context canceled"); another run of the tests of crowds failed likewise and was not traced. Cause: to end its read of a byte, net/http lets the read deadline pass. If a connection was being read ahead, the passed deadline was kept as an error; if bytes of the next request had come meanwhile, it was delivered only after them, when the deadline had long been moved, in the read that watches for a close. net/http takes that for a closed connection and cancels the context of all its requests, but goes on reading it. Change: a deadline that has passed is forgotten when it is moved, also if the read that met it reports it later. Why it works: the error is only reported while the deadline that caused it is in force, as by a connection without read-ahead.

--- a/citronserve/body.go
+++ b/citronserve/body.go
@@ -37,7 +37,7 @@
 	}
 	c, ctl := connOf(r.Context()), http.NewResponseController(w)
 	_ = ctl.SetReadDeadline(time.Now().Add(within))
-	charge := c.memory().Arriving(func() { _ = ctl.SetReadDeadline(time.Unix(1, 0)) })
+	charge := c.memory().Arriving(c.interrupt)
 	c.awaitBody()
 	body, err = readAll(r, charge, limit)
 	if finished := charge.Finish(); finished != nil {
--- a/citronserve/conn.go
+++ b/citronserve/conn.go
@@ -61,6 +61,8 @@
 	ahead  bool
 	buffer []byte
 	err    error
+	// deadlines counts the calls of SetReadDeadline.
+	deadlines int
 	// inHead is set while the head of a request is awaited or read. headBytes is what it costs,
 	// and head the charge for it once it costs more than freeHeadBytes.
 	inHead    bool
@@ -124,11 +126,20 @@
 		c.changed.Broadcast()
 		return n, nil
 	}
-	err := c.err
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		c.err = nil // the deadline may be moved
+	return 0, c.err
+}
+
+// SetReadDeadline implements net.Conn. A deadline that has passed is forgotten when it is moved:
+// net/http lets one pass to end its read of a byte, and would take it for an error of the
+// connection in a later read.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadlines++
+	if errors.Is(c.err, os.ErrDeadlineExceeded) {
+		c.err = nil
 	}
-	return 0, err
+	return c.Conn.SetReadDeadline(t)
 }
 
 // readAhead reads the connection until it fails. If it was closed, the requests of the connection
@@ -136,9 +147,15 @@
 func (c *conn) readAhead() {
 	p := make([]byte, 4<<10)
 	for {
+		c.mu.Lock()
+		deadlines := c.deadlines
+		c.mu.Unlock()
 		n, err := c.Conn.Read(p)
 		c.mu.Lock()
 		c.buffer = append(c.buffer, p[:n]...)
+		if errors.Is(err, os.ErrDeadlineExceeded) && c.deadlines != deadlines {
+			err = nil // the deadline has been moved
+		}
 		if err != nil {
 			c.ahead, c.err = false, err
 			if !errors.Is(err, os.ErrDeadlineExceeded) {
--- a/citronserve/conn_test.go
+++ b/citronserve/conn_test.go
@@ -5,9 +5,12 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -110,3 +113,34 @@
 		is.Equal(string(text), fmt.Sprintf("/%d body <nil>", i))
 	}
 }
+
+// Guards against a connection whose requests are all canceled, because the end of one request met
+// the first bytes of the next one.
+func TestRequestsThatMeetTheEndOfAnotherRun(t *testing.T) {
+	is := is.New(t)
+	const clients, requests = 8, 1500
+	var canceled atomic.Int64
+	var wg sync.WaitGroup
+	for i := range clients {
+		conn := serve(t, func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.ReadAll(r.Body)
+			time.Sleep(200 * time.Microsecond)
+			if r.Context().Err() != nil {
+				canceled.Add(1)
+			}
+			_, _ = io.WriteString(w, "ok")
+		})
+		random := rand.New(rand.NewPCG(1, uint64(i)))
+		wg.Go(func() {
+			go func() { _, _ = io.Copy(io.Discard, conn) }()
+			for range requests {
+				if _, err := fmt.Fprintf(conn, postRequest, "a"); err != nil {
+					return // the connection was closed, which callers can tell from a response
+				}
+				time.Sleep(time.Duration(random.IntN(800)) * time.Microsecond)
+			}
+		})
+	}
+	wg.Wait()
+	is.Equal(canceled.Load(), int64(0))
+}
--- a/citronserve/request.go
+++ b/citronserve/request.go
@@ -51,7 +51,8 @@
 	return nil
 }
 
-// interrupt makes the read of a connection fail.
+// interrupt makes the read of a connection fail. It takes no lock, because an account calls it
+// while it holds its own.
 func (c *conn) interrupt() { _ = c.Conn.SetReadDeadline(time.Unix(1, 0)) }
 
 // closeHead gives back what the head of a request holds. The caller holds mu.
