--- a/citronmemory/account_test.go
+++ b/citronmemory/account_test.go
@@ -92,7 +92,8 @@
 	is := is.New(t)
 	account, _ := newAccount()
 	large := account.Charge()
-	for large.TryGrow(16<<10) == nil {
+	for room := true; room; {
+		room = large.TryGrow(16<<10) == nil
 	}
 	is.NoErr(account.Charge().TryGrow(16 << 10))
 	is.True(errors.Is(account.Charge().TryGrow(65<<10), citronmemory.ErrNoRoom))
