Heads with a status that is none are no answers

What callers saw: an engine in trouble sent an answer with status 000. The connection of the caller was closed without an answer, and a request that may be repeated was not sent to another engine. Answers with status 600 and 999 were passed on as they were. Cause: net/http accepts any three characters that a lenient number parser takes as a status, and any version. Nothing between it and the caller checked them. Status 000 reached the WriteHeader of the caller's response, which panics. With X-Not-Executed, such an answer counted as the promise "not run"; an engine's order counted as refused, its reach check as passed. Change: citronbody.Transport, the transport of all clients (engines, store, other nodes, the older programs, the load tool), checks the first line of each head as it arrives, interim responses included, before net/http parses it. A relayed status is checked again by the node that asked, since a node of an older version passes on any. Why it works: reading such a head is an error of the connection, which is closed, and the call counts like any other whose answer was lost: it may have run. Operators find the engine by head.invalid and citrondeck_invalid_heads_total.

--- /dev/null
+++ b/citronbody/check.go
@@ -0,0 +1,142 @@
+package citronbody
+
+// Validation of response heads. net/http accepts status codes such as 000, and versions other than
+// HTTP/1.
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrInvalidHead means that what a process has sent is not the head of a response.
+var ErrInvalidHead = errors.New("invalid response head")
+
+const (
+	minStatus, maxStatus = 100, 599
+	// minFinalStatus is the lowest status of a response that is not an interim one.
+	minFinalStatus = 200
+	// maxQuoted bounds how much of an invalid line is quoted in an error.
+	maxQuoted = 64
+)
+
+// CheckHead checks the head of a response that another process has received.
+func CheckHead(status int) error {
+	if status < minFinalStatus || status > maxStatus {
+		return errors.Wrapf(ErrInvalidHead, "status %d", status)
+	}
+	return nil
+}
+
+func quote(text string) string { return strconv.Quote(text[:min(len(text), maxQuoted)]) }
+
+// DialFunc opens a connection, like http.Transport.DialContext.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// CheckHeads wraps dial. On its connections, the head of each response to a request that a Transport
+// sends is checked before net/http gets it. Reading an invalid one fails with ErrInvalidHead, so
+// that the connection is closed.
+func CheckHeads(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &headConn{Conn: c}, nil
+	}
+}
+
+// headConn is a connection on which heads are checked.
+type headConn struct {
+	net.Conn
+	mu sync.Mutex
+	// head is nil while no head is expected.
+	head *headReader
+}
+
+// expectHead makes the bytes that are read from now on the head of a response. It is called when a
+// request gets the connection, before the request is sent.
+func (c *headConn) expectHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head = &headReader{}
+}
+
+// Read implements net.Conn.
+func (c *headConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.head == nil {
+		return n, err
+	}
+	ended, invalid := c.head.read(p[:n])
+	if invalid != nil {
+		return 0, invalid
+	}
+	if ended {
+		c.head = nil
+	}
+	return n, err
+}
+
+// headReader checks the lines of a head as they arrive.
+type headReader struct {
+	// line is the part of the current line that has arrived. The transport bounds its length.
+	line []byte
+	// status is zero before the first line has arrived.
+	status int
+}
+
+// read reads the bytes p and reports whether the head has ended. What follows it is not read.
+func (h *headReader) read(p []byte) (ended bool, err error) {
+	for {
+		part, rest, complete := bytes.Cut(p, []byte("\n"))
+		h.line = append(h.line, part...)
+		if !complete {
+			return false, nil
+		}
+		p = rest
+		if ended, err = h.readLine(strings.TrimSuffix(string(h.line), "\r")); ended || err != nil {
+			return ended, err
+		}
+		h.line = h.line[:0]
+	}
+}
+
+// readLine reads a line. An interim response is followed by another head.
+func (h *headReader) readLine(line string) (ended bool, err error) {
+	switch {
+	case h.status == 0:
+		return false, h.readStatus(line)
+	case line == "" && h.status < minFinalStatus:
+		h.status = 0
+		return false, nil
+	case line == "":
+		return true, nil
+	}
+	return false, nil
+}
+
+// statusLine matches the first line of a head. The status is captured.
+var statusLine = regexp.MustCompile(`^HTTP/1\.\d (\d{3})(?: [^\x00-\x08\x0a-\x1f\x7f]*)?$`)
+
+// readStatus reads the first line of a head.
+func (h *headReader) readStatus(line string) error {
+	m := statusLine.FindStringSubmatch(line)
+	if m == nil {
+		return errors.Wrapf(ErrInvalidHead, "status line %s", quote(line))
+	}
+	h.status, _ = strconv.Atoi(m[1]) // three digits
+	if h.status < minStatus || h.status > maxStatus || h.status == http.StatusSwitchingProtocols {
+		return errors.Wrapf(ErrInvalidHead, "status %s", m[1])
+	}
+	return nil
+}
--- a/citronbody/head.go
+++ b/citronbody/head.go
@@ -14,8 +14,7 @@
 )
 
 const (
-	// MaxHeadBytes bounds the head of a response. It is meant for
-	// http.Transport.MaxResponseHeaderBytes.
+	// MaxHeadBytes bounds the head of a response.
 	MaxHeadBytes = 64 << 10
 	// maxHeadTime bounds the time from the first byte of a head to its last.
 	maxHeadTime = time.Second
@@ -26,18 +25,38 @@
 // errHeadTooLong means that the head of a response does not end.
 var errHeadTooLong = errors.New("response head does not end")
 
-// RoundTrip sends a request and reads the head of the response. It fails if the head has begun
-// and does not end. connected reports whether there was a connection, so that a part of the
-// request may have been sent.
-func RoundTrip(transport *http.Transport, req *http.Request) (res *http.Response, connected bool, err error) {
+// Transport sends requests and reads the heads of the responses. A head has to be valid and to end
+// in time (see CheckHeads).
+type Transport struct{ *http.Transport }
+
+// NewTransport returns a transport with the dialer and the limits of t.
+func NewTransport(t *http.Transport) Transport {
+	t.DialContext, t.MaxResponseHeaderBytes = CheckHeads(t.DialContext), MaxHeadBytes
+	return Transport{t}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	res, _, err := t.Send(req)
+	return res, err
+}
+
+// Send is RoundTrip. Besides, connected reports whether there was a connection, so that a part of
+// the request may have been sent.
+func (t Transport) Send(req *http.Request) (res *http.Response, connected bool, err error) {
 	ctx, cancel := context.WithCancelCause(req.Context())
 	head := headWatch{cancel: cancel}
 	trace := &httptrace.ClientTrace{
-		GotConn:              func(httptrace.GotConnInfo) { connected = true },
+		GotConn: func(info httptrace.GotConnInfo) {
+			connected = true
+			if c, ok := info.Conn.(*headConn); ok {
+				c.expectHead()
+			}
+		},
 		GotFirstResponseByte: head.begin,
 		Got1xxResponse:       head.interim,
 	}
-	res, err = transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	res, err = t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	head.end()
 	if err != nil {
 		if cause := context.Cause(ctx); errors.Is(cause, errHeadTooLong) {
--- a/citroncli/cli.go
+++ b/citroncli/cli.go
@@ -161,12 +161,10 @@
 // countedClient returns a client that counts the bytes it reads and writes in t and keeps at most
 // maxIdle idle connections, or any number if that is zero.
 func countedClient(t *citronwire.Traffic, maxIdle int) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: citronbody.NewTransport(&http.Transport{
 		MaxIdleConns:        maxIdle,
 		MaxIdleConnsPerHost: 256,
 		IdleConnTimeout:     30 * time.Second,
-
-		MaxResponseHeaderBytes: citronbody.MaxHeadBytes,
-		DialContext:            t.Dial((&net.Dialer{Timeout: time.Second}).DialContext),
-	}}
+		DialContext:         t.Dial((&net.Dialer{Timeout: time.Second}).DialContext),
+	})}
 }
--- a/citroncli/clients_test.go
+++ b/citroncli/clients_test.go
@@ -1,8 +1,16 @@
 package citroncli
 
 import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
 	"testing"
 
+	"citrondeck.dev/citrondeck/citronbody"
+	"citrondeck.dev/citrondeck/citronwire"
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 )
 
@@ -21,3 +29,32 @@
 	is.True(conns+opened < sockets*19/20)
 	is.True(limits.plan.Runtime < memoryMB<<20)
 }
+
+// Guards against a response with an invalid head that a program's client takes for an answer of
+// another process, such as the one of a back end that is leaving, which means "not run".
+func TestClientRejectsInvalidHeads(t *testing.T) {
+	const leaving = citronwire.LeavingHeader + ": b1\r\nContent-Type: application/json\r\n"
+	for _, head := range []string{
+		"HTTP/1.1 000 Odd\r\n" + leaving, "HTTP/1.1 600 Odd\r\n" + leaving,
+	} {
+		is := is.New(t)
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		defer ln.Close()
+		go func() {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = fmt.Fprintf(c, "%sContent-Length: 22\r\n\r\n{\"code\":\"unavailable\"}", head)
+			}
+		}()
+		res, err := httpClient().Post("http://"+ln.Addr().String(), "application/json", strings.NewReader("{}"))
+		if err == nil {
+			_ = res.Body.Close()
+		}
+		is.True(errors.Is(err, citronbody.ErrInvalidHead))
+	}
+}
--- a/citroncli/node.go
+++ b/citroncli/node.go
@@ -96,6 +96,7 @@
 	limits.onClosed = citronstat.ClosedConns(clock, log, registry)
 	citronstat.RegisterMemory(limits.memory, registry)
 	engines.OnUnknownHeader(citronstat.UnknownHeaders(ctx, log, registry))
+	engines.OnInvalidHead(citronstat.InvalidHeads(ctx, log, registry))
 	node := citronnode.New(citronnode.Settings{
 		Name: settings.Name, Zone: settings.Zone, Front: settings.Front, Peer: settings.Peer, Seeds: settings.Seeds, Cores: settings.Cores,
 		LeaseTTL: max(leaderLease, settings.MinLeaseTTL), Grace: settings.Grace, Heartbeat: settings.Heartbeat, DrainWithin: settings.DrainWithin, UsageInterval: c.UsageInterval, UsageMinNodes: c.UsageMinNodes, Memory: limits.memory,
--- a/citronevent/event.go
+++ b/citronevent/event.go
@@ -81,6 +81,7 @@
 	PartTried          Event = 521
 	PartReleased       Event = 522
 	CrashesRejected    Event = 523
+	HeadInvalid        Event = 524
 	StreamDelayed      Event = 530
 	BudgetState        Event = 531
 	CallerLeft         Event = 532
@@ -181,6 +182,7 @@
 	CooldownHeld:        {slog.LevelInfo, "cooldown.held", "a request was not sent to an engine because of its cool-down: it tries another engine (outcome=passed over), waits for the end (outcome=waits), or is refused (outcome=refused); gives the time (wait, in nanoseconds)"},
 	EngineLeaving:       {slog.LevelInfo, "engine.leaving", "an engine's response stated for the first time that it is leaving; tells whether its entry in the list that the request was sent by says so too (listed)"},
 	HeaderUnknown:       {slog.LevelWarn, "header.unknown", "an engine's response had a header that this version does not know (name) and only passes on; it may be something that engines expect nodes to act on; only the first response with each name is logged, and a limited number of names"},
+	HeadInvalid:         {slog.LevelWarn, "head.invalid", "an engine (peer) sent a response whose head is not valid, such as one with status 000; the response was not used, its connection was closed, and whether the engine ran the request is unknown; only the first such response of each engine is logged, for a limited number of engines"},
 	RequestRelayed:      {slog.LevelInfo, "request.relayed", "a request was sent to an engine through another node (through), because this node's own link to the engine is broken; gives the status of the engine's response"},
 	RelayFailed:         {slog.LevelWarn, "relay.failed", "a request was not answered through another node (through): that node declined it, could not reach the engine either, or the request may have run; gives the cause"},
 	PartQuarantined:     {slog.LevelWarn, "prompt.quarantined", "requests with a prompt part are no longer sent to engines, because engines crashed under them; gives the part (part), the number of crashes that it explains (crashes), whether another part explains them equally well (tied), the hash of the only customer concerned, zero for all (customer), and where this node learned it (source): by detecting it itself (own), from the node named, or from the store (store)"},
--- a/citronrelay/relay_test.go
+++ b/citronrelay/relay_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"citrondeck.dev/citrondeck/citronbody"
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronplace"
 	"citrondeck.dev/citrondeck/citronrelay"
@@ -138,6 +139,21 @@
 	is.True(errors.Is(err, citronrelay.ErrDeclined)) // the helper did not get it
 }
 
+// Guards against a response with an invalid head that a node of an older version passes on, and
+// that counts as an answer or as a promise that the request has not run.
+func TestRelayedInvalidHeadIsNoAnswer(t *testing.T) {
+	for _, status := range []int{0, 20, 101, 600} {
+		is := is.New(t)
+		h := &fakeHelper{send: func(context.Context, citronrelay.Call) (*citronupstream.Reply, error) {
+			return &citronupstream.Reply{Status: status, Header: http.Header{}, NotExecuted: true, Body: io.NopCloser(strings.NewReader("ok"))}, nil
+		}}
+		client, addr := h.start(t)
+		_, err := client.Send(context.Background(), addr, newCall())
+		is.True(errors.Is(err, citronbody.ErrInvalidHead))
+		is.True(!errors.IsAny(err, citronrelay.ErrDeclined, citronrelay.ErrUnreached, citronrelay.ErrRefused))
+	}
+}
+
 // brokenBody ends with an error after its text.
 type brokenBody struct{ io.Reader }
 
--- a/citronrelay/send.go
+++ b/citronrelay/send.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"citrondeck.dev/citrondeck/citronbody"
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronupstream"
 	"citrondeck.dev/citrondeck/citronwire"
@@ -189,6 +190,10 @@
 		_ = body.Close()
 		return nil, err
 	case m.Head != nil:
+		if err := citronbody.CheckHead(m.Head.Status); err != nil {
+			_ = body.Close()
+			return nil, errors.Wrapf(err, "relay through %s", addr)
+		}
 		r := m.Head.reply()
 		r.Body = body
 		return r, nil
--- a/citronstat/names.go
+++ b/citronstat/names.go
@@ -45,3 +45,17 @@
 		}
 	}
 }
+
+// InvalidHeads returns a function that counts responses of engines whose heads are not valid, and
+// logs the first one of each engine, for a limited number of engines.
+func InvalidHeads(ctx context.Context, log *slog.Logger, r prometheus.Registerer) func(addr string, err error) {
+	responses := prometheus.NewCounter(prometheus.CounterOpts{Name: "citrondeck_invalid_heads_total", Help: "Responses of engines whose heads were not valid."})
+	r.MustRegister(responses)
+	var known nameSet
+	return func(addr string, err error) {
+		responses.Inc()
+		if known.add(addr) {
+			citronevent.Log(ctx, log, citronevent.HeadInvalid, "peer", addr, "err", err)
+		}
+	}
+}
