Heads with a field name that is none are no answers

What callers saw: an engine in trouble sent an answer in whose head the name of a field held a blank. The caller got it as a sound answer. Where the field was the one that frames the body ("Transfer-Encoding : chunked"), the body was not the engine's: it held the marks of the chunks. A line that began with a blank was added to the value of the field before it, and passed on there. Cause: net/http accepts blanks in field names, folds lines that begin with a blank, and takes a field with such a name for one that it does not know; so it does with chunks in HTTP/1.0. Folded lines are refused, as RFC 9112 allows. Why it works: a line is judged as it was sent, before net/http unfolds or drops it, and the call counts as one whose answer was lost. Trailers are left to net/http: they come after the whole body and are not passed on.

--- a/citronbody/check.go
+++ b/citronbody/check.go
@@ -1,7 +1,8 @@
 package citronbody
 
-// Validation of response heads. net/http accepts status codes such as 000, and versions other than
-// HTTP/1.
+// Validation of response heads. net/http accepts status codes such as 000, field names that contain
+// blanks, folded lines, and versions other than HTTP/1. It does not take the fields with such names
+// for those that frame the body, or that say what the response means.
 
 import (
 	"bytes"
@@ -14,6 +15,7 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrInvalidHead means that what a process has sent is not the head of a response.
@@ -28,10 +30,24 @@
 )
 
 // CheckHead checks the head of a response that another process has received.
-func CheckHead(status int) error {
+func CheckHead(status int, header http.Header) error {
 	if status < minFinalStatus || status > maxStatus {
 		return errors.Wrapf(ErrInvalidHead, "status %d", status)
 	}
+	for name, values := range header {
+		for _, v := range values {
+			if err := checkField(name, v); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func checkField(name, value string) error {
+	if !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
+		return errors.Wrapf(ErrInvalidHead, "field %s", quote(name+":"+value))
+	}
 	return nil
 }
 
@@ -92,7 +108,8 @@
 	// line is the part of the current line that has arrived. The transport bounds its length.
 	line []byte
 	// status is zero before the first line has arrived.
-	status int
+	status  int
+	version string
 }
 
 // read reads the bytes p and reports whether the head has ended. What follows it is not read.
@@ -122,11 +139,15 @@
 	case line == "":
 		return true, nil
 	}
-	return false, nil
+	name, value, ok := strings.Cut(line, ":")
+	if !ok || h.version == "1.0" && strings.EqualFold(name, "Transfer-Encoding") {
+		return false, errors.Wrapf(ErrInvalidHead, "field %s", quote(line))
+	}
+	return false, checkField(name, value)
 }
 
-// statusLine matches the first line of a head. The status is captured.
-var statusLine = regexp.MustCompile(`^HTTP/1\.\d (\d{3})(?: [^\x00-\x08\x0a-\x1f\x7f]*)?$`)
+// statusLine matches the first line of a head. The version and the status are captured.
+var statusLine = regexp.MustCompile(`^HTTP/(1\.\d) (\d{3})(?: [^\x00-\x08\x0a-\x1f\x7f]*)?$`)
 
 // readStatus reads the first line of a head.
 func (h *headReader) readStatus(line string) error {
@@ -134,9 +155,10 @@
 	if m == nil {
 		return errors.Wrapf(ErrInvalidHead, "status line %s", quote(line))
 	}
-	h.status, _ = strconv.Atoi(m[1]) // three digits
+	h.version = m[1]
+	h.status, _ = strconv.Atoi(m[2]) // three digits
 	if h.status < minStatus || h.status > maxStatus || h.status == http.StatusSwitchingProtocols {
-		return errors.Wrapf(ErrInvalidHead, "status %s", m[1])
+		return errors.Wrapf(ErrInvalidHead, "status %s", m[2])
 	}
 	return nil
 }
--- a/citroncli/clients_test.go
+++ b/citroncli/clients_test.go
@@ -35,7 +35,7 @@
 func TestClientRejectsInvalidHeads(t *testing.T) {
 	const leaving = citronwire.LeavingHeader + ": b1\r\nContent-Type: application/json\r\n"
 	for _, head := range []string{
-		"HTTP/1.1 000 Odd\r\n" + leaving, "HTTP/1.1 600 Odd\r\n" + leaving,
+		"HTTP/1.1 000 Odd\r\n" + leaving, "HTTP/1.1 600 Odd\r\n" + leaving, "HTTP/1.1 503 Busy\r\nX Odd: 1\r\n" + leaving, "HTTP/1.1 503 Busy\r\n" + leaving + " X-Odd: 1\r\n",
 	} {
 		is := is.New(t)
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/citronrelay/relay_test.go
+++ b/citronrelay/relay_test.go
@@ -142,10 +142,13 @@
 // Guards against a response with an invalid head that a node of an older version passes on, and
 // that counts as an answer or as a promise that the request has not run.
 func TestRelayedInvalidHeadIsNoAnswer(t *testing.T) {
-	for _, status := range []int{0, 20, 101, 600} {
+	for _, c := range []struct {
+		status int
+		name   string
+	}{{0, "X"}, {20, "X"}, {101, "X"}, {600, "X"}, {200, "X Odd"}, {200, "X\x01"}, {503, ""}} {
 		is := is.New(t)
 		h := &fakeHelper{send: func(context.Context, citronrelay.Call) (*citronupstream.Reply, error) {
-			return &citronupstream.Reply{Status: status, Header: http.Header{}, NotExecuted: true, Body: io.NopCloser(strings.NewReader("ok"))}, nil
+			return &citronupstream.Reply{Status: c.status, Header: http.Header{c.name: {"1"}}, NotExecuted: true, Body: io.NopCloser(strings.NewReader("ok"))}, nil
 		}}
 		client, addr := h.start(t)
 		_, err := client.Send(context.Background(), addr, newCall())
--- a/citronrelay/send.go
+++ b/citronrelay/send.go
@@ -190,7 +190,7 @@
 		_ = body.Close()
 		return nil, err
 	case m.Head != nil:
-		if err := citronbody.CheckHead(m.Head.Status); err != nil {
+		if err := citronbody.CheckHead(m.Head.Status, m.Head.Header); err != nil {
 			_ = body.Close()
 			return nil, errors.Wrapf(err, "relay through %s", addr)
 		}
