Heads with more fields than any response needs are refused

What callers would see: a node that runs out of memory, and with it the requests of all its callers, while an engine sends heads of many tiny fields that do not end. Cause: a head is bounded to 64 KB, but each field takes over 200 bytes once net/http has decoded it, and nothing bounded their number. Evidence: TestManyLongHeadsFitTheMemory on the code before: 150 calls to an engine that sends 60 KB of fields of a few bytes and stalls grew the heap by 155 MB; a node may have 284 MB. Long fields and bytes without a head were bounded: 25 and 24 MB. Change: the reader of heads refuses more than 256 fields, before net/http decodes them. Measured: the three cases pass; each call fails within the second that a head may take.

--- a/citronbody/check.go
+++ b/citronbody/check.go
@@ -25,6 +25,8 @@
 	minStatus, maxStatus = 100, 599
 	// minFinalStatus is the lowest status of a response that is not an interim one.
 	minFinalStatus = 200
+	// maxFields bounds the fields of a head. A field of a few bytes takes hundreds once decoded.
+	maxFields = 256
 	// maxQuoted bounds how much of an invalid line is quoted in an error.
 	maxQuoted = 64
 )
@@ -110,6 +112,7 @@
 	// status is zero before the first line has arrived.
 	status  int
 	version string
+	fields  int
 }
 
 // read reads the bytes p and reports whether the head has ended. What follows it is not read.
@@ -134,11 +137,14 @@
 	case h.status == 0:
 		return false, h.readStatus(line)
 	case line == "" && h.status < minFinalStatus:
-		h.status = 0
+		h.status, h.fields = 0, 0
 		return false, nil
 	case line == "":
 		return true, nil
 	}
+	if h.fields++; h.fields > maxFields {
+		return false, errors.Wrapf(ErrInvalidHead, "more than %d fields", maxFields)
+	}
 	name, value, ok := strings.Cut(line, ":")
 	if !ok || h.version == "1.0" && strings.EqualFold(name, "Transfer-Encoding") {
 		return false, errors.Wrapf(ErrInvalidHead, "field %s", quote(line))
