Events share the memory of large answers

What callers would see: a node that runs out of memory, and with it the requests of all its callers, while an engine sends events that do not end on many streams. Cause: an event is bounded to 1 MiB and a second, but nothing bounded the events of all streams together. Bodies that are passed on whole have such a bound. Without room the run breaks off, and the stream may be resumed on another engine. Why it works: the event that does not end gives its room back with its run, and ordinary events never need any.

--- a/citronbody/body.go
+++ b/citronbody/body.go
@@ -59,26 +59,52 @@
 // ReadAll is the function ReadAll within the budget. It returns ErrNoRoom if the budget has no room
 // for the body. The caller calls release once it does not hold the body any more.
 func (b *Budget) ReadAll(r io.Reader, limit int64) (body []byte, release func(), err error) {
-	counted := &countedReader{r: r, free: b.free}
-	body, err = ReadAll(counted, limit)
-	return body, func() { b.free.Release(counted.taken) }, err
+	hold := b.Hold()
+	body, err = ReadAll(holdingReader{r, hold}, limit)
+	return body, hold.Release, err
 }
 
-// countedReader takes what it has read, beyond uncountedBytes, from a budget.
-type countedReader struct {
-	r           io.Reader
-	free        *semaphore.Weighted
-	read, taken int64
+// Hold returns a hold without bytes.
+func (b *Budget) Hold() *Hold { return &Hold{free: b.free} }
+
+// Hold is what one body, or a part of one, takes of a Budget while it grows. It is used by one
+// goroutine at a time.
+type Hold struct {
+	free         *semaphore.Weighted
+	bytes, taken int64
 }
 
-func (c *countedReader) Read(p []byte) (int, error) {
-	n, err := c.r.Read(p)
-	c.read += int64(n)
-	for c.read > uncountedBytes+c.taken {
-		if !c.free.TryAcquire(budgetStep) {
-			return n, ErrNoRoom
+// Grow adds n bytes. It returns ErrNoRoom if the budget has no room for them.
+func (h *Hold) Grow(n int) error {
+	h.bytes += int64(n)
+	for h.bytes > uncountedBytes+h.taken {
+		if !h.free.TryAcquire(budgetStep) {
+			return ErrNoRoom
 		}
-		c.taken += budgetStep
+		h.taken += budgetStep
+	}
+	return nil
+}
+
+// Release gives all bytes back. A nil hold has none.
+func (h *Hold) Release() {
+	if h == nil {
+		return
+	}
+	h.free.Release(h.taken)
+	h.bytes, h.taken = 0, 0
+}
+
+// holdingReader adds what it has read to a hold.
+type holdingReader struct {
+	r    io.Reader
+	hold *Hold
+}
+
+func (h holdingReader) Read(p []byte) (int, error) {
+	n, err := h.r.Read(p)
+	if full := h.hold.Grow(n); full != nil {
+		return n, full
 	}
 	return n, err
 }
--- a/citronforward/endless_test.go
+++ b/citronforward/endless_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"runtime"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronupstream"
 	"github.com/matryer/is"
 )
@@ -82,3 +86,44 @@
 		})
 	}
 }
+
+// Guards against a node that runs out of memory because many streams at once hold an event that
+// does not end. The streams fail; others go on.
+func TestManyEventsWithoutEndFitTheMemory(t *testing.T) {
+	is := is.New(t)
+	var engines []citronmodel.Engine
+	for i := range 50 {
+		engines = append(engines, modelEngine(fmt.Sprint("m", i), "a", 0, 8))
+	}
+	r := newTestForwarder(t, engines...)
+	begin := "data: " + strings.Repeat("x", 900<<10)
+	var reading atomic.Int64
+	r.engines.answer = func(ctx context.Context, _ int, call citronupstream.Call) (*citronupstream.Reply, error) {
+		if call.ID == "small" {
+			return reply(200, events(1, 4)), nil
+		}
+		reading.Add(1)
+		rep := reply(200, "")
+		rep.Body = stallingBody{strings.NewReader(begin), ctx}
+		return rep, nil
+	}
+	var before, now runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var all sync.WaitGroup
+	for range 200 {
+		all.Go(func() { r.ask("stream", 800*time.Millisecond) })
+	}
+	var grown uint64
+	for range 10 {
+		time.Sleep(50 * time.Millisecond)
+		runtime.GC()
+		runtime.ReadMemStats(&now)
+		grown = max(grown, now.HeapAlloc-min(before.HeapAlloc, now.HeapAlloc))
+	}
+	is.Equal(r.ask("stream", time.Second, func(q *citronupstream.Request) { q.ID = "small" }).body, events(1, 4))
+	all.Wait()
+	t.Logf("%d runs, the heap grew by %d MB", reading.Load(), grown>>20)
+	is.True(reading.Load() >= 100)
+	is.True(grown < 64<<20)
+}
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -35,6 +35,8 @@
 type event struct {
 	text []byte
 	id   string
+	// hold is what the event takes of the budget of large responses.
+	hold *citronbody.Hold
 }
 
 // errEventTooLarge and errEventTooLong mean that an event does not end.
@@ -45,24 +47,30 @@
 
 // eventReader reads the events of a response body.
 type eventReader struct {
-	r *bufio.Reader
+	r      *bufio.Reader
+	budget *citronbody.Budget
 	// late closes the body if the current event does not end.
 	late *time.Timer
 }
 
-func newEventReader(body io.ReadCloser) *eventReader {
+func newEventReader(body io.ReadCloser, budget *citronbody.Budget) *eventReader {
 	late := time.AfterFunc(maxEventTime, func() { _ = body.Close() })
 	late.Stop()
-	return &eventReader{bufio.NewReader(body), late}
+	return &eventReader{bufio.NewReader(body), budget, late}
 }
 
-// next returns the next event. The time until it begins is not bounded.
+// next returns the next event, whose hold the caller releases. The time until it begins is not
+// bounded.
 func (e *eventReader) next() (event, error) {
 	if _, err := e.r.Peek(1); err != nil {
 		return event{}, err
 	}
 	e.late.Reset(maxEventTime)
-	ev, err := readEvent(e.r)
+	hold := e.budget.Hold()
+	ev, err := readEvent(e.r, hold)
+	if err != nil {
+		hold.Release()
+	}
 	if !e.late.Stop() && err != nil {
 		err = errEventTooLong
 	}
@@ -70,12 +78,15 @@
 }
 
 // readEvent reads an event up to the blank line that ends it. If the stream ends in
-// the middle of an event, it returns io.ErrUnexpectedEOF.
-func readEvent(r *bufio.Reader) (event, error) {
-	var ev event
+// the middle of an event, it returns io.ErrUnexpectedEOF. hold grows with the event.
+func readEvent(r *bufio.Reader, hold *citronbody.Hold) (event, error) {
+	ev := event{hold: hold}
 	line := 0 // where the current line begins
 	for {
 		part, err := r.ReadSlice('\n')
+		if full := hold.Grow(len(part)); full != nil {
+			return event{}, full
+		}
 		ev.text = append(ev.text, part...)
 		switch {
 		case len(ev.text) > maxEventBytes:
@@ -520,14 +531,16 @@
 		return runBroken
 	}
 	events := make(chan eventOrErr)
-	go readEvents(ctx, reply.Body, events)
+	go readEvents(ctx, newEventReader(reply.Body, s.f.bodies()), events)
 	for {
 		select {
 		case e := <-events:
 			if e.err != nil {
 				return s.streamEnded(ctx, reply, e.err)
 			}
-			if v, done := s.forwardEvent(reply, e.event); done {
+			v, done := s.forwardEvent(reply, e.event)
+			e.hold.Release()
+			if done {
 				return v
 			}
 			if w.onEvent() == replaceRun {
@@ -551,13 +564,13 @@
 
 // readEvents sends the events of a response body to out, followed by the error that
 // ended the body.
-func readEvents(ctx context.Context, body io.ReadCloser, out chan<- eventOrErr) {
-	r := newEventReader(body)
+func readEvents(ctx context.Context, r *eventReader, out chan<- eventOrErr) {
 	for {
 		ev, err := r.next()
 		select {
 		case out <- eventOrErr{ev, err}:
 		case <-ctx.Done():
+			ev.hold.Release()
 			return
 		}
 		if err != nil {
