Programs bound what they hold of all responses

What callers would see: an entry whose calls to a faulty upstream neither end nor fail before their deadline, and whose memory grows with each of them. Cause: a response is bounded to 64 MB each; a longer one is read on to its end by connect, so that its connection can be reused, and one without an end has none. Evidence: TestResponsesWithoutEndShareABound on the code before: the calls of 8 callers to an upstream whose body does not end were still running at their deadline of 2 s. (One without a deadline took the processor until it was stopped by hand.) Change: citronbody.Transport can bound the bytes of all bodies that have been read and not closed; the programs that read responses as a whole bound them to 16 MB. The client for other nodes, whose responses may be streams, has no such bound. Why it works: without room, reading fails for good, so there is nothing to read on. Measured: the same test passes in 0.1 s, and a small response is read afterwards.

--- a/citronbody/head.go
+++ b/citronbody/head.go
@@ -27,12 +27,17 @@
 
 // Transport sends requests and reads the heads of the responses. A head has to be valid and to end
 // in time (see CheckHeads).
-type Transport struct{ *http.Transport }
+type Transport struct {
+	*http.Transport
+	// Bodies, if set, bounds the bytes of all response bodies that have been read and not closed.
+	// It is meant for clients that read a body as a whole.
+	Bodies *Budget
+}
 
 // NewTransport returns a transport with the dialer and the limits of t.
 func NewTransport(t *http.Transport) Transport {
 	t.DialContext, t.MaxResponseHeaderBytes = CheckHeads(t.DialContext), MaxHeadBytes
-	return Transport{t}
+	return Transport{Transport: t}
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -66,6 +71,10 @@
 		return nil, connected, err
 	}
 	res.Body = cancelingBody{res.Body, cancel}
+	if t.Bodies != nil {
+		hold := t.Bodies.Hold()
+		res.Body = heldBody{holdingReader{res.Body, hold}, res.Body, hold}
+	}
 	return res, connected, nil
 }
 
@@ -121,6 +130,18 @@
 	return b.ReadCloser.Close()
 }
 
+// heldBody is a body whose bytes are held until it is closed.
+type heldBody struct {
+	io.Reader
+	body io.Closer
+	hold *Hold
+}
+
+func (b heldBody) Close() error {
+	b.hold.Release()
+	return b.body.Close()
+}
+
 // Once returns a request body that net/http cannot read again. Otherwise net/http resends some
 // requests by itself when a pooled connection breaks, and a request could run twice.
 func Once(body []byte) io.ReadCloser { return io.NopCloser(onceReader{bytes.NewReader(body)}) }
--- a/citroncli/cli.go
+++ b/citroncli/cli.go
@@ -155,16 +155,32 @@
 	return citronserve.Serve(ctx, hs, limits.newLimits().listener("requests", programShare))
 }
 
+// responseBytes bounds what a program holds of all responses at the same time.
+const responseBytes = maxMessage
+
 // httpClient returns a client whose byte counts are discarded.
-func httpClient() *http.Client { return countedClient(new(citronwire.Traffic), 0) }
+func httpClient() *http.Client { return countedClient(new(citronwire.Traffic)) }
+
+// countedClient returns a client that counts the bytes it reads and writes in t, and reads each
+// response as a whole.
+func countedClient(t *citronwire.Traffic) *http.Client {
+	transport := newTransport(t)
+	transport.Bodies = citronbody.NewBudget(responseBytes)
+	return &http.Client{Transport: transport}
+}
+
+// peerClient returns a client for other nodes, some of whose responses are streams. It keeps at most
+// maxIdle idle connections.
+func peerClient(maxIdle int) *http.Client {
+	transport := newTransport(new(citronwire.Traffic))
+	transport.MaxIdleConns = maxIdle
+	return &http.Client{Transport: transport}
+}
 
-// countedClient returns a client that counts the bytes it reads and writes in t and keeps at most
-// maxIdle idle connections, or any number if that is zero.
-func countedClient(t *citronwire.Traffic, maxIdle int) *http.Client {
-	return &http.Client{Transport: citronbody.NewTransport(&http.Transport{
-		MaxIdleConns:        maxIdle,
+func newTransport(t *citronwire.Traffic) citronbody.Transport {
+	return citronbody.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: 256,
 		IdleConnTimeout:     30 * time.Second,
 		DialContext:         t.Dial((&net.Dialer{Timeout: time.Second}).DialContext),
-	})}
+	})
 }
--- a/citroncli/clients_test.go
+++ b/citroncli/clients_test.go
@@ -2,13 +2,19 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"citrondeck.dev/citrondeck/citronbody"
+	"citrondeck.dev/citrondeck/citronplain"
 	"citrondeck.dev/citrondeck/citronwire"
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
@@ -30,6 +36,46 @@
 	is.True(limits.plan.Runtime < memoryMB<<20)
 }
 
+// Guards against a program that reads responses without end, until it runs out of memory or its
+// callers have given up.
+func TestResponsesWithoutEndShareABound(t *testing.T) {
+	is := is.New(t)
+	var sent atomic.Int64
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	block := make([]byte, 64<<10)
+	endless := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		for ctx.Err() == nil {
+			n, err := w.Write(block)
+			sent.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	}))
+	defer endless.Close()
+	hc := httpClient()
+	var all sync.WaitGroup
+	for range 8 {
+		all.Go(func() {
+			_, err := citronplain.NewClient(hc, endless.URL).Do(ctx, citronplain.Call{})
+			is.True(err != nil)
+		})
+	}
+	all.Wait()
+	is.NoErr(ctx.Err())           // the calls have ended by themselves
+	is.True(sent.Load() < 96<<20) // with what is on the way, half of the default memory of a program
+	small := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write([]byte(`{"result":"ok"}`))
+	}))
+	defer small.Close()
+	result, err := citronplain.NewClient(hc, small.URL).Do(ctx, citronplain.Call{})
+	is.NoErr(err)
+	is.Equal(result, "ok")
+}
+
 // Guards against a response with an invalid head that a program's client takes for an answer of
 // another process, such as the one of a back end that is leaving, which means "not run".
 func TestClientRejectsInvalidHeads(t *testing.T) {
--- a/citroncli/entry.go
+++ b/citroncli/entry.go
@@ -50,7 +50,7 @@
 	// Control traffic uses a separate client, so that its volume is measured
 	// separately.
 	control := new(citronwire.Traffic)
-	kv := citronkv.NewClient(countedClient(control, 0), c.KV)
+	kv := citronkv.NewClient(countedClient(control), c.KV)
 	settings = settings.WithDefaults()
 	settings.Limits = newClientLimits(settings.MemoryMB, settings.MaxFDs).listener("callers", frontShare)
 	e := citronentry.New(settings, citronclock.Real{}, g.Logger().With("role", "entry"), kv, kv.Instances, httpClient())
--- a/citroncli/node.go
+++ b/citroncli/node.go
@@ -23,7 +23,6 @@
 	"citrondeck.dev/citrondeck/citronserve"
 	"citrondeck.dev/citrondeck/citronstat"
 	"citrondeck.dev/citrondeck/citronusage"
-	"citrondeck.dev/citrondeck/citronwire"
 	"citrondeck.dev/citrondeck/platform"
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -103,7 +102,7 @@
 	}, citronnode.Sources{
 		Store: citronstat.CountStore(platform.NewStore(settings.Store), registry), ConfigKey: platform.ConfigKey, EnginePrefix: platform.EnginePrefix,
 		DecodeConfig: platform.DecodeConfig, DecodeEngine: platform.DecodeEngine, Engines: engines,
-	}, clock, log, budget, loads, countedClient(new(citronwire.Traffic), limits.idleConns()))
+	}, clock, log, budget, loads, peerClient(limits.idleConns()))
 	citronstat.RegisterNode(node.Status, registry)
 	citronstat.RegisterBudget(budget, clock, registry)
 	forwarder := &citronforward.Forwarder{
