A stopping node takes no stream that may outlast it

What callers saw elsewhere: in a planned stop of one machine, in calm, requests that came late in the grace were taken and passed on, and cut at its end without an answer. Here it can happen to streams: after 2.5 s, a stream was taken if 0.7 s and 30 ms a token ended before the node, however slow its engine was, and as if it had no tokens if it declared none. Evidence: two new cases of TestStoppingNodeAcceptsOnlyWhatEndsInTime failed before: both streams were passed on. Change: while another node serves callers, which can take the request at once, only requests whose deadline is before the node's end are taken after 2.5 s. While none does, the estimate stays, for streams that declare their size. Measured: the cases pass, with the old ones unchanged.

--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -342,8 +342,8 @@
 	// resume a stream that outlasts the node, but a stream that every node refuses is
 	// lost.
 	stopAcceptAlone = 2800 * time.Millisecond
-	// maxFirstEvent and maxTokenTime bound the duration of a stream under full load:
-	// the time to its first event, and the time per token.
+	// maxFirstEvent and maxTokenTime bound the usual duration of a stream under full load:
+	// the time to its first event, and the time per token. An engine may be slower.
 	maxFirstEvent = 700 * time.Millisecond
 	maxTokenTime  = 30 * time.Millisecond
 	// retryStopped is how long a restart takes when nodes are restarted one after the
@@ -351,21 +351,14 @@
 	retryStopped = 1500 * time.Millisecond
 )
 
-// refuseIfStopping refuses a request that this stopping node cannot be expected to
-// finish in time. The request has not run, so another node can accept it at once.
+// refuseIfStopping refuses a request that this stopping node may not finish in time. The
+// request has not run, so another node can accept it at once.
 func (j *job) refuseIfStopping() bool {
 	if j.f.Stopping == nil {
 		return false
 	}
 	st := j.f.Stopping()
-	duration := j.timeLeft()
-	if j.route.Kind == citrontable.Streaming {
-		duration = min(duration, maxFirstEvent+maxTokenTime*time.Duration(j.OutputTokens))
-		if st.Since < stopAccept || !st.OtherNodeServing && st.Since < stopAcceptAlone {
-			return false
-		}
-	}
-	if !st.Active || duration <= st.Left {
+	if !st.Active || j.endsBefore(st) {
 		return false
 	}
 	after := retryStopped
@@ -376,6 +369,22 @@
 	return true
 }
 
+// endsBefore reports whether the request ends before this stopping node does: by its deadline, or
+// as far as can be expected if no other node could serve it instead.
+func (j *job) endsBefore(st Stopping) bool {
+	if j.timeLeft() <= st.Left {
+		return true
+	}
+	if j.route.Kind != citrontable.Streaming {
+		return false
+	}
+	if st.OtherNodeServing {
+		return st.Since < stopAccept
+	}
+	usual := maxFirstEvent + maxTokenTime*time.Duration(j.OutputTokens)
+	return st.Since < stopAcceptAlone || j.OutputTokens > 0 && usual <= st.Left
+}
+
 // newJob resolves the request's route, customer and service, or refuses the request.
 func (f *Forwarder) newJob(s *State, r *citronupstream.Request, out Sink) (*job, bool) {
 	route, ok := s.Table.Route(r.Host, r.Path)
--- a/citronforward/stream_test.go
+++ b/citronforward/stream_test.go
@@ -343,7 +343,8 @@
 // Guards against requests that a stopping node cuts off, and against refusing more than
 // necessary. For 2.5 s after it begins to stop, or 2.8 s if no other node serves callers,
 // the node accepts all streams, because callers still use its address. After that it
-// accepts those that end before it does. A unary request is accepted if its deadline is
+// accepts those whose deadline is before its end, and, if no other node serves callers,
+// those that usually end before it does. A unary request is accepted if its deadline is
 // before the node's end. A refused caller may retry at once if there is another node.
 func TestStoppingNodeAcceptsOnlyWhatEndsInTime(t *testing.T) {
 	for _, c := range []struct {
@@ -359,6 +360,9 @@
 		{"long stream, slightly later, no other node", "stream", citronforward.Stopping{Since: 2700 * time.Millisecond, Left: 4900 * time.Millisecond}, 300, 200, 0},
 		{"long stream, slightly later", "stream", citronforward.Stopping{Since: 2700 * time.Millisecond, Left: 4900 * time.Millisecond, OtherNodeServing: true}, 300, 503, 0},
 		{"short stream, later", "stream", citronforward.Stopping{Since: 3 * time.Second, Left: 4 * time.Second}, 50, 200, 0},
+		{"short stream, later, another node", "stream", citronforward.Stopping{Since: 3 * time.Second, Left: 4 * time.Second, OtherNodeServing: true}, 50, 503, 0},
+		{"stream with a deadline in time, another node", "stream", citronforward.Stopping{Since: 3 * time.Second, Left: 10 * time.Second, OtherNodeServing: true}, 300, 200, 0},
+		{"stream of unknown size, later, no other node", "stream", citronforward.Stopping{Since: 3 * time.Second, Left: 4 * time.Second}, 0, 503, 1500 * time.Millisecond},
 		{"unary request that ends in time", "unsafe", citronforward.Stopping{Since: 5 * time.Second, Left: 2 * time.Second}, 0, 200, 0},
 		{"unary request that does not end in time", "unsafe", citronforward.Stopping{Since: 7 * time.Second, Left: 300 * time.Millisecond, OtherNodeServing: true}, 0, 503, 0},
 	} {
