A node that has drained accepts no more requests

What callers would see: in a planned stop, a request that arrives just after the last one in flight has ended is taken and passed on, and cut within 0.2 s without an answer, when the process exits. Cause: Drain returned as soon as nothing was in flight, from 0.3 of the grace on, while Stopping still reported the rest of the grace, and streams were taken for 2.5 s in any case; with a grace of 8 s, draining may end after 2.4 s. Evidence: TestDrainedNodeAcceptsNothing and a new case of TestStoppingNodeAcceptsOnlyWhatEndsInTime failed before. Change: Drain first closes the node to requests, then waits once more for those that were accepted just before. Why it works: a request is counted before it asks whether the node stops, so it is either seen by that wait or refused as not run. Measured: both tests pass.

--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -327,7 +327,7 @@
 	// Active reports whether the node is stopping.
 	Active bool
 	// Since is the time since the shutdown began; Left is how long the node will still
-	// serve.
+	// serve, not positive if it accepts no more requests.
 	Since, Left time.Duration
 	// OtherNodeServing reports whether another node accepts callers' requests.
 	OtherNodeServing bool
@@ -375,7 +375,7 @@
 	if j.timeLeft() <= st.Left {
 		return true
 	}
-	if j.route.Kind != citrontable.Streaming {
+	if st.Left <= 0 || j.route.Kind != citrontable.Streaming {
 		return false
 	}
 	if st.OtherNodeServing {
--- a/citronforward/stream_test.go
+++ b/citronforward/stream_test.go
@@ -363,6 +363,8 @@
 		{"short stream, later, another node", "stream", citronforward.Stopping{Since: 3 * time.Second, Left: 4 * time.Second, OtherNodeServing: true}, 50, 503, 0},
 		{"stream with a deadline in time, another node", "stream", citronforward.Stopping{Since: 3 * time.Second, Left: 10 * time.Second, OtherNodeServing: true}, 300, 200, 0},
 		{"stream of unknown size, later, no other node", "stream", citronforward.Stopping{Since: 3 * time.Second, Left: 4 * time.Second}, 0, 503, 1500 * time.Millisecond},
+		{"stream at a node that is about to exit", "stream", citronforward.Stopping{Since: 2400 * time.Millisecond, OtherNodeServing: true}, 50, 503, 0},
+		{"unary request at a node that is about to exit", "unsafe", citronforward.Stopping{Since: 2400 * time.Millisecond, OtherNodeServing: true}, 0, 503, 0},
 		{"unary request that ends in time", "unsafe", citronforward.Stopping{Since: 5 * time.Second, Left: 2 * time.Second}, 0, 200, 0},
 		{"unary request that does not end in time", "unsafe", citronforward.Stopping{Since: 7 * time.Second, Left: 300 * time.Millisecond, OtherNodeServing: true}, 0, 503, 0},
 	} {
--- a/citronnode/node.go
+++ b/citronnode/node.go
@@ -116,6 +116,8 @@
 	startedAt time.Time
 	// leftAt is when the node began to stop.
 	leftAt atomic.Pointer[time.Time]
+	// closed is set once no more requests are accepted.
+	closed atomic.Bool
 	// updates wakes the gossip loop after a document has changed on this node. urgentUpdates
 	// does the same if the leader must be informed too.
 	updates, urgentUpdates chan struct{}
@@ -342,8 +344,12 @@
 		return citronforward.Stopping{}
 	}
 	since := n.clock.Now().Sub(*at)
+	left := n.settings.Grace - killMargin - since
+	if n.closed.Load() {
+		left = 0
+	}
 	others := slices.ContainsFunc(n.snap.Load().members, acceptsCallers)
-	return citronforward.Stopping{Active: true, Since: since, Left: n.settings.Grace - killMargin - since, OtherNodeServing: others}
+	return citronforward.Stopping{Active: true, Since: since, Left: left, OtherNodeServing: others}
 }
 
 func acceptsCallers(m citronpeer.Member) bool { return m.Ready && !m.Leaving }
@@ -359,10 +365,17 @@
 	citronevent.Log(ctx, n.log, citronevent.DrainStarted, "inflight", n.running.Load())
 	end := begin.Add(n.settings.Grace - killMargin)
 	_ = n.clock.Sleep(ctx, time.Duration(float64(n.settings.Grace)*drainServeShare))
+	n.awaitIdle(ctx, end)
+	n.closed.Store(true)
+	n.awaitIdle(ctx, end) // requests that were accepted just before
+	citronevent.Log(ctx, n.log, citronevent.DrainDone, "inflight", n.running.Load())
+}
+
+// awaitIdle waits until no request is in flight, or until the given time.
+func (n *Node) awaitIdle(ctx context.Context, end time.Time) {
 	for n.running.Load() > 0 && n.clock.Now().Before(end) && ctx.Err() == nil {
 		_ = n.clock.Sleep(ctx, drainPollInterval)
 	}
-	citronevent.Log(ctx, n.log, citronevent.DrainDone, "inflight", n.running.Load())
 }
 
 // announceFanout is the number of nodes that this node tells directly that it is stopping or
