Requests that still run when a node exits are answered

What callers would see: at the end of the grace, requests that still run or wait at the stopping node are cut without an answer, although nothing that their engines did is known to be lost: those that wait for an engine, and those without a first byte. Cause: Serve waited 0.2 s for running requests and returned; they ended with the process. A request that has not run is answered 503, with the time after which another node takes it, one that may have run 504; a stream that has begun is cut, as before. They do not count as requests of callers that have left.

--- a/citronforward/forward.go
+++ b/citronforward/forward.go
@@ -43,8 +43,10 @@
 	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citronprobe"
 	"citrondeck.dev/citrondeck/citronquarantine"
+	"citrondeck.dev/citrondeck/citronserve"
 	"citrondeck.dev/citrondeck/citrontable"
 	"citrondeck.dev/citrondeck/citronupstream"
+	"github.com/cockroachdb/errors"
 )
 
 // Sink writes the response to the caller.
@@ -361,14 +363,26 @@
 	if !st.Active || j.endsBefore(st) {
 		return false
 	}
-	after := retryStopped
-	if st.OtherNodeServing {
-		after = 0
-	}
-	j.f.refuse(j.Request, j.out, http.StatusServiceUnavailable, after, "this node is stopping", "service", j.service.Name, "route", j.route.Name, "customer", j.customer, "priorityLevel", j.priorityLevel)
+	j.f.refuse(j.Request, j.out, http.StatusServiceUnavailable, st.retryAfter(), reasonStopping, "service", j.service.Name, "route", j.route.Name, "customer", j.customer, "priorityLevel", j.priorityLevel)
 	return true
 }
 
+// reasonStopping is the reason of refusals by a node that is stopping.
+const reasonStopping = "this node is stopping"
+
+// retryAfter returns when another node can accept a request that this stopping node refuses.
+func (s Stopping) retryAfter() time.Duration {
+	if s.OtherNodeServing {
+		return 0
+	}
+	return retryStopped
+}
+
+// hasStopped reports whether a request has ended because the server of its node has been stopped.
+func hasStopped(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), citronserve.ErrStopped)
+}
+
 // endsBefore reports whether the request ends before this stopping node does: by its deadline, or
 // as far as can be expected if no other node could serve it instead.
 func (j *job) endsBefore(st Stopping) bool {
@@ -440,6 +454,12 @@
 func (j *job) giveUp(ctx context.Context, reason string) {
 	status := http.StatusServiceUnavailable
 	after := j.retryAfter
+	if hasStopped(ctx) {
+		reason = reasonStopping
+		if j.f.Stopping != nil {
+			after = j.f.Stopping().retryAfter()
+		}
+	}
 	if j.runs+j.runsOnEndedEngines > 0 {
 		// An engine may have run the request, so the response must not invite a retry.
 		status = http.StatusBadGateway
--- a/citronforward/forwarder_test.go
+++ b/citronforward/forwarder_test.go
@@ -152,6 +152,11 @@
 
 // ask sends a request to a route and returns what the caller got.
 func (r *testForwarder) ask(route string, wait time.Duration, change ...func(*citronupstream.Request)) *caller {
+	return r.askUntil(context.Background(), route, wait, change...)
+}
+
+// askUntil is ask for a request whose context is ctx.
+func (r *testForwarder) askUntil(ctx context.Context, route string, wait time.Duration, change ...func(*citronupstream.Request)) *caller {
 	req := &citronupstream.Request{
 		ID: "r1", Method: "POST", Host: "h", Path: "/" + route + "/x", Target: "/" + route + "/x", Header: http.Header{},
 		Received: time.Now(), CallerTimeout: wait, APIKey: "k1", PromptTokens: 100, OutputTokens: 20,
@@ -160,7 +165,7 @@
 		f(req)
 	}
 	c := &caller{}
-	r.Serve(context.Background(), req, c)
+	r.Serve(ctx, req, c)
 	return c
 }
 
--- a/citronforward/stream.go
+++ b/citronforward/stream.go
@@ -179,8 +179,8 @@
 const (
 	// runFinished means that the caller has the complete stream.
 	runFinished runOutcome = iota
-	// callerLeft means that the caller has disconnected or the deadline has
-	// passed.
+	// callerLeft means that the caller has disconnected, the deadline has passed or the
+	// node exits.
 	callerLeft
 	// runRefused means that the engines did not run the request.
 	runRefused
@@ -255,6 +255,9 @@
 
 // endReason returns why the request has ended with its context.
 func endReason(ctx context.Context) string {
+	if hasStopped(ctx) {
+		return reasonStopping
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return "the caller left"
 	}
@@ -442,7 +445,7 @@
 	ended := make(chan struct{})
 	var seen time.Time // when the end of the run was seen
 	defer func() {
-		if outcome == callerLeft && errors.Is(ctx.Err(), context.Canceled) {
+		if outcome == callerLeft && errors.Is(ctx.Err(), context.Canceled) && !hasStopped(ctx) {
 			s.noteDeparture(seen, ended)
 		}
 	}()
--- a/citronforward/stream_test.go
+++ b/citronforward/stream_test.go
@@ -1,6 +1,7 @@
 package citronforward_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -15,6 +16,7 @@
 	"citrondeck.dev/citrondeck/citronmodel"
 	"citrondeck.dev/citrondeck/citronpath"
 	"citrondeck.dev/citrondeck/citronpool"
+	"citrondeck.dev/citrondeck/citronserve"
 	"citrondeck.dev/citrondeck/citronupstream"
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
@@ -387,6 +389,54 @@
 	}
 }
 
+// Guards against requests that get no answer, or a wrong one, when their node exits while they run
+// or wait, and against callers that count as having left.
+func TestRequestIsAnsweredWhenItsNodeExits(t *testing.T) {
+	for _, c := range []struct {
+		name, route, events string
+		engines             []citronmodel.Engine
+		status              int
+		after               time.Duration
+		aborted             bool
+	}{
+		{"unary request that runs", "unsafe", "", []citronmodel.Engine{plainEngine("e1", "a")}, 504, 0, false},
+		{"request that may be repeated", "safe", "", []citronmodel.Engine{plainEngine("e1", "a"), plainEngine("e2", "a")}, 504, 0, false},
+		{"stream without an event", "stream", "", []citronmodel.Engine{modelEngine("m1", "a", 0, 8)}, 504, 0, false},
+		{"stream that has begun", "stream", events(1, 2), []citronmodel.Engine{modelEngine("m1", "a", 0, 8)}, 200, 0, true},
+		{"stream that waits for an engine", "stream", "", nil, 503, 1500 * time.Millisecond, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newTestForwarder(t, c.engines...)
+			var log bytes.Buffer
+			r.Log = slog.New(slog.NewTextHandler(&log, nil))
+			ctx, stop := context.WithCancelCause(context.Background())
+			r.Stopping = func() citronforward.Stopping { return citronforward.Stopping{Active: true, Left: time.Minute} }
+			if c.engines == nil {
+				stop(citronserve.ErrStopped)
+			}
+			r.engines.answer = func(ctx context.Context, _ int, _ citronupstream.Call) (*citronupstream.Reply, error) {
+				time.AfterFunc(50*time.Millisecond, func() { stop(citronserve.ErrStopped) })
+				if c.events == "" {
+					<-ctx.Done()
+					return nil, context.Cause(ctx)
+				}
+				rep := reply(200, "")
+				rep.Body = stallingBody{strings.NewReader(c.events), ctx}
+				return rep, nil
+			}
+			got := r.askUntil(ctx, c.route, 5*time.Second)
+			is.Equal(got.status, c.status)
+			is.Equal(max(0, got.retryAfter), c.after)
+			is.Equal(got.aborted, c.aborted)
+			is.Equal(got.body, c.events)
+			is.True(!strings.Contains(log.String(), "caller left") && !strings.Contains(log.String(), "caller.left"))
+			is.True(strings.Contains(log.String(), "this node is stopping"))
+			is.True(len(r.engines.received()) <= 1)
+		})
+	}
+}
+
 // Guards against a third engine that runs a request while two others may still run it. A
 // probe that times out does not prove that an engine's process has ended: this node may
 // have been paused, or have lost its connection to a healthy engine.
--- a/citronforward/unary.go
+++ b/citronforward/unary.go
@@ -16,6 +16,7 @@
 	"citrondeck.dev/citrondeck/citronpath"
 	"citrondeck.dev/citrondeck/citronpool"
 	"citrondeck.dev/citrondeck/citronprobe"
+	"citrondeck.dev/citrondeck/citronserve"
 	"citrondeck.dev/citrondeck/citronupstream"
 	"github.com/cockroachdb/errors"
 )
@@ -221,7 +222,7 @@
 	case errors.Is(err, citronupstream.ErrNotSent):
 		citronprobe.RecordDead(e, err, j.f.Clock.Now())
 		return result{outcome: notRun, err: err}
-	case errors.IsAny(err, context.Canceled, citronbody.ErrNoRoom):
+	case errors.IsAny(err, context.Canceled, citronserve.ErrStopped, citronbody.ErrNoRoom):
 		return result{outcome: unknown, err: err} // the engine is not at fault
 	default:
 		e.RecordFailure(j.f.Clock.Now())
--- a/citronserve/serve.go
+++ b/citronserve/serve.go
@@ -11,9 +11,17 @@
 	"github.com/cockroachdb/errors"
 )
 
-// shutdownTimeout is how long a server waits for running requests when it is stopped. Those
-// that matter have ended by then, up to the last bytes of their responses.
-const shutdownTimeout = 200 * time.Millisecond
+const (
+	// shutdownTimeout is how long a server waits for running requests when it is stopped. Those
+	// that matter have ended by then, up to the last bytes of their responses.
+	shutdownTimeout = 200 * time.Millisecond
+	// answerTimeout is how long requests that still run then have to answer.
+	answerTimeout = 100 * time.Millisecond
+)
+
+// ErrStopped is the cause with which the contexts of requests end that still run when a server
+// has been stopped.
+var ErrStopped = errors.New("the server has been stopped")
 
 // socketBytes is the size of the buffers in which the system keeps what a client has sent and
 // the process has not read, and what the process has sent and the client has not acknowledged.
@@ -34,18 +42,24 @@
 }
 
 // Serve runs an HTTP server on its address within limits until ctx ends. It then closes idle
-// connections, waits for running requests for up to shutdownTimeout and returns.
+// connections, waits for running requests for up to shutdownTimeout, ends the contexts of those
+// that still run, waits for their answers for up to answerTimeout and returns.
 func Serve(ctx context.Context, hs *http.Server, limits Limits) error {
 	ln, err := Listen(ctx, hs.Addr)
 	if err != nil {
 		return err
 	}
+	requests, endRequests := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer endRequests(nil)
+	hs.BaseContext = func(net.Listener) context.Context { return requests }
 	ended := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(ended)
-		limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
-		defer cancel()
-		_ = hs.Shutdown(limit) // requests that still run after that end with the process
+		if shutdown(requests, hs, shutdownTimeout) != nil {
+			endRequests(ErrStopped)
+			// Requests that still run after that end with the process.
+			_ = shutdown(context.WithoutCancel(ctx), hs, answerTimeout)
+		}
 	})
 	defer stop()
 	if err := hs.Serve(Limit(hs, ln, limits)); !errors.Is(err, http.ErrServerClosed) {
@@ -54,3 +68,10 @@
 	<-ended
 	return nil
 }
+
+// shutdown waits for running requests for up to the given time.
+func shutdown(ctx context.Context, hs *http.Server, timeout time.Duration) error {
+	limit, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return hs.Shutdown(limit)
+}
