An answer with an invalid head proves the link it came over

What callers would see: while engines in trouble send invalid heads now and then, their nodes take their own links for broken: calls take the way over other nodes, and a node whose other engines fare alike counts as partitioned. Cause: the check of a link asks for an answer. Heads with control bytes failed it before, and those with status 000 do so since they are no answers. Evidence: TestInvalidHeadIsNoBrokenLink failed before: of 6 engines that answer with invalid heads, 6 counted as unreached and as reached by others only. Change: a link counts as reached if an invalid head has arrived over it; the call itself still fails. Too many fields count as a head that does not end, which proves nothing, as before. The dialer's wrapper and the limit of heads are unexported. Measured: 6 tried, none unreached; the tests of citronreach, citronbody and platform pass.

--- a/citronbody/check.go
+++ b/citronbody/check.go
@@ -55,13 +55,13 @@
 
 func quote(text string) string { return strconv.Quote(text[:min(len(text), maxQuoted)]) }
 
-// DialFunc opens a connection, like http.Transport.DialContext.
-type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+// dialFunc opens a connection, like http.Transport.DialContext.
+type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// CheckHeads wraps dial. On its connections, the head of each response to a request that a Transport
+// checkHeads wraps dial. On its connections, the head of each response to a request that a Transport
 // sends is checked before net/http gets it. Reading an invalid one fails with ErrInvalidHead, so
 // that the connection is closed.
-func CheckHeads(dial DialFunc) DialFunc {
+func checkHeads(dial dialFunc) dialFunc {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := dial(ctx, network, addr)
 		if err != nil {
@@ -143,7 +143,7 @@
 		return true, nil
 	}
 	if h.fields++; h.fields > maxFields {
-		return false, errors.Wrapf(ErrInvalidHead, "more than %d fields", maxFields)
+		return false, errors.Wrapf(errHeadTooLong, "more than %d fields", maxFields)
 	}
 	name, value, ok := strings.Cut(line, ":")
 	if !ok || h.version == "1.0" && strings.EqualFold(name, "Transfer-Encoding") {
--- a/citronbody/head.go
+++ b/citronbody/head.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// MaxHeadBytes bounds the head of a response.
-	MaxHeadBytes = 64 << 10
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 64 << 10
 	// maxHeadTime bounds the time from the first byte of a head to its last.
 	maxHeadTime = time.Second
 	// maxInterim is how many interim responses (1xx) may come before a response.
@@ -25,8 +25,8 @@
 // errHeadTooLong means that the head of a response does not end.
 var errHeadTooLong = errors.New("response head does not end")
 
-// Transport sends requests and reads the heads of the responses. A head has to be valid and to end
-// in time (see CheckHeads).
+// Transport sends requests and reads the heads of the responses. It fails with ErrInvalidHead if a
+// head is not valid, and with another error if one does not end in time. NewTransport creates it.
 type Transport struct {
 	*http.Transport
 	// Bodies, if set, bounds the bytes of all response bodies that have been read and not closed.
@@ -34,9 +34,9 @@
 	Bodies *Budget
 }
 
-// NewTransport returns a transport with the dialer and the limits of t.
+// NewTransport returns a transport that sends over t. It changes the dialer of t, which has to be set.
 func NewTransport(t *http.Transport) Transport {
-	t.DialContext, t.MaxResponseHeaderBytes = CheckHeads(t.DialContext), MaxHeadBytes
+	t.DialContext, t.MaxResponseHeaderBytes = checkHeads(t.DialContext), maxHeadBytes
 	return Transport{Transport: t}
 }
 
--- a/citronreach/engines.go
+++ b/citronreach/engines.go
@@ -23,6 +23,7 @@
 	"math/rand/v2"
 	"time"
 
+	"citrondeck.dev/citrondeck/citronbody"
 	"citrondeck.dev/citrondeck/citronclock"
 	"citrondeck.dev/citrondeck/citronevent"
 	"citrondeck.dev/citrondeck/citronhelper"
@@ -75,7 +76,18 @@
 
 // NewEngines returns a client for engines.
 func NewEngines(s Settings) *Engines {
-	return &Engines{Settings: s, proof: prover{links: s.Links, reach: func(ctx context.Context, addr string) error { return s.Direct.Reach(ctx, addr) }, clock: s.Clock}}
+	g := &Engines{Settings: s}
+	g.proof = prover{links: s.Links, reach: g.reach, clock: s.Clock}
+	return g
+}
+
+// reach checks whether this node reaches the engine at addr. An answer that is not valid has arrived
+// over the link all the same.
+func (g *Engines) reach(ctx context.Context, addr string) error {
+	if err := g.Direct.Reach(ctx, addr); !errors.Is(err, citronbody.ErrInvalidHead) {
+		return err
+	}
+	return nil
 }
 
 // Send implements citronupstream.Engines.
@@ -121,6 +133,8 @@
 		reply.Body = heardBody{reply.Body, g.Links, addr}
 	case errors.Is(err, citronupstream.ErrNotSent):
 		g.recordFailure(ctx, addr, err)
+	case errors.Is(err, citronbody.ErrInvalidHead):
+		g.Links.RecordReached(addr)
 	case ctx.Err() == nil:
 		g.checkSilent(ctx, addr) // the connection was cut before the response
 	}
@@ -183,7 +197,7 @@
 func (g *Engines) check(ctx context.Context, addr string) bool {
 	limit, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	if err := g.Direct.Reach(limit, addr); err != nil {
+	if err := g.reach(limit, addr); err != nil {
 		g.recordFailure(ctx, addr, err)
 		return false
 	}
--- a/citronreach/evidence.go
+++ b/citronreach/evidence.go
@@ -47,7 +47,7 @@
 func (g *Engines) answers(ctx context.Context, addr string) bool {
 	limit, cancel := context.WithTimeout(ctx, proofTimeout)
 	defer cancel()
-	if g.Direct.Reach(limit, addr) != nil {
+	if g.reach(limit, addr) != nil {
 		return false
 	}
 	g.Links.RecordReached(addr)
--- a/citronreach/serve.go
+++ b/citronreach/serve.go
@@ -136,7 +136,7 @@
 	}
 	limit, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	if err := s.engines.Direct.Reach(limit, addr); err != nil {
+	if err := s.engines.reach(limit, addr); err != nil {
 		s.engines.recordFailure(ctx, addr, err)
 		return errors.Wrapf(citronrelay.ErrDeclined, "this node does not reach %s itself: %v", addr, err)
 	}
