A connection reset under an upload is no end of an answer

What callers saw: an engine answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as the whole answer; a stream ended as complete. Cause: the end of the connection ends a body without a length. The system reports the failure of a connection once, to a read or to a write. The write of the upload often got the report, and the read after it returned io.EOF, as after a regular end. net/http takes that for the end of the body whatever became of the write. Change: the connections of citronbody.Transport, over which all clients read (engines, store, other nodes, the older programs, the load tool), return io.EOF only if no write has failed. At io.EOF a write that still runs is ended by a deadline and waited for. Why it works: io.EOF stands for a failure only if a write has got the report, and that write has entered the system before; once it has returned, its error is known. After a regular end it is the deadline, or EPIPE, which comes first only if the peer had ended its side before it reset the connection. No system call beyond the deadline, nothing that depends on the machine. The call counts as one whose answer was lost: it may have run, a request that may run once gets 502, another engine answers one that may be repeated, a stream is resumed.

--- a/citronbody/check.go
+++ b/citronbody/check.go
@@ -6,13 +6,10 @@
 
 import (
 	"bytes"
-	"context"
-	"net"
 	"net/http"
 	"regexp"
 	"strconv"
 	"strings"
-	"sync"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/net/http/httpguts"
@@ -55,56 +52,6 @@
 
 func quote(text string) string { return strconv.Quote(text[:min(len(text), maxQuoted)]) }
 
-// dialFunc opens a connection, like http.Transport.DialContext.
-type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
-
-// checkHeads wraps dial. On its connections, the head of each response to a request that a Transport
-// sends is checked before net/http gets it. Reading an invalid one fails with ErrInvalidHead, so
-// that the connection is closed.
-func checkHeads(dial dialFunc) dialFunc {
-	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		c, err := dial(ctx, network, addr)
-		if err != nil {
-			return nil, err
-		}
-		return &headConn{Conn: c}, nil
-	}
-}
-
-// headConn is a connection on which heads are checked.
-type headConn struct {
-	net.Conn
-	mu sync.Mutex
-	// head is nil while no head is expected.
-	head *headChecker
-}
-
-// expectHead makes the bytes that are read from now on the head of a response. It is called when a
-// request gets the connection, before the request is sent.
-func (c *headConn) expectHead() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.head = &headChecker{}
-}
-
-// Read implements net.Conn.
-func (c *headConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.head == nil {
-		return n, err
-	}
-	ended, invalid := c.head.check(p[:n])
-	if invalid != nil {
-		return 0, invalid
-	}
-	if ended {
-		c.head = nil
-	}
-	return n, err
-}
-
 // headChecker checks the lines of a head as they arrive.
 type headChecker struct {
 	// line is the part of the current line that has arrived. The transport bounds its length.
--- a/citronbody/head.go
+++ b/citronbody/head.go
@@ -36,7 +36,7 @@
 
 // NewTransport returns a transport that sends over t. It changes the dialer of t, which has to be set.
 func NewTransport(t *http.Transport) Transport {
-	t.DialContext, t.MaxResponseHeaderBytes = checkHeads(t.DialContext), maxHeadBytes
+	t.DialContext, t.MaxResponseHeaderBytes = wrapConns(t.DialContext), maxHeadBytes
 	return Transport{Transport: t}
 }
 
@@ -54,7 +54,7 @@
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			connected = true
-			if c, ok := info.Conn.(*headConn); ok {
+			if c, ok := info.Conn.(*conn); ok {
 				c.expectHead()
 			}
 		},
