A write that is ended by the end of its connection is no timeout

Cause: at the regular end of a connection, a write that still runs is ended by a deadline, and its error said "i/o timeout". Where net/http returned it, a late node would have taken it for a missing answer, and operators for a slow engine. Change: such a write fails with an error of its own.

--- a/citronbody/conn.go
+++ b/citronbody/conn.go
@@ -12,6 +12,9 @@
 	"github.com/cockroachdb/errors"
 )
 
+// errEnded means that the peer has ended its side of a connection during a write.
+var errEnded = errors.New("connection ended during a write")
+
 // dialFunc opens a connection, like http.Transport.DialContext.
 type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
 
@@ -78,12 +81,12 @@
 // that the connection has failed, or nil if the peer has ended its side. The system reports the
 // failure of a connection once: if a write gets that report, reads return io.EOF.
 func (c *conn) writeFailure() error {
-	// The write that got the report may not have returned yet. One that waits for the peer is ended
-	// by the deadline: net/http closes the connection after io.EOF, so it would not go on.
+	// The write that got the report may not have returned yet. One that waits for the peer is ended:
+	// net/http closes the connection after io.EOF, so it would not go on.
 	_ = c.SetWriteDeadline(time.Unix(1, 0))
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	if errors.IsAny(c.writeErr, os.ErrDeadlineExceeded, syscall.EPIPE) {
+	if errors.IsAny(c.writeErr, errEnded, syscall.EPIPE) {
 		return nil // EPIPE is the first error only if the peer ended its side before it reset the connection
 	}
 	return c.writeErr
@@ -94,6 +97,9 @@
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = errEnded // only writeFailure sets a deadline
+	}
 	if c.writeErr == nil {
 		c.writeErr = err
 	}
